--- /dev/null
+++ b/src/bramleyrouter/control/interfaces.py
@@ -0,0 +1,51 @@
+"""What the control package offers to the other packages."""
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from result import Result
+
+from bramleyrouter.control.messages import (
+    Claim,
+    ClaimResult,
+    ConfigDelta,
+    ConfigState,
+    OperatorResult,
+    Publish,
+    SetAvailability,
+    Settle,
+)
+from bramleyrouter.failures import Failure
+from bramleyrouter.ids import Revision
+
+Operation = Publish | SetAvailability
+
+
+class ControlClient(NamedTuple):
+    """Bundle the ways of any daemon to reach the control leader.
+
+    It finds the leader, retries inside ``timeout_s`` (seconds) and is safe to
+    repeat. ``LEDGER_UNREACHABLE`` of ``claim`` means that the claim may have
+    been recorded, but that nothing was dispatched for it.
+    """
+
+    operate: Callable[[Operation, float], Awaitable[Result[OperatorResult, Failure]]]
+    claim: Callable[[Claim, float], Awaitable[Result[ClaimResult, Failure]]]
+    settle: Callable[[Settle, float], Awaitable[Result[None, Failure]]]
+    read_config: Callable[[float], Awaitable[Result[ConfigState, Failure]]]
+
+
+class ConfigSource(NamedTuple):
+    """Bundle what dissemination reads of a control daemon's state machine.
+
+    ``deltas_since(revision)`` returns the changes after ``revision``, oldest
+    first, or none when they are no longer kept and the whole state is needed.
+    ``watch(callback)`` calls after each new revision. ``is_current()`` says
+    whether this member is the leader with a valid lease, or heard from one
+    within the last second.
+    """
+
+    state: Callable[[], ConfigState]
+    deltas_since: Callable[[Revision], tuple[ConfigDelta, ...] | None]
+    watch: Callable[[Callable[[], None]], None]
+    is_current: Callable[[], bool]
--- /dev/null
+++ b/src/bramleyrouter/control/messages.py
@@ -0,0 +1,120 @@
+"""Typed commands to the control daemons and their results."""
+
+import msgspec
+
+from bramleyrouter.board.sections import Manifest
+from bramleyrouter.failures import Failure
+from bramleyrouter.ids import (
+    DaemonId,
+    DaemonIncarnation,
+    DataCentre,
+    Generation,
+    OperatorRequestId,
+    RequestId,
+    Revision,
+    ServerId,
+    TenantName,
+)
+from bramleyrouter.states import Outcome
+
+
+class Publish(msgspec.Struct, frozen=True, tag="publish"):
+    """Publish a manifest; its generation must be larger than the current one."""
+
+    request_id: OperatorRequestId
+    operator: str
+    manifest: Manifest
+
+
+class SetAvailability(msgspec.Struct, frozen=True, tag="availability"):
+    """Take a data centre or a backend server out of service, or back in.
+
+    Exactly one of ``data_centre`` and ``server_id`` is set.
+    """
+
+    request_id: OperatorRequestId
+    operator: str
+    is_out: bool
+    data_centre: DataCentre | None = None
+    server_id: ServerId | None = None
+
+
+class Claim(msgspec.Struct, frozen=True, tag="claim"):
+    """Claim the right to dispatch a non-idempotent request, once.
+
+    ``attempt_token`` is chosen anew for each dispatch that the claimant means
+    to make; a repeated claim with the same token is the same claim.
+    """
+
+    tenant: TenantName
+    request_id: RequestId
+    body_digest: bytes
+    claimant: DaemonId
+    claimant_incarnation: DaemonIncarnation
+    attempt_token: bytes
+
+
+class Settle(msgspec.Struct, frozen=True, tag="settle"):
+    """Record the outcome of a claim; only its claimant's token settles it."""
+
+    tenant: TenantName
+    request_id: RequestId
+    attempt_token: bytes
+    outcome: Outcome
+    code: int
+    answer: bytes = b""
+
+
+Command = Publish | SetAvailability | Claim | Settle
+
+
+class OperatorResult(msgspec.Struct, frozen=True):
+    """Answer ``Publish`` and ``SetAvailability``; the same for every resend."""
+
+    revision: Revision
+    generation: Generation
+    failure: Failure | None = None
+
+
+class ClaimResult(msgspec.Struct, frozen=True):
+    """Answer ``Claim``.
+
+    ``is_granted``: this attempt token may dispatch. Otherwise ``failure``
+    (another body, expired identity), or ``outcome`` with ``answer`` of the
+    earlier claim, or none of them while the claimant has not settled.
+    """
+
+    is_granted: bool
+    claimant: DaemonId = DaemonId("")
+    claimant_incarnation: DaemonIncarnation = DaemonIncarnation(0)
+    outcome: Outcome | None = None
+    code: int = 0
+    answer: bytes = b""
+    failure: Failure | None = None
+
+
+class ConfigState(msgspec.Struct, frozen=True):
+    """Hold the whole accepted configuration at one revision.
+
+    ``digest`` is the BLAKE2b-128 digest of the rest, in the encoding of
+    ``control/``; equal revisions have equal digests everywhere.
+    """
+
+    revision: Revision
+    manifest: Manifest | None
+    data_centres_out: tuple[DataCentre, ...] = ()
+    servers_out: tuple[ServerId, ...] = ()
+    digest: bytes = b""
+
+
+class ConfigDelta(msgspec.Struct, frozen=True):
+    """Hold the change from one revision to the next one.
+
+    ``manifest`` is set when it changed; the sets of what is out travel whole.
+    """
+
+    revision: Revision
+    manifest: Manifest | None
+    data_centres_out: tuple[DataCentre, ...]
+    servers_out: tuple[ServerId, ...]
+    digest: bytes
