--- a/src/bramleyrouter/codes.py
+++ b/src/bramleyrouter/codes.py
@@ -42,11 +42,14 @@
     NOT_HOME = 216
     CANCELLED_IN_QUEUE = 217
     VERSION_NOT_HELD = 218
+    LEDGER_FULL = 219
 
     # 300: the outcome of a non-idempotent request is unknown.
     OUTCOME_UNKNOWN = 300
     CLAIMANT_LOST = 301
     IDENTITY_EXPIRED = 302
+    # The request ran, but its answer was too large to keep for resends.
+    ANSWER_NOT_KEPT = 303
 
     # 400: reasons why a shard is missing from an answer.
     SHARD_NO_REPLICA = 400
@@ -66,6 +69,7 @@
     GENERATION_CONFLICT = 502
     UNKNOWN_TARGET = 503
     OPERATOR_REQUEST_REUSED = 504
+    TOO_MANY_OUT = 505
 
     # 600: control daemons and their log.
     NOT_LEADER = 600
--- /dev/null
+++ b/src/bramleyrouter/control/client.py
@@ -0,0 +1,185 @@
+"""Reach the control daemons from any daemon."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from result import Err, Ok, Result
+
+from bramleyrouter.codes import Code
+from bramleyrouter.consensus.interfaces import LogStatus, Member
+from bramleyrouter.control.codecs import try_encode_command
+from bramleyrouter.control.interfaces import ControlAdmin, ControlClient, Operation
+from bramleyrouter.control.leaders import Attempts, Leaders, call_leader, learn_address
+from bramleyrouter.control.ledger import invalid_identity, parse_created_ms
+from bramleyrouter.control.limits import MAX_NAME_CHARACTERS
+from bramleyrouter.control.messages import (
+    Claim,
+    ClaimResult,
+    ConfigState,
+    OperatorResult,
+)
+from bramleyrouter.control.replies import (
+    MemberChange,
+    ReadConfig,
+    RemoveMember,
+    decode_claim_result,
+    decode_config_reply,
+    decode_operator_result,
+    decode_status,
+    encode_member_change,
+    encode_read_config,
+    encode_status_request,
+)
+from bramleyrouter.control.settling import build_settle
+from bramleyrouter.failures import Failure
+from bramleyrouter.ids import MemberId, Revision
+from bramleyrouter.wire.kinds import Kind
+from bramleyrouter.wire.network import Network
+
+# Wait for one member's status, in seconds; it needs no majority.
+STATUS_TIMEOUT_S = 1.0
+UNREACHED = frozenset({Code.NO_MAJORITY, Code.PEER_UNREACHABLE})
+
+
+def build_control_client(
+    network: Network,
+    addresses: tuple[str, ...],
+    clock: Callable[[], float],
+    rng: random.Random,
+) -> ControlClient:
+    """Return the client of the control daemons at ``addresses`` ("ip:port")."""
+    leaders = Leaders(network, list(addresses), clock, rng)
+    return ControlClient(
+        operate=_build_operate(leaders),
+        claim=_build_claim(leaders),
+        settle=build_settle(leaders),
+        read_config=_build_read_config(leaders),
+    )
+
+
+def build_control_admin(
+    network: Network,
+    addresses: tuple[str, ...],
+    clock: Callable[[], float],
+    rng: random.Random,
+) -> ControlAdmin:
+    """Return the operators' access to the log of the control daemons."""
+    leaders = Leaders(network, list(addresses), clock, rng)
+
+    async def add_member(member: Member, timeout_s: float) -> Result[None, Failure]:
+        return await _change_members(leaders, member, timeout_s)
+
+    async def remove_member(
+        member_id: MemberId, timeout_s: float
+    ) -> Result[None, Failure]:
+        return await _change_members(leaders, RemoveMember(member_id), timeout_s)
+
+    return ControlAdmin(_build_status(leaders), add_member, remove_member)
+
+
+def _build_operate(leaders: Leaders):
+    async def operate(
+        operation: Operation, timeout_s: float
+    ) -> Result[OperatorResult, Failure]:
+        encoded = try_encode_command(operation)
+        if isinstance(encoded, Err):
+            return encoded
+        payload = encoded.ok_value
+        reply = await call_leader(leaders, Kind.OPERATE, payload, timeout_s)
+        if isinstance(reply, Err):
+            return reply
+        return decode_operator_result(reply.ok_value)
+
+    return operate
+
+
+def _build_claim(leaders: Leaders):
+    async def claim(request: Claim, timeout_s: float) -> Result[ClaimResult, Failure]:
+        is_long = len(request.request_id) > MAX_NAME_CHARACTERS
+        if is_long or parse_created_ms(request.request_id) is None:
+            failure = invalid_identity(request.request_id[:MAX_NAME_CHARACTERS])
+            return Ok(ClaimResult(False, failure=failure))
+        encoded = try_encode_command(request)
+        if isinstance(encoded, Err):
+            return encoded
+        payload = encoded.ok_value
+        reply = await call_leader(leaders, Kind.CLAIM, payload, timeout_s)
+        if isinstance(reply, Err):
+            return Err(_unreachable(reply.err_value))
+        return decode_claim_result(reply.ok_value)
+
+    return claim
+
+
+def _unreachable(failure: Failure) -> Failure:
+    if failure.code not in UNREACHED:
+        return failure
+    text = f"The submission ledger can't be reached: {failure.text}"
+    return Failure(Code.LEDGER_UNREACHABLE, text)
+
+
+def _build_read_config(leaders: Leaders):
+    held: list[ConfigState] = []
+
+    async def read_config(timeout_s: float) -> Result[ConfigState, Failure]:
+        last = held[0] if held else None
+        request = (
+            ReadConfig(last.revision, last.digest) if last else ReadConfig(Revision(0))
+        )
+        payload = encode_read_config(request)
+        reply = await call_leader(leaders, Kind.READ_CONFIG, payload, timeout_s)
+        if isinstance(reply, Err):
+            return reply
+        decoded = decode_config_reply(reply.ok_value)
+        if isinstance(decoded, Err):
+            return decoded
+        if decoded.ok_value is not None:
+            held[:] = [decoded.ok_value]
+            return Ok(decoded.ok_value)
+        if last is None:
+            text = "The reply omits a configuration that is not held."
+            return Err(Failure(Code.WIRE_MALFORMED, text))
+        return Ok(last)
+
+    return read_config
+
+
+def _build_status(leaders: Leaders):
+    payload = encode_status_request(is_proof_asked=False)
+
+    async def ask(address: str) -> tuple[str, Result[LogStatus, Failure]]:
+        reply = await leaders.network.call(
+            address, Kind.CONTROL_STATUS, payload, STATUS_TIMEOUT_S
+        )
+        if isinstance(reply, Err):
+            return address, reply
+        return address, decode_status(reply.ok_value)
+
+    async def status() -> tuple[tuple[str, Result[LogStatus, Failure]], ...]:
+        asked = tuple(leaders.addresses)
+        views = await asyncio.gather(*(ask(address) for address in asked))
+        for _, view in views:
+            for member in view.ok_value.members if isinstance(view, Ok) else ():
+                learn_address(leaders, member.address)
+        added = leaders.addresses[len(asked) :]
+        return (*views, *await asyncio.gather(*(ask(address) for address in added)))
+
+    return status
+
+
+async def _change_members(
+    leaders: Leaders, change: MemberChange, timeout_s: float
+) -> Result[None, Failure]:
+    attempts = Attempts(leaders.clock() + timeout_s)
+    payload = encode_member_change(change)
+    reply = await call_leader(
+        leaders, Kind.CHANGE_MEMBERS, payload, timeout_s, attempts
+    )
+    if isinstance(reply, Ok):
+        return Ok(None)
+    is_gone = reply.err_value.code is Code.UNKNOWN_MEMBER
+    if isinstance(change, RemoveMember) and is_gone and attempts.maybe_acted:
+        # An earlier attempt removed it and its reply was lost.
+        return Ok(None)
+    return reply
--- /dev/null
+++ b/src/bramleyrouter/control/codecs.py
@@ -0,0 +1,198 @@
+"""Encode and decode the commands, as sent and as kept in the log."""
+
+from typing import Any
+
+import capnp
+import msgspec
+from result import Err, Ok, Result
+
+from bramleyrouter.board.sections import Manifest
+from bramleyrouter.codes import Code
+from bramleyrouter.conf.defaults import MAX_MANIFEST_BYTES
+from bramleyrouter.control.frames import SCHEMA, bounded, decode_message, new_message
+from bramleyrouter.control.limits import (
+    MAX_ANSWER_BYTES,
+    MAX_NAME_CHARACTERS,
+    MAX_SETTLE_BYTES,
+    MAX_SETTLES,
+    MAX_TOKEN_BYTES,
+)
+from bramleyrouter.control.messages import Claim, Publish, SetAvailability, Settle
+from bramleyrouter.failures import Failure
+from bramleyrouter.ids import (
+    DaemonId,
+    DaemonIncarnation,
+    DataCentre,
+    OperatorRequestId,
+    RequestId,
+    ServerId,
+    TenantName,
+)
+from bramleyrouter.states import Outcome
+
+# A command of the log; settlements are logged in batches.
+LogCommand = Publish | SetAvailability | Claim | tuple[Settle, ...]
+
+# Room for the ids around a manifest, and for a manifest somewhat above its
+# limit, which the state machine then refuses with the reason.
+MAX_COMMAND_BYTES = MAX_MANIFEST_BYTES + 512 * 1024
+# What one settlement of a batch takes besides its response, in bytes.
+SETTLE_OVERHEAD_BYTES = 1024
+
+OUTCOME_NAMES = {
+    None: "none",
+    Outcome.DONE: "done",
+    Outcome.NOT_RUN: "notRun",
+    Outcome.UNKNOWN: "unknown",
+}
+OUTCOMES = {name: outcome for outcome, name in OUTCOME_NAMES.items()}
+
+
+def encode_command(command: LogCommand) -> bytes:
+    """Return a command as bytes."""
+    message = new_message(SCHEMA.Command)
+    if isinstance(command, Publish):
+        _fill_publish(message.init("publish"), command)
+    elif isinstance(command, SetAvailability):
+        _fill_availability(message.init("availability"), command)
+    elif isinstance(command, Claim):
+        _fill_claim(message.init("claim"), command)
+    else:
+        parts = message.init("settles", len(command))
+        for part, settlement in zip(parts, command, strict=True):
+            _fill_settle(part, settlement)
+    return message.to_bytes()
+
+
+def try_encode_command(command: LogCommand) -> Result[bytes, Failure]:
+    """Encode a command whose values may not fit the schema or its bounds."""
+    try:
+        data = encode_command(command)
+    except (OverflowError, ValueError, capnp.KjException) as exc:
+        text = f"The command can't be encoded: {exc}."
+        return Err(Failure(Code.MALFORMED_REQUEST, text))
+    checked = decode_command(data)
+    return checked if isinstance(checked, Err) else Ok(data)
+
+
+def decode_command(data: bytes) -> Result[LogCommand, Failure]:
+    """Decode a command; fail with a ``WIRE_*`` code."""
+    return decode_message(SCHEMA.Command, data, MAX_COMMAND_BYTES, _convert_command)
+
+
+def find_outcome(name: Any) -> Outcome | None:
+    """Return the outcome of an enumerant of the schema."""
+    try:
+        return OUTCOMES[str(name)]
+    except KeyError:
+        raise ValueError(f'outcome "{name}" is not known') from None
+
+
+def _convert_command(message: Any) -> LogCommand:
+    which = str(message.which())
+    if which == "publish":
+        return _convert_publish(message.publish)
+    if which == "availability":
+        return _convert_availability(message.availability)
+    if which == "claim":
+        return _convert_claim(message.claim)
+    if which == "settles":
+        if not 1 <= len(message.settles) <= MAX_SETTLES:
+            raise ValueError(f"{len(message.settles)} settlements were sent")
+        return tuple(_convert_settle(part) for part in message.settles)
+    raise ValueError(f'command "{which}" is not known')
+
+
+def _name(value: str, name: str) -> str:
+    return bounded(value, MAX_NAME_CHARACTERS, name)
+
+
+def _token(value: bytes, name: str) -> bytes:
+    return bounded(value, MAX_TOKEN_BYTES, name)
+
+
+def _fill_publish(part: Any, command: Publish) -> None:
+    part.requestId = command.request_id
+    part.operator = command.operator
+    part.manifest = msgspec.msgpack.encode(command.manifest)
+
+
+def _convert_publish(part: Any) -> Publish:
+    return Publish(
+        OperatorRequestId(_name(part.requestId, "request_id")),
+        _name(part.operator, "operator"),
+        msgspec.msgpack.decode(part.manifest, type=Manifest),
+    )
+
+
+def _fill_availability(part: Any, command: SetAvailability) -> None:
+    part.requestId = command.request_id
+    part.operator = command.operator
+    part.isOut = command.is_out
+    if command.data_centre is not None:
+        part.dataCentre = command.data_centre
+    else:
+        part.serverId = command.server_id or ""
+
+
+def _convert_availability(part: Any) -> SetAvailability:
+    which = str(part.which())
+    if which not in ("dataCentre", "serverId"):
+        raise ValueError(f'target "{which}" is not known')
+    is_data_centre = which == "dataCentre"
+    target = _name(part.dataCentre if is_data_centre else part.serverId, which)
+    return SetAvailability(
+        OperatorRequestId(_name(part.requestId, "request_id")),
+        _name(part.operator, "operator"),
+        part.isOut,
+        data_centre=DataCentre(target) if is_data_centre else None,
+        server_id=None if is_data_centre else ServerId(target),
+    )
+
+
+def _fill_claim(part: Any, command: Claim) -> None:
+    part.tenant = command.tenant
+    part.requestId = command.request_id
+    part.bodyDigest = command.body_digest
+    part.claimant = command.claimant
+    part.claimantIncarnation = command.claimant_incarnation
+    part.attemptToken = command.attempt_token
+
+
+def _convert_claim(part: Any) -> Claim:
+    return Claim(
+        TenantName(_name(part.tenant, "tenant")),
+        RequestId(_name(part.requestId, "request_id")),
+        _token(part.bodyDigest, "body_digest"),
+        DaemonId(_name(part.claimant, "claimant")),
+        DaemonIncarnation(part.claimantIncarnation),
+        _token(part.attemptToken, "attempt_token"),
+    )
+
+
+def _fill_settle(part: Any, command: Settle) -> None:
+    part.tenant = command.tenant
+    part.requestId = command.request_id
+    part.attemptToken = command.attempt_token
+    part.outcome = OUTCOME_NAMES[command.outcome]
+    part.code = command.code
+    part.answer = command.answer
+
+
+def _convert_settle(part: Any) -> Settle:
+    outcome = find_outcome(part.outcome)
+    if outcome is None:
+        raise ValueError("a settlement needs an outcome")
+    return Settle(
+        TenantName(_name(part.tenant, "tenant")),
+        RequestId(_name(part.requestId, "request_id")),
+        _token(part.attemptToken, "attempt_token"),
+        outcome,
+        part.code,
+        bounded(part.answer, MAX_SETTLE_BYTES, "answer", is_empty_allowed=True),
+    )
+
+
+def settle_size(settlement: Settle) -> int:
+    """Return the bytes that a settlement takes in a batch, at most."""
+    return len(settlement.answer[: MAX_ANSWER_BYTES + 1]) + SETTLE_OVERHEAD_BYTES
--- /dev/null
+++ b/src/bramleyrouter/control/configuration.py
@@ -0,0 +1,174 @@
+"""The accepted configuration: publishing and taking out of service.
+
+Functions here are deterministic: every control daemon applies the same
+commands in the same order and holds the same state.
+"""
+
+from collections import deque
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+import msgspec
+
+from bramleyrouter.board.sections import Manifest
+from bramleyrouter.codes import Code
+from bramleyrouter.control.digests import digest_config, digest_manifest
+from bramleyrouter.control.limits import (
+    MAX_DATA_CENTRES_OUT,
+    MAX_DELTA_BYTES,
+    MAX_DELTAS,
+    MAX_SERVERS_OUT,
+)
+from bramleyrouter.control.manifests import check_manifest, invalid_manifest, is_name
+from bramleyrouter.control.messages import (
+    ConfigDelta,
+    ConfigState,
+    OperatorResult,
+    Publish,
+    SetAvailability,
+)
+from bramleyrouter.failures import Failure
+from bramleyrouter.ids import Generation, OperatorRequestId, Revision
+
+
+class Publisher(msgspec.Struct, frozen=True):
+    """Say who published the manifest in force, to name to the losers."""
+
+    operator: str
+    request_id: OperatorRequestId
+    revision: Revision
+
+
+class KeptDelta(NamedTuple):
+    """Hold a delta and the encoded size of its manifest, in bytes."""
+
+    delta: ConfigDelta
+    size: int
+
+
+@dataclass
+class Configuration:
+    """Hold the accepted configuration and its last changes.
+
+    ``deltas`` is a cache that a snapshot leaves out.
+    """
+
+    state: ConfigState = field(
+        default_factory=lambda: make_state(0, None, digest_manifest(None), (), ())
+    )
+    manifest_digest: bytes = field(default_factory=lambda: digest_manifest(None))
+    publisher: Publisher | None = None
+    deltas: deque[KeptDelta] = field(default_factory=deque)
+    delta_bytes: int = 0
+
+
+def make_state(
+    revision, manifest: Manifest | None, manifest_digest, data_centres, servers
+) -> ConfigState:
+    """Return a state with its digest."""
+    digest = digest_config(revision, manifest_digest, data_centres, servers)
+    return ConfigState(Revision(revision), manifest, data_centres, servers, digest)
+
+
+def publish(cfg: Configuration, operation: Publish) -> OperatorResult:
+    """Accept a manifest, or refuse it whole and change nothing."""
+    manifest = operation.manifest
+    findings = check_manifest(manifest)
+    if findings:
+        return _refuse(cfg, invalid_manifest(findings))
+    if manifest.generation <= generation_of(cfg.state):
+        return _refuse(cfg, _conflict(cfg, manifest.generation))
+    revision = Revision(cfg.state.revision + 1)
+    cfg.manifest_digest = digest_manifest(manifest)
+    cfg.publisher = Publisher(operation.operator, operation.request_id, revision)
+    size = len(msgspec.msgpack.encode(manifest))
+    _accept(cfg, manifest, cfg.state.data_centres_out, cfg.state.servers_out, size)
+    return _answer(cfg)
+
+
+def set_availability(cfg: Configuration, operation: SetAvailability) -> OperatorResult:
+    """Take a data centre or server out or back in.
+
+    One that no daemon knows yet is accepted: it may announce later, and must
+    then find itself out. A change to what already holds adds no revision.
+    """
+    data_centre, server_id = operation.data_centre, operation.server_id
+    target = data_centre if server_id is None else server_id
+    if (data_centre is None) == (server_id is None) or not is_name(target or ""):
+        text = "Exactly one valid data centre or server id was expected."
+        return _refuse(cfg, Failure(Code.MALFORMED_REQUEST, text))
+    state = cfg.state
+    data_centres = _changed(state.data_centres_out, data_centre, operation.is_out)
+    servers = _changed(state.servers_out, server_id, operation.is_out)
+    if len(data_centres) > MAX_DATA_CENTRES_OUT or len(servers) > MAX_SERVERS_OUT:
+        text = (
+            f'"{target}" can\'t be taken out: at most {MAX_DATA_CENTRES_OUT} data '
+            f"centres and {MAX_SERVERS_OUT} servers may be out at once."
+        )
+        return _refuse(cfg, Failure(Code.TOO_MANY_OUT, text))
+    if (data_centres, servers) != (state.data_centres_out, state.servers_out):
+        _accept(cfg, state.manifest, data_centres, servers, None)
+    return _answer(cfg)
+
+
+def generation_of(state: ConfigState) -> Generation:
+    """Return the generation in force, 0 before the first manifest."""
+    return state.manifest.generation if state.manifest else Generation(0)
+
+
+def deltas_since(
+    cfg: Configuration, revision: Revision
+) -> tuple[ConfigDelta, ...] | None:
+    """Return the changes after ``revision``, or none if some are not kept."""
+    missing = cfg.state.revision - revision
+    if missing < 0 or missing > len(cfg.deltas):
+        return None
+    return tuple(kept.delta for kept in list(cfg.deltas)[len(cfg.deltas) - missing :])
+
+
+def _accept(cfg: Configuration, manifest, data_centres, servers, new_manifest_bytes):
+    cfg.state = make_state(
+        cfg.state.revision + 1, manifest, cfg.manifest_digest, data_centres, servers
+    )
+    is_new = new_manifest_bytes is not None
+    delta = ConfigDelta(
+        cfg.state.revision,
+        manifest if is_new else None,
+        data_centres,
+        servers,
+        cfg.state.digest,
+    )
+    cfg.deltas.append(KeptDelta(delta, new_manifest_bytes or 0))
+    cfg.delta_bytes += new_manifest_bytes or 0
+    while len(cfg.deltas) > MAX_DELTAS or cfg.delta_bytes > MAX_DELTA_BYTES:
+        cfg.delta_bytes -= cfg.deltas.popleft().size
+
+
+def _changed(names: tuple, name, is_out: bool) -> tuple:
+    if name is None or (name in names) == is_out:
+        return names
+    if is_out:
+        return tuple(sorted((*names, name)))
+    return tuple(other for other in names if other != name)
+
+
+def _answer(cfg: Configuration) -> OperatorResult:
+    return OperatorResult(cfg.state.revision, generation_of(cfg.state))
+
+
+def _refuse(cfg: Configuration, failure: Failure) -> OperatorResult:
+    return OperatorResult(cfg.state.revision, generation_of(cfg.state), failure)
+
+
+def _conflict(cfg: Configuration, generation: Generation) -> Failure:
+    current = generation_of(cfg.state)
+    relation = "is in force" if generation == current else f"is older than {current}"
+    by = cfg.publisher
+    winner = (
+        f'; generation {current} was published by "{by.operator}" with request '
+        f'"{by.request_id}" as revision {by.revision}'
+        if by
+        else ""
+    )
+    text = f'Generation "{generation}" {relation}{winner}.'
+    return Failure(Code.GENERATION_CONFLICT, text)
--- /dev/null
+++ b/src/bramleyrouter/control/control.capnp
@@ -0,0 +1,131 @@
+@0xb7d2c4a19e5f6083;
+
+# Messages between the daemons and the control daemons. Commands travel and
+# are kept in the log in the same form.
+
+struct Command {
+  protocolVersion @0 :UInt16;
+  union {
+    publish @1 :Publish;
+    availability @2 :Availability;
+    claim @3 :Claim;
+    settles @4 :List(Settle);
+  }
+}
+
+struct Publish {
+  requestId @0 :Text;
+  operator @1 :Text;
+  manifest @2 :Data;        # MessagePack of board.sections.Manifest.
+}
+
+struct Availability {
+  requestId @0 :Text;
+  operator @1 :Text;
+  isOut @2 :Bool;
+  union {
+    dataCentre @3 :Text;
+    serverId @4 :Text;
+  }
+}
+
+struct Claim {
+  tenant @0 :Text;
+  requestId @1 :Text;
+  bodyDigest @2 :Data;
+  claimant @3 :Text;
+  claimantIncarnation @4 :UInt64;
+  attemptToken @5 :Data;
+}
+
+enum Outcome {
+  none @0;
+  done @1;
+  notRun @2;
+  unknown @3;
+}
+
+struct Settle {
+  tenant @0 :Text;
+  requestId @1 :Text;
+  attemptToken @2 :Data;
+  outcome @3 :Outcome;
+  code @4 :UInt16;
+  answer @5 :Data;
+}
+
+struct Finding {
+  code @0 :Text;
+  level @1 :Text;
+  place @2 :Text;
+  text @3 :Text;
+  hint @4 :Text;
+}
+
+struct Failure {
+  code @0 :UInt16;          # Zero when there is no failure.
+  text @1 :Text;
+  findings @2 :List(Finding);
+}
+
+struct OperatorResult {
+  protocolVersion @0 :UInt16;
+  revision @1 :UInt64;
+  generation @2 :UInt64;
+  failure @3 :Failure;
+}
+
+struct ClaimResult {
+  protocolVersion @0 :UInt16;
+  isGranted @1 :Bool;
+  claimant @2 :Text;
+  claimantIncarnation @3 :UInt64;
+  outcome @4 :Outcome;
+  code @5 :UInt16;
+  answer @6 :Data;
+  failure @7 :Failure;
+}
+
+struct ReadConfig {
+  protocolVersion @0 :UInt16;
+  # What the reader holds; an unchanged configuration is not sent again.
+  revision @1 :UInt64;
+  digest @2 :Data;
+}
+
+struct ConfigReply {
+  protocolVersion @0 :UInt16;
+  isUnchanged @1 :Bool;
+  state @2 :Data;           # MessagePack of control.messages.ConfigState.
+}
+
+struct StatusRequest {
+  protocolVersion @0 :UInt16;
+  # Whether the member must first prove that it is the leader.
+  isProofAsked @1 :Bool;
+}
+
+struct Member {
+  memberId @0 :Text;
+  address @1 :Text;
+  isVoter @2 :Bool;
+}
+
+struct Status {
+  protocolVersion @0 :UInt16;
+  memberId @1 :Text;
+  term @2 :UInt64;
+  isLeader @3 :Bool;
+  leaderAddress @4 :Text;
+  commitIndex @5 :UInt64;
+  appliedIndex @6 :UInt64;
+  members @7 :List(Member);
+}
+
+struct ChangeMembers {
+  protocolVersion @0 :UInt16;
+  union {
+    add @1 :Member;
+    remove @2 :Text;
+  }
+}
--- /dev/null
+++ b/src/bramleyrouter/control/currency.py
@@ -0,0 +1,88 @@
+"""Know whether this control daemon's configuration is current.
+
+A member is current when, within the last second, the leader proved to be the
+leader and this member had applied all that was committed before the proof.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from absl import logging
+from result import Err, Ok, Result
+
+from bramleyrouter.consensus.interfaces import LogStatus, ReplicatedLog
+from bramleyrouter.control.replies import decode_status, encode_status_request
+from bramleyrouter.failures import Failure
+from bramleyrouter.ids import LogIndex
+from bramleyrouter.wire.kinds import Kind
+from bramleyrouter.wire.network import Network
+
+# Time for which one confirmation holds, in seconds.
+CURRENT_S = 1.0
+# Time between confirmations, and the longest wait for one, in seconds: two may
+# fail before a member counts as not current.
+CONFIRM_INTERVAL_S = 0.25
+CONFIRM_TIMEOUT_S = 0.35
+
+
+@dataclass
+class Currency:
+    """Hold the start of the last confirmation that succeeded, loop time."""
+
+    confirmed_at: float = float("-inf")
+
+
+def is_current(currency: Currency, now: float) -> bool:
+    """Return whether the last confirmation still holds."""
+    return now - currency.confirmed_at <= CURRENT_S
+
+
+async def keep_confirming(
+    currency: Currency,
+    log: ReplicatedLog,
+    network: Network,
+    clock: Callable[[], float],
+) -> None:
+    """Confirm over and over, until cancelled."""
+    while True:
+        started = clock()
+        try:
+            confirming = _confirm(log, network, clock)
+            if await asyncio.wait_for(confirming, 2 * CONFIRM_TIMEOUT_S):
+                currency.confirmed_at = started
+        except TimeoutError:
+            pass
+        except Exception:
+            # Without this loop the member would stay "not current" for good.
+            logging.exception("control: a confirmation failed.")
+        await asyncio.sleep(CONFIRM_INTERVAL_S)
+
+
+async def _confirm(log: ReplicatedLog, network: Network, clock) -> bool:
+    status = log.status()
+    if status.is_leader:
+        return isinstance(await log.read_barrier(CONFIRM_TIMEOUT_S), Ok)
+    if not status.leader_address:
+        return False
+    deadline = clock() + CONFIRM_TIMEOUT_S
+    proof = await _ask_leader(network, status.leader_address)
+    if isinstance(proof, Err):
+        return False
+    return await _wait_applied(log, proof.ok_value.applied_index, deadline, clock)
+
+
+async def _ask_leader(network: Network, address: str) -> Result[LogStatus, Failure]:
+    request = encode_status_request(is_proof_asked=True)
+    reply = await network.call(address, Kind.CONTROL_STATUS, request, CONFIRM_TIMEOUT_S)
+    return reply if isinstance(reply, Err) else decode_status(reply.ok_value)
+
+
+async def _wait_applied(
+    log: ReplicatedLog, index: LogIndex, deadline: float, clock
+) -> bool:
+    while log.status().applied_index < index:
+        if clock() >= deadline:
+            return False
+        await asyncio.sleep(0.01)
+    return True
--- /dev/null
+++ b/src/bramleyrouter/control/frames.py
@@ -0,0 +1,56 @@
+"""What the encoders and decoders of this package's messages share."""
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, TypeVar
+
+import capnp
+import msgspec
+from result import Err, Ok, Result
+
+from bramleyrouter.codes import Code
+from bramleyrouter.failures import Failure
+from bramleyrouter.wire.envelopes import PROTOCOL_VERSION
+
+T = TypeVar("T")
+
+SCHEMA = capnp.load(str(Path(__file__).with_name("control.capnp")))
+
+
+def new_message(struct: Any) -> Any:
+    """Return an empty message that starts with the protocol version."""
+    message = struct.new_message()
+    message.protocolVersion = PROTOCOL_VERSION
+    return message
+
+
+def decode_message(
+    struct: Any, data: bytes, limit: int, convert: Callable[[Any], T]
+) -> Result[T, Failure]:
+    """Decode ``data`` and convert it; ``convert`` raises ``ValueError``.
+
+    Fail with ``WIRE_TOO_LARGE``, ``WIRE_VERSION`` or ``WIRE_MALFORMED``.
+    """
+    if len(data) > limit:
+        text = f"{len(data)} bytes were received; at most {limit} are accepted."
+        return Err(Failure(Code.WIRE_TOO_LARGE, text))
+    try:
+        with struct.from_bytes(data) as message:
+            version = message.protocolVersion
+            if version != PROTOCOL_VERSION:
+                text = (
+                    f'Protocol version "{version}" was received; '
+                    f'"{PROTOCOL_VERSION}" was expected.'
+                )
+                return Err(Failure(Code.WIRE_VERSION, text))
+            return Ok(convert(message))
+    except (capnp.KjException, ValueError, msgspec.MsgspecError) as exc:
+        text = f"The message can't be decoded: {exc}."
+        return Err(Failure(Code.WIRE_MALFORMED, text))
+
+
+def bounded(value: Any, limit: int, name: str, is_empty_allowed: bool = False) -> Any:
+    """Return a text or bytes value; raise ``ValueError`` beyond its bounds."""
+    if len(value) > limit or not (value or is_empty_allowed):
+        raise ValueError(f'"{name}" has length {len(value)}; 1 to {limit} expected')
+    return value
--- a/src/bramleyrouter/control/interfaces.py
+++ b/src/bramleyrouter/control/interfaces.py
@@ -5,6 +5,7 @@
 
 from result import Result
 
+from bramleyrouter.consensus.interfaces import LogStatus, Member
 from bramleyrouter.control.messages import (
     Claim,
     ClaimResult,
@@ -16,7 +17,7 @@
     Settle,
 )
 from bramleyrouter.failures import Failure
-from bramleyrouter.ids import Revision
+from bramleyrouter.ids import MemberId, Revision
 
 Operation = Publish | SetAvailability
 
@@ -35,6 +36,19 @@
     read_config: Callable[[float], Awaitable[Result[ConfigState, Failure]]]
 
 
+class ControlAdmin(NamedTuple):
+    """Bundle the operators' access to the control daemons themselves.
+
+    ``status()`` returns the view of each control daemon that is known, by its
+    address, and needs no majority. ``add_member`` and ``remove_member`` take a
+    timeout in seconds and are safe to repeat.
+    """
+
+    status: Callable[[], Awaitable[tuple[tuple[str, Result[LogStatus, Failure]], ...]]]
+    add_member: Callable[[Member, float], Awaitable[Result[None, Failure]]]
+    remove_member: Callable[[MemberId, float], Awaitable[Result[None, Failure]]]
+
+
 class ConfigSource(NamedTuple):
     """Bundle what dissemination reads of a control daemon's state machine.
 
--- /dev/null
+++ b/src/bramleyrouter/control/leaders.py
@@ -0,0 +1,167 @@
+"""Find the leader among the control daemons and repeat a request to it."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from absl import logging
+from result import Err, Ok, Result
+
+from bramleyrouter.codes import Code
+from bramleyrouter.failures import Failure
+from bramleyrouter.utils.addresses import split_address
+from bramleyrouter.wire.kinds import Kind
+from bramleyrouter.wire.network import Network
+
+# Wait for one reply, in seconds; it doubles with each attempt, so that a frozen
+# leader is left soon and a slow majority is still waited for.
+FIRST_REPLY_WAIT_S = 0.5
+MAX_REPLY_WAIT_S = 4.0
+# Pauses between attempts, in seconds, drawn evenly from half to the whole.
+FIRST_BACKOFF_S = 0.02
+MAX_BACKOFF_S = 0.5
+# Hints followed without a pause; members may point at each other in an election.
+MAX_HINTS = 2
+# Control daemons known from settings and hints together.
+MAX_ADDRESSES = 16
+
+# The peer may have acted on a request that ended so.
+MAYBE_ACTED = frozenset(
+    {
+        Code.NO_MAJORITY,
+        Code.PEER_TIMEOUT,
+        Code.PEER_DISCONNECTED,
+        Code.PEER_REFUSED,
+    }
+)
+# Another attempt, at another control daemon or later, may succeed.
+REPEATABLE = MAYBE_ACTED | {
+    Code.NOT_LEADER,
+    Code.PEER_UNREACHABLE,
+    Code.WIRE_AUTH_FAILED,
+    Code.UNKNOWN_MESSAGE_KIND,
+    Code.NOT_READY,
+    Code.STOPPING,
+}
+
+
+@dataclass
+class Leaders:
+    """Hold what one daemon knows of the control daemons.
+
+    ``leader`` is the address that answered last, or empty.
+    """
+
+    network: Network
+    addresses: list[str]
+    clock: Callable[[], float]
+    rng: random.Random
+    leader: str = ""
+
+
+@dataclass
+class Attempts:
+    """Count the attempts of one request."""
+
+    deadline: float
+    made: int = 0
+    hints: int = 0
+    maybe_acted: bool = False
+    last: Failure | None = None
+
+
+async def call_leader(
+    leaders: Leaders,
+    kind: Kind,
+    payload: bytes,
+    timeout_s: float,
+    attempts: Attempts | None = None,
+) -> Result[bytes, Failure]:
+    """Send a request that is safe to repeat, until a leader answers it.
+
+    After ``timeout_s`` (seconds) it fails with ``NO_MAJORITY`` when the request
+    may have been accepted, else with ``PEER_UNREACHABLE``.
+    """
+    attempts = attempts or Attempts(leaders.clock() + timeout_s)
+    target = leaders.leader or _pick(leaders, "")
+    while (remaining := attempts.deadline - leaders.clock()) > 0:
+        wait_s = FIRST_REPLY_WAIT_S * 2 ** min(attempts.made, 8)
+        wait_s = min(wait_s, MAX_REPLY_WAIT_S, remaining)
+        attempts.made += 1
+        reply = await _call_one(leaders.network, target, kind, payload, wait_s)
+        if isinstance(reply, Ok):
+            leaders.leader = target
+            return reply
+        failure = reply.err_value
+        if failure.code not in REPEATABLE:
+            return reply
+        attempts.last = failure
+        attempts.maybe_acted |= failure.code in MAYBE_ACTED
+        if leaders.leader == target:
+            leaders.leader = ""
+        target = await _next_target(leaders, attempts, target, failure)
+    return Err(_given_up(attempts))
+
+
+async def _call_one(
+    network: Network, target: str, kind: Kind, payload: bytes, wait_s: float
+) -> Result[bytes, Failure]:
+    """Bound the connecting, too, which the network does by itself alone."""
+    try:
+        call = network.call(target, kind, payload, wait_s)
+        return await asyncio.wait_for(call, wait_s + FIRST_BACKOFF_S)
+    except TimeoutError:
+        text = f'"{target}" sent no reply within {wait_s:.3f} s.'
+        return Err(Failure(Code.PEER_TIMEOUT, text))
+
+
+async def _next_target(
+    leaders: Leaders, attempts: Attempts, target: str, failure: Failure
+) -> str:
+    hint = _hint_of(failure)
+    if hint and hint != target and attempts.hints < MAX_HINTS:
+        attempts.hints += 1
+        learn_address(leaders, hint)
+        return hint
+    attempts.hints = 0
+    pause_s = min(FIRST_BACKOFF_S * 2 ** min(attempts.made, 8), MAX_BACKOFF_S)
+    pause_s *= leaders.rng.uniform(0.5, 1.0)
+    await asyncio.sleep(min(pause_s, max(attempts.deadline - leaders.clock(), 0)))
+    # Another request may have found the leader meanwhile.
+    return leaders.leader or _pick(leaders, target)
+
+
+def _hint_of(failure: Failure) -> str:
+    if failure.code is not Code.NOT_LEADER or not failure.text:
+        return ""
+    try:
+        split_address(failure.text)
+    except ValueError:
+        return ""
+    return failure.text
+
+
+def learn_address(leaders: Leaders, address: str) -> None:
+    """Add a control daemon that the settings do not name, up to a bound."""
+    if address not in leaders.addresses and len(leaders.addresses) < MAX_ADDRESSES:
+        logging.info('control: learnt control daemon "%s".', address)
+        leaders.addresses.append(address)
+
+
+def _pick(leaders: Leaders, failed: str) -> str:
+    """Return a control daemon other than ``failed``, where there is one."""
+    others = [one for one in leaders.addresses if one != failed]
+    return leaders.rng.choice(others or leaders.addresses)
+
+
+def _given_up(attempts: Attempts) -> Failure:
+    reason = f" The last reason: {attempts.last}." if attempts.last else ""
+    if attempts.maybe_acted:
+        text = (
+            "No control daemon confirmed the request in time; it may be accepted "
+            f"later, and is safe to repeat with the same id.{reason}"
+        )
+        return Failure(Code.NO_MAJORITY, text)
+    text = f"No leading control daemon was reached; nothing was accepted.{reason}"
+    return Failure(Code.PEER_UNREACHABLE, text)
--- /dev/null
+++ b/src/bramleyrouter/control/machine.py
@@ -0,0 +1,113 @@
+"""The state machine that the control daemons replicate."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from absl import logging
+from result import Err
+
+from bramleyrouter.consensus.interfaces import StateMachine
+from bramleyrouter.control import configuration, ledger
+from bramleyrouter.control.codecs import LogCommand, decode_command
+from bramleyrouter.control.messages import (
+    Claim,
+    ConfigDelta,
+    ConfigState,
+    Publish,
+    SetAvailability,
+)
+from bramleyrouter.control.operator_requests import find_result, keep_result
+from bramleyrouter.control.replies import encode_claim_result, encode_operator_result
+from bramleyrouter.control.snapshots import decode_snapshot, encode_snapshot
+from bramleyrouter.control.state import ControlState
+from bramleyrouter.ids import LogIndex, RequestId, Revision, TenantName
+
+
+class Machine(NamedTuple):
+    """Bundle the state machine for the log and the reads of its state.
+
+    ``watch(callback)`` calls after each change of the configuration's
+    revision. ``is_ledger_full_for(tenant, request_id)`` says whether a claim
+    of this identity would be refused for lack of room.
+    """
+
+    for_log: StateMachine
+    config: Callable[[], ConfigState]
+    deltas_since: Callable[[Revision], tuple[ConfigDelta, ...] | None]
+    watch: Callable[[Callable[[], None]], None]
+    is_ledger_full_for: Callable[[TenantName, RequestId], bool]
+
+
+def apply_command(state: ControlState, stamp_ms: int, command: LogCommand) -> bytes:
+    """Apply one command at the leader's time and return the encoded reply."""
+    state.now_ms = max(state.now_ms, stamp_ms)
+    ledger.expire_records(state.ledger, state.now_ms)
+    if isinstance(command, Publish | SetAvailability):
+        return encode_operator_result(_operate(state, command))
+    if isinstance(command, Claim):
+        return encode_claim_result(ledger.claim(state.ledger, command, state.now_ms))
+    for settlement in command:
+        ledger.settle(state.ledger, settlement, state.now_ms)
+    return b""
+
+
+def _operate(state: ControlState, operation: Publish | SetAvailability):
+    first = find_result(state.requests, operation)
+    if first is not None:
+        return first
+    if isinstance(operation, Publish):
+        result = configuration.publish(state.config, operation)
+    else:
+        result = configuration.set_availability(state.config, operation)
+    keep_result(state.requests, operation, result)
+    return result
+
+
+def build_machine() -> Machine:
+    """Return an empty state machine."""
+    state = ControlState()
+    callbacks: list[Callable[[], None]] = []
+
+    def notify_from(revision: Revision) -> None:
+        if state.config.state.revision == revision:
+            return
+        for callback in callbacks:
+            try:
+                callback()
+            except Exception:
+                # The log must go on applying whatever a watcher does.
+                logging.exception("control: a watcher failed.")
+
+    def apply(index: LogIndex, stamp_ms: int, command: bytes) -> bytes:
+        decoded = decode_command(command)
+        if isinstance(decoded, Err):
+            # Commands are checked before they are proposed.
+            logging.error("control: entry %d: %s", index, decoded.err_value)
+            return b""
+        revision = state.config.state.revision
+        reply = apply_command(state, stamp_ms, decoded.ok_value)
+        notify_from(revision)
+        return reply
+
+    def restore(snapshot: bytes) -> None:
+        revision = state.config.state.revision
+        restored = decode_snapshot(snapshot)
+        state.now_ms = restored.now_ms
+        state.config = restored.config
+        state.requests = restored.requests
+        state.ledger = restored.ledger
+        notify_from(revision)
+
+    def is_ledger_full_for(tenant: TenantName, request_id: RequestId) -> bool:
+        is_known = (tenant, request_id) in state.ledger.records
+        return not is_known and ledger.is_full(state.ledger)
+
+    return Machine(
+        for_log=StateMachine(apply, lambda: encode_snapshot(state), restore),
+        config=lambda: state.config.state,
+        deltas_since=lambda revision: configuration.deltas_since(
+            state.config, revision
+        ),
+        watch=callbacks.append,
+        is_ledger_full_for=is_ledger_full_for,
+    )
--- /dev/null
+++ b/src/bramleyrouter/control/replies.py
@@ -0,0 +1,253 @@
+"""Encode and decode the replies of control daemons, and their small requests."""
+
+from typing import Any, NamedTuple
+
+import msgspec
+from result import Result
+
+from bramleyrouter.codes import Code
+from bramleyrouter.conf.defaults import MAX_MANIFEST_BYTES
+from bramleyrouter.consensus.interfaces import LogStatus, Member
+from bramleyrouter.control.codecs import OUTCOME_NAMES, find_outcome
+from bramleyrouter.control.frames import SCHEMA, bounded, decode_message, new_message
+from bramleyrouter.control.limits import (
+    MAX_DATA_CENTRES_OUT,
+    MAX_NAME_CHARACTERS,
+    MAX_SERVERS_OUT,
+    MAX_TOKEN_BYTES,
+)
+from bramleyrouter.control.messages import ClaimResult, ConfigState, OperatorResult
+from bramleyrouter.failures import Failure, Finding
+from bramleyrouter.ids import (
+    DaemonId,
+    DaemonIncarnation,
+    Generation,
+    LogIndex,
+    MemberId,
+    Revision,
+    Term,
+)
+
+MAX_REPLY_BYTES = 1024 * 1024
+MAX_SMALL_BYTES = 4096
+# A manifest and both sets of what is out.
+MAX_CONFIG_BYTES = MAX_MANIFEST_BYTES + (MAX_DATA_CENTRES_OUT + MAX_SERVERS_OUT) * (
+    MAX_NAME_CHARACTERS + 8
+)
+MAX_MEMBERS = 64
+
+
+class ReadConfig(NamedTuple):
+    """Ask for the configuration; the reader holds ``revision`` with ``digest``."""
+
+    revision: Revision = Revision(0)
+    digest: bytes = b""
+
+
+class RemoveMember(NamedTuple):
+    """Ask to remove a member of the log."""
+
+    member_id: MemberId
+
+
+MemberChange = Member | RemoveMember
+
+
+def encode_operator_result(result: OperatorResult) -> bytes:
+    """Return a result as bytes."""
+    message = new_message(SCHEMA.OperatorResult)
+    message.revision = result.revision
+    message.generation = result.generation
+    _fill_failure(message, result.failure)
+    return message.to_bytes()
+
+
+def decode_operator_result(data: bytes) -> Result[OperatorResult, Failure]:
+    """Decode a result; fail with a ``WIRE_*`` code."""
+
+    def convert(message: Any) -> OperatorResult:
+        return OperatorResult(
+            Revision(message.revision),
+            Generation(message.generation),
+            _convert_failure(message.failure),
+        )
+
+    return decode_message(SCHEMA.OperatorResult, data, MAX_REPLY_BYTES, convert)
+
+
+def encode_claim_result(result: ClaimResult) -> bytes:
+    """Return a result as bytes."""
+    message = new_message(SCHEMA.ClaimResult)
+    message.isGranted = result.is_granted
+    message.claimant = result.claimant
+    message.claimantIncarnation = result.claimant_incarnation
+    message.outcome = OUTCOME_NAMES[result.outcome]
+    message.code = result.code
+    message.answer = result.answer
+    _fill_failure(message, result.failure)
+    return message.to_bytes()
+
+
+def decode_claim_result(data: bytes) -> Result[ClaimResult, Failure]:
+    """Decode a result; fail with a ``WIRE_*`` code."""
+
+    def convert(message: Any) -> ClaimResult:
+        return ClaimResult(
+            message.isGranted,
+            DaemonId(message.claimant),
+            DaemonIncarnation(message.claimantIncarnation),
+            find_outcome(message.outcome),
+            message.code,
+            message.answer,
+            _convert_failure(message.failure),
+        )
+
+    return decode_message(SCHEMA.ClaimResult, data, MAX_REPLY_BYTES, convert)
+
+
+def encode_read_config(request: ReadConfig) -> bytes:
+    """Return a request as bytes."""
+    message = new_message(SCHEMA.ReadConfig)
+    message.revision = request.revision
+    message.digest = request.digest
+    return message.to_bytes()
+
+
+def decode_read_config(data: bytes) -> Result[ReadConfig, Failure]:
+    """Decode a request; fail with a ``WIRE_*`` code."""
+
+    def convert(message: Any) -> ReadConfig:
+        digest = bounded(message.digest, MAX_TOKEN_BYTES, "digest", True)
+        return ReadConfig(Revision(message.revision), digest)
+
+    return decode_message(SCHEMA.ReadConfig, data, MAX_SMALL_BYTES, convert)
+
+
+def encode_config_reply(state: ConfigState | None) -> bytes:
+    """Return a reply as bytes; none stands for an unchanged configuration."""
+    message = new_message(SCHEMA.ConfigReply)
+    if state is None:
+        message.isUnchanged = True
+    else:
+        message.state = msgspec.msgpack.encode(state)
+    return message.to_bytes()
+
+
+def decode_config_reply(data: bytes) -> Result[ConfigState | None, Failure]:
+    """Decode a reply; fail with a ``WIRE_*`` code."""
+
+    def convert(message: Any) -> ConfigState | None:
+        if message.isUnchanged:
+            return None
+        return msgspec.msgpack.decode(message.state, type=ConfigState)
+
+    return decode_message(SCHEMA.ConfigReply, data, MAX_CONFIG_BYTES, convert)
+
+
+def encode_status_request(is_proof_asked: bool) -> bytes:
+    """Return a request as bytes."""
+    message = new_message(SCHEMA.StatusRequest)
+    message.isProofAsked = is_proof_asked
+    return message.to_bytes()
+
+
+def decode_status_request(data: bytes) -> Result[bool, Failure]:
+    """Decode whether proof is asked for; fail with a ``WIRE_*`` code."""
+    return decode_message(
+        SCHEMA.StatusRequest, data, MAX_SMALL_BYTES, lambda part: part.isProofAsked
+    )
+
+
+def encode_status(status: LogStatus) -> bytes:
+    """Return a member's view as bytes."""
+    message = new_message(SCHEMA.Status)
+    message.memberId = status.member_id
+    message.term = status.term
+    message.isLeader = status.is_leader
+    message.leaderAddress = status.leader_address
+    message.commitIndex = status.commit_index
+    message.appliedIndex = status.applied_index
+    parts = message.init("members", len(status.members))
+    for part, member in zip(parts, status.members, strict=True):
+        _fill_member(part, member)
+    return message.to_bytes()
+
+
+def decode_status(data: bytes) -> Result[LogStatus, Failure]:
+    """Decode a member's view; fail with a ``WIRE_*`` code."""
+
+    def convert(message: Any) -> LogStatus:
+        if len(message.members) > MAX_MEMBERS:
+            raise ValueError(f"{len(message.members)} members were listed")
+        return LogStatus(
+            MemberId(message.memberId),
+            Term(message.term),
+            message.isLeader,
+            message.leaderAddress,
+            LogIndex(message.commitIndex),
+            LogIndex(message.appliedIndex),
+            tuple(_convert_member(part) for part in message.members),
+        )
+
+    return decode_message(SCHEMA.Status, data, MAX_REPLY_BYTES, convert)
+
+
+def encode_member_change(change: MemberChange) -> bytes:
+    """Return a request as bytes."""
+    message = new_message(SCHEMA.ChangeMembers)
+    if isinstance(change, Member):
+        _fill_member(message.init("add"), change)
+    else:
+        message.remove = change.member_id
+    return message.to_bytes()
+
+
+def decode_member_change(data: bytes) -> Result[MemberChange, Failure]:
+    """Decode a request; fail with a ``WIRE_*`` code."""
+
+    def convert(message: Any) -> MemberChange:
+        which = str(message.which())
+        if which == "add":
+            return _convert_member(message.add)
+        if which == "remove":
+            member_id = bounded(message.remove, MAX_NAME_CHARACTERS, "member_id")
+            return RemoveMember(MemberId(member_id))
+        raise ValueError(f'change "{which}" is not known')
+
+    return decode_message(SCHEMA.ChangeMembers, data, MAX_SMALL_BYTES, convert)
+
+
+def _fill_member(part: Any, member: Member) -> None:
+    part.memberId = member.member_id
+    part.address = member.address
+    part.isVoter = member.is_voter
+
+
+def _convert_member(part: Any) -> Member:
+    return Member(
+        MemberId(bounded(part.memberId, MAX_NAME_CHARACTERS, "member_id")),
+        bounded(part.address, MAX_NAME_CHARACTERS, "address"),
+        part.isVoter,
+    )
+
+
+def _fill_failure(message: Any, failure: Failure | None) -> None:
+    if failure is None:
+        return
+    part = message.init("failure")
+    part.code = int(failure.code)
+    part.text = failure.text
+    findings = part.init("findings", len(failure.findings))
+    for finding_part, finding in zip(findings, failure.findings, strict=True):
+        for name in Finding.__struct_fields__:
+            setattr(finding_part, name, getattr(finding, name))
+
+
+def _convert_failure(part: Any) -> Failure | None:
+    if not part.code:
+        return None
+    findings = tuple(
+        Finding(item.code, item.level, item.place, item.text, item.hint)
+        for item in part.findings
+    )
+    return Failure(Code(part.code), part.text, findings)
--- /dev/null
+++ b/src/bramleyrouter/control/service.py
@@ -0,0 +1,173 @@
+"""What a control daemon serves to the other daemons."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+from absl import logging
+from result import Err, Ok, Result
+
+from bramleyrouter.codes import Code
+from bramleyrouter.consensus.interfaces import LogStatus, Member, ReplicatedLog
+from bramleyrouter.control.codecs import LogCommand, decode_command
+from bramleyrouter.control.currency import Currency, is_current, keep_confirming
+from bramleyrouter.control.interfaces import ConfigSource
+from bramleyrouter.control.ledger import ledger_full
+from bramleyrouter.control.machine import Machine
+from bramleyrouter.control.messages import (
+    Claim,
+    ClaimResult,
+    Publish,
+    SetAvailability,
+)
+from bramleyrouter.control.replies import (
+    MemberChange,
+    decode_member_change,
+    decode_read_config,
+    decode_status_request,
+    encode_claim_result,
+    encode_config_reply,
+    encode_status,
+)
+from bramleyrouter.failures import Failure
+from bramleyrouter.wire.kinds import Kind
+from bramleyrouter.wire.network import Handler, Network, Peer
+
+# Longest wait for a majority, in seconds; a caller that leaves earlier cancels
+# the wait, not the entry.
+PROPOSE_TIMEOUT_S = 3.0
+BARRIER_TIMEOUT_S = 1.0
+# A new member catches up with the log before it votes.
+CHANGE_MEMBERS_TIMEOUT_S = 60.0
+
+
+class Control(NamedTuple):
+    """Bundle what ``build_control`` returns; ``close`` ends its background work."""
+
+    source: ConfigSource
+    status: Callable[[], LogStatus]
+    close: Callable[[], Awaitable[None]]
+
+
+def build_control(
+    network: Network,
+    log: ReplicatedLog,
+    machine: Machine,
+    clock: Callable[[], float],
+) -> Control:
+    """Serve configuration and ledger from this member of the log.
+
+    ``log`` replicates ``machine.for_log``. A member that does not lead answers
+    ``NOT_LEADER``, whose text is the leader's address or empty.
+    """
+    currency = Currency()
+    network.serve(Kind.OPERATE, _serve_commands(log, (Publish, SetAvailability)))
+    network.serve(Kind.CLAIM, _serve_claims(log, machine))
+    network.serve(Kind.SETTLE, _serve_commands(log, (tuple,)))
+    network.serve(Kind.READ_CONFIG, _serve_config(log, machine))
+    network.serve(Kind.CONTROL_STATUS, _serve_status(log))
+    network.serve(Kind.CHANGE_MEMBERS, _serve_member_changes(log))
+    confirming = asyncio.get_running_loop().create_task(
+        keep_confirming(currency, log, network, clock)
+    )
+
+    async def close() -> None:
+        confirming.cancel()
+        await asyncio.gather(confirming, return_exceptions=True)
+
+    source = ConfigSource(
+        state=machine.config,
+        deltas_since=machine.deltas_since,
+        watch=machine.watch,
+        is_current=lambda: is_current(currency, clock()),
+    )
+    return Control(source, log.status, close)
+
+
+def _serve_commands(log: ReplicatedLog, types: tuple[type, ...]) -> Handler:
+    async def serve(peer: Peer, payload: bytes) -> Result[bytes, Failure]:
+        decoded = _decode_of(payload, types)
+        if isinstance(decoded, Err):
+            return decoded
+        return await log.propose(payload, PROPOSE_TIMEOUT_S)
+
+    return serve
+
+
+def _decode_of(payload: bytes, types: tuple[type, ...]) -> Result[LogCommand, Failure]:
+    decoded = decode_command(payload)
+    if isinstance(decoded, Ok) and not isinstance(decoded.ok_value, types):
+        text = "The command is not of the kind of its message."
+        return Err(Failure(Code.WIRE_MALFORMED, text))
+    return decoded
+
+
+def _serve_claims(log: ReplicatedLog, machine: Machine) -> Handler:
+    async def serve(peer: Peer, payload: bytes) -> Result[bytes, Failure]:
+        decoded = _decode_of(payload, (Claim,))
+        if isinstance(decoded, Err):
+            return decoded
+        claim = decoded.ok_value
+        if isinstance(claim, Claim) and log.status().is_leader:
+            if machine.is_ledger_full_for(claim.tenant, claim.request_id):
+                # Refused here, so that a full ledger does not grow the log.
+                return Ok(
+                    encode_claim_result(ClaimResult(False, failure=ledger_full()))
+                )
+        return await log.propose(payload, PROPOSE_TIMEOUT_S)
+
+    return serve
+
+
+def _serve_config(log: ReplicatedLog, machine: Machine) -> Handler:
+    async def serve(peer: Peer, payload: bytes) -> Result[bytes, Failure]:
+        decoded = decode_read_config(payload)
+        if isinstance(decoded, Err):
+            return decoded
+        proved = await log.read_barrier(BARRIER_TIMEOUT_S)
+        if isinstance(proved, Err):
+            return proved
+        held, state = decoded.ok_value, machine.config()
+        is_unchanged = held == (state.revision, state.digest)
+        return Ok(encode_config_reply(None if is_unchanged else state))
+
+    return serve
+
+
+def _serve_status(log: ReplicatedLog) -> Handler:
+    async def serve(peer: Peer, payload: bytes) -> Result[bytes, Failure]:
+        decoded = decode_status_request(payload)
+        if isinstance(decoded, Err):
+            return decoded
+        if decoded.ok_value:
+            proved = await log.read_barrier(BARRIER_TIMEOUT_S)
+            if isinstance(proved, Err):
+                return proved
+        return Ok(encode_status(log.status()))
+
+    return serve
+
+
+def _serve_member_changes(log: ReplicatedLog) -> Handler:
+    async def serve(peer: Peer, payload: bytes) -> Result[bytes, Failure]:
+        decoded = decode_member_change(payload)
+        if isinstance(decoded, Err):
+            return decoded
+        changed = await _change_members(log, decoded.ok_value)
+        return changed if isinstance(changed, Err) else Ok(b"")
+
+    return serve
+
+
+async def _change_members(
+    log: ReplicatedLog, change: MemberChange
+) -> Result[None, Failure]:
+    proved = await log.read_barrier(BARRIER_TIMEOUT_S)
+    if isinstance(proved, Err):
+        return proved
+    logging.info("control: member change %s", change)
+    if isinstance(change, Member):
+        if change in log.status().members:
+            return Ok(None)
+        return await log.add_member(change, CHANGE_MEMBERS_TIMEOUT_S)
+    return await log.remove_member(change.member_id, CHANGE_MEMBERS_TIMEOUT_S)
--- /dev/null
+++ b/src/bramleyrouter/control/snapshots.py
@@ -0,0 +1,102 @@
+"""Encode the replicated state for snapshots of the log.
+
+Equal states give equal bytes: dictionaries keep the order of their commands,
+and what follows from the rest (digests, the heap of ends) is left out.
+"""
+
+import heapq
+
+import msgspec
+
+from bramleyrouter.board.sections import Manifest
+from bramleyrouter.control.configuration import Configuration, Publisher, make_state
+from bramleyrouter.control.digests import digest_manifest
+from bramleyrouter.control.ledger import Ledger, Record, parse_created_ms
+from bramleyrouter.control.limits import IDENTITY_LIFETIME_MS
+from bramleyrouter.control.operator_requests import KeptResult, OperatorRequests
+from bramleyrouter.control.state import ControlState
+from bramleyrouter.ids import Revision
+
+SNAPSHOT_VERSION = 1
+
+
+class Snapshot(msgspec.Struct, array_like=True):
+    """Hold the state as it is written; fields are only added at the end."""
+
+    version: int
+    now_ms: int
+    revision: Revision
+    manifest: Manifest | None
+    data_centres_out: tuple[str, ...]
+    servers_out: tuple[str, ...]
+    publisher: Publisher | None
+    results: list[tuple[str, str, bytes, bytes]]
+    records: list[tuple[str, str, Record]]
+
+
+def encode_snapshot(state: ControlState) -> bytes:
+    """Return the state as bytes."""
+    config = state.config.state
+    snapshot = Snapshot(
+        SNAPSHOT_VERSION,
+        state.now_ms,
+        config.revision,
+        config.manifest,
+        config.data_centres_out,
+        config.servers_out,
+        state.config.publisher,
+        [(*key, *kept) for key, kept in state.requests.results.items()],
+        [(*key, record) for key, record in state.ledger.records.items()],
+    )
+    return msgspec.msgpack.encode(snapshot)
+
+
+def decode_snapshot(data: bytes) -> ControlState:
+    """Return the state of ``encode_snapshot``.
+
+    Raise ``ValueError`` for other bytes; the log checks its files itself, so
+    that this is a defect.
+    """
+    snapshot = msgspec.msgpack.decode(data, type=Snapshot)
+    if snapshot.version != SNAPSHOT_VERSION:
+        raise ValueError(f'Snapshot version "{snapshot.version}" is not known.')
+    return ControlState(
+        snapshot.now_ms,
+        _restore_config(snapshot),
+        _restore_requests(snapshot),
+        _restore_ledger(snapshot),
+    )
+
+
+def _restore_config(snapshot: Snapshot) -> Configuration:
+    manifest_digest = digest_manifest(snapshot.manifest)
+    state = make_state(
+        snapshot.revision,
+        snapshot.manifest,
+        manifest_digest,
+        snapshot.data_centres_out,
+        snapshot.servers_out,
+    )
+    return Configuration(state, manifest_digest, snapshot.publisher)
+
+
+def _restore_requests(snapshot: Snapshot) -> OperatorRequests:
+    results = {
+        (operator, request_id): KeptResult(body_digest, result)
+        for operator, request_id, body_digest, result in snapshot.results
+    }
+    return OperatorRequests(results, sum(len(kept.result) for kept in results.values()))
+
+
+def _restore_ledger(snapshot: Snapshot) -> Ledger:
+    records = {
+        (tenant, request_id): record for tenant, request_id, record in snapshot.records
+    }
+    ends = [
+        (created_ms + IDENTITY_LIFETIME_MS, key)
+        for key in records
+        if (created_ms := parse_created_ms(key[1])) is not None
+    ]
+    heapq.heapify(ends)
+    answer_bytes = sum(len(record.answer) for record in records.values())
+    return Ledger(records, ends, answer_bytes)
--- /dev/null
+++ b/src/bramleyrouter/control/state.py
@@ -0,0 +1,17 @@
+"""The whole state that the control daemons replicate."""
+
+from dataclasses import dataclass, field
+
+from bramleyrouter.control.configuration import Configuration
+from bramleyrouter.control.ledger import Ledger
+from bramleyrouter.control.operator_requests import OperatorRequests
+
+
+@dataclass
+class ControlState:
+    """Hold all that the log decides; ``now_ms`` is the largest stamp seen."""
+
+    now_ms: int = 0
+    config: Configuration = field(default_factory=Configuration)
+    requests: OperatorRequests = field(default_factory=OperatorRequests)
+    ledger: Ledger = field(default_factory=Ledger)
