--- a/src/bramleyrouter/codes.py
+++ b/src/bramleyrouter/codes.py
@@ -28,7 +28,6 @@
     TENANT_LIMIT = 202
     STOPPING = 203
     NO_VERSION = 204
-    COVERAGE_NOT_REACHED = 205
     LEDGER_UNREACHABLE = 206
     NO_SERVER = 207
     SERVER_REFUSED = 208
@@ -59,6 +58,8 @@
     SHARD_RETRIES_SPENT = 407
     SHARD_HOME_LOST = 408
     SHARD_CANCELLED = 409
+    # The whole query: some shards answered, so it is no "not run".
+    COVERAGE_NOT_REACHED = 410
 
     # 500: configuration and operators.
     UNAUTHORIZED = 500
--- /dev/null
+++ b/src/bramleyrouter/edges/callers/handlers.py
@@ -0,0 +1,81 @@
+"""Routes of the callers' interface."""
+
+import itertools
+from collections.abc import Callable
+
+import msgspec
+from result import Err
+from tornado.httputil import HTTPServerRequest
+
+from bramleyrouter.board.blackboard import Board
+from bramleyrouter.codes import Code
+from bramleyrouter.conf.settings import Settings
+from bramleyrouter.edges.callers import formats
+from bramleyrouter.edges.http import (
+    HttpReply,
+    RouteSpec,
+    failure_reply,
+    status_of,
+)
+from bramleyrouter.failures import Failure
+from bramleyrouter.ids import RequestId
+from bramleyrouter.routing.interfaces import Router
+from bramleyrouter.states import Outcome
+
+DEFAULT_EXPLAIN_LIMIT = 50
+
+
+def caller_routes(
+    board: Board, router: Router, cfg: Settings, clock: Callable[[], float]
+) -> list[RouteSpec]:
+    """Return the routes for queries, submissions and recent decisions."""
+    decode_cfg = formats.defaults_of(cfg)
+    numbers = itertools.count(1)
+    identity = board.identity
+    prefix = f"{identity.daemon_id}.{identity.incarnation}"
+
+    def refusal() -> HttpReply | None:
+        if board.readiness.is_ready or board.readiness.reasons == {"stopping"}:
+            # While the balancer learns of a stop, callers are still served.
+            return None
+        reasons = ", ".join(sorted(board.readiness.reasons))
+        return failure_reply(Failure(Code.NOT_READY, f"Not ready: {reasons}."))
+
+    async def query(req: HTTPServerRequest, body: bytes) -> HttpReply:
+        if (refused := refusal()) is not None:
+            return refused
+        run_id = RequestId(f"{prefix}.{next(numbers)}")
+        decoded = formats.decode_query(body, run_id, clock(), decode_cfg)
+        if isinstance(decoded, Err):
+            return failure_reply(decoded.err_value)
+        message, caller_request_id = decoded.ok_value
+        answered = await router.query(message)
+        if isinstance(answered, Err):
+            return failure_reply(answered.err_value)
+        return HttpReply(
+            200, formats.encode_answer(answered.ok_value, caller_request_id)
+        )
+
+    async def submit(req: HTTPServerRequest, body: bytes) -> HttpReply:
+        if (refused := refusal()) is not None:
+            return refused
+        decoded = formats.decode_submission(body, clock(), decode_cfg)
+        if isinstance(decoded, Err):
+            return failure_reply(decoded.err_value)
+        answer = await router.submit(decoded.ok_value)
+        is_done = answer.outcome is Outcome.DONE
+        status = 200 if is_done else status_of(answer.code)
+        return HttpReply(status, formats.encode_submission(answer))
+
+    async def explain(req: HTTPServerRequest, body: bytes) -> HttpReply:
+        text = req.arguments.get("limit", [b""])[0]
+        limit = int(text) if text.isdigit() else DEFAULT_EXPLAIN_LIMIT
+        limit = min(limit, cfg.recent_decisions)
+        return HttpReply(200, msgspec.json.encode(router.recent(limit)))
+
+    limit = cfg.max_body_bytes
+    return [
+        RouteSpec("/v1/query", "POST", query, limit, cancel_on_close=True),
+        RouteSpec("/v1/submit", "POST", submit, limit),
+        RouteSpec("/v1/explain", "GET", explain),
+    ]
--- /dev/null
+++ b/src/bramleyrouter/edges/http.py
@@ -0,0 +1,169 @@
+"""Common ground of the HTTP edges: routes, body limits, numbered errors."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple
+
+import msgspec
+from tornado.httputil import HTTPServerRequest
+from tornado.web import RequestHandler, stream_request_body
+
+from bramleyrouter.codes import Code
+from bramleyrouter.failures import Failure
+
+JSON_TYPE = "application/json"
+
+_STATUS_OF_CODE = {
+    Code.OK: 200,
+    Code.BODY_TOO_LARGE: 413,
+    Code.UNKNOWN_SERVICE: 404,
+    Code.UNKNOWN_SHARD: 404,
+    Code.IDENTITY_REUSED: 409,
+    Code.TENANT_LIMIT: 429,
+    Code.COVERAGE_NOT_REACHED: 504,
+    Code.UNAUTHORIZED: 401,
+    Code.GENERATION_CONFLICT: 409,
+    Code.OPERATOR_REQUEST_REUSED: 409,
+    Code.OLD_ANNOUNCEMENT: 409,
+    Code.MEMBERSHIP_CHANGE_PENDING: 409,
+    Code.SERVER_HELD_DOWN: 429,
+}
+_STATUS_OF_HUNDRED = {1: 400, 2: 503, 3: 504, 4: 504, 5: 400, 6: 503, 7: 400, 9: 503}
+
+
+class HttpReply(NamedTuple):
+    """Hold one HTTP response."""
+
+    status: int
+    body: bytes
+    content_type: str = JSON_TYPE
+
+
+class ErrorBody(msgspec.Struct):
+    """Format of every error on the HTTP interface.
+
+    ``not_run`` is true when the request certainly did not run.
+    """
+
+    code: int
+    name: str
+    text: str
+    not_run: bool
+    findings: tuple[str, ...] = ()
+
+
+Handle = Callable[[HTTPServerRequest, bytes], Awaitable[HttpReply]]
+
+
+class RouteSpec(NamedTuple):
+    """Describe one route: path, method, handler and the limit of its body.
+
+    ``cancel_on_close`` ends the handler when the client goes away; it must be
+    false where work may not be abandoned half-way.
+    """
+
+    path: str
+    method: str
+    handle: Handle
+    max_body_bytes: int = 0
+    cancel_on_close: bool = False
+
+
+def status_of(code: Code) -> int:
+    """Return the HTTP status for a result code."""
+    return _STATUS_OF_CODE.get(code) or _STATUS_OF_HUNDRED.get(code // 100, 500)
+
+
+def failure_reply(failure: Failure) -> HttpReply:
+    """Return the error response for ``failure``."""
+    code = failure.code
+    body = ErrorBody(
+        int(code),
+        code.name,
+        failure.text,
+        # Refusals of the request itself come before any dispatch too.
+        not_run=100 <= code < 300 and code is not Code.IDENTITY_REUSED,
+        findings=tuple(str(finding) for finding in failure.findings),
+    )
+    return HttpReply(status_of(code), msgspec.json.encode(body))
+
+
+def build_routes(specs: list[RouteSpec]) -> list[tuple]:
+    """Return tornado's routes for ``specs``; paths with two methods join."""
+    by_path: dict[str, dict[str, RouteSpec]] = {}
+    for spec in specs:
+        by_path.setdefault(spec.path, {})[spec.method] = spec
+    return [(path, RouteHandler, {"specs": specs}) for path, specs in by_path.items()]
+
+
+@stream_request_body
+class RouteHandler(RequestHandler):
+    """Read a bounded body, run the route's handler and write its reply."""
+
+    SUPPORTED_METHODS = ("GET", "POST")
+
+    def initialize(self, specs: dict[str, RouteSpec]):
+        """Take the route's specs by method."""
+        self._specs = specs
+        self._chunks: list[bytes] = []
+        self._size = 0
+        self._task: asyncio.Task | None = None
+
+    def prepare(self):
+        """Refuse an oversized body before it is read."""
+        spec = self._specs.get(self.request.method or "")
+        if spec is None:
+            self.set_status(405)
+            self.finish()
+            return
+        length = self.request.headers.get("Content-Length", "0")
+        if length.isdigit() and int(length) > spec.max_body_bytes:
+            self._refuse_size(spec)
+
+    def data_received(self, chunk: bytes):
+        """Collect the body; a chunked one has no length to check before."""
+        self._size += len(chunk)
+        spec = self._specs[self.request.method or ""]
+        if self._size > spec.max_body_bytes:
+            if not self._finished:
+                self._refuse_size(spec)
+            return
+        self._chunks.append(chunk)
+
+    def _refuse_size(self, spec: RouteSpec):
+        text = f"The body is larger than {spec.max_body_bytes} bytes."
+        self.set_header("Connection", "close")
+        self._write_reply(failure_reply(Failure(Code.BODY_TOO_LARGE, text)))
+
+    def _write_reply(self, reply: HttpReply):
+        self.set_status(reply.status)
+        self.set_header("Content-Type", reply.content_type)
+        self.finish(reply.body)
+
+    async def _run(self):
+        if self._finished:
+            return
+        spec = self._specs[self.request.method or ""]
+        work = spec.handle(self.request, b"".join(self._chunks))
+        self._task = asyncio.ensure_future(work)
+        try:
+            reply = await asyncio.shield(self._task)
+        except asyncio.CancelledError:
+            return
+        if not self._finished:
+            self._write_reply(reply)
+
+    get = _run
+    post = _run
+
+    def on_connection_close(self):
+        """Cancel work whose caller has gone, where the route allows it."""
+        spec = self._specs.get(self.request.method or "")
+        if spec and spec.cancel_on_close and self._task:
+            self._task.cancel()
+
+    def write_error(self, status_code, **kwargs):
+        """Write unexpected errors in the same format."""
+        failure = Failure(Code.MALFORMED_REQUEST, "The request can't be served.")
+        self.set_header("Content-Type", JSON_TYPE)
+        self.finish(failure_reply(failure).body)
--- /dev/null
+++ b/src/bramleyrouter/edges/platform/handlers.py
@@ -0,0 +1,32 @@
+"""Routes of the platform: liveness, readiness and metrics."""
+
+import msgspec
+from aioprometheus import Registry
+from aioprometheus.renderer import render
+from tornado.httputil import HTTPServerRequest
+
+from bramleyrouter.board.blackboard import Board
+from bramleyrouter.edges.http import HttpReply, RouteSpec
+
+
+def platform_routes(board: Board, registry: Registry) -> list[RouteSpec]:
+    """Return ``/livez``, ``/readyz`` (for the balancer) and ``/metrics``."""
+
+    async def live(req: HTTPServerRequest, body: bytes) -> HttpReply:
+        return HttpReply(200, b'{"live":true}')
+
+    async def ready(req: HTTPServerRequest, body: bytes) -> HttpReply:
+        reasons = sorted(board.readiness.reasons)
+        text = msgspec.json.encode({"ready": not reasons, "reasons": reasons})
+        return HttpReply(503 if reasons else 200, text)
+
+    async def metrics(req: HTTPServerRequest, body: bytes) -> HttpReply:
+        accepted = req.headers.get_list("Accept")
+        content, headers = render(registry, accepted)
+        return HttpReply(200, content, headers["Content-Type"])
+
+    return [
+        RouteSpec("/livez", "GET", live),
+        RouteSpec("/readyz", "GET", ready),
+        RouteSpec("/metrics", "GET", metrics),
+    ]
