Wrote the frames of one loop turn in one system call

Cause: each frame was written by itself, with a future and a system call. Ruled out: the codec (2 to 5 us of a call).

--- a/src/bramleyrouter/wire/tcp.py
+++ b/src/bramleyrouter/wire/tcp.py
@@ -6,7 +6,7 @@
 
 from absl import logging
 from result import Err, Ok, Result
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 from tornado.tcpclient import TCPClient
 from tornado.tcpserver import TCPServer
 
@@ -58,6 +58,7 @@
     async def handle_stream(self, stream, address):
         """Check the handshake, then serve frames until the connection ends."""
         stream.set_nodelay(True)
+        stream.max_write_buffer_size = MAX_WRITE_BUFFER_BYTES
         try:
             proof = check_connector(stream, self._state.key)
             checked = await asyncio.wait_for(proof, HANDSHAKE_TIMEOUT_S)
@@ -73,13 +74,26 @@
 
 
 def _writer(stream: IOStream) -> Callable[[Envelope], None]:
-    def write(envelope: Envelope) -> None:
+    """Return a closure that writes the frames of one loop turn at once."""
+    waiting: list[bytes] = []
+
+    def flush() -> None:
+        frames = b"".join(waiting)
+        waiting.clear()
         if stream.closed():
             return
         try:
-            stream.write(encode_envelope(envelope)).add_done_callback(_ignore_error)
+            stream.write(frames).add_done_callback(_ignore_error)
         except StreamClosedError:
             pass
+        except StreamBufferFullError:
+            logging.error("wire: a peer reads too slowly; its connection is closed.")
+            stream.close()
+
+    def write(envelope: Envelope) -> None:
+        if not waiting:
+            asyncio.get_running_loop().call_soon(flush)
+        waiting.append(encode_envelope(envelope))
 
     return write
 
