Replaced wait_for in calls by a plain timer, and cancelled handlers

Cause: asyncio.wait_for added a task switch to each call; a cancelled caller left the peer's handler running. A test cancels a call and checks that the handler ended.

--- a/src/bramleyrouter/wire/links.py
+++ b/src/bramleyrouter/wire/links.py
@@ -44,24 +44,49 @@
     async def call(
         self, kind: int, payload: bytes, timeout_s: float
     ) -> Result[bytes, Failure]:
-        """Send a request and wait for its reply."""
+        """Send a request and wait for its reply.
+
+        The peer's handler is cancelled when the caller is, or when the time
+        is up.
+        """
+        if not self.is_open:
+            return self._closed()
         number = next(self._numbers)
-        fut = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        fut = loop.create_future()
         self._calls[number] = fut
+        # A plain timer costs less than asyncio.wait_for.
+        timer = loop.call_later(timeout_s, self._time_out, number, kind, timeout_s)
         self.write(Envelope(FrameType.REQUEST, kind, number, payload))
         try:
-            return await asyncio.wait_for(fut, timeout_s)
-        except TimeoutError:
-            self.write(Envelope(FrameType.CANCEL, kind, number))
-            text = f'"{self.peer.address}" sent no reply within {timeout_s:.3f} s.'
-            return Err(Failure(Code.PEER_TIMEOUT, text))
+            return await fut
+        except asyncio.CancelledError:
+            if self.is_open:
+                self.write(Envelope(FrameType.CANCEL, kind, number))
+            raise
         finally:
+            timer.cancel()
             self._calls.pop(number, None)
 
+    def _closed(self) -> Err[Failure]:
+        text = f'The connection to "{self.peer.address}" closed before the request.'
+        return Err(Failure(Code.PEER_UNREACHABLE, text))
+
+    def _time_out(self, number: int, kind: int, timeout_s: float) -> None:
+        fut = self._calls.get(number)
+        if fut is None or fut.done():
+            return
+        self.write(Envelope(FrameType.CANCEL, kind, number))
+        text = f'"{self.peer.address}" sent no reply within {timeout_s:.3f} s.'
+        fut.set_result(Err(Failure(Code.PEER_TIMEOUT, text)))
+
     def open_stream(
         self, kind: int, payload: bytes, on_item: OnItem, on_end: OnEnd
     ) -> Callable[[], None]:
         """Send a stream request; return the closure that cancels it."""
+        if not self.is_open:
+            on_end(self._closed())
+            return lambda: None
         number = next(self._numbers)
         self._streams[number] = (on_item, on_end)
         self.write(Envelope(FrameType.STREAM, kind, number, payload))
--- a/tests/wire/test_networks.py
+++ b/tests/wire/test_networks.py
@@ -108,6 +108,26 @@
 
         check(run_virtual(scenario()))
 
+    def test_cancelled_call_ends_the_peers_handler(self):
+        async def scenario():
+            _, (first, second) = self.build_pair()
+            ended = []
+
+            async def slow(peer, payload):
+                try:
+                    await asyncio.sleep(10)
+                finally:
+                    ended.append(asyncio.get_running_loop().time())
+
+            second.serve(Kind.CLAIM, slow)
+            fut = asyncio.ensure_future(first.call("127.0.0.1:3", Kind.CLAIM, b"", 5.0))
+            await asyncio.sleep(1)
+            fut.cancel()
+            await asyncio.sleep(1)
+            return ended
+
+        assert run_virtual(scenario())[0] < 1.1
+
     @pytest.mark.parametrize(
         "fault, code",
         [("cut", Code.PEER_TIMEOUT), ("kill", Code.PEER_DISCONNECTED)],
