--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 $(VENV)/.installed: requirements.lock pyproject.toml
 	python3 -m venv $(VENV)
 	$(PY) -m pip install --quiet -r requirements.lock
-	$(PY) -m pip install --quiet --no-deps --no-build-isolation -e .
+	$(PY) -m pip install --quiet --no-deps -e .
 	touch $@
 
 local: env
