--- a/src/bramleyrouter/board/sections.py
+++ b/src/bramleyrouter/board/sections.py
@@ -126,6 +126,8 @@
     internal_address: str
     http_address: str
     state: DaemonState
+    # A control daemon is the home of no server and no relay.
+    is_control: bool = False
 
 
 @dataclass
--- /dev/null
+++ b/src/bramleyrouter/membership/membership.capnp
@@ -0,0 +1,108 @@
+@0xe5a3c1f29b7d4860;
+
+# What is known of one daemon. See records.py for which of two is newer.
+struct Entry {
+  daemonId @0 :Text;
+  incarnation @1 :UInt64;
+  statement @2 :UInt32;
+  state @3 :UInt8;
+  isControl @4 :Bool;
+  dataCentre @5 :Text;
+  internalAddress @6 :Text;
+  httpAddress @7 :Text;
+}
+
+struct ShardVersions {
+  shard @0 :Text;
+  versions @1 :List(Text);
+}
+
+struct Holding {
+  service @0 :Text;
+  shards @1 :List(ShardVersions);
+}
+
+# One backend server as its home describes it.
+struct Row {
+  serverId @0 :Text;
+  incarnation @1 :UInt64;
+  registration @2 :UInt64;
+  dataCentre @3 :Text;
+  address @4 :Text;
+  state @5 :UInt8;
+  slots @6 :UInt32;
+  connectionLimit @7 :UInt32;
+  holdings @8 :List(Holding);
+  usable @9 :Bool;
+  headroom @10 :Float64;
+}
+
+# The part of a row that changes often.
+struct Status {
+  serverId @0 :Text;
+  usable @1 :Bool;
+  headroom @2 :Float64;
+}
+
+# Changes of one home's rows after baseVersion, up to version.
+struct Delta {
+  home @0 :Text;
+  incarnation @1 :UInt64;
+  baseVersion @2 :UInt64;
+  version @3 :UInt64;
+  isFull @4 :Bool;
+  rows @5 :List(Row);
+  statuses @6 :List(Status);
+  removed @7 :List(Text);
+}
+
+struct Batch {
+  protocolVersion @0 :UInt16;
+  scope @1 :UInt8;
+  entries @2 :List(Entry);
+  deltas @3 :List(Delta);
+}
+
+# Digest of what the sender knows of one data centre.
+struct CentreDigest {
+  dataCentre @0 :Text;
+  digest @1 :UInt64;
+  ageMs @2 :UInt32;
+}
+
+# Sent as a probe and as its reply.
+struct Probe {
+  protocolVersion @0 :UInt16;
+  sender @1 :Entry;
+  # What the sender holds of the receiver, so that it can refute it.
+  receiver @2 :Entry;
+  digests @3 :List(CentreDigest);
+  isSettled @4 :Bool;
+  # In a probe: the address to probe on the sender's behalf, or empty.
+  forwardTo @5 :Text;
+  # In a reply to such a probe: whether that address answered.
+  isForwardedAlive @6 :Bool;
+}
+
+# What the sender holds of one daemon and of its rows.
+struct Held {
+  daemonId @0 :Text;
+  incarnation @1 :UInt64;
+  statement @2 :UInt32;
+  state @3 :UInt8;
+  version @4 :UInt64;
+}
+
+struct SyncRequest {
+  protocolVersion @0 :UInt16;
+  dataCentres @1 :List(Text);
+  held @2 :List(Held);
+}
+
+struct SyncReply {
+  protocolVersion @0 :UInt16;
+  batch @1 :Batch;
+  wanted @2 :List(Held);
+  isSettled @3 :Bool;
+  hasMore @4 :Bool;
+}
