Added membership of daemons and the tables of backend servers

Failure detection after SWIM inside a data centre, sign-of-life ages between data centres, rows pushed through relays and repaired by digests.

--- a/src/bramleyrouter/membership/__init__.py
+++ b/src/bramleyrouter/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Who is there: daemons, and the tables of backend servers."""
+"""Failure detection of daemons and the tables of backend servers."""
--- a/src/bramleyrouter/membership/messages.py
+++ b/src/bramleyrouter/membership/messages.py
@@ -194,7 +194,7 @@
 
 def decode(kind: type[Message], payload: bytes) -> Result[Message, Failure]:
     """Decode a message of ``kind``; fail with a ``WIRE_*`` code."""
-    schema = _SCHEMAS[kind]  # type: ignore[index]
+    schema = _SCHEMAS[kind]
     return decode_message(schema, kind, payload, PROTOCOL_VERSION, MAX_MESSAGE_BYTES)
 
 
--- /dev/null
+++ b/src/bramleyrouter/membership/relays.py
@@ -0,0 +1,41 @@
+"""Choice of relays by rendezvous hashing."""
+
+from collections.abc import Iterable
+from hashlib import blake2b
+
+from bramleyrouter.board.sections import DaemonRecord
+from bramleyrouter.ids import DataCentre
+from bramleyrouter.states import DaemonState
+
+RELAYS_PER_CENTRE = 2
+
+
+def weight_of(key: str, name: str) -> bytes:
+    """Return the rendezvous weight of ``name`` for ``key``; the largest wins."""
+    return blake2b(f"{key}/{name}".encode(), digest_size=8).digest()
+
+
+def ranked(key: str, names: Iterable[str]) -> list[str]:
+    """Return ``names``, the best for ``key`` first."""
+    return sorted(names, key=lambda name: weight_of(key, name), reverse=True)
+
+
+def choose_relays(
+    data_centre: DataCentre, records: Iterable[DaemonRecord]
+) -> tuple[DaemonRecord, ...]:
+    """Return the relays of a data centre: live entry daemons, at most two.
+
+    Daemons that are still joining serve only while there are no others; a
+    daemon under suspicion stays, so that a false one moves no subscription.
+    """
+    by_state: dict[DaemonState, list[DaemonRecord]] = {}
+    for record in records:
+        if record.data_centre == data_centre and not record.is_control:
+            by_state.setdefault(record.state, []).append(record)
+    settled = by_state.get(DaemonState.ALIVE, []) + by_state.get(
+        DaemonState.SUSPECT, []
+    )
+    candidates = settled or by_state.get(DaemonState.JOINING, [])
+    by_id = {record.daemon_id: record for record in candidates}
+    best = ranked(data_centre, by_id)[:RELAYS_PER_CENTRE]
+    return tuple(by_id[name] for name in best)  # type: ignore[index]
--- /dev/null
+++ b/src/bramleyrouter/membership/store.py
@@ -0,0 +1,328 @@
+"""State of membership and the rules by which news changes it."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+import msgspec
+from absl import logging
+
+from bramleyrouter.board import Board, Section
+from bramleyrouter.ids import DaemonId, DataCentre, ServerId
+from bramleyrouter.membership.messages import (
+    DAEMON_STATES,
+    MAX_ROWS_PER_BATCH,
+    Batch,
+    Delta,
+    Entry,
+    Held,
+)
+from bramleyrouter.membership.records import (
+    hash_of,
+    is_dead,
+    is_newer,
+    order_of,
+    record_of,
+    state_number,
+    state_of,
+)
+from bramleyrouter.membership.server_view import ServerView, refresh_servers
+from bramleyrouter.membership.tables import HomeRows, apply_delta, delta_since
+from bramleyrouter.states import DaemonState
+
+# A suspected daemon has this long to refute it.
+SUSPICION_S = 1.5
+# Another data centre without a sign of life for this long shows as suspect.
+CENTRE_SUSPECT_S = 4.0
+# After this long its servers are hidden; they return with its next sign of life.
+CENTRE_LOST_S = 10.0
+# A dead daemon's record outlives the older records that may still be under way.
+TOMBSTONE_S = 3600.0
+
+Affected = set[tuple[DaemonId, ServerId]]
+
+
+@dataclass
+class MembershipState:
+    """Hold what this daemon knows of all daemons and their servers.
+
+    ``heard`` is the loop time, in seconds, of the latest proven sign of life
+    from each other data centre. ``digests`` summarise each data centre's
+    entries that are not dead. ``suspicions`` maps suspects of the own data
+    centre to the time at which they are declared dead.
+    """
+
+    board: Board
+    clock: Callable[[], float]
+    own: Entry
+    entries: dict[DaemonId, Entry] = field(default_factory=dict)
+    rows: dict[DaemonId, HomeRows] = field(default_factory=dict)
+    hashes: dict[DaemonId, tuple[DataCentre, int]] = field(default_factory=dict)
+    digests: dict[DataCentre, int] = field(default_factory=dict)
+    heard: dict[DataCentre, float] = field(default_factory=dict)
+    suspicions: dict[DaemonId, float] = field(default_factory=dict)
+    died_at: dict[DaemonId, float] = field(default_factory=dict)
+    view: ServerView = field(default_factory=ServerView)
+    hidden: frozenset[DataCentre] = frozenset()
+    suspected_centres: frozenset[DataCentre] = frozenset()
+    is_settled: bool = False
+
+
+def open_state(board: Board, clock: Callable[[], float], own: Entry) -> MembershipState:
+    """Return the state of a daemon that knows only itself."""
+    state = MembershipState(board, clock, own)
+    _store_entry(state, own, set())
+    _write_daemon(state, own)
+    return state
+
+
+def restate(state: MembershipState, daemon_state: DaemonState, above: int = 0) -> Entry:
+    """State this daemon's own state anew, above an earlier ``statement``."""
+    own = msgspec.structs.replace(
+        state.own,
+        statement=max(state.own.statement, above) + 1,
+        state=state_number(daemon_state),
+    )
+    state.own = own
+    _store_entry(state, own, set())
+    _write_daemon(state, own)
+    state.board.touch(Section.DAEMONS)
+    return own
+
+
+def merge(state: MembershipState, batch: Batch) -> Batch | None:
+    """Take in what is news of ``batch``; return that part, or None."""
+    affected: Affected = set()
+    # What peers hear of a refuted suspicion is the refutation.
+    entries = tuple(
+        state.entries[entry.daemon_id]
+        for entry in batch.entries
+        if _merge_entry(state, entry, affected)
+    )
+    deltas = tuple(
+        delta for delta in batch.deltas if _merge_delta(state, delta, affected)
+    )
+    for entry in entries:
+        _write_daemon(state, entry)
+    refresh(state, affected)
+    if entries:
+        state.board.touch(Section.DAEMONS)
+    if not entries and not deltas:
+        return None
+    return msgspec.structs.replace(batch, entries=entries, deltas=deltas)
+
+
+def refresh(state: MembershipState, affected: Iterable) -> None:
+    """Write the board's servers that are affected; touch it once."""
+    table = state.board.servers
+    visible = lambda home: _is_visible(state, home)
+    if refresh_servers(state.view, table, state.rows, visible, affected):
+        state.board.touch(Section.SERVERS)
+
+
+def _is_visible(state: MembershipState, home: DaemonId) -> bool:
+    entry = state.entries.get(home)
+    return entry is not None and entry.data_centre not in state.hidden
+
+
+def _merge_entry(state: MembershipState, entry: Entry, affected: Affected) -> bool:
+    if entry.daemon_id == state.own.daemon_id:
+        return _hear_of_self(state, entry)
+    if not entry.daemon_id or not is_newer(entry, state.entries.get(entry.daemon_id)):
+        return False
+    _store_entry(state, entry, affected)
+    return True
+
+
+def _hear_of_self(state: MembershipState, entry: Entry) -> bool:
+    if entry.incarnation > state.own.incarnation:
+        logging.log_first_n(
+            logging.ERROR,
+            'membership: another "%s" runs with the later incarnation %d.',
+            1,
+            entry.daemon_id,
+            entry.incarnation,
+        )
+        return False
+    if not is_newer(entry, state.own):
+        return False
+    logging.info('membership: refuting that this daemon is "%s".', state_of(entry))
+    restate(state, state_of(state.own), entry.statement)
+    return True
+
+
+def _store_entry(state: MembershipState, entry: Entry, affected: Affected) -> None:
+    name = entry.daemon_id
+    old = state.entries.get(name)
+    state.entries[name] = entry
+    state.suspicions.pop(name, None)
+    state.died_at.pop(name, None)
+    if is_dead(entry):
+        state.died_at[name] = state.clock()
+        _drop_rows(state, name, affected)
+    elif old is None or old.incarnation != entry.incarnation or is_dead(old):
+        _drop_rows(state, name, affected)
+        state.rows[name] = HomeRows(entry.incarnation)
+    if state_of(entry) is DaemonState.SUSPECT:
+        if entry.data_centre == state.own.data_centre:
+            state.suspicions[name] = state.clock() + SUSPICION_S
+    update_digest(state, name)
+
+
+def _drop_rows(state: MembershipState, name: DaemonId, affected: Affected) -> None:
+    rows = state.rows.pop(name, None)
+    affected.update((name, server_id) for server_id in (rows.records if rows else ()))
+
+
+def _merge_delta(state: MembershipState, delta: Delta, affected: Affected) -> bool:
+    rows = state.rows.get(delta.home)
+    if rows is None or delta.home == state.own.daemon_id:
+        return False
+    servers = apply_delta(rows, delta)
+    if servers is None:
+        return False
+    affected.update((delta.home, server_id) for server_id in servers)
+    update_digest(state, delta.home)
+    return True
+
+
+def update_digest(state: MembershipState, name: DaemonId) -> None:
+    """Bring the digest of a daemon's data centre in step with its entry."""
+    if old := state.hashes.pop(name, None):
+        state.digests[old[0]] ^= old[1]
+    entry = state.entries.get(name)
+    if entry is None or is_dead(entry):
+        return
+    number = hash_of(entry, state.rows[name].version)
+    centre = entry.data_centre
+    state.hashes[name] = (centre, number)
+    state.digests[centre] = state.digests.get(centre, 0) ^ number
+
+
+def _write_daemon(state: MembershipState, entry: Entry) -> None:
+    is_reachable = entry.data_centre not in state.suspected_centres
+    record = record_of(entry, is_reachable)
+    state.board.daemons.records[entry.daemon_id] = record
+
+
+def note_heard(state: MembershipState, centre: DataCentre, at: float) -> None:
+    """Note a sign of life of another data centre at loop time ``at``."""
+    if at > state.heard.get(centre, float("-inf")):
+        state.heard[centre] = at
+
+
+def review_centres(state: MembershipState) -> None:
+    """Mark and hide the data centres that gave no sign of life for long."""
+    now = state.clock()
+    silent = {
+        centre: now - state.heard.setdefault(centre, now)
+        for centre, digest in state.digests.items()
+        if centre != state.own.data_centre and digest
+    }
+    suspected = frozenset(c for c, age in silent.items() if age > CENTRE_SUSPECT_S)
+    hidden = frozenset(c for c, age in silent.items() if age > CENTRE_LOST_S)
+    if suspected != state.suspected_centres:
+        _log_centres(state.suspected_centres, suspected)
+        state.suspected_centres = suspected
+        for entry in state.entries.values():
+            _write_daemon(state, entry)
+        state.board.touch(Section.DAEMONS)
+    if hidden != state.hidden:
+        changed = hidden ^ state.hidden
+        state.hidden = hidden
+        refresh(state, _rows_of_centres(state, changed))
+
+
+def _log_centres(old: frozenset[DataCentre], new: frozenset[DataCentre]) -> None:
+    for centre in sorted(new - old):
+        logging.warning('membership: no sign of life from data centre "%s".', centre)
+    for centre in sorted(old - new):
+        logging.info('membership: data centre "%s" answers again.', centre)
+
+
+def _rows_of_centres(state: MembershipState, centres) -> Affected:
+    return {
+        (name, server_id)
+        for name, rows in state.rows.items()
+        if state.entries[name].data_centre in centres
+        for server_id in rows.records
+    }
+
+
+def forget_old(state: MembershipState) -> None:
+    """Forget daemons that died long ago."""
+    limit = state.clock() - TOMBSTONE_S
+    old = [name for name, at in state.died_at.items() if at < limit]
+    for name in old:
+        del state.died_at[name], state.entries[name]
+        del state.board.daemons.records[name]
+    if old:
+        state.board.touch(Section.DAEMONS)
+
+
+def held_in(state: MembershipState, centres: Iterable[DataCentre]) -> tuple[Held, ...]:
+    """Return what is held of the daemons of some data centres."""
+    wanted = set(centres)
+    return tuple(
+        _held(state, entry)
+        for entry in state.entries.values()
+        if entry.data_centre in wanted
+    )
+
+
+def _held(state: MembershipState, entry: Entry) -> Held:
+    rows = state.rows.get(entry.daemon_id)
+    version = rows.version if rows else 0
+    return Held(
+        entry.daemon_id, entry.incarnation, entry.statement, entry.state, version
+    )
+
+
+def news_for(
+    state: MembershipState, centres: Iterable[DataCentre], held: tuple[Held, ...]
+) -> tuple[Batch, tuple[Held, ...], bool]:
+    """Return what a peer lacks, what it has newer, and whether more remains.
+
+    ``held`` is what the peer holds of ``centres``.
+    """
+    theirs = {item.daemon_id: item for item in held}
+    entries, deltas, wanted = [], [], []
+    budget = MAX_ROWS_PER_BATCH
+    centres = set(centres)
+    for name, entry in state.entries.items():
+        item = theirs.pop(name, None)
+        if item is None:
+            if entry.data_centre not in centres or is_dead(entry):
+                continue
+            item = Held(name)
+        if _order(entry) > _order(item):
+            entries.append(entry)
+        elif _order(entry) < _order(item):
+            wanted.append(_held(state, entry))
+            continue
+        mine = state.rows.get(name)
+        if mine is None:
+            continue
+        version = item.version if item.incarnation == entry.incarnation else 0
+        if mine.version < version:
+            wanted.append(_held(state, entry))
+        elif mine.version > version and budget > 0:
+            delta = delta_since(mine, name, version)
+            deltas.append(delta)
+            budget -= len(delta.rows) + len(delta.statuses) + 1
+    wanted.extend(Held(name) for name, item in theirs.items() if not _is_dead(item))
+    batch = Batch(entries=tuple(entries), deltas=tuple(deltas))
+    return batch, tuple(wanted), budget <= 0
+
+
+def _is_dead(item: Held) -> bool:
+    return DAEMON_STATES[item.state] is DaemonState.DEAD
+
+
+def _order(item: Entry | Held) -> tuple[int, int, int]:
+    return order_of(item.incarnation, item.statement, item.state)
+
+
+def batch_for(state: MembershipState, wanted: tuple[Held, ...]) -> Batch:
+    """Return the entries and deltas that a peer asked for."""
+    batch, _, _ = news_for(state, (), wanted)
+    return batch
--- a/src/bramleyrouter/membership/tables.py
+++ b/src/bramleyrouter/membership/tables.py
@@ -37,10 +37,12 @@
     return same == new
 
 
-def put_record(rows: HomeRows, record: ServerRecord, version: int) -> None:
-    """Store a changed record."""
+def put_record(
+    rows: HomeRows, record: ServerRecord, version: int, *, is_status: bool = False
+) -> None:
+    """Store a changed record; ``is_status`` when only its status changed."""
     server_id = record.server_id
-    if not is_status_only(rows.records.get(server_id), record):
+    if not is_status:
         rows.row_versions[server_id] = version
     rows.status_versions[server_id] = version
     rows.records[server_id] = record
@@ -61,16 +63,14 @@
 
 def delta_since(rows: HomeRows, home: DaemonId, version: int) -> Delta:
     """Return what brings a copy at ``version`` to the current version."""
-    is_full = version < rows.floor or version > rows.version
+    is_full = version < rows.floor
     since = 0 if is_full else version
     changed = [
         (rows.row_versions[server_id] > since, server_id)
         for server_id, status_version in rows.status_versions.items()
         if status_version > since
     ]
-    removed = (
-        server_id for server_id, at in rows.removals.items() if at > since
-    )
+    removed = (server_id for server_id, at in rows.removals.items() if at > since)
     return Delta(
         home,
         rows.incarnation,
@@ -111,7 +111,7 @@
         if old := rows.records.get(status.server_id):
             changes = {"usable": status.usable, "headroom": status.headroom}
             record = msgspec.structs.replace(old, **changes)
-            put_record(rows, record, delta.version)
+            put_record(rows, record, delta.version, is_status=True)
             affected.add(status.server_id)
     for server_id in delta.removed:
         drop_record(rows, server_id, delta.version)
--- /dev/null
+++ b/src/bramleyrouter/utils/calls.py
@@ -0,0 +1,22 @@
+"""Calls over the network whose time is bounded as a whole."""
+
+import asyncio
+
+from result import Err, Result
+
+from bramleyrouter.codes import Code
+from bramleyrouter.failures import Failure
+from bramleyrouter.wire.kinds import Kind
+from bramleyrouter.wire.network import Network
+
+
+async def bounded_call(
+    network: Network, address: str, kind: Kind, payload: bytes, timeout_s: float
+) -> Result[bytes, Failure]:
+    """Call a peer; ``timeout_s`` covers the time to connect as well."""
+    work = network.call(address, kind, payload, timeout_s)
+    try:
+        return await asyncio.wait_for(work, timeout_s)
+    except TimeoutError:
+        text = f'"{address}" sent no reply within {timeout_s:.3f} s.'
+        return Err(Failure(Code.PEER_TIMEOUT, text))
--- /dev/null
+++ b/src/bramleyrouter/utils/tasks.py
@@ -0,0 +1,52 @@
+"""Background tasks that one part of a daemon starts and ends together."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass, field
+
+from absl import logging
+
+
+@dataclass
+class TaskGroup:
+    """Hold the running tasks of one part; ``name`` starts its log lines."""
+
+    name: str
+    tasks: set[asyncio.Task] = field(default_factory=set)
+
+
+def spawn(group: TaskGroup, work: Coroutine) -> asyncio.Task:
+    """Run ``work`` in the background; a defect in it is logged."""
+    task = asyncio.get_running_loop().create_task(work)
+    group.tasks.add(task)
+    task.add_done_callback(lambda done: _finish(group, done))
+    return task
+
+
+def _finish(group: TaskGroup, task: asyncio.Task) -> None:
+    group.tasks.discard(task)
+    if not task.cancelled() and (exc := task.exception()):
+        logging.error("%s: a task failed.", group.name, exc_info=exc)
+
+
+async def repeat(
+    interval_s: float, action: Callable[[], None], delay_s: float = 0.0
+) -> None:
+    """Call ``action`` every ``interval_s`` seconds until cancelled.
+
+    The first call is after ``delay_s``. A defect in one call is logged and does
+    not end the repetition.
+    """
+    await asyncio.sleep(delay_s)
+    while True:
+        try:
+            action()
+        except Exception:
+            logging.exception("A repeated action failed.")
+        await asyncio.sleep(interval_s)
+
+
+def cancel_all(group: TaskGroup) -> None:
+    """Cancel every task of the group."""
+    for task in list(group.tasks):
+        task.cancel()
--- /dev/null
+++ b/tests/dissemination/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the dissemination of configuration."""
--- /dev/null
+++ b/tests/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of membership and server tables."""
--- /dev/null
+++ b/tests/support/clusters.py
@@ -0,0 +1,119 @@
+"""Daemons of several data centres on one network in memory."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from bramleyrouter.board import Board
+from bramleyrouter.board.sections import Identity, ServerRecord, ServiceHolding
+from bramleyrouter.membership.build import build_membership
+from bramleyrouter.states import ServerState
+from tests.support.identities import make_identity
+from tests.support.memory_network import MemoryFabric
+
+CENTRES = {"dc1": 3, "dc2": 3, "dc3": 2}
+
+
+@dataclass
+class Daemon:
+    """Hold one running daemon."""
+
+    identity: Identity
+    board: Board
+    membership: object
+    dissemination: object = None
+
+    @property
+    def address(self):
+        return self.identity.internal_address
+
+
+@dataclass
+class Cluster:
+    """Hold the daemons; ``control`` are the addresses in everyone's settings."""
+
+    fabric: MemoryFabric
+    rng: random.Random
+    daemons: dict[str, Daemon] = field(default_factory=dict)
+    control: tuple[str, ...] = ()
+    identities: dict[str, Identity] = field(default_factory=dict)
+    # Builds dissemination(cluster, name, board, network), where a test needs it.
+    build_more: object = None
+
+    def start(self, name, incarnation=1):
+        """Start a daemon; a restart needs a larger incarnation."""
+        base = self.identities[name]
+        port = int(base.internal_address.split(":")[1])
+        identity = make_identity(name, base.data_centre, port, incarnation)
+        board = Board(identity)
+        network = self.fabric.build_network(identity)
+        clock = asyncio.get_running_loop().time
+        rng = random.Random(self.rng.random())
+        membership = build_membership(board, network, self.control, rng, clock)
+        daemon = Daemon(identity, board, membership)
+        if self.build_more:
+            daemon.dissemination = self.build_more(self, name, daemon, network, rng)
+            daemon.dissemination.start()
+        membership.start()
+        self.daemons[name] = daemon
+        return daemon
+
+    def kill(self, name):
+        """End a daemon without a word."""
+        daemon = self.daemons.pop(name)
+        daemon.membership.stop()
+        if daemon.dissemination:
+            daemon.dissemination.stop()
+        self.fabric.kill(daemon.address)
+
+    def addresses(self, *centres):
+        """Return the addresses of all daemons of some data centres."""
+        return [
+            identity.internal_address
+            for identity in self.identities.values()
+            if identity.data_centre in centres
+        ]
+
+    def entries(self):
+        """Return the running entry daemons."""
+        return [d for d in self.daemons.values() if d.address not in self.control]
+
+
+def make_cluster(seed=0, centres=CENTRES, controls=3, build_more=None):
+    """Return a cluster of entry daemons "e..." and control daemons "c..."."""
+    rng = random.Random(seed)
+    cluster = Cluster(MemoryFabric(rng=rng), rng, build_more=build_more)
+    names = [(f"e{i}{c}", c) for c, count in centres.items() for i in range(count)]
+    homes = list(centres)
+    control = [(f"c{i}", homes[i % len(homes)]) for i in range(controls)]
+    for number, (name, centre) in enumerate(control + names):
+        cluster.identities[name] = make_identity(name, centre, 7000 + 2 * number)
+    cluster.control = tuple(
+        cluster.identities[name].internal_address for name, _ in control
+    )
+    return cluster
+
+
+async def start_all(cluster, settle_s=6.0):
+    """Start every daemon and give the cluster time to settle."""
+    for name in cluster.identities:
+        cluster.start(name)
+    await asyncio.sleep(settle_s)
+
+
+def make_record(name, home: Identity, registration=1, **changes):
+    """Return the record of a backend server at ``home``."""
+    fields = dict(
+        server_id=name,
+        incarnation=1,
+        registration=registration,
+        data_centre=home.data_centre,
+        address="127.0.0.1:9000",
+        state=ServerState.READY,
+        slots=2,
+        connection_limit=25,
+        holdings=(ServiceHolding("rods", {"s1": ("v1",), "s2": ("v1", "v2")}),),
+        home=home.daemon_id,
+        home_incarnation=home.incarnation,
+    )
+    return ServerRecord(**{**fields, **changes})
