--- /dev/null
+++ b/src/bramleyrouter/dissemination/manifests.py
@@ -0,0 +1,37 @@
+"""Difference between two manifests, by service.
+
+A manifest may hold thousands of services while a change touches a few; sending
+it whole on each change would exceed a daemon's network budget.
+"""
+
+import msgspec
+
+from bramleyrouter.board.sections import Manifest, ServiceSpec
+from bramleyrouter.ids import Generation, ServiceName
+
+
+class ManifestDifference(msgspec.Struct, frozen=True):
+    """Hold the services that changed, and the order of all when it changed."""
+
+    generation: Generation
+    changed: tuple[ServiceSpec, ...]
+    order: tuple[ServiceName, ...] | None = None
+
+
+def find_difference(old: Manifest, new: Manifest) -> ManifestDifference:
+    """Return what turns ``old`` into ``new``."""
+    before = {spec.name: spec for spec in old.services}
+    changed = tuple(spec for spec in new.services if before.get(spec.name) != spec)
+    order = tuple(spec.name for spec in new.services)
+    is_same_order = order == tuple(before)
+    return ManifestDifference(new.generation, changed, None if is_same_order else order)
+
+
+def apply_difference(old: Manifest, difference: ManifestDifference) -> Manifest:
+    """Return the new manifest; raise ``KeyError`` when a service is missing."""
+    specs = {spec.name: spec for spec in old.services}
+    specs.update((spec.name, spec) for spec in difference.changed)
+    order = difference.order
+    if order is None:
+        order = tuple(spec.name for spec in old.services)
+    return Manifest(difference.generation, tuple(specs[name] for name in order))
--- /dev/null
+++ b/tests/support/config_sources.py
@@ -0,0 +1,94 @@
+"""A stand-in for the replicated log: commits that reach each control daemon."""
+
+import asyncio
+from dataclasses import dataclass, field
+from hashlib import blake2b
+
+import msgspec
+
+from bramleyrouter.board.sections import Manifest, ServiceSpec
+from bramleyrouter.control.interfaces import ConfigSource
+from bramleyrouter.control.messages import ConfigDelta, ConfigState
+
+APPLY_DELAY_S = 0.002
+
+
+def digest_of(state):
+    """Return a digest of all but the digest."""
+    body = msgspec.msgpack.encode(msgspec.structs.replace(state, digest=b""))
+    return blake2b(body, digest_size=16).digest()
+
+
+@dataclass
+class FakeLog:
+    """Hold the committed states, and how far each control daemon got.
+
+    A daemon in ``cut_off`` applies nothing and is not current.
+    """
+
+    states: list = field(default_factory=lambda: [ConfigState(0, None, digest=b"")])
+    applied: dict = field(default_factory=dict)
+    watchers: dict = field(default_factory=dict)
+    cut_off: set = field(default_factory=set)
+    committed_at: list = field(default_factory=lambda: [0.0])
+
+    def commit(self, **changes):
+        """Accept a change of the state; return its revision."""
+        old = self.states[-1]
+        state = msgspec.structs.replace(old, revision=old.revision + 1, **changes)
+        state = msgspec.structs.replace(state, digest=digest_of(state))
+        self.states.append(state)
+        loop = asyncio.get_running_loop()
+        self.committed_at.append(loop.time())
+        for name in self.applied:
+            loop.call_later(APPLY_DELAY_S, self.catch_up, name)
+        return state.revision
+
+    def catch_up(self, name):
+        """Let one control daemon apply all that is committed."""
+        if name in self.cut_off:
+            return
+        self.applied[name] = len(self.states) - 1
+        for callback in self.watchers.get(name, ()):
+            callback()
+
+    def rejoin(self, name):
+        """Let a daemon that was cut off take part again."""
+        self.cut_off.discard(name)
+        self.catch_up(name)
+
+    def source(self, name):
+        """Return what the control daemon ``name`` reads; starts caught up."""
+        self.applied[name] = len(self.states) - 1
+        self.watchers[name] = []
+
+        def deltas_since(revision):
+            return tuple(
+                delta_between(self.states[number - 1], self.states[number])
+                for number in range(revision + 1, self.applied[name] + 1)
+            )
+
+        return ConfigSource(
+            lambda: self.states[self.applied[name]],
+            deltas_since,
+            self.watchers[name].append,
+            lambda: name not in self.cut_off,
+        )
+
+
+def delta_between(old, new):
+    """Return the change from one state to the next."""
+    manifest = None if new.manifest == old.manifest else new.manifest
+    return ConfigDelta(
+        new.revision, manifest, new.data_centres_out, new.servers_out, new.digest
+    )
+
+
+def make_manifest(generation, services=3):
+    """Return a manifest whose first service changes with the generation."""
+    specs = [
+        ServiceSpec(f"service{i}", (f"s{i}a", f"s{i}b"), ("v1",))
+        for i in range(services)
+    ]
+    specs[0] = msgspec.structs.replace(specs[0], versions=(f"v{generation}",))
+    return Manifest(generation, tuple(specs))
