Added the decisions of the query path

Cause: each query needs one version, a replica for each shard, and bounds on hedges and retries. Each decision is a module of plain functions over small state; the index of usable replicas follows the blackboard, so that a query only looks up.

--- /dev/null
+++ b/src/bramleyrouter/routing/replica_index.py
@@ -0,0 +1,182 @@
+"""Index of the usable replicas, kept in step with the blackboard.
+
+A change of the table of servers costs one pass over it; a query costs a
+dictionary look-up per shard. The alternative, to filter the holders of each
+shard at each query, repeats the checks 2.6 million times a second for changes
+that happen a few times a second.
+"""
+
+from dataclasses import dataclass, field
+
+from bramleyrouter.board import Board, Section
+from bramleyrouter.board.sections import ServerLoad, ServerRecord, ServiceSpec
+from bramleyrouter.ids import DataCentre, IndexVersion, ServerId, ServiceName, ShardName
+from bramleyrouter.routing.messages import ShardKey
+from bramleyrouter.states import ServerState
+
+
+@dataclass(slots=True, eq=False)
+class ReplicaView:
+    """Hold what a choice needs to know of one server.
+
+    ``capacity`` is slots times headroom. ``others_in_flight`` is what the home
+    last said that other daemons had running there, at loop time ``hint_at``.
+    ``rest_until`` is set when the server refused or failed a request.
+    ``is_listed`` says whether the index lists the server now.
+    """
+
+    record: ServerRecord
+    load: ServerLoad
+    is_own: bool
+    capacity: float
+    is_listed: bool = False
+    others_in_flight: int = 0
+    hint_at: float = float("-inf")
+    rest_until: float = float("-inf")
+
+
+Holders = dict[ShardName, list[ReplicaView]]
+
+
+@dataclass
+class ReplicaIndex:
+    """Hold the views by server, and the usable ones by what they hold.
+
+    ``covered`` counts, by service and version, the shards of the manifest that
+    a usable server holds. ``shard_keys`` has the shards of the manifest.
+    """
+
+    own_data_centre: DataCentre
+    views: dict[ServerId, ReplicaView] = field(default_factory=dict)
+    holders: dict[tuple[ServiceName, IndexVersion], Holders] = field(
+        default_factory=dict
+    )
+    covered: dict[tuple[ServiceName, IndexVersion], int] = field(default_factory=dict)
+    specs: dict[ServiceName, ServiceSpec] = field(default_factory=dict)
+    shard_keys: dict[ServiceName, dict[ShardName, ShardKey]] = field(
+        default_factory=dict
+    )
+
+
+def build_replica_index(board: Board) -> ReplicaIndex:
+    """Return an index that follows the sections of servers and configuration."""
+    index = ReplicaIndex(board.identity.data_centre)
+    outs = (board.config.data_centres_out, board.config.servers_out)
+
+    def servers_changed() -> None:
+        refresh_servers(index, board)
+
+    def config_changed() -> None:
+        nonlocal outs
+        refresh_specs(index, board.config.services)
+        new_outs = (board.config.data_centres_out, board.config.servers_out)
+        if new_outs != outs:
+            outs = new_outs
+            refresh_servers(index, board, check_all=True)
+
+    config_changed()
+    servers_changed()
+    board.watch(Section.SERVERS, servers_changed)
+    board.watch(Section.CONFIG, config_changed)
+    return index
+
+
+def refresh_specs(
+    index: ReplicaIndex, services: dict[ServiceName, ServiceSpec]
+) -> None:
+    """Take over the services of the manifest that changed, and recount them."""
+    for name in [name for name in index.specs if name not in services]:
+        del index.specs[name]
+        del index.shard_keys[name]
+        for key in [key for key in index.covered if key[0] == name]:
+            del index.covered[key]
+    for name, spec in services.items():
+        if index.specs.get(name) == spec:
+            continue
+        index.specs[name] = spec
+        index.shard_keys[name] = {shard: ShardKey(name, shard) for shard in spec.shards}
+        for key, holders in index.holders.items():
+            if key[0] == name:
+                index.covered[key] = sum(shard in holders for shard in spec.shards)
+
+
+def refresh_servers(index: ReplicaIndex, board: Board, check_all=False) -> None:
+    """Apply the records that changed; ``check_all`` after "out" changed."""
+    records = board.servers.records
+    views = index.views
+    for server_id, record in records.items():
+        view = views.get(server_id)
+        if view is None:
+            load = board.load.servers.setdefault(server_id, ServerLoad())
+            is_own = record.data_centre == index.own_data_centre
+            view = views[server_id] = ReplicaView(record, load, is_own, 0.0)
+            _apply(index, board, view, record)
+        elif view.record is not record or check_all:
+            _apply(index, board, view, record)
+    if len(views) != len(records):
+        for server_id in [known for known in views if known not in records]:
+            view = views.pop(server_id)
+            if view.is_listed:
+                _unlist(index, view)
+            board.load.servers.pop(server_id, None)
+
+
+def is_usable(board: Board, record: ServerRecord) -> bool:
+    """Return whether new work may go to the server."""
+    return (
+        record.usable
+        and record.state is ServerState.READY
+        and record.headroom > 0
+        and record.server_id not in board.config.servers_out
+        and record.data_centre not in board.config.data_centres_out
+    )
+
+
+def _apply(index: ReplicaIndex, board: Board, view: ReplicaView, record: ServerRecord):
+    old, view_was_listed = view.record, view.is_listed
+    usable = is_usable(board, record)
+    keeps_place = view_was_listed and usable and old.holdings == record.holdings
+    if view_was_listed and not keeps_place:
+        _unlist(index, view)
+    if old.incarnation != record.incarnation:
+        view.hint_at = view.rest_until = float("-inf")
+    view.record = record
+    view.capacity = max(record.slots * record.headroom, 1e-9)
+    if usable and not keeps_place:
+        _list(index, view)
+
+
+def _each_holding(record: ServerRecord):
+    for holding in record.holdings:
+        for shard, versions in holding.shards.items():
+            for version in versions:
+                yield holding.service, shard, version
+
+
+def _list(index: ReplicaIndex, view: ReplicaView) -> None:
+    for service, shard, version in _each_holding(view.record):
+        key = (service, version)
+        holders = index.holders.setdefault(key, {})
+        if shard in holders:
+            holders[shard].append(view)
+            continue
+        holders[shard] = [view]
+        if shard in index.shard_keys.get(service, ()):
+            index.covered[key] = index.covered.get(key, 0) + 1
+    view.is_listed = True
+
+
+def _unlist(index: ReplicaIndex, view: ReplicaView) -> None:
+    for service, shard, version in _each_holding(view.record):
+        key = (service, version)
+        holders = index.holders[key]
+        holders[shard].remove(view)
+        if holders[shard]:
+            continue
+        del holders[shard]
+        if shard in index.shard_keys.get(service, ()):
+            index.covered[key] -= 1
+        if not holders:
+            del index.holders[key]
+            index.covered.pop(key, None)
+    view.is_listed = False
--- /dev/null
+++ b/src/bramleyrouter/routing/replicas.py
@@ -0,0 +1,134 @@
+"""Choice of one replica among the servers that hold a shard."""
+
+import random
+from collections.abc import Collection
+from dataclasses import dataclass, field
+
+from bramleyrouter.ids import DaemonId, DataCentre, ServerId
+from bramleyrouter.routing.replica_index import ReplicaView
+
+# A home's hint of others' load is ignored when it is older, in seconds: a
+# request takes a few to some tens of milliseconds, so the hint is then about
+# requests that have ended.
+HINT_VALID_S = 0.25
+# A server that refused or failed a request is taken to be full for so long, in
+# seconds, so that one that fails fast does not draw load by its low latency.
+REST_S = 0.05
+# A home that could not be reached is used only as the last resort for so
+# long, in seconds; renewals move its servers to other homes within about 2 s.
+HOME_AVOID_S = 0.5
+# Latency assumed of a server before its first reply, in seconds.
+UNMEASURED_LATENCY_S = 0.01
+# Distance assumed of another data centre before its first reply, in seconds.
+UNMEASURED_DISTANCE_S = 0.002
+# Data centres whose distances differ by less are equally near, in seconds.
+SAME_DISTANCE_S = 0.0005
+# Costs within this factor are near equal; a random one of them is taken, so
+# that daemons with the same stale hints do not all choose the same server.
+NEAR_EQUAL = 1.25
+
+TIER_OTHER_CENTRE, TIER_FULL, TIER_AVOIDED = 1, 2, 4
+
+
+@dataclass
+class ChoiceState:
+    """Hold what choices depend on besides the servers themselves.
+
+    ``distance_s`` is the measured time on the way to another data centre.
+    ``avoid_until`` holds the homes that could not be reached, and until when
+    they are the last resort. ``is_stale`` says that the own configuration is
+    not confirmed.
+    """
+
+    distance_s: dict[DataCentre, float] = field(default_factory=dict)
+    avoid_until: dict[DaemonId, float] = field(default_factory=dict)
+    is_stale: bool = False
+
+
+def estimate_load(view: ReplicaView, now: float) -> int:
+    """Return the own requests in flight plus the others' by a fresh hint."""
+    if now - view.hint_at < HINT_VALID_S:
+        return view.load.in_flight + view.others_in_flight
+    return view.load.in_flight
+
+
+def is_full(view: ReplicaView, now: float) -> bool:
+    """Return whether one more request would have to queue at the home."""
+    return now < view.rest_until or estimate_load(view, now) >= view.capacity
+
+
+def estimate_cost(view: ReplicaView, state: ChoiceState, now: float) -> float:
+    """Return the expected seconds until a reply, queue included."""
+    latency = view.load.latency_s or UNMEASURED_LATENCY_S
+    waiting = 1.0 + estimate_load(view, now) / view.capacity
+    return latency * waiting + _distance(view, state)
+
+
+def choose_replica(
+    candidates: Collection[ReplicaView],
+    tried: Collection[ServerId],
+    state: ChoiceState,
+    rng: random.Random,
+    now: float,
+    only_free: bool = False,
+) -> ReplicaView | None:
+    """Return the replica to ask, or None when all were tried.
+
+    The best tier that has a candidate is used: the own data centre while it
+    has a free slot, then another data centre that has one, nearest first, then
+    whichever is full. A stale daemon leaves its data centre only when that has
+    no candidate at all. Within a tier the better of two random ones is taken.
+    With ``only_free`` a full server or an unreachable home is no candidate.
+    """
+    best_tier, tier_members = 99, []
+    for view in candidates:
+        if view.record.server_id in tried:
+            continue
+        tier = _tier(view, state, now)
+        if tier < best_tier:
+            best_tier, tier_members = tier, [view]
+        elif tier == best_tier:
+            tier_members.append(view)
+    if not tier_members or (only_free and best_tier >= TIER_FULL):
+        return None
+    if best_tier & TIER_OTHER_CENTRE and len(tier_members) > 1:
+        tier_members = _nearest(tier_members, state)
+    if len(tier_members) == 1:
+        return tier_members[0]
+    return _better_of_two(tier_members, state, rng, now)
+
+
+def _tier(view: ReplicaView, state: ChoiceState, now: float) -> int:
+    tier = 0 if view.is_own else TIER_OTHER_CENTRE
+    if is_full(view, now):
+        tier += TIER_FULL
+    if state.is_stale and not view.is_own:
+        tier += TIER_FULL
+    if state.avoid_until and now < state.avoid_until.get(view.record.home, now):
+        tier += TIER_AVOIDED
+    return tier
+
+
+def _distance(view: ReplicaView, state: ChoiceState) -> float:
+    if view.is_own:
+        return 0.0
+    return state.distance_s.get(view.record.data_centre, UNMEASURED_DISTANCE_S)
+
+
+def _nearest(views: list[ReplicaView], state: ChoiceState) -> list[ReplicaView]:
+    limit = min(_distance(view, state) for view in views) + SAME_DISTANCE_S
+    return [view for view in views if _distance(view, state) <= limit]
+
+
+def _better_of_two(
+    views: list[ReplicaView], state: ChoiceState, rng: random.Random, now: float
+) -> ReplicaView:
+    count = len(views)
+    first = int(rng.random() * count)
+    second = (first + 1 + int(rng.random() * (count - 1))) % count
+    one, other = views[first], views[second]
+    cost, other_cost = estimate_cost(one, state, now), estimate_cost(other, state, now)
+    if other_cost * NEAR_EQUAL < cost:
+        return other
+    # ``one`` is random already, so it stands for a random one of near equals.
+    return one
--- /dev/null
+++ b/src/bramleyrouter/routing/retries.py
@@ -0,0 +1,112 @@
+"""Which failed requests are sent again, and how many of them."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from bramleyrouter.codes import Code
+from bramleyrouter.routing.budgets import Bucket, can_spend
+
+# Retries that every query may make beyond its share of the budget.
+FREE_RETRIES = 2
+# Retries that the daemon may make in a burst, such as after the loss of a home.
+DAEMON_BURST = 100
+# Weight of one reply in the share of replies that shed load.
+SHED_WEIGHT = 0.02
+# With a larger share of replies shed, no request that was shed is sent again.
+SHED_LIMIT = 0.3
+# Shortest time left, in seconds, that is worth a retry.
+MIN_RETRY_TIME_S = 0.002
+
+
+class RetryKind(Enum):
+    """Tell apart what a retry costs the backend servers."""
+
+    # It did not run and cost no server anything: free of the budgets, since
+    # each server is asked at most once.
+    REDIRECT = "redirect"
+    # It did not run, but the server is short of capacity.
+    SHED = "shed"
+    # It may have run; a query is idempotent, so it may run again.
+    REPEAT = "repeat"
+    # Another request would end alike, or there is no time left.
+    NEVER = "never"
+
+
+_REDIRECTS = {
+    Code.NOT_READY,
+    Code.STOPPING,
+    Code.NO_SERVER,
+    Code.CONNECT_FAILED,
+    Code.NO_AUTHORITY,
+    Code.SERVER_OUT,
+    Code.SERVER_LEAVING,
+    Code.STALE_HOME,
+    Code.NOT_HOME,
+    Code.VERSION_NOT_HELD,
+    Code.PEER_UNREACHABLE,
+}
+_SHEDS = {
+    Code.OVERLOADED,
+    Code.TENANT_LIMIT,
+    Code.SERVER_REFUSED,
+    Code.QUEUE_FULL,
+}
+_REPEATS = {
+    Code.SHARD_TIMEOUT,
+    Code.SHARD_TRUNCATED,
+    Code.SHARD_WRONG_VERSION,
+    Code.SHARD_WRONG_IDENTITY,
+    Code.SHARD_SERVER_ERROR,
+    Code.SHARD_CONNECTION_LOST,
+    Code.SHARD_HOME_LOST,
+    Code.SHARD_CANCELLED,
+}
+
+
+@dataclass
+class RetryBudget:
+    """Hold the daemon's bucket and the share of recent replies that shed."""
+
+    bucket: Bucket
+    shed_share: float = 0.0
+
+
+def classify(code: Code) -> RetryKind:
+    """Return what sending again after ``code`` means."""
+    if code in _REDIRECTS:
+        return RetryKind.REDIRECT
+    if code in _SHEDS:
+        return RetryKind.SHED
+    return RetryKind.REPEAT if code in _REPEATS else RetryKind.NEVER
+
+
+def note_reply(budget: RetryBudget, kind: RetryKind | None) -> None:
+    """Count one ended request; ``kind`` is None when it succeeded."""
+    target = 1.0 if kind is RetryKind.SHED else 0.0
+    budget.shed_share += SHED_WEIGHT * (target - budget.shed_share)
+
+
+def query_units(share: float, requests: int) -> float:
+    """Return the retries that a query of so many requests may make."""
+    return FREE_RETRIES + share * requests
+
+
+def may_retry(
+    kind: RetryKind,
+    budget: RetryBudget,
+    units_left: float,
+    time_left_s: float,
+    typical_s: float,
+) -> bool:
+    """Return whether to send again; ``units_left`` is the query's own budget.
+
+    The caller charges the requests that come of it to both budgets, unless it
+    is a redirect.
+    """
+    if kind is RetryKind.NEVER or time_left_s < max(MIN_RETRY_TIME_S, typical_s):
+        return False
+    if kind is RetryKind.REDIRECT:
+        return True
+    if kind is RetryKind.SHED and budget.shed_share > SHED_LIMIT:
+        return False
+    return units_left >= 1 and can_spend(budget.bucket, 1)
