--- /dev/null
+++ b/src/bramleyrouter/routing/contexts.py
@@ -0,0 +1,77 @@
+"""What queries and submissions of one daemon share."""
+
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bramleyrouter.board import Board
+from bramleyrouter.conf.settings import Settings
+from bramleyrouter.control.interfaces import ControlClient
+from bramleyrouter.homes.interfaces import HomeClient
+from bramleyrouter.routing.budgets import Bucket, build_bucket
+from bramleyrouter.routing.hedging import HEDGE_BURST, LatencyTable
+from bramleyrouter.routing.loads import build_load_toucher
+from bramleyrouter.routing.observers import RoutingObserver
+from bramleyrouter.routing.replica_index import ReplicaIndex, build_replica_index
+from bramleyrouter.routing.replicas import ChoiceState
+from bramleyrouter.routing.retries import DAEMON_BURST, RetryBudget
+
+# A daemon whose revision has not been confirmed for so long, in seconds, is
+# stale.
+STALE_AFTER_S = 2.0
+# Attempts are numbered across queries from a random start of so many bits, so
+# that a reply of another query or of an earlier start never fits.
+ATTEMPT_START_BITS = 40
+
+
+@dataclass
+class Context:
+    """Hold the passed-in parts and the state that requests share.
+
+    ``is_overloaded`` says whether extra requests would do harm now.
+    """
+
+    board: Board
+    home_client: HomeClient
+    control_client: ControlClient
+    cfg: Settings
+    clock: Callable[[], float]
+    rng: random.Random
+    observer: RoutingObserver
+    index: ReplicaIndex
+    hedge_bucket: Bucket
+    retry_budget: RetryBudget
+    next_attempt: Callable[[], int]
+    touch_load: Callable[[float], None]
+    is_overloaded: Callable[[], bool] = lambda: False
+    choice: ChoiceState = field(default_factory=ChoiceState)
+    latencies: LatencyTable = field(default_factory=LatencyTable)
+
+
+def build_context(
+    board, home_client, control_client, cfg, clock, rng, observer
+) -> Context:
+    """Return the shared state of a router that has not served anything yet."""
+    counter = itertools.count(rng.getrandbits(ATTEMPT_START_BITS))
+    return Context(
+        board=board,
+        home_client=home_client,
+        control_client=control_client,
+        cfg=cfg,
+        clock=clock,
+        rng=rng,
+        observer=observer,
+        index=build_replica_index(board),
+        hedge_bucket=build_bucket(cfg.hedge_budget, HEDGE_BURST),
+        retry_budget=RetryBudget(
+            build_bucket(cfg.retry_budget, DAEMON_BURST, is_full=True)
+        ),
+        next_attempt=counter.__next__,
+        touch_load=build_load_toucher(board),
+    )
+
+
+def refresh_staleness(ctx: Context, now: float) -> None:
+    """Take over whether the own configuration is still confirmed."""
+    ctx.choice.is_stale = now - ctx.board.config.confirmed_at > STALE_AFTER_S
--- /dev/null
+++ b/src/bramleyrouter/routing/submissions.py
@@ -0,0 +1,393 @@
+"""Non-idempotent requests: claimed in the ledger, dispatched at most once."""
+
+import asyncio
+import hashlib
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from absl import logging
+
+from bramleyrouter.codes import Code
+from bramleyrouter.control.messages import Claim, ClaimResult, Settle
+from bramleyrouter.homes.messages import SubmitReply, SubmitRequest
+from bramleyrouter.ids import RequestId, ServerId, TenantName
+from bramleyrouter.routing.contexts import Context, refresh_staleness
+from bramleyrouter.routing.messages import Submission, SubmissionAnswer
+from bramleyrouter.routing.replica_index import ReplicaView
+from bramleyrouter.routing.replicas import REST_S, choose_replica
+from bramleyrouter.states import DaemonState, Outcome
+
+# Bytes of the digest by which the ledger recognises another body.
+DIGEST_BYTES = 16
+TOKEN_BYTES = 16
+# Longest wait, in seconds, for one call of the ledger before it is repeated.
+CLAIM_TRY_S = 1.0
+# Pause between two calls of the ledger: after a failed one, and while an
+# unsettled claim of another daemon is waited for, in seconds.
+LEDGER_PAUSE_S = 0.02
+WAIT_PAUSE_S = 0.05
+# Time kept back from the deadline for the answer's way, in seconds.
+ANSWER_MARGIN_S = 0.005
+# Servers that one submission is offered to, as long as each says "not run".
+MAX_OFFERS = 3
+# A settlement that the ledger did not confirm is repeated for so long, in
+# seconds, with pauses up to the second value.
+SETTLE_REPAIR_S = 60.0
+MAX_SETTLE_PAUSE_S = 2.0
+# Identities remembered as dispatched by this daemon.
+REMEMBERED_IDENTITIES = 10_000
+
+Identity = tuple[TenantName, RequestId]
+# Codes of a settlement that can't succeed later either.
+_FINAL_SETTLE_CODES = {Code.IDENTITY_EXPIRED, Code.IDENTITY_REUSED}
+
+
+@dataclass(eq=False)
+class RunningSubmission:
+    """Hold a submission that runs here; resends with the same body join it."""
+
+    digest: bytes
+    task: asyncio.Task[SubmissionAnswer]
+
+
+@dataclass
+class SubmissionState:
+    """Hold what runs, which settlements are being repeated, what was sent.
+
+    ``unsettled`` has the body's digest and the outcome of runs that the ledger
+    has not confirmed yet.
+    """
+
+    running: dict[Identity, RunningSubmission] = field(default_factory=dict)
+    unsettled: dict[Identity, tuple[bytes, Settle]] = field(default_factory=dict)
+    repairs: set[asyncio.Task] = field(default_factory=set)
+    dispatched: OrderedDict[Identity, None] = field(default_factory=OrderedDict)
+
+
+class Permission(NamedTuple):
+    """Say whether a claimed submission may be dispatched; ``release`` after."""
+
+    code: Code
+    text: str
+    release: Callable[[], None]
+
+
+Admit = Callable[[Submission], Awaitable[Permission]]
+
+
+async def execute_submission(
+    ctx: Context, state: SubmissionState, admit: Admit, req: Submission
+) -> SubmissionAnswer:
+    """Run a submission, or join the run of the same identity in this daemon.
+
+    The run goes on when its caller is cancelled, so that a claim is settled.
+    """
+    identity = (req.tenant, req.request_id)
+    digest = hashlib.blake2b(req.body, digest_size=DIGEST_BYTES).digest()
+    running = state.running.get(identity)
+    known = running.digest if running else state.unsettled.get(identity, (digest,))[0]
+    if known != digest:
+        text = "The identity is in use by a request with another body."
+        return _answer(req, Outcome.NOT_RUN, Code.IDENTITY_REUSED, text)
+    if running is not None:
+        return await _join(ctx, running, req)
+    if identity in state.unsettled:
+        settle = state.unsettled[identity][1]
+        if settle.outcome is not Outcome.NOT_RUN:
+            code = Code(settle.code)
+            return _answer(req, settle.outcome, code, answer=settle.answer)
+    coroutine = _run(ctx, state, admit, req, digest)
+    task = asyncio.get_running_loop().create_task(coroutine)
+    state.running[identity] = RunningSubmission(digest, task)
+    task.add_done_callback(lambda _: state.running.pop(identity, None))
+    return await asyncio.shield(task)
+
+
+async def _join(
+    ctx: Context, running: RunningSubmission, req: Submission
+) -> SubmissionAnswer:
+    left = req.deadline - ANSWER_MARGIN_S - ctx.clock()
+    done, _ = await asyncio.wait({running.task}, timeout=max(left, 0))
+    if done:
+        return running.task.result()
+    text = "The first run of this request has not ended."
+    return _answer(req, Outcome.UNKNOWN, Code.OUTCOME_UNKNOWN, text)
+
+
+async def drain_submissions(state: SubmissionState) -> None:
+    """Wait for what runs, and for settlements that are being repeated."""
+    while state.running or state.repairs:
+        tasks = [running.task for running in state.running.values()]
+        await asyncio.wait([*tasks, *state.repairs])
+
+
+async def _run(
+    ctx: Context, state: SubmissionState, admit: Admit, req: Submission, digest: bytes
+) -> SubmissionAnswer:
+    identity = ctx.board.identity
+    claim = Claim(
+        tenant=req.tenant,
+        request_id=req.request_id,
+        body_digest=digest,
+        claimant=identity.daemon_id,
+        claimant_incarnation=identity.incarnation,
+        attempt_token=ctx.rng.randbytes(TOKEN_BYTES),
+    )
+    answer = await _claim(ctx, state, req, claim)
+    if answer is None:
+        answer = await _run_claimed(ctx, state, admit, req)
+        await _settle(ctx, state, req, claim, answer)
+    return answer
+
+
+async def _claim(
+    ctx: Context, state: SubmissionState, req: Submission, claim: Claim
+) -> SubmissionAnswer | None:
+    """Claim until the ledger decides; None when this daemon may dispatch.
+
+    The token stays the same, so a claim whose reply was lost is found again
+    and not made twice. If the last call's reply is missing, the claim may be
+    recorded; nothing was dispatched for it, so it is settled as not run.
+    """
+    may_be_recorded = False
+    while True:
+        left = req.deadline - ANSWER_MARGIN_S - ctx.clock()
+        if left <= 0:
+            break
+        reply = await ctx.control_client.claim(claim, min(left, CLAIM_TRY_S))
+        if reply.is_err():
+            may_be_recorded = True
+            await _pause(ctx, req, LEDGER_PAUSE_S)
+            continue
+        result = reply.unwrap()
+        if result.is_granted:
+            return None
+        may_be_recorded = False
+        answer = _judge_earlier(ctx, req, claim, result)
+        if answer is not None:
+            return answer
+        if req.deadline - ANSWER_MARGIN_S - ctx.clock() <= WAIT_PAUSE_S:
+            text = "The daemon that runs this request has not settled it."
+            return _answer(req, Outcome.UNKNOWN, Code.OUTCOME_UNKNOWN, text)
+        await asyncio.sleep(WAIT_PAUSE_S)
+    text = "The ledger could not be reached by the deadline."
+    if may_be_recorded:
+        not_run = _not_run(req, Code.LEDGER_UNREACHABLE, text)
+        _repair(ctx, state, claim, _settlement(claim, not_run))
+    return _refuse_unclaimed(state, req, Code.LEDGER_UNREACHABLE, text)
+
+
+async def _pause(ctx: Context, req: Submission, pause_s: float) -> None:
+    left = req.deadline - ANSWER_MARGIN_S - ctx.clock()
+    await asyncio.sleep(max(0.0, min(pause_s, left)))
+
+
+def _judge_earlier(
+    ctx: Context, req: Submission, claim: Claim, result: ClaimResult
+) -> SubmissionAnswer | None:
+    """Return what an earlier claim tells, or None to wait for its claimant."""
+    if result.failure is not None:
+        code, text = result.failure.code, result.failure.text
+        outcome = Outcome.UNKNOWN if code >= Code.OUTCOME_UNKNOWN else Outcome.NOT_RUN
+        return _answer(req, outcome, code, text)
+    if result.outcome is not None:
+        code = Code(result.code)
+        return _answer(req, result.outcome, code, answer=result.answer)
+    if _is_alive(ctx, result, claim):
+        return None
+    text = f'Daemon "{result.claimant}" was lost while it ran the request.'
+    return _answer(req, Outcome.UNKNOWN, Code.CLAIMANT_LOST, text)
+
+
+def _is_alive(ctx: Context, result: ClaimResult, claim: Claim) -> bool:
+    if result.claimant == claim.claimant:
+        return result.claimant_incarnation == claim.claimant_incarnation
+    record = ctx.board.daemons.records.get(result.claimant)
+    return (
+        record is not None
+        and record.incarnation == result.claimant_incarnation
+        and record.state is not DaemonState.DEAD
+    )
+
+
+async def _run_claimed(
+    ctx: Context, state: SubmissionState, admit: Admit, req: Submission
+) -> SubmissionAnswer:
+    permission = await admit(req)
+    try:
+        if permission.code is not Code.OK:
+            return _not_run(req, permission.code, permission.text)
+        return await _offer(ctx, state, req)
+    finally:
+        permission.release()
+
+
+async def _offer(
+    ctx: Context, state: SubmissionState, req: Submission
+) -> SubmissionAnswer:
+    """Send the request to one server; to another only after a sure "not run"."""
+    spec = ctx.index.specs.get(req.service)
+    if spec is None:
+        text = f'Service "{req.service}" is not in the manifest.'
+        return _not_run(req, Code.UNKNOWN_SERVICE, text)
+    if req.shard not in ctx.index.shard_keys[req.service]:
+        text = f'Shard "{req.shard}" of "{req.service}" is not in the manifest.'
+        return _not_run(req, Code.UNKNOWN_SHARD, text)
+    tried: set[ServerId] = set()
+    refusal = SubmitReply(
+        Outcome.NOT_RUN, Code.NO_SERVER, "No usable server holds the shard."
+    )
+    while len(tried) < MAX_OFFERS:
+        now = ctx.clock()
+        if now >= req.deadline - ANSWER_MARGIN_S:
+            text = "The deadline passed before the request was sent."
+            return _not_run(req, Code.DEADLINE_PASSED, text)
+        refresh_staleness(ctx, now)
+        candidates = _list_candidates(ctx, req, spec.versions)
+        view = choose_replica(candidates, tried, ctx.choice, ctx.rng, now)
+        if view is None:
+            break
+        tried.add(view.record.server_id)
+        reply = await _send(ctx, state, req, view)
+        if reply.outcome is not Outcome.NOT_RUN:
+            return _answer(req, reply.outcome, reply.code, reply.text, reply.answer)
+        view.rest_until = ctx.clock() + REST_S
+        refusal = reply
+    return _not_run(req, refusal.code, refusal.text)
+
+
+def _list_candidates(ctx: Context, req: Submission, versions) -> list[ReplicaView]:
+    """Return the usable servers of the shard, whichever version they hold."""
+    found: dict[ServerId, ReplicaView] = {}
+    for version in reversed(versions):
+        holders = ctx.index.holders.get((req.service, version), {})
+        for view in holders.get(req.shard, ()):
+            found.setdefault(view.record.server_id, view)
+    return list(found.values())
+
+
+async def _send(
+    ctx: Context, state: SubmissionState, req: Submission, view: ReplicaView
+) -> SubmitReply:
+    """Send once; without a reply in time the outcome is unknown."""
+    left = req.deadline - ANSWER_MARGIN_S - ctx.clock()
+    message = SubmitRequest(
+        request_id=req.request_id,
+        tenant=req.tenant,
+        class_name=req.class_name,
+        revision=ctx.board.config.revision,
+        remaining_s=left,
+        is_stale=ctx.choice.is_stale,
+        server_id=view.record.server_id,
+        service=req.service,
+        shard=req.shard,
+        operation=req.body,
+    )
+    _remember(state, (req.tenant, req.request_id))
+    started = ctx.clock()
+    view.load.in_flight += 1
+    try:
+        call = ctx.home_client.submit(view.record.home, message)
+        reply = await asyncio.wait_for(call, left)
+    except TimeoutError:
+        text = "The server's home did not answer by the deadline."
+        reply = SubmitReply(Outcome.UNKNOWN, Code.OUTCOME_UNKNOWN, text)
+    except Exception:
+        logging.exception("routing: submission to home %s failed", view.record.home)
+        text = "The request may have reached the server."
+        reply = SubmitReply(Outcome.UNKNOWN, Code.OUTCOME_UNKNOWN, text)
+    finally:
+        view.load.in_flight -= 1
+    ctx.observer.shard_request_finished(req.service, ctx.clock() - started, reply.code)
+    return reply
+
+
+def _remember(state: SubmissionState, identity: Identity) -> None:
+    state.dispatched[identity] = None
+    state.dispatched.move_to_end(identity)
+    if len(state.dispatched) > REMEMBERED_IDENTITIES:
+        state.dispatched.popitem(last=False)
+
+
+async def _settle(
+    ctx: Context,
+    state: SubmissionState,
+    req: Submission,
+    claim: Claim,
+    answer: SubmissionAnswer,
+) -> None:
+    """Record the outcome; what is not confirmed by the deadline is repeated.
+
+    The outcome is true whether or not the ledger has it: nobody else may
+    dispatch while the claim is unsettled.
+    """
+    settle = _settlement(claim, answer)
+    left = req.deadline - ANSWER_MARGIN_S - ctx.clock()
+    if left > 0:
+        reply = await ctx.control_client.settle(settle, left)
+        if reply.is_ok():
+            return
+    _repair(ctx, state, claim, settle)
+
+
+def _settlement(claim: Claim, answer: SubmissionAnswer) -> Settle:
+    return Settle(
+        tenant=claim.tenant,
+        request_id=claim.request_id,
+        attempt_token=claim.attempt_token,
+        outcome=answer.outcome,
+        code=int(answer.code),
+        answer=answer.answer,
+    )
+
+
+def _repair(ctx: Context, state: SubmissionState, claim: Claim, settle: Settle) -> None:
+    """Repeat a settlement in the background; drain waits for it."""
+    identity = (claim.tenant, claim.request_id)
+    state.unsettled[identity] = (claim.body_digest, settle)
+    task = asyncio.get_running_loop().create_task(_repeat_settle(ctx, settle))
+    state.repairs.add(task)
+
+    def ended(_):
+        state.repairs.discard(task)
+        if state.unsettled.get(identity) == (claim.body_digest, settle):
+            del state.unsettled[identity]
+
+    task.add_done_callback(ended)
+
+
+async def _repeat_settle(ctx: Context, settle: Settle) -> None:
+    give_up_at, pause = ctx.clock() + SETTLE_REPAIR_S, LEDGER_PAUSE_S
+    while ctx.clock() < give_up_at:
+        reply = await ctx.control_client.settle(settle, CLAIM_TRY_S)
+        if reply.is_ok() or reply.unwrap_err().code in _FINAL_SETTLE_CODES:
+            return
+        await asyncio.sleep(pause)
+        pause = min(pause * 2, MAX_SETTLE_PAUSE_S)
+    logging.warning(
+        "routing: the ledger did not confirm the outcome %s of request %s",
+        settle.outcome.value,
+        settle.request_id,
+    )
+
+
+def _refuse_unclaimed(
+    state: SubmissionState, req: Submission, code: Code, text: str
+) -> SubmissionAnswer:
+    """Refuse before any claim is known: not run, unless it was sent before."""
+    if req.is_resend or (req.tenant, req.request_id) in state.dispatched:
+        text = f"{text} An earlier run of this request may have succeeded."
+        return _answer(req, Outcome.UNKNOWN, Code.OUTCOME_UNKNOWN, text)
+    return _not_run(req, code, text)
+
+
+def _not_run(req: Submission, code: Code, text: str) -> SubmissionAnswer:
+    return _answer(req, Outcome.NOT_RUN, code, text)
+
+
+def _answer(
+    req: Submission, outcome: Outcome, code: Code, text: str = "", answer: bytes = b""
+) -> SubmissionAnswer:
+    return SubmissionAnswer(req.request_id, outcome, code, text, answer)
