Added admission with an adaptive limit of running queries

Cause: without it every query is dispatched, and past the servers' capacity all of them miss their deadlines.

--- a/src/bramleyrouter/routing/contexts.py
+++ b/src/bramleyrouter/routing/contexts.py
@@ -9,6 +9,7 @@
 from bramleyrouter.conf.settings import Settings
 from bramleyrouter.control.interfaces import ControlClient
 from bramleyrouter.homes.interfaces import HomeClient
+from bramleyrouter.routing.admission import Admission, build_admission
 from bramleyrouter.routing.budgets import Bucket, build_bucket
 from bramleyrouter.routing.hedging import HEDGE_BURST, LatencyTable
 from bramleyrouter.routing.loads import build_load_toucher
@@ -27,10 +28,7 @@
 
 @dataclass
 class Context:
-    """Hold the passed-in parts and the state that requests share.
-
-    ``is_overloaded`` says whether extra requests would do harm now.
-    """
+    """Hold the passed-in parts and the state that requests share."""
 
     board: Board
     home_client: HomeClient
@@ -44,7 +42,7 @@
     retry_budget: RetryBudget
     next_attempt: Callable[[], int]
     touch_load: Callable[[float], None]
-    is_overloaded: Callable[[], bool] = lambda: False
+    admission: Admission
     choice: ChoiceState = field(default_factory=ChoiceState)
     latencies: LatencyTable = field(default_factory=LatencyTable)
 
@@ -69,6 +67,7 @@
         ),
         next_attempt=counter.__next__,
         touch_load=build_load_toucher(board),
+        admission=build_admission(cfg, clock),
     )
 
 
--- a/src/bramleyrouter/routing/queries.py
+++ b/src/bramleyrouter/routing/queries.py
@@ -20,6 +20,7 @@
     record_latency,
     typical_latency,
 )
+from bramleyrouter.routing.limits import note_query, note_request
 from bramleyrouter.routing.loads import end_attempt
 from bramleyrouter.routing.messages import Answer, Query, ShardKey
 from bramleyrouter.routing.plans import (
@@ -94,6 +95,7 @@
     retries: int = 0
     servers: dict[str, None] = field(default_factory=dict)
     notes: list[str] = field(default_factory=list)
+    has_lost: bool = False
 
 
 async def execute_query(
@@ -127,7 +129,8 @@
         await run.done
     finally:
         timer.cancel()
-        _close_pass(ctx, run.current)
+        _note_outcome(ctx, run)
+        _close_pass(ctx, run, run.current)
     return _conclude(ctx, run)
 
 
@@ -242,13 +245,13 @@
         # Another server's reply says nothing of this request; its own may come.
         attempt.has_crossed_reply = True
         return
-    _end(ctx, batch, attempt, code, reply)
+    _end(ctx, run, batch, attempt, code, reply)
     if code is Code.OK:
         for progress in attempt.shards:
             if current.open_shards.pop(progress.key, None) is not None:
                 shard = progress.key.shard
                 current.results[progress.key] = reply.results[shard]
-        _cancel_losers(ctx, current)
+        _cancel_losers(ctx, run, current)
     else:
         _handle_failures(ctx, run, [(attempt, code)])
     _check_done(ctx, run)
@@ -270,14 +273,14 @@
     failed = []
     for attempt in list(batch.attempts.values()):
         own = Code.SHARD_WRONG_IDENTITY if attempt.has_crossed_reply else code
-        _end(ctx, batch, attempt, own, None)
+        _end(ctx, run, batch, attempt, own, None)
         failed.append((attempt, own))
     if failed:
         _handle_failures(ctx, run, failed)
         _check_done(ctx, run)
 
 
-def _end(ctx, batch: Batch, attempt: Attempt, code: Code, reply) -> None:
+def _end(ctx, run: Run, batch: Batch, attempt: Attempt, code: Code, reply) -> None:
     del batch.attempts[attempt.attempt]
     now = ctx.clock()
     elapsed = end_attempt(attempt, ctx.choice, code, reply, now)
@@ -288,7 +291,12 @@
     if code is Code.OK or code is Code.SHARD_CANCELLED:
         record_latency(ctx.latencies, attempt.service, elapsed)
     if code is not Code.SHARD_CANCELLED:
-        note_reply(ctx.retry_budget, None if code is Code.OK else classify(code))
+        kind = None if code is Code.OK else classify(code)
+        note_reply(ctx.retry_budget, kind)
+        queue_s, service_s = (reply.queue_s, reply.service_s) if reply else (0.0, 0.0)
+        is_lost = kind is RetryKind.SHED or code is Code.QUEUE_DEADLINE
+        run.has_lost |= is_lost
+        note_request(ctx.admission.state.limit, queue_s, service_s, is_lost)
     ctx.observer.shard_request_finished(attempt.service, elapsed, code)
     ctx.touch_load(now)
 
@@ -361,7 +369,7 @@
 
 def _hedge(ctx: Context, run: Run, current: Pass, service) -> None:
     """Send the stragglers of one service to other servers that are free."""
-    if run.done.done() or current is not run.current or ctx.is_overloaded():
+    if run.done.done() or current is not run.current or ctx.admission.is_overloaded():
         return
     left = run.answer_by - ctx.clock()
     if left < typical_latency(ctx.latencies, service):
@@ -398,7 +406,7 @@
     _dispatch(ctx, run, affordable)
 
 
-def _cancel_losers(ctx: Context, current: Pass) -> None:
+def _cancel_losers(ctx: Context, run: Run, current: Pass) -> None:
     """Cancel each batch that can no longer add a result."""
     for batch in current.batches:
         if batch.is_ended or not batch.attempts:
@@ -408,26 +416,37 @@
             for attempt in batch.attempts.values()
             for progress in attempt.shards
         ):
-            _cancel_batch(ctx, batch)
+            _cancel_batch(ctx, run, batch)
 
 
-def _cancel_batch(ctx: Context, batch: Batch) -> None:
+def _cancel_batch(ctx: Context, run: Run, batch: Batch) -> None:
     batch.is_ended = batch.is_cancelled = True
     for attempt in list(batch.attempts.values()):
-        _end(ctx, batch, attempt, Code.SHARD_CANCELLED, None)
+        _end(ctx, run, batch, attempt, Code.SHARD_CANCELLED, None)
     if batch.cancel is not None:
         batch.cancel()
 
 
-def _close_pass(ctx: Context, current: Pass) -> None:
+def _close_pass(ctx: Context, run: Run, current: Pass) -> None:
     for timer in current.timers:
         timer.cancel()
     for batch in current.batches:
         if batch.attempts and not batch.is_ended:
-            _cancel_batch(ctx, batch)
+            _cancel_batch(ctx, run, batch)
         batch.is_ended = True
 
 
+def _note_outcome(ctx: Context, run: Run) -> None:
+    """Count the query, and what the deadline cut off, for the adaptive limit."""
+    now, limit = ctx.clock(), ctx.admission.state.limit
+    if now >= run.answer_by and run.current.open_shards:
+        run.has_lost = True
+        for batch in run.current.batches:
+            for _ in batch.attempts:
+                note_request(limit, 0.0, 0.0, True)
+    note_query(limit, run.has_lost, now)
+
+
 def _finish(run: Run) -> None:
     if not run.done.done():
         run.done.set_result(None)
@@ -466,7 +485,7 @@
     if run.answer_by - ctx.clock() <= slowest:
         return False
     run.notes.append(f"restarted from {current.version} on {choice.version}")
-    _close_pass(ctx, current)
+    _close_pass(ctx, run, current)
     _keep_best(run)
     run.current = _new_pass(choice)
     _start_pass(ctx, run)
--- a/src/bramleyrouter/routing/router.py
+++ b/src/bramleyrouter/routing/router.py
@@ -25,7 +25,6 @@
 from bramleyrouter.routing.queries import Run, execute_query
 from bramleyrouter.routing.snapshots import resolve_targets
 from bramleyrouter.routing.submissions import (
-    Permission,
     SubmissionState,
     drain_submissions,
     execute_submission,
@@ -53,14 +52,19 @@
     submissions = SubmissionState()
     running = 0
 
-    async def admit(req: Submission) -> Permission:
-        return Permission(Code.OK, "", lambda: None)
-
     async def run_query(req: Query, run_out: list[Run]) -> Result[Answer, Failure]:
         wanted = resolve_targets(ctx.index, req.targets)
         if isinstance(wanted, Err):
             return wanted
-        return await execute_query(ctx, req, wanted.ok_value, run_out)
+        admitted = await ctx.admission.admit(req)
+        if isinstance(admitted, Err):
+            code = admitted.err_value.code
+            observer.refused(req.tenant, req.class_name, code)
+            return admitted
+        try:
+            return await execute_query(ctx, req, wanted.ok_value, run_out)
+        finally:
+            admitted.ok_value()
 
     async def query(req: Query) -> Result[Answer, Failure]:
         nonlocal running
@@ -81,7 +85,7 @@
         started = clock()
         running += 1
         try:
-            answer = await execute_submission(ctx, submissions, admit, req)
+            answer = await execute_submission(ctx, submissions, req)
         finally:
             running -= 1
         latency = clock() - started
--- a/src/bramleyrouter/routing/submissions.py
+++ b/src/bramleyrouter/routing/submissions.py
@@ -3,20 +3,21 @@
 import asyncio
 import hashlib
 from collections import OrderedDict
-from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
 from absl import logging
+from result import Err
 
 from bramleyrouter.codes import Code
 from bramleyrouter.control.messages import Claim, ClaimResult, Settle
 from bramleyrouter.homes.messages import SubmitReply, SubmitRequest
 from bramleyrouter.ids import RequestId, ServerId, TenantName
 from bramleyrouter.routing.contexts import Context, refresh_staleness
+from bramleyrouter.routing.limits import note_query, note_request
 from bramleyrouter.routing.messages import Submission, SubmissionAnswer
 from bramleyrouter.routing.replica_index import ReplicaView
 from bramleyrouter.routing.replicas import REST_S, choose_replica
+from bramleyrouter.routing.retries import RetryKind, classify
 from bramleyrouter.states import DaemonState, Outcome
 
 # Bytes of the digest by which the ledger recognises another body.
@@ -66,19 +67,8 @@
     dispatched: OrderedDict[Identity, None] = field(default_factory=OrderedDict)
 
 
-class Permission(NamedTuple):
-    """Say whether a claimed submission may be dispatched; ``release`` after."""
-
-    code: Code
-    text: str
-    release: Callable[[], None]
-
-
-Admit = Callable[[Submission], Awaitable[Permission]]
-
-
 async def execute_submission(
-    ctx: Context, state: SubmissionState, admit: Admit, req: Submission
+    ctx: Context, state: SubmissionState, req: Submission
 ) -> SubmissionAnswer:
     """Run a submission, or join the run of the same identity in this daemon.
 
@@ -98,7 +88,10 @@
         if settle.outcome is not Outcome.NOT_RUN:
             code = Code(settle.code)
             return _answer(req, settle.outcome, code, answer=settle.answer)
-    coroutine = _run(ctx, state, admit, req, digest)
+    if len(state.running) >= ctx.cfg.max_running_queries + ctx.cfg.max_waiting_queries:
+        text = "Too many submissions run in this daemon."
+        return _refuse_unclaimed(state, req, Code.OVERLOADED, text)
+    coroutine = _run(ctx, state, req, digest)
     task = asyncio.get_running_loop().create_task(coroutine)
     state.running[identity] = RunningSubmission(digest, task)
     task.add_done_callback(lambda _: state.running.pop(identity, None))
@@ -124,7 +117,7 @@
 
 
 async def _run(
-    ctx: Context, state: SubmissionState, admit: Admit, req: Submission, digest: bytes
+    ctx: Context, state: SubmissionState, req: Submission, digest: bytes
 ) -> SubmissionAnswer:
     identity = ctx.board.identity
     claim = Claim(
@@ -137,7 +130,7 @@
     )
     answer = await _claim(ctx, state, req, claim)
     if answer is None:
-        answer = await _run_claimed(ctx, state, admit, req)
+        answer = await _run_claimed(ctx, state, req)
         await _settle(ctx, state, req, claim, answer)
     return answer
 
@@ -213,15 +206,22 @@
 
 
 async def _run_claimed(
-    ctx: Context, state: SubmissionState, admit: Admit, req: Submission
+    ctx: Context, state: SubmissionState, req: Submission
 ) -> SubmissionAnswer:
-    permission = await admit(req)
+    """Dispatch a claimed request once it is admitted.
+
+    Admission comes after the claim: only the ledger knows whether an earlier
+    run of the same request succeeded, and a refusal says that none did.
+    """
+    admitted = await ctx.admission.admit(req)
+    if isinstance(admitted, Err):
+        failure = admitted.err_value
+        ctx.observer.refused(req.tenant, req.class_name, failure.code)
+        return _not_run(req, failure.code, failure.text)
     try:
-        if permission.code is not Code.OK:
-            return _not_run(req, permission.code, permission.text)
         return await _offer(ctx, state, req)
     finally:
-        permission.release()
+        admitted.ok_value()
 
 
 async def _offer(
@@ -300,7 +300,11 @@
         reply = SubmitReply(Outcome.UNKNOWN, Code.OUTCOME_UNKNOWN, text)
     finally:
         view.load.in_flight -= 1
-    ctx.observer.shard_request_finished(req.service, ctx.clock() - started, reply.code)
+    now = ctx.clock()
+    is_lost = classify(reply.code) is RetryKind.SHED
+    note_request(ctx.admission.state.limit, 0.0, 0.0, is_lost)
+    note_query(ctx.admission.state.limit, is_lost, now)
+    ctx.observer.shard_request_finished(req.service, now - started, reply.code)
     return reply
 
 
