--- a/src/bramleyrouter/edges/platform/handlers.py
+++ b/src/bramleyrouter/edges/platform/handlers.py
@@ -1,5 +1,7 @@
 """Routes of the platform: liveness, readiness and metrics."""
 
+from collections.abc import Callable
+
 import msgspec
 from aioprometheus import Registry
 from aioprometheus.renderer import render
@@ -9,8 +11,13 @@
 from bramleyrouter.edges.http import HttpReply, RouteSpec
 
 
-def platform_routes(board: Board, registry: Registry) -> list[RouteSpec]:
-    """Return ``/livez``, ``/readyz`` (for the balancer) and ``/metrics``."""
+def platform_routes(
+    board: Board, registry: Registry, collect: Callable[[], None]
+) -> list[RouteSpec]:
+    """Return ``/livez``, ``/readyz`` (for the balancer) and ``/metrics``.
+
+    ``collect`` brings the metrics up to date before they are rendered.
+    """
 
     async def live(req: HTTPServerRequest, body: bytes) -> HttpReply:
         return HttpReply(200, b'{"live":true}')
@@ -21,6 +28,7 @@
         return HttpReply(503 if reasons else 200, text)
 
     async def metrics(req: HTTPServerRequest, body: bytes) -> HttpReply:
+        collect()
         accepted = req.headers.get_list("Accept")
         content, headers = render(registry, accepted)
         return HttpReply(200, content, headers["Content-Type"])
