--- /dev/null
+++ b/src/bramleyrouter/consensus/files.py
@@ -0,0 +1,101 @@
+"""The file system as the log's storage sees it.
+
+Storage gets a ``FileSystem``, a bundle of closures that raise ``OSError``, so
+that tests fail syncs, tear writes and flip bits at any point.
+"""
+
+import asyncio
+import os
+from collections.abc import Awaitable, Callable
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from typing import Any, NamedTuple
+
+
+class FileSystem(NamedTuple):
+    """Bundle the operations on one flat data folder; paths are file names.
+
+    ``append`` creates the file when it is missing. ``sync`` makes a file's
+    content durable, ``sync_folder`` the creation, renaming and removal of
+    files. ``run(job)`` runs a blocking job off the event loop, one at a time,
+    in order. ``close`` releases handles.
+    """
+
+    list_names: Callable[[], list[str]]
+    read: Callable[[str], bytes]
+    read_part: Callable[[str, int, int], bytes]
+    append: Callable[[str, bytes], None]
+    sync: Callable[[str], None]
+    truncate: Callable[[str, int], None]
+    replace: Callable[[str, str], None]
+    remove: Callable[[str], None]
+    sync_folder: Callable[[], None]
+    run: Callable[[Callable[[], Any]], Awaitable[Any]]
+    close: Callable[[], None]
+
+
+def _write_all(handle: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[os.write(handle, view) :]
+
+
+def open_folder(folder: Path) -> FileSystem:
+    """Create ``folder`` if needed and return its file system.
+
+    Raises ``OSError`` when the folder can't be created.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    handles: dict[str, int] = {}
+    # One thread keeps the jobs in order; a sync must not block the loop.
+    executor = ThreadPoolExecutor(1, thread_name_prefix="consensus-disk")
+
+    def handle_of(name):
+        if name not in handles:
+            flags = os.O_RDWR | os.O_APPEND | os.O_CREAT | os.O_CLOEXEC
+            handles[name] = os.open(folder / name, flags, 0o600)
+        return handles[name]
+
+    def forget(name):
+        if name in handles:
+            os.close(handles.pop(name))
+
+    def read_part(name, offset, size):
+        with open(folder / name, "rb") as file:
+            file.seek(offset)
+            return file.read(size)
+
+    def replace(source, target):
+        forget(source)
+        forget(target)
+        os.replace(folder / source, folder / target)
+
+    def remove(name):
+        forget(name)
+        os.remove(folder / name)
+
+    def sync_folder():
+        handle = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(handle)
+        finally:
+            os.close(handle)
+
+    def close():
+        executor.shutdown(wait=True)
+        for name in list(handles):
+            forget(name)
+
+    return FileSystem(
+        list_names=lambda: sorted(os.listdir(folder)),
+        read=lambda name: (folder / name).read_bytes(),
+        read_part=read_part,
+        append=lambda name, data: _write_all(handle_of(name), data),
+        sync=lambda name: os.fsync(handle_of(name)),
+        truncate=lambda name, size: os.ftruncate(handle_of(name), size),
+        replace=replace,
+        remove=remove,
+        sync_folder=sync_folder,
+        run=lambda job: asyncio.get_running_loop().run_in_executor(executor, job),
+        close=close,
+    )
--- /dev/null
+++ b/src/bramleyrouter/consensus/segments.py
@@ -0,0 +1,181 @@
+"""Append-only segment files of log records.
+
+Records are only ever appended: an entry whose index is not larger than the
+last one's replaces that entry and all after it. So a follower that drops
+conflicting entries rewrites no file. A segment is synced before the next one
+is begun; therefore only the last segment may end in a torn record.
+"""
+
+from dataclasses import dataclass, field
+
+from result import Err, Ok, Result
+
+from bramleyrouter.codes import Code
+from bramleyrouter.consensus.entries import Entry
+from bramleyrouter.consensus.files import FileSystem
+from bramleyrouter.consensus.records import Torn, decode_record, encode_record
+from bramleyrouter.failures import Failure
+from bramleyrouter.ids import LogIndex
+
+SEGMENT_BYTES = 4 * 1024 * 1024
+MAGIC = b"BRLOG001"
+_PREFIX = "log-"
+_SUFFIX = ".seg"
+
+
+@dataclass
+class Segment:
+    """Hold one segment file: its number, size and largest index."""
+
+    number: int
+    size: int = 0
+    last_index: LogIndex = LogIndex(0)
+
+    @property
+    def name(self) -> str:
+        """Return the file's name."""
+        return f"{_PREFIX}{self.number:010d}{_SUFFIX}"
+
+
+@dataclass
+class SegmentState:
+    """Hold the segments, oldest first; records go to the last one."""
+
+    segments: list[Segment] = field(default_factory=list)
+    next_number: int = 1
+
+
+def corrupt(name: str, offset: int, reason: str) -> Failure:
+    """Return the failure that names the file and the offset in it."""
+    text = f'"{name}" is corrupt at offset {offset}: {reason}.'
+    return Failure(Code.LOG_CORRUPT, text)
+
+
+def _numbers(fs: FileSystem) -> list[int]:
+    names = fs.list_names()
+    inner = [
+        name[len(_PREFIX) : -len(_SUFFIX)]
+        for name in names
+        if name.startswith(_PREFIX) and name.endswith(_SUFFIX)
+    ]
+    return sorted(int(text) for text in inner)
+
+
+def _add(entries: list[Entry], entry: Entry) -> bool:
+    """Add a record's entry; return false when it does not follow the others."""
+    if not entries or entry.index < entries[0].index:
+        # All earlier records may be replaced when their predecessors were
+        # already removed; the caller checks that no gap to the snapshot is left.
+        entries[:] = [entry]
+        return True
+    position = entry.index - entries[0].index
+    if position > len(entries):
+        return False
+    if position and entry.term < entries[position - 1].term:
+        return False
+    del entries[position:]
+    entries.append(entry)
+    return True
+
+
+def _read_segment(
+    data: bytes, segment: Segment, is_last: bool, entries: list[Entry]
+) -> Result[int, Failure]:
+    """Add a segment's entries; return the offset up to which it is whole."""
+    if data[: len(MAGIC)] != MAGIC:
+        if is_last and MAGIC.startswith(data.rstrip(b"\0")):
+            return Ok(0)
+        return Err(corrupt(segment.name, 0, "the format's mark is missing"))
+    offset = len(MAGIC)
+    while offset < len(data):
+        decoded = decode_record(data, offset)
+        if isinstance(decoded, Err):
+            if is_last and isinstance(decoded.err_value, Torn):
+                return Ok(offset)
+            return Err(corrupt(segment.name, offset, "a record's checksum is wrong"))
+        entry, end = decoded.ok_value
+        if not _add(entries, entry):
+            reason = f'entry "{entry.index}" does not follow the one before it'
+            return Err(corrupt(segment.name, offset, reason))
+        segment.last_index = max(segment.last_index, entry.index)
+        offset = end
+    return Ok(offset)
+
+
+def read_segments(
+    fs: FileSystem,
+) -> Result[tuple[SegmentState, list[Entry]], Failure]:
+    """Read all segments, cut off a torn tail and return the entries.
+
+    ``LOG_CORRUPT`` names the file and the offset in it.
+    """
+    numbers = _numbers(fs)
+    state = SegmentState()
+    entries: list[Entry] = []
+    for number in numbers:
+        segment = Segment(number)
+        if state.segments and number != state.segments[-1].number + 1:
+            return Err(corrupt(segment.name, 0, "the segment before it is missing"))
+        data = fs.read(segment.name)
+        whole = _read_segment(data, segment, number == numbers[-1], entries)
+        if isinstance(whole, Err):
+            return whole
+        segment.size = whole.ok_value
+        if segment.size < len(data):
+            fs.truncate(segment.name, segment.size)
+            fs.sync(segment.name)
+        state.segments.append(segment)
+        state.next_number = number + 1
+    return Ok((state, entries))
+
+
+def _begin_segment(state: SegmentState, fs: FileSystem) -> Segment:
+    segment = Segment(state.next_number)
+    state.next_number += 1
+    state.segments.append(segment)
+    fs.append(segment.name, b"")
+    fs.sync_folder()
+    return segment
+
+
+def append_entries(
+    state: SegmentState, fs: FileSystem, entries: list[Entry], limit: int
+) -> None:
+    """Append and sync ``entries``; begin a new segment after ``limit`` bytes."""
+    if not state.segments or state.segments[-1].size >= limit:
+        _begin_segment(state, fs)
+    segment = state.segments[-1]
+    data = b"".join(map(encode_record, entries))
+    if segment.size == 0:
+        data = MAGIC + data
+    fs.append(segment.name, data)
+    fs.sync(segment.name)
+    segment.size += len(data)
+    last = max(entry.index for entry in entries)
+    segment.last_index = max(segment.last_index, last)
+
+
+def drop_segments(state: SegmentState, fs: FileSystem, index: LogIndex) -> None:
+    """Remove the oldest segments that hold nothing after ``index``.
+
+    The last segment is closed first, so that the next call can remove it.
+    """
+    removed = 0
+    while removed < len(state.segments) and (
+        state.segments[removed].last_index <= index
+    ):
+        fs.remove(state.segments[removed].name)
+        removed += 1
+    del state.segments[:removed]
+    if removed:
+        fs.sync_folder()
+    if state.segments and state.segments[-1].size:
+        _begin_segment(state, fs)
+
+
+def drop_all_segments(state: SegmentState, fs: FileSystem) -> None:
+    """Remove every segment, since a snapshot replaces the whole log."""
+    for segment in state.segments:
+        fs.remove(segment.name)
+    state.segments.clear()
+    fs.sync_folder()
--- /dev/null
+++ b/src/bramleyrouter/consensus/storage.py
@@ -0,0 +1,286 @@
+"""Everything a member keeps in its data folder.
+
+``member`` holds who it is, ``term`` the hard state, ``snapshot`` the latest
+snapshot, and the ``log-*.seg`` files hold the entries. The first three are
+replaced as a whole: written under another name, synced, renamed, and the
+folder synced. All functions here block; the driver runs them off the loop.
+"""
+
+import random
+from dataclasses import dataclass
+from typing import NamedTuple
+
+import msgspec
+from absl import logging
+from result import Err, Ok, Result
+
+from bramleyrouter.codes import Code
+from bramleyrouter.consensus.entries import Entry, HardState, Phase, Snapshot
+from bramleyrouter.consensus.files import FileSystem
+from bramleyrouter.consensus.records import decode_file, encode_file
+from bramleyrouter.consensus.segments import (
+    SEGMENT_BYTES,
+    SegmentState,
+    append_entries,
+    corrupt,
+    drop_all_segments,
+    drop_segments,
+    read_segments,
+)
+from bramleyrouter.failures import Failure
+from bramleyrouter.ids import LogIndex, MemberId
+
+MEMBER_FILE = "member"
+TERM_FILE = "term"
+SNAPSHOT_FILE = "snapshot"
+_NEW = ".new"
+_MAGIC = {MEMBER_FILE: b"BRM1", TERM_FILE: b"BRT1", SNAPSHOT_FILE: b"BRS1"}
+_MEMBER_ID_BITS = 64
+
+
+class SaveHardState(NamedTuple):
+    """Replace the hard state."""
+
+    hard: HardState
+
+
+class SavePhase(NamedTuple):
+    """Replace what is known of this member and its cluster."""
+
+    phase: Phase
+
+
+class SaveEntries(NamedTuple):
+    """Append entries; they replace those from the first one's index on."""
+
+    entries: tuple[Entry, ...]
+
+
+class SaveSnapshot(msgspec.Struct, frozen=True):
+    """Replace the snapshot; ``replaces_log`` drops every entry too."""
+
+    data: bytes
+    index: LogIndex
+    replaces_log: bool
+
+
+WriteJob = SaveHardState | SavePhase | SaveEntries | SaveSnapshot
+
+
+@dataclass
+class Storage:
+    """Hold the open data folder."""
+
+    fs: FileSystem
+    segments: SegmentState
+    segment_bytes: int = SEGMENT_BYTES
+
+
+class Recovered(NamedTuple):
+    """Hold what a data folder held when it was opened."""
+
+    phase: Phase
+    hard: HardState
+    snapshot: Snapshot | None
+    snapshot_bytes: int
+    entries: list[Entry]
+
+
+def _replace_file(fs: FileSystem, name: str, body: bytes) -> None:
+    new = name + _NEW
+    if new in fs.list_names():
+        # A crash may have left a part of an earlier attempt.
+        fs.remove(new)
+    fs.append(new, body)
+    fs.sync(new)
+    fs.replace(new, name)
+    fs.sync_folder()
+
+
+def _encode_whole(name: str, value: msgspec.Struct) -> bytes:
+    return encode_file(_MAGIC[name], msgspec.msgpack.encode(value))
+
+
+def _read_whole(fs: FileSystem, name: str, shape):
+    data = fs.read(name)
+    body = decode_file(_MAGIC[name], data)
+    if body is None:
+        return Err(corrupt(name, 0, "the checksum is wrong"))
+    try:
+        return Ok(msgspec.msgpack.decode(body, type=shape))
+    except msgspec.MsgspecError as exc:
+        return Err(corrupt(name, 0, str(exc)))
+
+
+def encode_snapshot(snapshot: Snapshot) -> bytes:
+    """Return the bytes of a snapshot file, which also travel to a peer."""
+    return _encode_whole(SNAPSHOT_FILE, snapshot)
+
+
+def decode_snapshot(data: bytes) -> Result[Snapshot, Failure]:
+    """Read a snapshot file; fail with ``SNAPSHOT_CORRUPT``."""
+    body = decode_file(_MAGIC[SNAPSHOT_FILE], data)
+    try:
+        if body is not None:
+            return Ok(msgspec.msgpack.decode(body, type=Snapshot))
+        reason = "the checksum is wrong"
+    except msgspec.MsgspecError as exc:
+        reason = str(exc)
+    text = f'"{SNAPSHOT_FILE}" of {len(data)} bytes is corrupt: {reason}.'
+    return Err(Failure(Code.SNAPSHOT_CORRUPT, text))
+
+
+def _read_phase(fs: FileSystem, rng: random.Random) -> Result[Phase, Failure]:
+    names = fs.list_names()
+    if MEMBER_FILE in names:
+        return _read_whole(fs, MEMBER_FILE, Phase)
+    kept = [name for name in names if not name.endswith(_NEW)]
+    if kept:
+        # A new id over old entries would let a member vote twice in a term.
+        reason = f'the file is missing beside "{kept[0]}"'
+        return Err(corrupt(MEMBER_FILE, 0, reason))
+    member_id = MemberId(f"{rng.getrandbits(_MEMBER_ID_BITS):016x}")
+    phase = Phase(member_id)
+    _replace_file(fs, MEMBER_FILE, _encode_whole(MEMBER_FILE, phase))
+    return Ok(phase)
+
+
+def _read_hard_state(fs: FileSystem, is_needed: bool) -> Result[HardState, Failure]:
+    if TERM_FILE in fs.list_names():
+        return _read_whole(fs, TERM_FILE, HardState)
+    if is_needed:
+        return Err(corrupt(TERM_FILE, 0, "the file is missing beside the log"))
+    return Ok(HardState())
+
+
+def _join(
+    segments: SegmentState,
+    fs: FileSystem,
+    snapshot: Snapshot | None,
+    entries: list[Entry],
+) -> Result[list[Entry], Failure]:
+    """Return the entries that continue the snapshot.
+
+    A log that ends before the snapshot, or holds another entry at its index,
+    is what a crash left while a snapshot from the leader replaced the log.
+    """
+    if not entries:
+        return Ok([])
+    start = snapshot.index if snapshot else LogIndex(0)
+    if entries[0].index > start + 1:
+        name = segments.segments[0].name
+        reason = f'entries "{start + 1}" to "{entries[0].index - 1}" are missing'
+        return Err(corrupt(name, 0, reason))
+    if snapshot is None:
+        return Ok(entries)
+    position = snapshot.index - entries[0].index
+    is_continued = -1 <= position < len(entries) and (
+        position == -1 or entries[position].term == snapshot.term
+    )
+    if is_continued:
+        return Ok(entries)
+    drop_all_segments(segments, fs)
+    return Ok([])
+
+
+def _recover(
+    fs: FileSystem, rng: random.Random
+) -> Result[tuple[SegmentState, Recovered], Failure]:
+    phase = _read_phase(fs, rng)
+    if isinstance(phase, Err):
+        return phase
+    snapshot, size = None, 0
+    if SNAPSHOT_FILE in fs.list_names():
+        data = fs.read(SNAPSHOT_FILE)
+        decoded = decode_snapshot(data)
+        if isinstance(decoded, Err):
+            return decoded
+        snapshot, size = decoded.ok_value, len(data)
+    read = read_segments(fs)
+    if isinstance(read, Err):
+        return read
+    segments, entries = read.ok_value
+    joined = _join(segments, fs, snapshot, entries)
+    if isinstance(joined, Err):
+        return joined
+    entries = joined.ok_value
+    hard = _read_hard_state(fs, bool(entries) or snapshot is not None)
+    if isinstance(hard, Err):
+        return hard
+    if entries and entries[-1].term > hard.ok_value.term:
+        reason = f'term "{entries[-1].term}" of the log is larger'
+        return Err(corrupt(TERM_FILE, 0, reason))
+    recovered = Recovered(phase.ok_value, hard.ok_value, snapshot, size, entries)
+    return Ok((segments, recovered))
+
+
+def disk_failure(exc: OSError) -> Failure:
+    """Return the failure for an error of the file system."""
+    return Failure(Code.DISK_FAILED, f"The data folder failed: {exc}.")
+
+
+def open_storage(
+    fs: FileSystem, rng: random.Random, segment_bytes: int = SEGMENT_BYTES
+) -> Result[tuple[Storage, Recovered], Failure]:
+    """Open the data folder, creating the member id with it.
+
+    Fails with ``LOG_CORRUPT`` or ``SNAPSHOT_CORRUPT``, which name the file, or
+    with ``DISK_FAILED``.
+    """
+    try:
+        outcome = _recover(fs, rng)
+    except OSError as exc:
+        return Err(disk_failure(exc))
+    if isinstance(outcome, Err):
+        return outcome
+    segments, recovered = outcome.ok_value
+    logging.info(
+        "consensus: member %s recovered term %d and %d entries.",
+        recovered.phase.member_id,
+        recovered.hard.term,
+        len(recovered.entries),
+    )
+    return Ok((Storage(fs, segments, segment_bytes), recovered))
+
+
+def _save_snapshot(storage: Storage, job: SaveSnapshot) -> None:
+    _replace_file(storage.fs, SNAPSHOT_FILE, job.data)
+    if job.replaces_log:
+        drop_all_segments(storage.segments, storage.fs)
+    else:
+        drop_segments(storage.segments, storage.fs, job.index)
+
+
+def _merge_entries(jobs: list[WriteJob]) -> list[WriteJob]:
+    """Join neighbouring jobs, so that they share one sync."""
+    merged: list[WriteJob] = []
+    for job in jobs:
+        last = merged[-1] if merged else None
+        if isinstance(job, SaveEntries) and isinstance(last, SaveEntries):
+            merged[-1] = SaveEntries(last.entries + job.entries)
+        elif isinstance(job, SaveHardState) and isinstance(last, SaveHardState):
+            merged[-1] = job
+        else:
+            merged.append(job)
+    return merged
+
+
+def write_jobs(storage: Storage, jobs: list[WriteJob]) -> None:
+    """Make all ``jobs`` durable, in order; raises ``OSError``.
+
+    After an error the data folder must not be written again: a failed sync may
+    have dropped what an earlier write left in memory.
+    """
+    for job in _merge_entries(jobs):
+        if isinstance(job, SaveEntries):
+            append_entries(
+                storage.segments, storage.fs, list(job.entries), storage.segment_bytes
+            )
+        elif isinstance(job, SaveHardState):
+            body = _encode_whole(TERM_FILE, job.hard)
+            _replace_file(storage.fs, TERM_FILE, body)
+        elif isinstance(job, SavePhase):
+            body = _encode_whole(MEMBER_FILE, job.phase)
+            _replace_file(storage.fs, MEMBER_FILE, body)
+        else:
+            _save_snapshot(storage, job)
--- /dev/null
+++ b/tests/support/memory_disk.py
@@ -0,0 +1,116 @@
+"""A data folder in memory that loses what was not synced when it crashes."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from bramleyrouter.consensus.files import FileSystem
+
+
+@dataclass
+class MemoryDisk:
+    """Hold the files as written and as durable.
+
+    ``names`` is the durable folder: it maps a name to the identity of a file.
+    ``fail_syncs`` makes every later sync raise, ``sync_s`` is the virtual time
+    that a job takes, and ``syncs`` counts the syncs of files.
+    """
+
+    files: dict[str, int] = field(default_factory=dict)
+    names: dict[str, int] = field(default_factory=dict)
+    written: dict[int, bytearray] = field(default_factory=dict)
+    durable: dict[int, bytes] = field(default_factory=dict)
+    fail_syncs: bool = False
+    sync_s: float = 0.0
+    syncs: int = 0
+    count: int = 0
+    # Raised files of an earlier process must not be written by it any more.
+    epoch: int = 0
+
+    def crash(self, torn_bytes=0):
+        """Drop what was not synced but ``torn_bytes`` of each file's growth."""
+        self.epoch += 1
+        self.files = dict(self.names)
+        for number in self.files.values():
+            whole = self.written[number]
+            kept = self.durable.get(number, b"")
+            tail = bytes(whole[len(kept) : len(kept) + torn_bytes])
+            grown = kept + tail if whole.startswith(kept) else kept
+            self.written[number] = bytearray(grown)
+            self.durable[number] = grown
+
+    def read(self, name):
+        """Return a file's bytes as written."""
+        return bytes(self.written[self.files[name]])
+
+    def overwrite(self, name, data):
+        """Change a file's bytes behind the program's back."""
+        number = self.files[name]
+        self.written[number] = bytearray(data)
+        self.durable[number] = bytes(data)
+
+    def total_bytes(self):
+        """Return the size of all files."""
+        return sum(len(self.written[number]) for number in self.files.values())
+
+    def open(self) -> FileSystem:
+        """Return the file system of one process on this disk."""
+        epoch = self.epoch
+
+        def check():
+            if self.epoch != epoch:
+                raise OSError("the process that wrote this has ended")
+
+        def number_of(name):
+            check()
+            if name not in self.files:
+                self.count += 1
+                self.files[name] = self.count
+                self.written[self.count] = bytearray()
+            return self.files[name]
+
+        def append(name, data):
+            self.written[number_of(name)].extend(data)
+
+        def sync(name):
+            check()
+            if self.fail_syncs:
+                raise OSError("sync failed")
+            self.syncs += 1
+            number = number_of(name)
+            self.durable[number] = bytes(self.written[number])
+
+        def truncate(name, size):
+            del self.written[number_of(name)][size:]
+
+        def replace(source, target):
+            check()
+            self.files[target] = self.files.pop(source)
+
+        def remove(name):
+            check()
+            del self.files[name]
+
+        def sync_folder():
+            check()
+            if self.fail_syncs:
+                raise OSError("sync of the folder failed")
+            self.names = dict(self.files)
+
+        async def run(job):
+            if self.sync_s:
+                await asyncio.sleep(self.sync_s)
+            return job()
+
+        return FileSystem(
+            list_names=lambda: sorted(self.files),
+            read=self.read,
+            read_part=lambda name, start, size: self.read(name)[start : start + size],
+            append=append,
+            sync=sync,
+            truncate=truncate,
+            replace=replace,
+            remove=remove,
+            sync_folder=sync_folder,
+            run=run,
+            close=lambda: None,
+        )
