--- /dev/null
+++ b/src/bramleyrouter/consensus/memory_log.py
@@ -0,0 +1,95 @@
+"""The entries of the log that a member holds in memory."""
+
+from dataclasses import dataclass, field
+
+from bramleyrouter.consensus.entries import Entry
+from bramleyrouter.ids import LogIndex, Term
+
+
+@dataclass
+class MemoryLog:
+    """Hold the entries after ``base_index``, whose term is ``base_term``."""
+
+    base_index: LogIndex = LogIndex(0)
+    base_term: Term = Term(0)
+    entries: list[Entry] = field(default_factory=list)
+
+    @property
+    def last_index(self) -> LogIndex:
+        """Return the index of the last entry, or of the base."""
+        return LogIndex(self.base_index + len(self.entries))
+
+    @property
+    def last_term(self) -> Term:
+        """Return the term of the last entry, or of the base."""
+        return self.entries[-1].term if self.entries else self.base_term
+
+
+def entry_at(log: MemoryLog, index: LogIndex) -> Entry:
+    """Return the entry at ``index``, which must be held."""
+    return log.entries[index - log.base_index - 1]
+
+
+def term_at(log: MemoryLog, index: LogIndex) -> Term | None:
+    """Return the term at ``index``, or none when it is not held."""
+    if index == log.base_index:
+        return log.base_term
+    if log.base_index < index <= log.last_index:
+        return entry_at(log, index).term
+    return None
+
+
+def entries_after(
+    log: MemoryLog, index: LogIndex, max_count: int, max_bytes: int
+) -> tuple[Entry, ...]:
+    """Return the entries after ``index``: one, or more within the bounds."""
+    start = index - log.base_index
+    taken: list[Entry] = []
+    size = 0
+    for entry in log.entries[start : start + max_count]:
+        size += len(entry.command)
+        if taken and size > max_bytes:
+            break
+        taken.append(entry)
+    return tuple(taken)
+
+
+def first_index_of_term(log: MemoryLog, index: LogIndex) -> LogIndex:
+    """Return the first held index of the unbroken run of ``index``'s term."""
+    term = term_at(log, index)
+    while index - 1 > log.base_index and term_at(log, LogIndex(index - 1)) == term:
+        index = LogIndex(index - 1)
+    return index
+
+
+def last_index_of_term(log: MemoryLog, term: Term) -> LogIndex | None:
+    """Return the last held index whose entry has ``term``."""
+    for entry in reversed(log.entries):
+        if entry.term == term:
+            return entry.index
+        if entry.term < term:
+            return None
+    return None
+
+
+def truncate_from(log: MemoryLog, index: LogIndex) -> None:
+    """Drop the entry at ``index`` and all after it."""
+    del log.entries[index - log.base_index - 1 :]
+
+
+def drop_until(log: MemoryLog, index: LogIndex) -> None:
+    """Drop the entries up to ``index``, which becomes the base."""
+    term = term_at(log, index)
+    if term is None or index <= log.base_index:
+        return
+    del log.entries[: index - log.base_index]
+    log.base_index, log.base_term = index, term
+
+
+def restart_at(log: MemoryLog, index: LogIndex, term: Term) -> None:
+    """Continue at a snapshot; keep the entries that follow it."""
+    if term_at(log, index) == term:
+        drop_until(log, index)
+        return
+    log.entries.clear()
+    log.base_index, log.base_term = index, term
--- /dev/null
+++ b/src/bramleyrouter/consensus/raft_state.py
@@ -0,0 +1,287 @@
+"""State, events and effects of the Raft core.
+
+The rules are those of Ongaro and Ousterhout, "In Search of an Understandable
+Consensus Algorithm" (2014), with the pre-vote, the leader's step-down and the
+one-at-a-time membership change of Ongaro's thesis.
+"""
+
+import random
+from dataclasses import dataclass, field
+from enum import Enum
+
+import msgspec
+
+from bramleyrouter.consensus.entries import (
+    NO_MEMBER,
+    Entry,
+    EntryKind,
+    HardState,
+    Snapshot,
+    decode_members,
+)
+from bramleyrouter.consensus.interfaces import Member
+from bramleyrouter.consensus.memory_log import MemoryLog
+from bramleyrouter.consensus.messages import Message, Reply
+from bramleyrouter.ids import LogIndex, MemberId, Term
+
+# A round trip between data centres is about 2 ms and a sync a few ms, so
+# four heartbeats are missed before a member becomes a candidate.
+HEARTBEAT_S = 0.1
+ELECTION_MIN_S = 0.4
+# With three candidates, equal timeouts within a round trip and a sync are
+# rare over this spread; a new leader is elected within about a second.
+ELECTION_MAX_S = 0.8
+# Followers refuse votes for ELECTION_MIN_S after a leader's message; the
+# lease ends earlier, so clocks may drift by a tenth against each other.
+LEASE_S = 0.9 * ELECTION_MIN_S
+# What a follower still calls current; control daemons confirm revisions by it.
+CURRENT_S = 1.0
+
+MAX_BATCH_ENTRIES = 512
+MAX_BATCH_BYTES = 512 * 1024
+MAX_UNCOMMITTED_ENTRIES = 8192
+MAX_UNCOMMITTED_BYTES = 32 * 1024 * 1024
+MAX_UNANSWERED = 16
+MAX_SNAPSHOT_BYTES = 256 * 1024 * 1024
+# Entries kept in memory behind a snapshot, so that a follower that is a
+# little behind is sent entries and not the whole state.
+KEPT_ENTRIES = 256
+
+
+class Role(Enum):
+    """What a member does in the current term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+@dataclass
+class Progress:
+    """Hold what the leader knows of one other member.
+
+    ``in_flight`` is the sequence of the unanswered request that carries
+    entries or a chunk, or 0. ``unanswered`` maps a sequence to its send time;
+    ``answered`` and ``answered_sent_at`` are of the latest answered request.
+    ``chunk_of`` is the index of the snapshot that is being sent.
+    """
+
+    next_index: LogIndex
+    match_index: LogIndex = LogIndex(0)
+    in_flight: int = 0
+    sent_commit: LogIndex = LogIndex(0)
+    unanswered: dict[int, float] = field(default_factory=dict)
+    answered: int = 0
+    answered_sent_at: float = float("-inf")
+    chunk_of: LogIndex = LogIndex(0)
+    chunk_offset: int = 0
+
+
+@dataclass
+class IncomingSnapshot:
+    """Hold the part of a snapshot file received so far."""
+
+    index: LogIndex
+    term: Term
+    data: bytearray = field(default_factory=bytearray)
+
+
+@dataclass
+class RaftState:
+    """Hold the whole state of one member's Raft core.
+
+    ``configs`` lists (index, members) with the latest last; a configuration is
+    in force as soon as its entry is in the log. ``durable_index`` is the last
+    entry and ``durable_term`` the term known to be synced. ``snapshot_index``,
+    ``snapshot_term`` and ``snapshot_bytes`` describe the stored snapshot.
+    """
+
+    member_id: MemberId
+    rng: random.Random
+    log: MemoryLog
+    configs: list[tuple[LogIndex, tuple[Member, ...]]]
+    term: Term = Term(0)
+    voted_for: MemberId = NO_MEMBER
+    role: Role = Role.FOLLOWER
+    leader_id: MemberId = NO_MEMBER
+    commit_index: LogIndex = LogIndex(0)
+    durable_index: LogIndex = LogIndex(0)
+    durable_term: Term = Term(0)
+    last_heard: float = float("-inf")
+    # When a leader's message last left nothing accepted to apply.
+    caught_up_at: float = float("-inf")
+    election_due: float = 0.0
+    votes: set[MemberId] = field(default_factory=set)
+    snapshot_index: LogIndex = LogIndex(0)
+    snapshot_term: Term = Term(0)
+    snapshot_bytes: int = 0
+    incoming: IncomingSnapshot | None = None
+    stamp_ms: int = 0
+    # Of a leader only.
+    heartbeat_due: float = 0.0
+    sequence: int = 0
+    term_start: LogIndex = LogIndex(0)
+    elected_at: float = 0.0
+    progress: dict[MemberId, Progress] = field(default_factory=dict)
+    uncommitted_bytes: int = 0
+
+
+class Tick(msgspec.Struct, frozen=True):
+    """The time given by ``next_wakeup`` has come."""
+
+
+class Incoming(msgspec.Struct, frozen=True):
+    """A message arrived."""
+
+    message: Message
+
+
+class Unreached(msgspec.Struct, frozen=True):
+    """A request to ``member_id`` was not answered."""
+
+    member_id: MemberId
+    sequence: int
+
+
+class Persisted(msgspec.Struct, frozen=True):
+    """The term, and the log up to an entry, are durable."""
+
+    hard_term: Term
+    index: LogIndex
+    index_term: Term
+
+
+class Compacted(msgspec.Struct, frozen=True):
+    """A snapshot of the state after ``index`` is durable."""
+
+    index: LogIndex
+    term: Term
+    size: int
+
+
+class Propose(msgspec.Struct, frozen=True):
+    """Append an entry if this member leads; answered by ``Proposed``."""
+
+    token: int
+    kind: EntryKind
+    command: bytes
+    stamp_ms: int
+
+
+class BeginRound(msgspec.Struct, frozen=True):
+    """Send a heartbeat to all members now, for a read barrier."""
+
+
+Event = Tick | Incoming | Unreached | Persisted | Compacted | Propose | BeginRound
+
+
+class SaveTerm(msgspec.Struct, frozen=True):
+    """Make the hard state durable."""
+
+    hard: HardState
+
+
+class SaveLog(msgspec.Struct, frozen=True):
+    """Make entries durable; they replace those from the first one's index."""
+
+    entries: tuple[Entry, ...]
+
+
+class Install(msgspec.Struct, frozen=True):
+    """Replace the state machine and the stored log by a snapshot."""
+
+    snapshot: Snapshot
+    data: bytes
+    replaces_log: bool
+
+
+class Send(msgspec.Struct, frozen=True):
+    """Send a request; ``after_sync`` waits until all earlier saves are durable."""
+
+    message: Message
+    after_sync: bool = False
+
+
+class SendChunk(msgspec.Struct, frozen=True):
+    """Send the part at ``offset`` of the stored snapshot file."""
+
+    target: MemberId
+    sequence: int
+    offset: int
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """Answer the request of this event."""
+
+    message: Reply
+    after_sync: bool
+
+
+class Proposed(msgspec.Struct, frozen=True):
+    """Say at which index a proposal stands; 0 when this member can't take it."""
+
+    token: int
+    index: LogIndex
+    term: Term
+
+
+Effect = SaveTerm | SaveLog | Install | Send | SendChunk | Answer | Proposed
+
+
+def members_of(state: RaftState) -> tuple[Member, ...]:
+    """Return the members of the configuration in force."""
+    return state.configs[-1][1]
+
+
+def voters_of(state: RaftState) -> tuple[MemberId, ...]:
+    """Return the ids of the voters of the configuration in force."""
+    return tuple(item.member_id for item in members_of(state) if item.is_voter)
+
+
+def is_majority(state: RaftState, ids: set[MemberId]) -> bool:
+    """Return whether ``ids`` hold a majority of the voters."""
+    voters = voters_of(state)
+    return 2 * sum(item in ids for item in voters) > len(voters)
+
+
+def nth_of_majority(state: RaftState, values: dict[MemberId, float]) -> float:
+    """Return the largest value that a majority of the voters has reached."""
+    reached = sorted((values[item] for item in voters_of(state)), reverse=True)
+    return reached[len(reached) // 2] if reached else float("-inf")
+
+
+def reset_election(state: RaftState, now: float) -> None:
+    """Choose anew when this member becomes a candidate."""
+    state.election_due = now + state.rng.uniform(ELECTION_MIN_S, ELECTION_MAX_S)
+
+
+def hard_state(state: RaftState) -> HardState:
+    """Return what must be durable of the term."""
+    return HardState(state.term, state.voted_for)
+
+
+def become_follower(state: RaftState, term: Term, now: float) -> list[Effect]:
+    """Follow in ``term``, which is not smaller than the current one."""
+    was_leader = state.role is Role.LEADER
+    state.role = Role.FOLLOWER
+    state.leader_id = NO_MEMBER
+    state.votes = set()
+    state.progress = {}
+    state.uncommitted_bytes = 0
+    if was_leader:
+        reset_election(state, now)
+    if term <= state.term:
+        return []
+    state.term, state.voted_for = term, NO_MEMBER
+    return [SaveTerm(hard_state(state))]
+
+
+def add_entries(state: RaftState, entries: tuple[Entry, ...]) -> list[Effect]:
+    """Append entries that follow the log, and the configurations in them."""
+    state.log.entries.extend(entries)
+    for entry in entries:
+        state.stamp_ms = max(state.stamp_ms, entry.stamp_ms)
+        if entry.kind is EntryKind.MEMBERS:
+            state.configs.append((entry.index, decode_members(entry.command)))
+    return [SaveLog(entries)]
--- /dev/null
+++ b/src/bramleyrouter/consensus/replication.py
@@ -0,0 +1,259 @@
+"""The leader's side of replication: what to send, what is committed."""
+
+from bramleyrouter.consensus.entries import Entry, EntryKind
+from bramleyrouter.consensus.memory_log import (
+    entries_after,
+    entry_at,
+    last_index_of_term,
+    term_at,
+)
+from bramleyrouter.consensus.messages import AppendReply, AppendRequest, ChunkReply
+from bramleyrouter.consensus.raft_state import (
+    HEARTBEAT_S,
+    LEASE_S,
+    MAX_BATCH_BYTES,
+    MAX_BATCH_ENTRIES,
+    MAX_UNANSWERED,
+    Effect,
+    Progress,
+    RaftState,
+    Role,
+    Send,
+    SendChunk,
+    add_entries,
+    become_follower,
+    members_of,
+    nth_of_majority,
+    voters_of,
+)
+from bramleyrouter.ids import LogIndex, MemberId, Term
+
+
+def _next_sequence(state: RaftState, progress: Progress, now: float) -> int:
+    state.sequence += 1
+    progress.unanswered[state.sequence] = now
+    return state.sequence
+
+
+def _append_request(
+    state: RaftState, target: MemberId, sequence: int, prev: LogIndex, entries
+) -> AppendRequest:
+    prev_term = term_at(state.log, prev)
+    if prev_term is None:
+        # A heartbeat to a member that needs the snapshot: index 0 matches.
+        prev, prev_term = LogIndex(0), Term(0)
+    return AppendRequest(
+        state.member_id,
+        target,
+        state.term,
+        sequence,
+        prev,
+        prev_term,
+        state.commit_index,
+        entries,
+    )
+
+
+def _send_heartbeat(state: RaftState, target: MemberId, now: float) -> list[Effect]:
+    progress = state.progress[target]
+    if len(progress.unanswered) >= MAX_UNANSWERED:
+        return []
+    sequence = _next_sequence(state, progress, now)
+    request = _append_request(state, target, sequence, progress.match_index, ())
+    return [Send(request)]
+
+
+def _send_chunk(state: RaftState, target: MemberId, now: float) -> list[Effect]:
+    progress = state.progress[target]
+    if progress.chunk_of != state.snapshot_index:
+        progress.chunk_of, progress.chunk_offset = state.snapshot_index, 0
+    progress.in_flight = _next_sequence(state, progress, now)
+    return [SendChunk(target, progress.in_flight, progress.chunk_offset)]
+
+
+def send_entries(state: RaftState, target: MemberId, now: float) -> list[Effect]:
+    """Send what ``target`` lacks unless an earlier request is unanswered."""
+    progress = state.progress[target]
+    if progress.in_flight or len(progress.unanswered) >= MAX_UNANSWERED:
+        return []
+    prev = LogIndex(progress.next_index - 1)
+    if prev < state.log.base_index:
+        return _send_chunk(state, target, now)
+    entries = entries_after(state.log, prev, MAX_BATCH_ENTRIES, MAX_BATCH_BYTES)
+    sequence = _next_sequence(state, progress, now)
+    progress.in_flight = sequence
+    progress.sent_commit = state.commit_index
+    return [Send(_append_request(state, target, sequence, prev, entries))]
+
+
+def send_to_all(state: RaftState, now: float) -> list[Effect]:
+    """Send entries to each member that waits for none."""
+    return [
+        item for target in state.progress for item in send_entries(state, target, now)
+    ]
+
+
+def broadcast(state: RaftState, now: float) -> list[Effect]:
+    """Send every member something now: entries, or a heartbeat."""
+    state.heartbeat_due = now + HEARTBEAT_S
+    effects: list[Effect] = []
+    for target in state.progress:
+        sent = send_entries(state, target, now)
+        effects += sent or _send_heartbeat(state, target, now)
+    return effects
+
+
+def contact_time(state: RaftState, now: float) -> float:
+    """Return when a majority was last known to follow this leader.
+
+    That is the send time of the latest request that a majority answered.
+    """
+    times = {key: item.answered_sent_at for key, item in state.progress.items()}
+    times[state.member_id] = now
+    return max(state.elected_at, nth_of_majority(state, times))
+
+
+def answered_by_majority(state: RaftState, sequence: int) -> bool:
+    """Return whether a majority answered a request sent after ``sequence``."""
+    answered = {key: item.answered for key, item in state.progress.items()}
+    answered[state.member_id] = state.sequence + 1
+    return nth_of_majority(state, dict(answered)) > sequence
+
+
+def holds_lease(state: RaftState, now: float) -> bool:
+    """Return whether no other member can lead now, by this member's clock."""
+    if state.role is not Role.LEADER or state.commit_index < state.term_start:
+        return False
+    return now - contact_time(state, now) < LEASE_S
+
+
+def advance_commit(state: RaftState, now: float) -> list[Effect]:
+    """Commit what a majority holds durably, and tell the others.
+
+    Only an entry of the leader's own term is committed by counting.
+    """
+    match = {key: item.match_index for key, item in state.progress.items()}
+    match[state.member_id] = state.durable_index
+    index = LogIndex(int(max(0, nth_of_majority(state, dict(match)))))
+    if index <= state.commit_index or term_at(state.log, index) != state.term:
+        return []
+    for number in range(state.commit_index + 1, index + 1):
+        state.uncommitted_bytes -= len(entry_at(state.log, LogIndex(number)).command)
+    state.commit_index = index
+    if state.member_id not in voters_of(state) and state.configs[-1][0] <= index:
+        # The change that removed this leader is committed.
+        return send_to_all(state, now) + become_follower(state, state.term, now)
+    return send_to_all(state, now)
+
+
+def _note_answer(progress: Progress, sequence: int) -> bool:
+    """Record an answer; return whether it was to the request in flight."""
+    sent_at = progress.unanswered.pop(sequence, None)
+    if sent_at is not None and sequence > progress.answered:
+        progress.answered, progress.answered_sent_at = sequence, sent_at
+    if progress.in_flight != sequence:
+        return False
+    progress.in_flight = 0
+    return True
+
+
+def _is_current(state: RaftState, reply) -> bool:
+    return (
+        state.role is Role.LEADER
+        and reply.term == state.term
+        and reply.sender in state.progress
+    )
+
+
+def _back_off(state: RaftState, progress: Progress, reply: AppendReply) -> None:
+    """Choose the next entry to send by the follower's hints."""
+    following = reply.conflict_index
+    if reply.conflict_term:
+        held = last_index_of_term(state.log, reply.conflict_term)
+        if held is not None and held < progress.next_index:
+            following = LogIndex(held + 1)
+    lowest = LogIndex(progress.match_index + 1)
+    progress.next_index = max(lowest, min(following, progress.next_index))
+
+
+def on_append_reply(state: RaftState, reply: AppendReply, now: float) -> list[Effect]:
+    """Note how far a member has got and send it what follows."""
+    if reply.term > state.term:
+        return become_follower(state, reply.term, now)
+    if not _is_current(state, reply):
+        return []
+    progress = state.progress[reply.sender]
+    was_in_flight = _note_answer(progress, reply.sequence)
+    if not reply.is_matched:
+        if not was_in_flight:
+            return []
+        _back_off(state, progress, reply)
+        return send_entries(state, reply.sender, now)
+    progress.match_index = max(progress.match_index, reply.match_index)
+    progress.next_index = max(progress.next_index, LogIndex(reply.match_index + 1))
+    effects = advance_commit(state, now)
+    return effects + _continue(state, reply.sender, now)
+
+
+def _continue(state: RaftState, target: MemberId, now: float) -> list[Effect]:
+    progress = state.progress.get(target)
+    if progress is None:
+        return []
+    is_behind = (
+        progress.next_index <= state.log.last_index
+        or progress.sent_commit < state.commit_index
+    )
+    return send_entries(state, target, now) if is_behind else []
+
+
+def on_chunk_reply(state: RaftState, reply: ChunkReply, now: float) -> list[Effect]:
+    """Send the next part of the snapshot, or the entries after it."""
+    if reply.term > state.term:
+        return become_follower(state, reply.term, now)
+    if not _is_current(state, reply):
+        return []
+    progress = state.progress[reply.sender]
+    if not _note_answer(progress, reply.sequence):
+        return []
+    if reply.is_installed:
+        progress.match_index = max(progress.match_index, reply.index)
+        progress.next_index = LogIndex(progress.match_index + 1)
+        progress.chunk_of = LogIndex(0)
+        return advance_commit(state, now) + _continue(state, reply.sender, now)
+    if reply.index == progress.chunk_of:
+        progress.chunk_offset = min(reply.offset, state.snapshot_bytes)
+    return send_entries(state, reply.sender, now)
+
+
+def on_unreached(state: RaftState, target: MemberId, sequence: int) -> list[Effect]:
+    """Forget an unanswered request; the next heartbeat sends it again."""
+    progress = state.progress.get(target)
+    if progress is not None:
+        progress.unanswered.pop(sequence, None)
+        if progress.in_flight == sequence:
+            progress.in_flight = 0
+    return []
+
+
+def follow_members(state: RaftState) -> None:
+    """Keep a progress for each other member of the configuration in force."""
+    others = [item.member_id for item in members_of(state)]
+    following = LogIndex(state.log.last_index + 1)
+    state.progress = {
+        key: state.progress.get(key) or Progress(following)
+        for key in others
+        if key != state.member_id
+    }
+
+
+def propose(
+    state: RaftState, kind: EntryKind, command: bytes, stamp_ms: int, now: float
+) -> tuple[LogIndex, list[Effect]]:
+    """Append an entry as the leader; return its index and the effects."""
+    index = LogIndex(state.log.last_index + 1)
+    stamp = max(stamp_ms, state.stamp_ms)
+    effects = add_entries(state, (Entry(state.term, index, stamp, kind, command),))
+    state.uncommitted_bytes += len(command)
+    if kind is EntryKind.MEMBERS:
+        follow_members(state)
+    return index, effects + send_to_all(state, now)
