Added the driver of the replicated log and its bootstrap

build_replicated_log elects, replicates, persists, compacts and changes members over the Network interface. ReplicatedLog gained is_current, and Kind gained PRESENCE, by which the first members learn each other's ids.

--- /dev/null
+++ b/src/bramleyrouter/consensus/changes.py
@@ -0,0 +1,122 @@
+"""Change the members, one at a time.
+
+A new member first gets the log as a learner. It becomes a voter once it holds
+nearly all entries, so that it never delays acceptance for long.
+"""
+
+import asyncio
+
+from result import Err, Ok, Result
+
+from bramleyrouter.codes import Code
+from bramleyrouter.consensus.codec import Presence, decode_presence, encode_presence
+from bramleyrouter.consensus.entries import NO_MEMBER, EntryKind, encode_members
+from bramleyrouter.consensus.interfaces import Member
+from bramleyrouter.consensus.node import Node
+from bramleyrouter.consensus.proposals import propose
+from bramleyrouter.consensus.raft_state import members_of
+from bramleyrouter.consensus.reads import not_leader
+from bramleyrouter.failures import Failure
+from bramleyrouter.ids import MemberId
+from bramleyrouter.wire.kinds import Kind
+
+# A learner this few entries behind holds them within one batch.
+CAUGHT_UP_ENTRIES = 64
+CAUGHT_UP_POLL_S = 0.02
+PRESENCE_TIMEOUT_S = 0.5
+
+
+async def ask_presence(node: Node, address: str) -> Result[Presence, Failure]:
+    """Ask which member answers at ``address`` and how far it got."""
+    payload = encode_presence(Presence(node.address, node.phase))
+    outcome = await node.network.call(
+        address, Kind.PRESENCE, payload, PRESENCE_TIMEOUT_S
+    )
+    if isinstance(outcome, Err):
+        return outcome
+    return decode_presence(outcome.ok_value)
+
+
+def _find(node: Node, member_id: MemberId) -> Member | None:
+    found = [item for item in members_of(node.raft) if item.member_id == member_id]
+    return found[0] if found else None
+
+
+async def _change(
+    node: Node, members: tuple[Member, ...], timeout_s: float
+) -> Result[None, Failure]:
+    command = encode_members(members)
+    outcome = await propose(node, command, timeout_s, EntryKind.MEMBERS)
+    return outcome.map(lambda _: None)
+
+
+async def _wait_caught_up(node: Node, member_id: MemberId) -> Result[None, Failure]:
+    while node.is_leader:
+        progress = node.raft.progress.get(member_id)
+        if progress is None:
+            text = f'Member "{member_id}" was removed while it caught up.'
+            return Err(Failure(Code.UNKNOWN_MEMBER, text))
+        missing = node.raft.log.last_index - progress.match_index
+        if missing <= CAUGHT_UP_ENTRIES and progress.match_index:
+            return Ok(None)
+        await asyncio.sleep(CAUGHT_UP_POLL_S)
+    return Err(not_leader(node))
+
+
+async def _add(node: Node, member: Member, timeout_s: float) -> Result[None, Failure]:
+    if member.member_id == NO_MEMBER:
+        presence = await ask_presence(node, member.address)
+        if isinstance(presence, Err):
+            return presence
+        member = Member(presence.ok_value.phase.member_id, member.address)
+    learner = Member(member.member_id, member.address, False)
+    known = _find(node, member.member_id)
+    if known is None:
+        added = (*members_of(node.raft), learner)
+        changed = await _change(node, added, timeout_s)
+        if isinstance(changed, Err):
+            return changed
+    elif known.is_voter:
+        return Ok(None)
+    caught_up = await _wait_caught_up(node, member.member_id)
+    if isinstance(caught_up, Err):
+        return caught_up
+    voter = Member(member.member_id, member.address, True)
+    promoted = tuple(
+        voter if item.member_id == voter.member_id else item
+        for item in members_of(node.raft)
+    )
+    return await _change(node, promoted, timeout_s)
+
+
+async def add_member(
+    node: Node, member: Member, timeout_s: float
+) -> Result[None, Failure]:
+    """Add a member as a learner and make it a voter once it caught up.
+
+    ``NO_MAJORITY`` after the time limit means that it may still be a learner;
+    the call may be repeated.
+    """
+    if not node.is_leader:
+        return Err(node.failure or not_leader(node))
+    try:
+        return await asyncio.wait_for(_add(node, member, timeout_s), timeout_s)
+    except TimeoutError:
+        text = f'"{member.address}" did not catch up within {timeout_s:.3f} s.'
+        return Err(Failure(Code.NO_MAJORITY, text))
+
+
+async def remove_member(
+    node: Node, member_id: MemberId, timeout_s: float
+) -> Result[None, Failure]:
+    """Remove a member; a leader that removes itself stops leading."""
+    if not node.is_leader:
+        return Err(node.failure or not_leader(node))
+    left = tuple(item for item in members_of(node.raft) if item.member_id != member_id)
+    if _find(node, member_id) is None:
+        text = f'Member "{member_id}" is not in the configuration.'
+        return Err(Failure(Code.UNKNOWN_MEMBER, text))
+    if not any(item.is_voter for item in left):
+        text = f'Member "{member_id}" is the last voter and can\'t be removed.'
+        return Err(Failure(Code.UNKNOWN_MEMBER, text))
+    return await _change(node, left, timeout_s)
--- /dev/null
+++ b/src/bramleyrouter/consensus/codec.py
@@ -0,0 +1,218 @@
+"""Convert consensus messages to bytes and back."""
+
+from pathlib import Path
+from typing import NamedTuple
+
+import capnp
+from result import Err, Ok, Result
+
+from bramleyrouter.codes import Code
+from bramleyrouter.consensus.entries import (
+    MAX_COMMAND_BYTES,
+    NO_MEMBER,
+    Entry,
+    EntryKind,
+    Phase,
+)
+from bramleyrouter.consensus.interfaces import Member
+from bramleyrouter.consensus.messages import (
+    AppendReply,
+    AppendRequest,
+    ChunkReply,
+    ChunkRequest,
+    Message,
+    VoteReply,
+    VoteRequest,
+)
+from bramleyrouter.failures import Failure
+from bramleyrouter.ids import LogIndex, MemberId, Term
+
+PROTOCOL_VERSION = 1
+# One entry of the largest size, or a batch, with room for its fields.
+MAX_MESSAGE_BYTES = MAX_COMMAND_BYTES + 1024 * 1024
+MAX_FIRST_MEMBERS = 9
+
+_SCHEMA = capnp.load(str(Path(__file__).with_name("consensus.capnp")))
+_FIELDS = {
+    VoteRequest: "voteRequest",
+    VoteReply: "voteReply",
+    AppendRequest: "appendRequest",
+    AppendReply: "appendReply",
+    ChunkRequest: "chunkRequest",
+    ChunkReply: "chunkReply",
+}
+
+
+class Received(NamedTuple):
+    """Hold a decoded message and the cluster that its sender belongs to."""
+
+    cluster_id: str
+    message: Message
+
+
+def _fill_append(part, message: AppendRequest) -> None:
+    part.prevIndex = message.prev_index
+    part.prevTerm = message.prev_term
+    part.commitIndex = message.commit_index
+    if not message.entries:
+        return
+    listed = part.init("entries", len(message.entries))
+    for position, entry in enumerate(message.entries):
+        item = listed[position]
+        item.term, item.index, item.stampMs = entry.term, entry.index, entry.stamp_ms
+        item.kind, item.command = int(entry.kind), entry.command
+
+
+def _fill(part, message: Message) -> None:
+    if isinstance(message, AppendRequest):
+        _fill_append(part, message)
+    elif isinstance(message, AppendReply):
+        part.isMatched = message.is_matched
+        part.matchIndex = message.match_index
+        part.conflictIndex = message.conflict_index
+        part.conflictTerm = message.conflict_term
+    elif isinstance(message, VoteRequest):
+        part.lastIndex, part.lastTerm = message.last_index, message.last_term
+        part.isPre = message.is_pre
+    elif isinstance(message, VoteReply):
+        part.campaign, part.isGranted = message.campaign, message.is_granted
+        part.isPre = message.is_pre
+    elif isinstance(message, ChunkRequest):
+        part.index, part.indexTerm = message.index, message.index_term
+        part.offset, part.data = message.offset, message.data
+        part.isLast = message.is_last
+    else:
+        part.index, part.offset = message.index, message.offset
+        part.isInstalled = message.is_installed
+
+
+def encode_message(cluster_id: str, message: Message) -> bytes:
+    """Return the bytes of a message of the cluster ``cluster_id``."""
+    whole = _SCHEMA.Message.new_message()
+    whole.protocolVersion = PROTOCOL_VERSION
+    whole.clusterId = cluster_id
+    whole.sender, whole.target = message.sender, message.target
+    whole.term = message.term
+    if not isinstance(message, VoteRequest | VoteReply):
+        whole.sequence = message.sequence
+    _fill(whole.init(_FIELDS[type(message)]), message)
+    return whole.to_bytes()
+
+
+def _read_entry(item) -> Entry:
+    return Entry(
+        Term(item.term),
+        LogIndex(item.index),
+        item.stampMs,
+        EntryKind(item.kind),
+        item.command,
+    )
+
+
+def _read_append(whole, head: tuple[MemberId, MemberId, Term]) -> AppendRequest:
+    part = whole.appendRequest
+    entries = tuple(map(_read_entry, part.entries))
+    for position, entry in enumerate(entries):
+        if entry.index != part.prevIndex + 1 + position or entry.term > whole.term:
+            raise ValueError(f'entry "{entry.index}" is out of place')
+    return AppendRequest(
+        *head,
+        whole.sequence,
+        LogIndex(part.prevIndex),
+        Term(part.prevTerm),
+        LogIndex(part.commitIndex),
+        entries,
+    )
+
+
+def _read(whole) -> Message:
+    head = (MemberId(whole.sender), MemberId(whole.target), Term(whole.term))
+    which = str(whole.which())
+    part = getattr(whole, which)
+    if which == "appendRequest":
+        return _read_append(whole, head)
+    if which == "appendReply":
+        return AppendReply(
+            *head,
+            whole.sequence,
+            part.isMatched,
+            LogIndex(part.matchIndex),
+            LogIndex(part.conflictIndex),
+            Term(part.conflictTerm),
+        )
+    if which == "voteRequest":
+        last_index, last_term = LogIndex(part.lastIndex), Term(part.lastTerm)
+        return VoteRequest(*head, last_index, last_term, part.isPre)
+    if which == "voteReply":
+        return VoteReply(*head, Term(part.campaign), part.isGranted, part.isPre)
+    index, offset = LogIndex(part.index), part.offset
+    if which == "chunkRequest":
+        index_term = Term(part.indexTerm)
+        return ChunkRequest(
+            *head, whole.sequence, index, index_term, offset, part.data, part.isLast
+        )
+    return ChunkReply(*head, whole.sequence, index, offset, part.isInstalled)
+
+
+def _version_failure(version: int) -> Err[Failure]:
+    text = f'Protocol version "{version}" was received; "{PROTOCOL_VERSION}" expected.'
+    return Err(Failure(Code.WIRE_VERSION, text))
+
+
+def _guarded(payload: bytes, shape, read) -> Result:
+    if len(payload) > MAX_MESSAGE_BYTES:
+        text = f"A consensus message of {len(payload)} bytes was received."
+        return Err(Failure(Code.WIRE_TOO_LARGE, text))
+    try:
+        with shape.from_bytes(payload) as whole:
+            if whole.protocolVersion != PROTOCOL_VERSION:
+                return _version_failure(whole.protocolVersion)
+            return Ok(read(whole))
+    except (capnp.KjException, ValueError) as exc:
+        text = f"A consensus message can't be decoded: {exc}."
+        return Err(Failure(Code.WIRE_MALFORMED, text))
+
+
+def decode_message(payload: bytes) -> Result[Received, Failure]:
+    """Read a message; fail with a ``WIRE_*`` code."""
+    return _guarded(
+        payload, _SCHEMA.Message, lambda whole: Received(whole.clusterId, _read(whole))
+    )
+
+
+class Presence(NamedTuple):
+    """Tell the other first members who this one is and how far it got."""
+
+    address: str
+    phase: Phase
+
+
+def encode_presence(presence: Presence) -> bytes:
+    """Return the bytes of a ``Presence``."""
+    whole = _SCHEMA.Presence.new_message()
+    whole.protocolVersion = PROTOCOL_VERSION
+    whole.memberId, whole.address = presence.phase.member_id, presence.address
+    whole.clusterId = presence.phase.cluster_id
+    whole.isActive = presence.phase.is_active
+    members = presence.phase.initial_members
+    listed = whole.init("initialMembers", len(members))
+    for position, member in enumerate(members):
+        listed[position].memberId = member.member_id
+        listed[position].address = member.address
+    return whole.to_bytes()
+
+
+def _read_presence(whole) -> Presence:
+    if len(whole.initialMembers) > MAX_FIRST_MEMBERS or whole.memberId == NO_MEMBER:
+        raise ValueError("the list of members or the member id has a wrong size")
+    members = tuple(
+        Member(MemberId(item.memberId), item.address) for item in whole.initialMembers
+    )
+    member_id = MemberId(whole.memberId)
+    phase = Phase(member_id, whole.clusterId, members, whole.isActive)
+    return Presence(whole.address, phase)
+
+
+def decode_presence(payload: bytes) -> Result[Presence, Failure]:
+    """Read a ``Presence``; fail with a ``WIRE_*`` code."""
+    return _guarded(payload, _SCHEMA.Presence, _read_presence)
--- a/src/bramleyrouter/consensus/interfaces.py
+++ b/src/bramleyrouter/consensus/interfaces.py
@@ -53,6 +53,10 @@
     ``read_barrier(timeout_s)`` returns once this member is the leader, proved
     so by a majority, and has applied all entries committed before the call.
     ``watch_applied(callback)`` calls after each applied entry.
+    ``add_member`` takes a member through the state of a learner; an empty id
+    stands for whichever member answers at the address. It may be repeated.
+    ``is_current()`` says whether this member leads with a valid lease, or
+    heard from a leader within the last second.
     """
 
     propose: Callable[[bytes, float], Awaitable[Result[bytes, Failure]]]
@@ -62,3 +66,4 @@
     remove_member: Callable[[MemberId, float], Awaitable[Result[None, Failure]]]
     watch_applied: Callable[[Callable[[], None]], None]
     close: Callable[[], Awaitable[None]]
+    is_current: Callable[[], bool]
--- /dev/null
+++ b/src/bramleyrouter/consensus/proposals.py
@@ -0,0 +1,55 @@
+"""Proposals: append an entry here, answer once it is accepted and applied."""
+
+import asyncio
+
+from result import Err, Ok, Result
+
+from bramleyrouter.codes import Code
+from bramleyrouter.consensus.driver import dispatch
+from bramleyrouter.consensus.entries import MAX_COMMAND_BYTES, EntryKind
+from bramleyrouter.consensus.node import Node, Waiter
+from bramleyrouter.consensus.raft_state import Propose, Proposed
+from bramleyrouter.consensus.reads import not_leader
+from bramleyrouter.failures import Failure
+
+
+def _refusal(node: Node, kind: EntryKind) -> Failure:
+    """Say why nothing was appended."""
+    if node.failure is not None:
+        return node.failure
+    if not node.is_leader:
+        return not_leader(node)
+    if kind is EntryKind.MEMBERS:
+        text = "An earlier change of the members is not accepted yet."
+        return Failure(Code.MEMBERSHIP_CHANGE_PENDING, text)
+    return Failure(Code.OVERLOADED, "Too many entries wait for a majority.")
+
+
+def _append(node: Node, kind: EntryKind, command: bytes) -> Result[Waiter, Failure]:
+    stamp_ms = int(node.wall_clock() * 1000)
+    token = next(node.tokens)
+    fut = asyncio.get_running_loop().create_future()
+    answers = dispatch(node, Propose(token, kind, command, stamp_ms))
+    proposed = next((item for item in answers if isinstance(item, Proposed)), None)
+    if proposed is None or not proposed.index:
+        return Err(_refusal(node, kind))
+    waiter = Waiter(proposed.term, fut)
+    node.waiters[proposed.index] = waiter
+    return Ok(waiter)
+
+
+async def propose(
+    node: Node, command: bytes, timeout_s: float, kind: EntryKind = EntryKind.COMMAND
+) -> Result[bytes, Failure]:
+    """Propose an entry; see ``ReplicatedLog`` for what the failures mean."""
+    if len(command) > MAX_COMMAND_BYTES:
+        text = f"A command of {len(command)} bytes is over {MAX_COMMAND_BYTES}."
+        return Err(Failure(Code.WIRE_TOO_LARGE, text))
+    appended = _append(node, kind, command)
+    if isinstance(appended, Err):
+        return appended
+    try:
+        return await asyncio.wait_for(appended.ok_value.fut, timeout_s)
+    except TimeoutError:
+        text = f"No majority accepted the entry within {timeout_s:.3f} s."
+        return Err(Failure(Code.NO_MAJORITY, text))
--- /dev/null
+++ b/src/bramleyrouter/consensus/replicated_log.py
@@ -0,0 +1,151 @@
+"""Build the replicated log of a control daemon."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+from absl import logging
+from result import Err, Ok, Result
+
+from bramleyrouter.board.sections import Identity
+from bramleyrouter.consensus.changes import add_member, remove_member
+from bramleyrouter.consensus.core import make_state
+from bramleyrouter.consensus.driver import arm_timer, fail_waiters, write_loop
+from bramleyrouter.consensus.files import FileSystem
+from bramleyrouter.consensus.interfaces import LogStatus, ReplicatedLog, StateMachine
+from bramleyrouter.consensus.node import Limits, Node, keep_task, leader_address
+from bramleyrouter.consensus.proposals import propose
+from bramleyrouter.consensus.raft_state import members_of
+from bramleyrouter.consensus.reads import is_current, read_barrier, resolve
+from bramleyrouter.consensus.serving import bootstrap_loop, serve_members
+from bramleyrouter.consensus.storage import Recovered, Storage, open_storage
+from bramleyrouter.failures import Failure
+from bramleyrouter.wire.network import Network
+
+
+def _make_node(
+    identity: Identity,
+    network: Network,
+    rng: random.Random,
+    machine: StateMachine,
+    members: tuple[str, ...],
+    wall_clock: Callable[[], float],
+    limits: Limits,
+    storage: Storage,
+    recovered: Recovered,
+) -> Node:
+    phase, snapshot = recovered.phase, recovered.snapshot
+    raft = make_state(
+        phase.member_id,
+        rng,
+        phase.initial_members,
+        recovered.hard,
+        snapshot,
+        recovered.entries,
+        asyncio.get_running_loop().time(),
+    )
+    raft.snapshot_bytes = recovered.snapshot_bytes
+    node = Node(
+        identity.internal_address,
+        tuple(members),
+        network,
+        rng,
+        wall_clock,
+        machine,
+        storage,
+        raft,
+        phase,
+        limits,
+    )
+    if snapshot is not None:
+        machine.restore(snapshot.state)
+        node.applied_index = snapshot.index
+        node.applied_stamp_ms = snapshot.stamp_ms
+    return node
+
+
+def _status(node: Node) -> LogStatus:
+    raft = node.raft
+    return LogStatus(
+        raft.member_id,
+        raft.term,
+        node.is_leader and node.failure is None,
+        leader_address(node),
+        raft.commit_index,
+        node.applied_index,
+        members_of(raft),
+    )
+
+
+async def _close(node: Node) -> None:
+    if node.is_closed:
+        return
+    node.is_closed = True
+    if node.timer is not None:
+        node.timer.cancel()
+    fail_waiters(node)
+    for task in list(node.tasks):
+        task.cancel()
+    node.storage.fs.close()
+    logging.info("consensus: %s is closed.", node.raft.member_id)
+
+
+def _bundle(node: Node) -> ReplicatedLog:
+    return ReplicatedLog(
+        propose=lambda command, timeout_s: propose(node, command, timeout_s),
+        read_barrier=lambda timeout_s: read_barrier(node, timeout_s),
+        status=lambda: _status(node),
+        add_member=lambda member, timeout_s: add_member(node, member, timeout_s),
+        remove_member=lambda member_id, timeout_s: remove_member(
+            node, member_id, timeout_s
+        ),
+        watch_applied=node.watchers.append,
+        close=lambda: _close(node),
+        is_current=lambda: is_current(node),
+    )
+
+
+def build_replicated_log(
+    identity: Identity,
+    members: tuple[str, ...],
+    network: Network,
+    rng: random.Random,
+    machine: StateMachine,
+    fs: FileSystem,
+    wall_clock: Callable[[], float] = time.time,
+    limits: Limits | None = None,
+) -> Result[ReplicatedLog, Failure]:
+    """Recover the data folder and start this member on the running loop.
+
+    ``members`` are the internal addresses of the first members; a member whose
+    own address is not among them, or that finds a cluster formed, waits until
+    it is added. ``fs`` is ``files.open_folder(folder)``. ``rng`` must differ
+    between members: it makes the member id and the election timeouts. Fails
+    with ``LOG_CORRUPT``, ``SNAPSHOT_CORRUPT`` or ``DISK_FAILED``.
+    """
+    limits = limits or Limits()
+    opened = open_storage(fs, rng, limits.segment_bytes)
+    if isinstance(opened, Err):
+        logging.error("consensus: refused to start: %s", opened.err_value)
+        return opened
+    storage, recovered = opened.ok_value
+    node = _make_node(
+        identity,
+        network,
+        rng,
+        machine,
+        members,
+        wall_clock,
+        limits,
+        storage,
+        recovered,
+    )
+    node.hooks.append(lambda: resolve(node))
+    serve_members(node)
+    keep_task(node, write_loop(node))
+    if node.phase.is_active:
+        arm_timer(node)
+    else:
+        keep_task(node, bootstrap_loop(node))
+    return Ok(_bundle(node))
--- a/src/bramleyrouter/wire/kinds.py
+++ b/src/bramleyrouter/wire/kinds.py
@@ -18,6 +18,7 @@
     VOTE = 31
     APPEND = 32
     INSTALL_SNAPSHOT = 33
+    PRESENCE = 34
 
     # Clients of control daemons.
     OPERATE = 50
--- /dev/null
+++ b/tests/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the replicated log."""
--- /dev/null
+++ b/tests/support/log_cluster.py
@@ -0,0 +1,120 @@
+"""Members of a replicated log on one memory network, with faults."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from result import Ok
+
+from bramleyrouter.consensus.interfaces import Member, ReplicatedLog, StateMachine
+from bramleyrouter.consensus.node import Limits
+from bramleyrouter.consensus.replicated_log import build_replicated_log
+from bramleyrouter.ids import MemberId
+from tests.support.identities import make_identity
+from tests.support.memory_disk import MemoryDisk
+from tests.support.memory_network import MemoryFabric
+
+ADDRESSES = tuple(f"127.0.0.1:{7000 + 10 * number}" for number in range(4))
+
+
+def make_machine(commands):
+    """Return a state machine that keeps its commands in the list ``commands``."""
+
+    def apply(index, stamp_ms, command):
+        commands.append(command)
+        return b"%d" % len(commands)
+
+    def restore(state):
+        commands[:] = state.split(b"\n") if state else []
+
+    return StateMachine(apply, lambda: b"\n".join(commands), restore)
+
+
+@dataclass
+class LogCluster:
+    """Hold the members by the number of their VM, 0 to 3."""
+
+    seed: int = 0
+    fabric: MemoryFabric = field(default_factory=MemoryFabric)
+    limits: Limits = field(default_factory=Limits)
+    first: tuple[str, ...] = ADDRESSES[:3]
+    disks: dict[int, MemoryDisk] = field(default_factory=dict)
+    logs: dict[int, ReplicatedLog] = field(default_factory=dict)
+    commands: dict[int, list[bytes]] = field(default_factory=dict)
+    starts: int = 0
+
+    def start(self, *numbers):
+        """Start members on their disks; raises when one refuses."""
+        for number in numbers:
+            self.starts += 1
+            disk = self.disks.setdefault(number, MemoryDisk())
+            port = int(ADDRESSES[number].rsplit(":", 1)[1])
+            identity = make_identity(f"control-{number}", port=port)
+            self.commands[number] = []
+            self.logs[number] = build_replicated_log(
+                identity,
+                self.first,
+                self.fabric.build_network(identity),
+                random.Random(f"{self.seed}-{self.starts}"),
+                make_machine(self.commands[number]),
+                disk.open(),
+                wall_clock=lambda: 1000.0,
+                limits=self.limits,
+            ).unwrap()
+
+    async def kill(self, number, torn_bytes=0):
+        """End a member as a power cut does; its disk keeps what was synced."""
+        self.fabric.kill(ADDRESSES[number])
+        self.disks[number].crash(torn_bytes)
+        await self.logs.pop(number).close()
+
+    async def lose_disk(self, number):
+        """End a member and replace its disk by an empty one."""
+        await self.kill(number)
+        self.disks[number] = MemoryDisk()
+
+    def isolate(self, number):
+        """Lose all frames from and to a member, silently."""
+        others = [item for item in ADDRESSES if item != ADDRESSES[number]]
+        self.fabric.cut_groups([ADDRESSES[number]], others)
+
+    def leaders(self):
+        """Return the numbers of the members that take themselves for leader."""
+        return [key for key, log in self.logs.items() if log.status().is_leader]
+
+    async def wait_leader(self, among=None, limit_s=5.0):
+        """Return the member that leads, of ``among`` if given."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + limit_s
+        while loop.time() < end:
+            for number in self.leaders():
+                if (among is None or number in among) and self.is_proved(number):
+                    return number
+            await asyncio.sleep(0.01)
+        raise AssertionError("No member leads.")
+
+    def is_proved(self, number):
+        """Return whether a member leads with a valid lease."""
+        log = self.logs[number]
+        return log.status().is_leader and log.is_current()
+
+    async def propose(self, command, among=None, timeout_s=2.0):
+        """Propose at the leader and check that it was accepted."""
+        number = await self.wait_leader(among)
+        outcome = await self.logs[number].propose(command, timeout_s)
+        assert isinstance(outcome, Ok), outcome
+        return number
+
+    async def repair(self, number, among, timeout_s=5.0):
+        """Replace the member at a VM's address by the one that is there now."""
+        log = self.logs[await self.wait_leader(among)]
+        old = [
+            item.member_id
+            for item in log.status().members
+            if item.address == ADDRESSES[number]
+        ]
+        added = await log.add_member(Member(MemberId(""), ADDRESSES[number]), timeout_s)
+        assert isinstance(added, Ok), added
+        for member_id in old:
+            removed = await log.remove_member(member_id, timeout_s)
+            assert isinstance(removed, Ok), removed
