--- /dev/null
+++ b/tests/consensus/test_storage.py
@@ -0,0 +1,250 @@
+"""Tests of the data folder: recovery after crashes, refusal of corruption."""
+
+import random
+
+import pytest
+from result import Err
+
+from bramleyrouter.codes import Code
+from bramleyrouter.consensus.entries import Entry, EntryKind, HardState, Snapshot
+from bramleyrouter.consensus.files import open_folder
+from bramleyrouter.consensus.storage import (
+    SaveEntries,
+    SaveHardState,
+    SaveSnapshot,
+    encode_snapshot,
+    open_storage,
+    write_jobs,
+)
+from tests.support.memory_disk import MemoryDisk
+
+SEGMENT = "log-0000000001.seg"
+
+
+def entry(index, term=1, size=9):
+    return Entry(term, index, 1000 + index, EntryKind.COMMAND, b"%d" % index * size)
+
+
+def entries(first, last, term=1):
+    return SaveEntries(tuple(entry(index, term) for index in range(first, last + 1)))
+
+
+def snapshot_job(index, term=1, replaces_log=False):
+    data = encode_snapshot(Snapshot(index, term, 1000, (), b"state"))
+    return SaveSnapshot(data, index, replaces_log)
+
+
+def open_disk(disk, segment_bytes=1 << 20):
+    return open_storage(disk.open(), random.Random(1), segment_bytes)
+
+
+def recover(disk):
+    return open_disk(disk).unwrap()[1]
+
+
+def make_disk(*jobs):
+    disk = MemoryDisk()
+    storage, _ = open_disk(disk).unwrap()
+    write_jobs(storage, [SaveHardState(HardState(9)), *jobs])
+    return disk
+
+
+class TestTornTail:
+    """Guards against refusing, or misreading, what a power cut left."""
+
+    @pytest.mark.parametrize("filler", [b"", b"\0"], ids=["cut off", "zeros"])
+    def test_every_byte_of_the_last_record(self, filler):
+        before = make_disk(entries(1, 2)).read(SEGMENT)
+        whole = make_disk(entries(1, 3)).read(SEGMENT)
+        for size in range(len(before), len(whole)):
+            disk = make_disk(entries(1, 3))
+            torn = whole[:size] + filler * (len(whole) - size)
+            disk.overwrite(SEGMENT, torn)
+            storage, found = open_disk(disk).unwrap()
+            assert found.entries == [entry(1), entry(2)]
+            assert disk.read(SEGMENT) == before
+            write_jobs(storage, [entries(3, 4)])
+            assert len(recover(disk).entries) == 4
+
+    def test_torn_first_write_leaves_an_empty_log(self):
+        disk = make_disk(entries(1, 1))
+        disk.overwrite(SEGMENT, b"BRL")
+        storage, found = open_disk(disk).unwrap()
+        assert found.entries == []
+        write_jobs(storage, [entries(1, 1)])
+        assert recover(disk).entries == [entry(1)]
+
+
+class TestCorruption:
+    """Guards against dropping accepted entries because a byte changed."""
+
+    def test_a_flipped_bit_anywhere_is_refused(self):
+        disk = make_disk(entries(1, 3))
+        whole = disk.read(SEGMENT)
+        for offset in range(len(whole)):
+            for bit in (0, 7):
+                data = bytearray(whole)
+                data[offset] ^= 1 << bit
+                disk.overwrite(SEGMENT, data)
+                failure = open_disk(disk).unwrap_err()
+                assert failure.code is Code.LOG_CORRUPT, offset
+                assert SEGMENT in failure.text and "offset" in failure.text
+
+    def test_the_offset_is_that_of_the_record(self):
+        first = len(make_disk(entries(1, 1)).read(SEGMENT))
+        disk = make_disk(entries(1, 3))
+        data = bytearray(disk.read(SEGMENT))
+        data[first + 20] ^= 1
+        disk.overwrite(SEGMENT, data)
+        assert f"offset {first}:" in open_disk(disk).unwrap_err().text
+
+    def test_an_earlier_segment_must_be_whole(self):
+        disk = MemoryDisk()
+        storage, _ = open_disk(disk, segment_bytes=1).unwrap()
+        write_jobs(storage, [SaveHardState(HardState(9)), entries(1, 2)])
+        write_jobs(storage, [entries(3, 4)])
+        disk.overwrite(SEGMENT, disk.read(SEGMENT)[:-1])
+        assert open_disk(disk).unwrap_err().code is Code.LOG_CORRUPT
+
+    @pytest.mark.parametrize("name", ["member", "term", SEGMENT])
+    def test_a_missing_file_is_refused(self, name):
+        disk = MemoryDisk()
+        storage, _ = open_disk(disk, segment_bytes=1).unwrap()
+        write_jobs(storage, [SaveHardState(HardState(9)), entries(1, 2)])
+        write_jobs(storage, [entries(3, 4)])
+        del disk.files[name]
+        assert open_disk(disk).unwrap_err().code is Code.LOG_CORRUPT
+
+    @pytest.mark.parametrize(
+        ("name", "code"),
+        [
+            ("member", Code.LOG_CORRUPT),
+            ("term", Code.LOG_CORRUPT),
+            ("snapshot", Code.SNAPSHOT_CORRUPT),
+        ],
+    )
+    def test_whole_files_are_checked(self, name, code):
+        disk = make_disk(entries(1, 3), snapshot_job(2))
+        whole = disk.read(name)
+        for offset in range(len(whole)):
+            data = bytearray(whole)
+            data[offset] ^= 4
+            disk.overwrite(name, data)
+            failure = open_disk(disk).unwrap_err()
+            assert failure.code is code and f'"{name}"' in failure.text
+
+
+class CrashError(Exception):
+    """End a process in the middle of its writes."""
+
+
+def crash_after(fs, budget):
+    """Return ``fs`` whose changing operations crash once ``budget`` are done."""
+    left = [budget]
+
+    def guard(operation):
+        def call(*args):
+            if left[0] == 0:
+                raise CrashError
+            left[0] -= 1
+            return operation(*args)
+
+        return call
+
+    names = ("append", "sync", "truncate", "replace", "remove", "sync_folder")
+    return fs._replace(**{name: guard(getattr(fs, name)) for name in names})
+
+
+class TestCrashes:
+    """Guards against losing what was durable, whenever the process ends."""
+
+    STEPS = (
+        [SaveHardState(HardState(1)), entries(1, 4)],
+        [entries(5, 8)],
+        [snapshot_job(6)],
+        [SaveHardState(HardState(2)), entries(8, 9, term=2)],
+        [snapshot_job(20, term=2, replaces_log=True)],
+        [entries(21, 23, term=2)],
+        [snapshot_job(23, term=2)],
+        [entries(24, 24, term=2)],
+    )
+    # After each step: the first index held at most, the last, and its term.
+    HELD = ((1, 4, 1), (1, 8, 1), (7, 8, 1), (7, 9, 2), (21, 20, 2)) + (
+        (21, 23, 2),
+        (24, 23, 2),
+        (24, 24, 2),
+    )
+
+    def run_until_crash(self, disk, budget):
+        """Return the number of steps that were done."""
+        done = 0
+        try:
+            fs = crash_after(disk.open(), budget)
+            storage, _ = open_storage(fs, random.Random(1), 64).unwrap()
+            for jobs in self.STEPS:
+                write_jobs(storage, jobs)
+                done += 1
+        except CrashError:
+            pass
+        return done
+
+    @staticmethod
+    def last_of(found):
+        if found.entries:
+            return found.entries[-1].index, found.entries[-1].term
+        if found.snapshot:
+            return found.snapshot.index, found.snapshot.term
+        return 0, 0
+
+    @pytest.mark.parametrize("torn_bytes", [0, 30, 10_000])
+    def test_every_operation(self, torn_bytes):
+        budget, done = 0, 0
+        while done < len(self.STEPS):
+            disk = MemoryDisk()
+            done = self.run_until_crash(disk, budget)
+            disk.crash(torn_bytes)
+            found = recover(disk)
+            held = self.HELD[done - 1] if done else (1, 0, 0)
+            following = self.HELD[min(done, len(self.HELD) - 1)]
+            assert held[1:] <= self.last_of(found) <= following[1:], budget
+            start = found.snapshot.index if found.snapshot else 0
+            indices = [item.index for item in found.entries if item.index > start]
+            assert indices == list(range(start + 1, start + 1 + len(indices)))
+            assert start + 1 <= following[0]
+            assert recover(disk) == found
+            budget += 1
+        assert budget > 40
+
+
+class TestFailedSync:
+    """Guards against going on after the disk refused to keep a write."""
+
+    def test_the_error_is_raised(self):
+        disk = MemoryDisk()
+        storage, _ = open_disk(disk).unwrap()
+        disk.fail_syncs = True
+        for job in (entries(1, 1), SaveHardState(HardState(1)), snapshot_job(1)):
+            with pytest.raises(OSError, match="sync"):
+                write_jobs(storage, [job])
+
+    def test_a_start_is_refused(self):
+        disk = MemoryDisk(fail_syncs=True)
+        assert open_disk(disk).unwrap_err().code is Code.DISK_FAILED
+
+
+class TestRealFolder:
+    """Guards against a difference between the tests' disk and a real one."""
+
+    def test_entries_survive(self, tmp_path):
+        for last in (3, 6):
+            fs = open_folder(tmp_path / "data")
+            opened = open_storage(fs, random.Random(1), 64)
+            assert not isinstance(opened, Err)
+            storage, found = opened.ok_value
+            assert len(found.entries) == last - 3
+            write_jobs(storage, [SaveHardState(HardState(last))])
+            write_jobs(storage, [entries(last - 2, last)])
+            write_jobs(storage, [snapshot_job(1)])
+            fs.close()
+        assert found.hard == HardState(3) and found.snapshot.index == 1
+        assert found.entries == [entry(index) for index in (1, 2, 3)]
