--- a/src/bramleyrouter/codes.py
+++ b/src/bramleyrouter/codes.py
@@ -42,6 +42,7 @@
     NOT_HOME = 216
     CANCELLED_IN_QUEUE = 217
     VERSION_NOT_HELD = 218
+    HELD_DOWN = 219
 
     # 300: the outcome of a non-idempotent request is unknown.
     OUTCOME_UNKNOWN = 300
--- /dev/null
+++ b/src/bramleyrouter/edges/servers/client.py
@@ -0,0 +1,166 @@
+"""The real transport to backend servers: a thin adaptor on pycurl."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import pycurl
+
+from bramleyrouter.codes import Code
+from bramleyrouter.edges.servers.formats import (
+    encode_cancel,
+    encode_query,
+    encode_submit,
+    read_health,
+    read_load,
+    read_query_reply,
+    read_submit_reply,
+    unknown_end,
+)
+from bramleyrouter.edges.servers.multi import (
+    HttpEnd,
+    ServerMulti,
+    close_multi,
+    count_connections,
+    open_multi,
+    start_exchange,
+)
+from bramleyrouter.edges.servers.transport import (
+    ProbeEnd,
+    QueryCall,
+    QueryEnd,
+    ServerTransport,
+    SubmitCall,
+    SubmitEnd,
+    Target,
+)
+from bramleyrouter.ids import AttemptId, RequestId, ServerId
+from bramleyrouter.states import Outcome
+
+# A cancellation that takes longer than this, in seconds, came too late.
+CANCEL_TIMEOUT_S = 1.0
+
+
+@dataclass
+class ClientState:
+    """Hold the handles of each server that this daemon reaches."""
+
+    servers: dict[ServerId, tuple[Target, ServerMulti]] = field(default_factory=dict)
+
+
+def _multi_of(state: ClientState, target: Target) -> ServerMulti:
+    """Return the handles of a server, new ones when its target changed.
+
+    Nothing is shared between two registrations, so that a reply to an older
+    one can't be taken for a reply to the newer.
+    """
+    known = state.servers.get(target.server_id)
+    if known is not None:
+        if known[0] == target:
+            return known[1]
+        close_multi(known[1], "The server registered anew.")
+    multi = open_multi(target.address, target.max_connections)
+    state.servers[target.server_id] = (target, multi)
+    return multi
+
+
+def _query_end(call: QueryCall, end: HttpEnd) -> QueryEnd:
+    if end.error == 0:
+        return read_query_reply(call, end.status, end.body)
+    if not end.may_have_run:
+        return QueryEnd(Code.CONNECT_FAILED, f"No connection: {end.text}.")
+    if end.error == pycurl.E_OPERATION_TIMEDOUT:
+        return QueryEnd(Code.SHARD_TIMEOUT, "The server sent no whole reply in time.")
+    if end.error == pycurl.E_PARTIAL_FILE:
+        return QueryEnd(Code.SHARD_TRUNCATED, f"The reply ended early: {end.text}.")
+    return QueryEnd(Code.SHARD_CONNECTION_LOST, f"Connection lost: {end.text}.")
+
+
+def _submit_end(call: SubmitCall, end: HttpEnd) -> SubmitEnd:
+    if end.error == 0:
+        return read_submit_reply(call, end.status, end.body)
+    if not end.may_have_run:
+        text = f"No connection: {end.text}."
+        return SubmitEnd(Outcome.NOT_RUN, Code.CONNECT_FAILED, text)
+    return unknown_end(f"The exchange failed: {end.text}.")
+
+
+def build_curl_transport() -> ServerTransport:
+    """Return the transport; needs a running event loop when it is used."""
+    state = ClientState()
+
+    def query(
+        target: Target,
+        call: QueryCall,
+        timeout_s: float,
+        on_end: Callable[[QueryEnd], None],
+    ) -> None:
+        body = encode_query(target, call, timeout_s)
+        multi = _multi_of(state, target)
+        start_exchange(
+            multi,
+            "/shards/query",
+            body,
+            timeout_s,
+            lambda end: on_end(_query_end(call, end)),
+        )
+
+    def submit(
+        target: Target,
+        call: SubmitCall,
+        timeout_s: float,
+        on_end: Callable[[SubmitEnd], None],
+    ) -> None:
+        body = encode_submit(target, call, timeout_s)
+        multi = _multi_of(state, target)
+        start_exchange(
+            multi,
+            "/shards/submit",
+            body,
+            timeout_s,
+            lambda end: on_end(_submit_end(call, end)),
+            is_repeatable=False,
+        )
+
+    def cancel(target: Target, request_id: RequestId, attempt: AttemptId) -> None:
+        known = state.servers.get(target.server_id)
+        if known is None or known[0] != target:
+            return
+        body = encode_cancel(request_id, attempt)
+        start_exchange(known[1], "/shards/cancel", body, CANCEL_TIMEOUT_S, _ignore)
+
+    def probe(
+        target: Target, timeout_s: float, on_end: Callable[[ProbeEnd], None]
+    ) -> None:
+        multi = _multi_of(state, target)
+
+        def after_health(end: HttpEnd) -> None:
+            if end.error or not read_health(end.status, end.body):
+                on_end(ProbeEnd(False))
+            elif multi.is_closed:
+                on_end(ProbeEnd(True))
+            else:
+                start_exchange(multi, "/load", None, timeout_s / 2, after_load)
+
+        def after_load(end: HttpEnd) -> None:
+            on_end(read_load(0 if end.error else end.status, end.body))
+
+        start_exchange(multi, "/health", None, timeout_s / 2, after_health)
+
+    def drop(server_id: ServerId) -> None:
+        known = state.servers.pop(server_id, None)
+        if known is not None:
+            close_multi(known[1], "The home closed its connections.")
+
+    def open_connections(server_id: ServerId) -> int:
+        known = state.servers.get(server_id)
+        return count_connections(known[1]) if known else 0
+
+    def close() -> None:
+        for server_id in list(state.servers):
+            drop(server_id)
+
+    return ServerTransport(query, submit, cancel, probe, drop, open_connections, close)
+
+
+def _ignore(_end: HttpEnd) -> None:
+    """Do nothing: the cancelled query itself tells how it ended."""
--- /dev/null
+++ b/src/bramleyrouter/edges/servers/formats.py
@@ -0,0 +1,235 @@
+"""HTTP bodies exchanged with backend servers, and the checks of replies."""
+
+import msgspec
+
+from bramleyrouter.codes import Code
+from bramleyrouter.edges.servers.transport import (
+    ProbeEnd,
+    QueryCall,
+    QueryEnd,
+    SubmitCall,
+    SubmitEnd,
+    Target,
+)
+from bramleyrouter.states import Outcome
+
+# The server is told to end this long, in seconds, before the home stops
+# waiting, so that its reply can still arrive and its slot is free by then.
+REPLY_MARGIN_S = 0.003
+# Status and code by which a server says that it did not run a request.
+NOT_RUN_STATUS = 503
+NOT_RUN_CODE = "not_run"
+CANCELLED_CODE = "cancelled"
+# Characters of a server's own words that go into texts and logs.
+MAX_REASON_CHARACTERS = 200
+
+_REASON_CODES = {
+    "version_not_held": Code.VERSION_NOT_HELD,
+    "draining": Code.SERVER_LEAVING,
+}
+
+
+class QueryBody(msgspec.Struct, frozen=True):
+    """Body of ``POST /shards/query``."""
+
+    request_id: str
+    attempt: int
+    version: str
+    deadline_ms: int
+    service: str
+    shards: tuple[str, ...]
+    query: msgspec.Raw
+    incarnation: int
+    registration: int
+
+
+class QueryReplyBody(msgspec.Struct, frozen=True):
+    """Reply to a query; each result is kept as the JSON text it came in."""
+
+    request_id: str
+    attempt: int
+    version: str
+    results: dict[str, msgspec.Raw]
+
+
+class SubmitBody(msgspec.Struct, frozen=True):
+    """Body of ``POST /shards/submit``."""
+
+    request_id: str
+    deadline_ms: int
+    service: str
+    shard: str
+    operation: msgspec.Raw
+    incarnation: int
+    registration: int
+
+
+class SubmitReplyBody(msgspec.Struct, frozen=True):
+    """Reply to a submission."""
+
+    request_id: str
+    answer: msgspec.Raw
+
+
+class CancelBody(msgspec.Struct, frozen=True):
+    """Body of ``POST /shards/cancel``."""
+
+    request_id: str
+    attempt: int
+
+
+class RefusalBody(msgspec.Struct, frozen=True):
+    """Body of an error status; ``reason`` is for readers."""
+
+    code: str = ""
+    reason: str = ""
+
+
+class HealthBody(msgspec.Struct, frozen=True):
+    """Reply to ``GET /health``."""
+
+    healthy: bool
+
+
+class LoadBody(msgspec.Struct, frozen=True):
+    """Reply to ``GET /load``."""
+
+    in_flight: int = 0
+    queued: int = 0
+
+
+_encoder = msgspec.json.Encoder()
+_query_decoder = msgspec.json.Decoder(QueryReplyBody)
+_submit_decoder = msgspec.json.Decoder(SubmitReplyBody)
+_refusal_decoder = msgspec.json.Decoder(RefusalBody)
+_health_decoder = msgspec.json.Decoder(HealthBody)
+_load_decoder = msgspec.json.Decoder(LoadBody)
+
+
+def _deadline_ms(timeout_s: float) -> int:
+    return max(1, int((timeout_s - REPLY_MARGIN_S) * 1000))
+
+
+def encode_query(target: Target, call: QueryCall, timeout_s: float) -> bytes:
+    """Return the body of a query that has ``timeout_s`` seconds left."""
+    body = QueryBody(
+        call.request_id,
+        call.attempt,
+        call.version,
+        _deadline_ms(timeout_s),
+        call.service,
+        call.shards,
+        msgspec.Raw(call.query),
+        target.incarnation,
+        target.registration,
+    )
+    return _encoder.encode(body)
+
+
+def encode_submit(target: Target, call: SubmitCall, timeout_s: float) -> bytes:
+    """Return the body of a submission that has ``timeout_s`` seconds left."""
+    body = SubmitBody(
+        call.request_id,
+        _deadline_ms(timeout_s),
+        call.service,
+        call.shard,
+        msgspec.Raw(call.operation),
+        target.incarnation,
+        target.registration,
+    )
+    return _encoder.encode(body)
+
+
+def encode_cancel(request_id: str, attempt: int) -> bytes:
+    """Return the body of a cancellation."""
+    return _encoder.encode(CancelBody(request_id, attempt))
+
+
+def _refusal_of(body: bytes) -> RefusalBody:
+    try:
+        return _refusal_decoder.decode(body)
+    except msgspec.MsgspecError:
+        return RefusalBody()
+
+
+def read_query_reply(call: QueryCall, status: int, body: bytes) -> QueryEnd:
+    """Check a whole reply against its request.
+
+    A reply that lacks a shard counts as truncated as a whole; results of
+    shards that were not asked for are dropped.
+    """
+    if status != 200:
+        return _read_query_error(status, body)
+    try:
+        reply = _query_decoder.decode(body)
+    except msgspec.MsgspecError as exc:
+        return QueryEnd(Code.SHARD_TRUNCATED, f"The reply can't be decoded: {exc}.")
+    if reply.request_id != call.request_id or reply.attempt != call.attempt:
+        text = (
+            f'The reply is for "{reply.request_id}" attempt "{reply.attempt}"; '
+            f'"{call.request_id}" attempt "{call.attempt}" was expected.'
+        )
+        return QueryEnd(Code.SHARD_WRONG_IDENTITY, text[:MAX_REASON_CHARACTERS])
+    if reply.version != call.version:
+        text = f'Version "{reply.version}" came; "{call.version}" was expected.'
+        return QueryEnd(Code.SHARD_WRONG_VERSION, text[:MAX_REASON_CHARACTERS])
+    try:
+        results = {shard: bytes(reply.results[shard]) for shard in call.shards}
+    except KeyError as exc:
+        return QueryEnd(Code.SHARD_TRUNCATED, f"The reply lacks shard {exc}.")
+    return QueryEnd(Code.OK, "", results)
+
+
+def _read_query_error(status: int, body: bytes) -> QueryEnd:
+    refusal = _refusal_of(body)
+    reason = refusal.reason[:MAX_REASON_CHARACTERS]
+    if status == NOT_RUN_STATUS and refusal.code == NOT_RUN_CODE:
+        code = _REASON_CODES.get(reason, Code.SERVER_REFUSED)
+        return QueryEnd(code, f'The server refused: "{reason}".')
+    if refusal.code == CANCELLED_CODE:
+        return QueryEnd(Code.SHARD_CANCELLED, "The server stopped the attempt.")
+    text = f'The server answered with status "{status}": "{reason}".'
+    return QueryEnd(Code.SHARD_SERVER_ERROR, text)
+
+
+def read_submit_reply(call: SubmitCall, status: int, body: bytes) -> SubmitEnd:
+    """Check a reply to a submission; what is not certain is unknown."""
+    if status != 200:
+        refusal = _refusal_of(body)
+        reason = refusal.reason[:MAX_REASON_CHARACTERS]
+        if status == NOT_RUN_STATUS and refusal.code == NOT_RUN_CODE:
+            text = f'The server refused: "{reason}".'
+            return SubmitEnd(Outcome.NOT_RUN, Code.SERVER_REFUSED, text)
+        return unknown_end(f'The server answered with status "{status}".')
+    try:
+        reply = _submit_decoder.decode(body)
+    except msgspec.MsgspecError as exc:
+        return unknown_end(f"The reply can't be decoded: {exc}.")
+    if reply.request_id != call.request_id:
+        return unknown_end(f'The reply is for "{reply.request_id[:64]}".')
+    return SubmitEnd(Outcome.DONE, Code.OK, "", bytes(reply.answer))
+
+
+def unknown_end(text: str) -> SubmitEnd:
+    """Return the end of a submission that may have run."""
+    return SubmitEnd(Outcome.UNKNOWN, Code.OUTCOME_UNKNOWN, text)
+
+
+def read_health(status: int, body: bytes) -> bool:
+    """Return whether the server calls itself healthy."""
+    if status != 200:
+        return False
+    try:
+        return _health_decoder.decode(body).healthy
+    except msgspec.MsgspecError:
+        return False
+
+
+def read_load(status: int, body: bytes) -> ProbeEnd:
+    """Return the load that a healthy server reports."""
+    if status != 200:
+        return ProbeEnd(True)
+    try:
+        return ProbeEnd(True, max(0, _load_decoder.decode(body).queued))
+    except msgspec.MsgspecError:
+        return ProbeEnd(True)
--- /dev/null
+++ b/src/bramleyrouter/homes/announcing.py
@@ -0,0 +1,137 @@
+"""Bring announcements and withdrawals to the server's home."""
+
+from result import Err, Ok, Result
+
+from bramleyrouter.board.sections import DaemonRecord
+from bramleyrouter.codes import Code
+from bramleyrouter.failures import Failure
+from bramleyrouter.homes.codecs import (
+    Withdrawal,
+    decode_announcement_reply,
+    encode_announcement,
+    encode_withdrawal,
+)
+from bramleyrouter.homes.entries import HomesState
+from bramleyrouter.homes.handovers import renew_or_hand_over
+from bramleyrouter.homes.limits import FORWARD_TIMEOUT_S, MAX_FORWARD_TRIES
+from bramleyrouter.homes.messages import Announcement, AnnouncementReply
+from bramleyrouter.homes.placement import live_daemons, rank_homes
+from bramleyrouter.homes.registrations import check_announcement
+from bramleyrouter.homes.registry import register_here, withdraw_here
+from bramleyrouter.ids import DaemonId, DataCentre, ServerId, ServerIncarnation
+from bramleyrouter.states import DaemonState
+from bramleyrouter.wire.kinds import Kind
+
+_LOST = frozenset({Code.PEER_UNREACHABLE, Code.PEER_TIMEOUT, Code.PEER_DISCONNECTED})
+
+
+async def announce(
+    state: HomesState, announcement: Announcement
+) -> Result[AnnouncementReply, Failure]:
+    """Take an announcement from a server, here or at its home."""
+    checked = check_announcement(announcement)
+    if isinstance(checked, Err):
+        return checked
+    lease = announcement.lease
+    if lease is None:
+        return await _register_somewhere(state, announcement)
+    if lease.home == state.board.identity.daemon_id:
+        return await renew_or_hand_over(state, announcement)
+    home = state.board.daemons.records.get(lease.home)
+    if home is None or home.incarnation != lease.home_incarnation:
+        return Err(Failure(Code.LEASE_UNKNOWN, f'"{lease.home}" is not known.'))
+    return await _forward(state, home, announcement)
+
+
+async def accept(
+    state: HomesState, announcement: Announcement
+) -> Result[AnnouncementReply, Failure]:
+    """Take an announcement that another daemon forwarded; it goes no further."""
+    checked = check_announcement(announcement)
+    if isinstance(checked, Err):
+        return checked
+    if announcement.lease is not None:
+        return await renew_or_hand_over(state, announcement)
+    if announcement.data_centre != state.board.identity.data_centre:
+        text = f'This daemon is not in data centre "{announcement.data_centre}".'
+        return Err(Failure(Code.INVALID_ANNOUNCEMENT, text))
+    return register_here(state, announcement)
+
+
+def candidates_for(state: HomesState, data_centre: DataCentre) -> list[DaemonRecord]:
+    """Return the daemons that may be homes, this one from its own knowledge."""
+    own = state.board.identity
+    records = [
+        record
+        for record in state.board.daemons.records.values()
+        if record.daemon_id != own.daemon_id
+    ]
+    if not state.is_leaving:
+        records.append(
+            DaemonRecord(
+                own.daemon_id,
+                own.incarnation,
+                own.data_centre,
+                own.internal_address,
+                own.http_address,
+                DaemonState.ALIVE,
+            )
+        )
+    return live_daemons(records, data_centre)
+
+
+async def _register_somewhere(
+    state: HomesState, announcement: Announcement
+) -> Result[AnnouncementReply, Failure]:
+    """Try the best homes in turn.
+
+    A home that did not answer may have registered the server. That is safe,
+    since it has no authority until the server echoes its token.
+    """
+    candidates = candidates_for(state, announcement.data_centre)
+    ranked = rank_homes(candidates, state.board.servers, announcement)
+    text = f'No live daemon in data centre "{announcement.data_centre}" answered.'
+    outcome: Result[AnnouncementReply, Failure] = Err(Failure(Code.NOT_READY, text))
+    for home in ranked[:MAX_FORWARD_TRIES]:
+        if home.daemon_id == state.board.identity.daemon_id:
+            outcome = register_here(state, announcement)
+        else:
+            outcome = await _forward(state, home, announcement)
+        if isinstance(outcome, Ok):
+            return outcome
+        if outcome.err_value.code not in _LOST | {Code.STOPPING}:
+            return outcome
+    return outcome
+
+
+async def _forward(
+    state: HomesState, home: DaemonRecord, announcement: Announcement
+) -> Result[AnnouncementReply, Failure]:
+    payload = encode_announcement(announcement)
+    address = home.internal_address
+    reply = await state.network.call(address, Kind.ANNOUNCE, payload, FORWARD_TIMEOUT_S)
+    if isinstance(reply, Err):
+        return reply
+    return decode_announcement_reply(reply.ok_value)
+
+
+async def withdraw(
+    state: HomesState, server_id: ServerId, incarnation: ServerIncarnation
+) -> Result[None, Failure]:
+    """Take a withdrawal from a server, here or at its home."""
+    if server_id in state.entries:
+        return withdraw_here(state, server_id, incarnation)
+    home = _home_of(state, server_id)
+    record = state.board.daemons.records.get(home) if home else None
+    if record is None or home == state.board.identity.daemon_id:
+        text = f'No home of "{server_id}" is known here.'
+        return Err(Failure(Code.LEASE_UNKNOWN, text))
+    payload = encode_withdrawal(Withdrawal(server_id, incarnation))
+    address = record.internal_address
+    reply = await state.network.call(address, Kind.WITHDRAW, payload, FORWARD_TIMEOUT_S)
+    return reply if isinstance(reply, Err) else Ok(None)
+
+
+def _home_of(state: HomesState, server_id: ServerId) -> DaemonId | None:
+    row = state.board.servers.records.get(server_id)
+    return row.home if row else None
--- /dev/null
+++ b/src/bramleyrouter/homes/batches.py
@@ -0,0 +1,203 @@
+"""Run batches and submissions at their home, for senders near and far."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bramleyrouter.codes import Code
+from bramleyrouter.edges.servers.transport import (
+    QueryCall,
+    QueryEnd,
+    SubmitCall,
+    SubmitEnd,
+)
+from bramleyrouter.homes.dispatching import cancel_work, offer
+from bramleyrouter.homes.entries import Entry, HomesState, Work, WorkEnd
+from bramleyrouter.homes.messages import (
+    GroupReply,
+    ServerGroup,
+    ShardBatch,
+    SubmitReply,
+    SubmitRequest,
+)
+from bramleyrouter.homes.ramps import headroom
+from bramleyrouter.ids import AttemptId, DataCentre, ServerId
+from bramleyrouter.states import Outcome
+
+OnReplies = Callable[[list[GroupReply]], None]
+
+
+@dataclass(eq=False)
+class BatchRun:
+    """Hold one running batch and the replies of this turn of the loop."""
+
+    batch: ShardBatch
+    on_replies: OnReplies
+    on_done: Callable[[], None]
+    waiting: int
+    works: list[tuple[Entry, Work]] = field(default_factory=list)
+    replies: list[GroupReply] = field(default_factory=list)
+    is_cancelled: bool = False
+
+
+def run_batch(
+    state: HomesState,
+    batch: ShardBatch,
+    sender: DataCentre,
+    on_replies: OnReplies,
+    on_done: Callable[[], None],
+) -> Callable[[], None]:
+    """Dispatch the groups of a batch; return the closure that cancels them.
+
+    Replies that end in the same turn of the loop are handed on together.
+    Neither closure is called before this function returns, nor after the
+    cancellation.
+    """
+    run = BatchRun(batch, on_replies, on_done, len(batch.groups))
+    now = state.clock()
+    for group in batch.groups:
+        _offer_group(state, run, group, sender, now)
+    if not batch.groups:
+        asyncio.get_running_loop().call_soon(_flush, run)
+
+    def cancel() -> None:
+        if run.is_cancelled:
+            return
+        run.is_cancelled = True
+        for entry, work in run.works:
+            cancel_work(state, entry, work)
+
+    return cancel
+
+
+def _offer_group(
+    state: HomesState,
+    run: BatchRun,
+    group: ServerGroup,
+    sender: DataCentre,
+    now: float,
+) -> None:
+    batch = run.batch
+    entry = state.entries.get(group.server_id)
+    if entry is None:
+        text = f'This daemon is not the home of "{group.server_id}".'
+        _add_reply(run, _not_home(group, batch, text))
+        return
+    call = QueryCall(
+        batch.request_id,
+        group.attempt,
+        batch.version,
+        group.service,
+        group.shards,
+        batch.query,
+    )
+
+    def on_end(work: Work, end: WorkEnd) -> None:
+        if isinstance(end, QueryEnd):
+            _add_reply(run, _make_reply(entry, call, work, end))
+
+    work = Work(
+        call,
+        group.attempt,
+        batch.class_name,
+        sender,
+        now + batch.remaining_s,
+        now,
+        on_end,
+    )
+    run.works.append((entry, work))
+    offer(state, entry, work)
+
+
+def _not_home(group: ServerGroup, batch: ShardBatch, text: str) -> GroupReply:
+    return GroupReply(
+        group.server_id, group.attempt, batch.version, Code.NOT_HOME, text
+    )
+
+
+def _make_reply(entry: Entry, call: QueryCall, work: Work, end: QueryEnd) -> GroupReply:
+    ended_at = work.ended_at or work.queued_at
+    started_at = work.started_at if work.started_at is not None else ended_at
+    return GroupReply(
+        entry.target.server_id,
+        call.attempt,
+        call.version,
+        end.code,
+        end.text,
+        end.results,
+        started_at - work.queued_at,
+        ended_at - started_at,
+        len(entry.running) + entry.queue.size,
+        headroom(entry.ramp),
+    )
+
+
+def _add_reply(run: BatchRun, reply: GroupReply) -> None:
+    if not run.replies:
+        asyncio.get_running_loop().call_soon(_flush, run)
+    run.replies.append(reply)
+    run.waiting -= 1
+
+
+def _flush(run: BatchRun) -> None:
+    if run.is_cancelled:
+        return
+    replies, run.replies = run.replies, []
+    if replies:
+        run.on_replies(replies)
+    if run.waiting == 0 and not run.is_cancelled:
+        run.is_cancelled = True
+        run.on_done()
+
+
+async def run_submission(
+    state: HomesState, request: SubmitRequest, sender: DataCentre
+) -> SubmitReply:
+    """Dispatch a submission and wait for its end.
+
+    Once it has been sent it goes on even when nobody waits any more.
+    """
+    entry = state.entries.get(request.server_id)
+    if entry is None:
+        text = f'This daemon is not the home of "{request.server_id}".'
+        return SubmitReply(Outcome.NOT_RUN, Code.NOT_HOME, text)
+    now = state.clock()
+    fut: asyncio.Future[SubmitReply] = asyncio.get_running_loop().create_future()
+
+    def on_end(_work: Work, end: WorkEnd) -> None:
+        if isinstance(end, SubmitEnd) and not fut.done():
+            fut.set_result(SubmitReply(end.outcome, end.code, end.text, end.answer))
+
+    work = _submission_work(request, sender, now, on_end)
+    offer(state, entry, work)
+    try:
+        return await fut
+    except asyncio.CancelledError:
+        cancel_work(state, entry, work)
+        raise
+
+
+def _submission_work(
+    request: SubmitRequest,
+    sender: DataCentre,
+    now: float,
+    on_end: Callable[[Work, WorkEnd], None],
+) -> Work:
+    call = SubmitCall(
+        request.request_id, request.service, request.shard, request.operation
+    )
+    return Work(
+        call,
+        AttemptId(0),
+        request.class_name,
+        sender,
+        now + request.remaining_s,
+        now,
+        on_end,
+    )
+
+
+def lost_submission(server_id: ServerId, text: str) -> SubmitReply:
+    """Return the reply for a submission whose home may have sent it."""
+    text = f'The home of "{server_id}" was lost: {text}'
+    return SubmitReply(Outcome.UNKNOWN, Code.OUTCOME_UNKNOWN, text)
--- /dev/null
+++ b/src/bramleyrouter/homes/build.py
@@ -0,0 +1,69 @@
+"""Build the homes of one daemon."""
+
+import asyncio
+import random
+from collections.abc import Callable, Mapping
+
+from result import Result
+
+from bramleyrouter.board import Board
+from bramleyrouter.edges.servers.transport import ServerTransport
+from bramleyrouter.failures import Failure
+from bramleyrouter.homes import announcing
+from bramleyrouter.homes.clients import build_client
+from bramleyrouter.homes.entries import HomesState, PublishRows
+from bramleyrouter.homes.handovers import hand_over_all
+from bramleyrouter.homes.interfaces import Homes
+from bramleyrouter.homes.messages import Announcement, AnnouncementReply
+from bramleyrouter.homes.serving import serve_homes
+from bramleyrouter.homes.sweeps import start_sweeps
+from bramleyrouter.ids import ClassName, ServerId, ServerIncarnation
+from bramleyrouter.wire.network import Network
+
+
+def build_homes(
+    board: Board,
+    network: Network,
+    transport: ServerTransport,
+    publish_rows: PublishRows,
+    rng: random.Random,
+    class_weights: Mapping[ClassName, int] | None = None,
+    clock: Callable[[], float] | None = None,
+) -> Homes:
+    """Return the homes of this daemon; needs a running event loop.
+
+    ``publish_rows(changed, removed)`` gets the changed rows of this home's
+    servers. ``class_weights`` sets the shares of classes in a server's queue,
+    1 for those it lacks. ``clock`` is the loop's time by default.
+    """
+    weights = dict(class_weights or {})
+    state = HomesState(
+        board,
+        network,
+        transport,
+        publish_rows,
+        rng,
+        clock or asyncio.get_running_loop().time,
+        lambda name: weights.get(name, 1),
+    )
+    serve_homes(state)
+    start_sweeps(state)
+
+    async def announce(
+        announcement: Announcement,
+    ) -> Result[AnnouncementReply, Failure]:
+        return await announcing.announce(state, announcement)
+
+    async def withdraw(
+        server_id: ServerId, incarnation: ServerIncarnation
+    ) -> Result[None, Failure]:
+        return await announcing.withdraw(state, server_id, incarnation)
+
+    async def hand_over() -> None:
+        await hand_over_all(state)
+
+    def close() -> None:
+        state.is_closed = True
+        state.transport.close()
+
+    return Homes(build_client(state), announce, withdraw, hand_over, close)
--- /dev/null
+++ b/src/bramleyrouter/homes/clients.py
@@ -0,0 +1,137 @@
+"""Reach any home: this daemon's own directly, others over the network."""
+
+import asyncio
+from collections.abc import Callable
+
+from absl import logging
+from result import Err, Ok, Result
+
+from bramleyrouter.codes import Code
+from bramleyrouter.failures import Failure
+from bramleyrouter.homes.batches import lost_submission, run_batch, run_submission
+from bramleyrouter.homes.codecs import (
+    decode_replies,
+    decode_submit_reply,
+    encode_batch,
+    encode_submit_request,
+)
+from bramleyrouter.homes.entries import HomesState
+from bramleyrouter.homes.interfaces import HomeClient, OnEnd, OnReply
+from bramleyrouter.homes.messages import (
+    GroupReply,
+    ShardBatch,
+    SubmitReply,
+    SubmitRequest,
+)
+from bramleyrouter.ids import DaemonId
+from bramleyrouter.states import Outcome
+from bramleyrouter.wire.kinds import Kind
+
+
+def _address_of(state: HomesState, home: DaemonId) -> str | None:
+    record = state.board.daemons.records.get(home)
+    return record.internal_address if record else None
+
+
+def _unknown_home(home: DaemonId) -> Failure:
+    return Failure(Code.PEER_UNREACHABLE, f'Daemon "{home}" is not known.')
+
+
+def build_client(state: HomesState) -> HomeClient:
+    """Return the client that routing uses."""
+    own = state.board.identity
+
+    def dispatch(
+        home: DaemonId, batch: ShardBatch, on_reply: OnReply, on_end: OnEnd
+    ) -> Callable[[], None]:
+        if home == own.daemon_id:
+            return _dispatch_here(state, batch, on_reply, on_end)
+        return _dispatch_there(state, home, batch, on_reply, on_end)
+
+    async def submit(home: DaemonId, request: SubmitRequest) -> SubmitReply:
+        if home == own.daemon_id:
+            return await run_submission(state, request, own.data_centre)
+        return await _submit_there(state, home, request)
+
+    return HomeClient(dispatch, submit)
+
+
+def _dispatch_here(
+    state: HomesState, batch: ShardBatch, on_reply: OnReply, on_end: OnEnd
+) -> Callable[[], None]:
+    is_cancelled = False
+
+    def on_replies(replies: list[GroupReply]) -> None:
+        for reply in replies:
+            if not is_cancelled:
+                on_reply(reply)
+
+    own = state.board.identity.data_centre
+    cancel_run = run_batch(state, batch, own, on_replies, lambda: on_end(Ok(None)))
+
+    def cancel() -> None:
+        nonlocal is_cancelled
+        is_cancelled = True
+        cancel_run()
+
+    return cancel
+
+
+def _dispatch_there(
+    state: HomesState,
+    home: DaemonId,
+    batch: ShardBatch,
+    on_reply: OnReply,
+    on_end: OnEnd,
+) -> Callable[[], None]:
+    is_cancelled = False
+
+    def on_item(payload: bytes) -> None:
+        decoded = decode_replies(payload)
+        if isinstance(decoded, Err):
+            logging.error("homes: %s sent: %s", home, decoded.err_value)
+            return
+        for reply in decoded.ok_value:
+            if not is_cancelled:
+                on_reply(reply)
+
+    def end(outcome: Result[None, Failure]) -> None:
+        if not is_cancelled:
+            on_end(outcome)
+
+    def cancel() -> None:
+        nonlocal is_cancelled
+        is_cancelled = True
+        cancel_stream()
+
+    address = _address_of(state, home)
+    if address is None:
+        loop = asyncio.get_running_loop()
+        handle = loop.call_soon(end, Err(_unknown_home(home)))
+        cancel_stream: Callable[[], None] = handle.cancel
+    else:
+        payload = encode_batch(batch)
+        cancel_stream = state.network.stream(
+            address, Kind.SHARD_BATCH, payload, on_item, end
+        )
+    return cancel
+
+
+async def _submit_there(
+    state: HomesState, home: DaemonId, request: SubmitRequest
+) -> SubmitReply:
+    address = _address_of(state, home)
+    if address is None:
+        failure = _unknown_home(home)
+        return SubmitReply(Outcome.NOT_RUN, failure.code, failure.text)
+    payload = encode_submit_request(request)
+    reply = await state.network.call(address, Kind.SUBMIT, payload, request.remaining_s)
+    if isinstance(reply, Ok):
+        decoded = decode_submit_reply(reply.ok_value)
+        if isinstance(decoded, Ok):
+            return decoded.ok_value
+        return lost_submission(request.server_id, decoded.err_value.text)
+    failure = reply.err_value
+    if failure.code is Code.PEER_UNREACHABLE:
+        return SubmitReply(Outcome.NOT_RUN, failure.code, failure.text)
+    return lost_submission(request.server_id, failure.text)
--- /dev/null
+++ b/src/bramleyrouter/homes/codecs.py
@@ -0,0 +1,366 @@
+"""Convert the messages of the homes to bytes and back.
+
+Decoding returns a ``Failure`` for anything that is cut off, too large, of
+another protocol version or out of the values' ranges.
+"""
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, NamedTuple, TypeVar
+
+import capnp
+from result import Err, Ok, Result
+
+from bramleyrouter.board.sections import ServiceHolding
+from bramleyrouter.codes import Code
+from bramleyrouter.failures import Failure
+from bramleyrouter.homes.messages import (
+    Announcement,
+    AnnouncementReply,
+    GroupReply,
+    LeaseToken,
+    ServerGroup,
+    ShardBatch,
+    SubmitReply,
+    SubmitRequest,
+)
+from bramleyrouter.ids import ServerId, ServerIncarnation
+from bramleyrouter.states import Outcome, ServerState
+
+PROTOCOL_VERSION = 1
+# A little less than the largest frame on the wire.
+MAX_PAYLOAD_BYTES = 8 * 1024 * 1024 - 4096
+# One batch names at most the servers of one home, one group at most the
+# shards of one server; both far above the sizes of docs/design.md.
+MAX_GROUPS = 4096
+MAX_SHARDS = 16384
+
+_SCHEMA = capnp.load(str(Path(__file__).with_name("homes.capnp")))
+
+T = TypeVar("T")
+
+
+class Handover(NamedTuple):
+    """Give a server to another home, with what its ramp had learnt."""
+
+    announcement: Announcement
+    ramp_limit: int
+    baseline_s: float
+
+
+class Withdrawal(NamedTuple):
+    """Pass on that a server withdrew."""
+
+    server_id: ServerId
+    incarnation: ServerIncarnation
+
+
+def _decode(
+    schema: Any, payload: bytes, read: Callable[[Any], T]
+) -> Result[T, Failure]:
+    if len(payload) > MAX_PAYLOAD_BYTES:
+        text = f'A message of "{len(payload)}" bytes came.'
+        return Err(Failure(Code.WIRE_TOO_LARGE, text))
+    try:
+        with schema.from_bytes(payload) as message:
+            if message.protocolVersion != PROTOCOL_VERSION:
+                text = (
+                    f'Protocol version "{message.protocolVersion}" was received; '
+                    f'"{PROTOCOL_VERSION}" was expected.'
+                )
+                return Err(Failure(Code.WIRE_VERSION, text))
+            return Ok(read(message))
+    except (capnp.KjException, ValueError, UnicodeDecodeError) as exc:
+        text = f"The message can't be decoded: {str(exc)[:200]}"
+        return Err(Failure(Code.WIRE_MALFORMED, text))
+
+
+def _bounded(items: Any, limit: int) -> Any:
+    if len(items) > limit:
+        raise ValueError(f'A list of "{len(items)}" came; at most "{limit}".')
+    return items
+
+
+def encode_batch(batch: ShardBatch) -> bytes:
+    """Return the bytes of a batch."""
+    message = _SCHEMA.ShardBatch.new_message()
+    message.protocolVersion = PROTOCOL_VERSION
+    message.requestId = batch.request_id
+    message.tenant = batch.tenant
+    message.className = batch.class_name
+    message.version = batch.version
+    message.revision = batch.revision
+    message.remainingS = batch.remaining_s
+    message.isStale = batch.is_stale
+    message.query = batch.query
+    groups = message.init("groups", len(batch.groups))
+    for target, group in zip(groups, batch.groups, strict=True):
+        target.serverId = group.server_id
+        target.attempt = group.attempt
+        target.service = group.service
+        target.shards = group.shards
+    return message.to_bytes()
+
+
+def _read_group(group: Any) -> ServerGroup:
+    shards = tuple(_bounded(group.shards, MAX_SHARDS))
+    return ServerGroup(group.serverId, group.attempt, group.service, shards)
+
+
+def decode_batch(payload: bytes) -> Result[ShardBatch, Failure]:
+    """Decode a batch."""
+
+    def read(message: Any) -> ShardBatch:
+        return ShardBatch(
+            message.requestId,
+            message.tenant,
+            message.className,
+            message.version,
+            message.revision,
+            message.remainingS,
+            message.isStale,
+            tuple(map(_read_group, _bounded(message.groups, MAX_GROUPS))),
+            message.query,
+        )
+
+    return _decode(_SCHEMA.ShardBatch, payload, read)
+
+
+def encode_replies(replies: list[GroupReply]) -> bytes:
+    """Return the bytes of the replies that ended in one turn."""
+    message = _SCHEMA.GroupReplies.new_message()
+    message.protocolVersion = PROTOCOL_VERSION
+    targets = message.init("replies", len(replies))
+    for target, reply in zip(targets, replies, strict=True):
+        target.serverId = reply.server_id
+        target.attempt = reply.attempt
+        target.version = reply.version
+        target.code = int(reply.code)
+        if reply.text:
+            target.text = reply.text
+        results = target.init("results", len(reply.results))
+        for slot, (shard, body) in zip(results, reply.results.items(), strict=True):
+            slot.shard = shard
+            slot.body = body
+        target.queueS = reply.queue_s
+        target.serviceS = reply.service_s
+        target.inFlight = reply.in_flight
+        target.headroom = reply.headroom
+    return message.to_bytes()
+
+
+def _read_reply(reply: Any) -> GroupReply:
+    results = _bounded(reply.results, MAX_SHARDS)
+    return GroupReply(
+        reply.serverId,
+        reply.attempt,
+        reply.version,
+        Code(reply.code),
+        reply.text,
+        {item.shard: item.body for item in results},
+        reply.queueS,
+        reply.serviceS,
+        reply.inFlight,
+        reply.headroom,
+    )
+
+
+def decode_replies(payload: bytes) -> Result[list[GroupReply], Failure]:
+    """Decode replies."""
+
+    def read(message: Any) -> list[GroupReply]:
+        return list(map(_read_reply, _bounded(message.replies, MAX_GROUPS)))
+
+    return _decode(_SCHEMA.GroupReplies, payload, read)
+
+
+def encode_submit_request(request: SubmitRequest) -> bytes:
+    """Return the bytes of a submission."""
+    message = _SCHEMA.SubmitRequest.new_message()
+    message.protocolVersion = PROTOCOL_VERSION
+    message.requestId = request.request_id
+    message.tenant = request.tenant
+    message.className = request.class_name
+    message.revision = request.revision
+    message.remainingS = request.remaining_s
+    message.isStale = request.is_stale
+    message.serverId = request.server_id
+    message.service = request.service
+    message.shard = request.shard
+    message.operation = request.operation
+    return message.to_bytes()
+
+
+def decode_submit_request(payload: bytes) -> Result[SubmitRequest, Failure]:
+    """Decode a submission."""
+
+    def read(message: Any) -> SubmitRequest:
+        return SubmitRequest(
+            message.requestId,
+            message.tenant,
+            message.className,
+            message.revision,
+            message.remainingS,
+            message.isStale,
+            message.serverId,
+            message.service,
+            message.shard,
+            message.operation,
+        )
+
+    return _decode(_SCHEMA.SubmitRequest, payload, read)
+
+
+def encode_submit_reply(reply: SubmitReply) -> bytes:
+    """Return the bytes of the reply to a submission."""
+    message = _SCHEMA.SubmitReply.new_message()
+    message.protocolVersion = PROTOCOL_VERSION
+    message.outcome = reply.outcome.value
+    message.code = int(reply.code)
+    message.text = reply.text
+    message.answer = reply.answer
+    return message.to_bytes()
+
+
+def decode_submit_reply(payload: bytes) -> Result[SubmitReply, Failure]:
+    """Decode the reply to a submission."""
+
+    def read(message: Any) -> SubmitReply:
+        return SubmitReply(
+            Outcome(message.outcome), Code(message.code), message.text, message.answer
+        )
+
+    return _decode(_SCHEMA.SubmitReply, payload, read)
+
+
+def _write_lease(target: Any, lease: LeaseToken) -> None:
+    target.home = lease.home
+    target.homeIncarnation = lease.home_incarnation
+    target.registration = lease.registration
+    target.stampS = lease.stamp_s
+
+
+def _read_lease(lease: Any) -> LeaseToken:
+    return LeaseToken(
+        lease.home, lease.homeIncarnation, lease.registration, lease.stampS
+    )
+
+
+def _write_announcement(target: Any, announcement: Announcement) -> None:
+    target.protocolVersion = PROTOCOL_VERSION
+    target.serverId = announcement.server_id
+    target.incarnation = announcement.incarnation
+    target.registration = announcement.registration
+    target.sequence = announcement.sequence
+    target.dataCentre = announcement.data_centre
+    target.address = announcement.address
+    target.state = announcement.state.value
+    target.slots = announcement.slots
+    target.connectionLimit = announcement.connection_limit
+    target.holdings = [
+        {
+            "service": holding.service,
+            "shards": [
+                {"shard": shard, "versions": list(versions)}
+                for shard, versions in holding.shards.items()
+            ],
+        }
+        for holding in announcement.holdings
+    ]
+    if announcement.lease is not None:
+        target.hasLease = True
+        _write_lease(target.init("lease"), announcement.lease)
+
+
+def _read_holding(holding: Any) -> ServiceHolding:
+    shards = _bounded(holding.shards, MAX_SHARDS)
+    return ServiceHolding(
+        holding.service, {item.shard: tuple(item.versions) for item in shards}
+    )
+
+
+def _read_announcement(message: Any) -> Announcement:
+    return Announcement(
+        message.serverId,
+        message.incarnation,
+        message.registration,
+        message.sequence,
+        message.dataCentre,
+        message.address,
+        ServerState(message.state),
+        message.slots,
+        message.connectionLimit,
+        tuple(map(_read_holding, _bounded(message.holdings, MAX_GROUPS))),
+        _read_lease(message.lease) if message.hasLease else None,
+    )
+
+
+def encode_announcement(announcement: Announcement) -> bytes:
+    """Return the bytes of an announcement."""
+    message = _SCHEMA.Announcement.new_message()
+    _write_announcement(message, announcement)
+    return message.to_bytes()
+
+
+def decode_announcement(payload: bytes) -> Result[Announcement, Failure]:
+    """Decode an announcement."""
+    return _decode(_SCHEMA.Announcement, payload, _read_announcement)
+
+
+def encode_announcement_reply(reply: AnnouncementReply) -> bytes:
+    """Return the bytes of the reply to an announcement."""
+    message = _SCHEMA.AnnouncementReply.new_message()
+    message.protocolVersion = PROTOCOL_VERSION
+    _write_lease(message.init("lease"), reply.lease)
+    message.homeHttpAddress = reply.home_http_address
+    message.renewAfterS = reply.renew_after_s
+    return message.to_bytes()
+
+
+def decode_announcement_reply(payload: bytes) -> Result[AnnouncementReply, Failure]:
+    """Decode the reply to an announcement."""
+
+    def read(message: Any) -> AnnouncementReply:
+        return AnnouncementReply(
+            _read_lease(message.lease), message.homeHttpAddress, message.renewAfterS
+        )
+
+    return _decode(_SCHEMA.AnnouncementReply, payload, read)
+
+
+def encode_handover(handover: Handover) -> bytes:
+    """Return the bytes of a handover."""
+    message = _SCHEMA.Handover.new_message()
+    message.protocolVersion = PROTOCOL_VERSION
+    _write_announcement(message.init("announcement"), handover.announcement)
+    message.rampLimit = handover.ramp_limit
+    message.baselineS = handover.baseline_s
+    return message.to_bytes()
+
+
+def decode_handover(payload: bytes) -> Result[Handover, Failure]:
+    """Decode a handover."""
+
+    def read(message: Any) -> Handover:
+        announcement = _read_announcement(message.announcement)
+        return Handover(announcement, message.rampLimit, message.baselineS)
+
+    return _decode(_SCHEMA.Handover, payload, read)
+
+
+def encode_withdrawal(withdrawal: Withdrawal) -> bytes:
+    """Return the bytes of a withdrawal."""
+    message = _SCHEMA.Withdrawal.new_message()
+    message.protocolVersion = PROTOCOL_VERSION
+    message.serverId = withdrawal.server_id
+    message.incarnation = withdrawal.incarnation
+    return message.to_bytes()
+
+
+def decode_withdrawal(payload: bytes) -> Result[Withdrawal, Failure]:
+    """Decode a withdrawal."""
+
+    def read(message: Any) -> Withdrawal:
+        return Withdrawal(message.serverId, message.incarnation)
+
+    return _decode(_SCHEMA.Withdrawal, payload, read)
--- /dev/null
+++ b/src/bramleyrouter/homes/dispatching.py
@@ -0,0 +1,207 @@
+"""Dispatch to the servers of this home, inside all of their limits."""
+
+import asyncio
+
+from absl import logging
+
+from bramleyrouter.codes import Code
+from bramleyrouter.edges.servers.transport import QueryCall, QueryEnd, SubmitEnd
+from bramleyrouter.homes.entries import Entry, HomesState, Work, WorkEnd
+from bramleyrouter.homes.limits import (
+    AUTHORITY_MARGIN_S,
+    MIN_ATTEMPT_S,
+    QUEUE_PER_SLOT,
+    SERVICE_SHARE,
+)
+from bramleyrouter.homes.queues import count_ahead, pop, push, remove, take_all
+from bramleyrouter.homes.ramps import note_cancelled, note_failure, note_success
+from bramleyrouter.homes.refusals import Refusal, find_refusal
+from bramleyrouter.homes.rows import mark_changed
+from bramleyrouter.states import Outcome
+
+# Pause after a connection was refused, in seconds; it doubles up to the
+# longest. Without it a dead server would attract work by failing quickly.
+FIRST_PAUSE_S = 0.25
+LONGEST_PAUSE_S = 1.0
+
+# Ends that show a server in trouble. A refusal for a version that it does not
+# hold, or because it drains, says nothing about its load.
+_FAILURES = frozenset(
+    {
+        Code.SERVER_REFUSED,
+        Code.CONNECT_FAILED,
+        Code.SHARD_TIMEOUT,
+        Code.SHARD_TRUNCATED,
+        Code.SHARD_WRONG_IDENTITY,
+        Code.SHARD_SERVER_ERROR,
+        Code.SHARD_CONNECTION_LOST,
+        Code.OUTCOME_UNKNOWN,
+    }
+)
+
+
+def capacity_of(entry: Entry) -> int:
+    """Return how many requests may be in flight.
+
+    One connection is kept for cancellations and probes, if there are two.
+    """
+    connections = max(1, entry.connection_limit - 1)
+    return max(1, min(entry.slots, connections, entry.ramp.limit))
+
+
+def has_free_slot(entry: Entry) -> bool:
+    """Return whether one more request, or a probe, fits in."""
+    used = len(entry.running) + entry.is_probing
+    return not entry.is_handing_over and used < capacity_of(entry)
+
+
+def offer(state: HomesState, entry: Entry, work: Work) -> None:
+    """Dispatch, queue or refuse a piece of work."""
+    now = state.clock()
+    refusal = find_refusal(state, entry, work.sender_data_centre, now)
+    if refusal is not None:
+        refuse(state, work, refusal)
+    elif not entry.queue.size and has_free_slot(entry):
+        _start(state, entry, work, now)
+    elif refusal := _find_queue_refusal(entry, work, now):
+        refuse(state, work, refusal)
+    else:
+        push(entry.queue, work)
+        loop = asyncio.get_running_loop()
+        at = work.deadline - MIN_ATTEMPT_S
+        work.expiry = loop.call_at(at, _expire, state, entry, work)
+        pump(state, entry)
+
+
+def _find_queue_refusal(entry: Entry, work: Work, now: float) -> Refusal | None:
+    """Refuse early what would only wait until its deadline has passed."""
+    if entry.queue.size >= QUEUE_PER_SLOT * entry.slots:
+        return Code.QUEUE_FULL, f'"{entry.queue.size}" requests wait already.'
+    ahead = count_ahead(entry.queue, work.deadline)
+    wait_s = (ahead + 1) * entry.service_s / capacity_of(entry)
+    if now + wait_s + entry.service_s > work.deadline:
+        text = f"A wait of {wait_s:.3f} s is expected, too long for the deadline."
+        return Code.QUEUE_DEADLINE, text
+    return None
+
+
+def _expire(state: HomesState, entry: Entry, work: Work) -> None:
+    work.expiry = None
+    if remove(entry.queue, work):
+        refuse(state, work, (Code.QUEUE_DEADLINE, "The deadline came in the queue."))
+
+
+def refuse(state: HomesState, work: Work, refusal: Refusal) -> None:
+    """End work that did not run."""
+    code, text = refusal
+    if isinstance(work.call, QueryCall):
+        _end(state, work, QueryEnd(code, text))
+    else:
+        _end(state, work, SubmitEnd(Outcome.NOT_RUN, code, text))
+
+
+def _end(state: HomesState, work: Work, end: WorkEnd) -> None:
+    if work.expiry is not None:
+        work.expiry.cancel()
+        work.expiry = None
+    work.ended_at = state.clock()
+    state.ended[end.code] = state.ended.get(end.code, 0) + 1
+    on_end = work.on_end
+    work.on_end = None
+    if on_end is not None:
+        on_end(work, end)
+
+
+def pump(state: HomesState, entry: Entry) -> None:
+    """Start what waits while there are free slots."""
+    while entry.queue.size and has_free_slot(entry):
+        work = pop(entry.queue)
+        if work is None:
+            return
+        now = state.clock()
+        refusal = find_refusal(state, entry, work.sender_data_centre, now)
+        if refusal is not None:
+            refuse(state, work, refusal)
+        else:
+            _start(state, entry, work, now)
+
+
+def refuse_waiting(state: HomesState, entry: Entry, refusal: Refusal) -> None:
+    """Refuse all that waits for a server."""
+    for work in take_all(entry.queue):
+        refuse(state, work, refusal)
+
+
+def _start(state: HomesState, entry: Entry, work: Work, now: float) -> None:
+    authority_s = entry.registered.authority_until - AUTHORITY_MARGIN_S - now
+    if authority_s < MIN_ATTEMPT_S:
+        refuse(state, work, (Code.NO_AUTHORITY, "The home's authority ends now."))
+        return
+    timeout_s = min(work.deadline - now, authority_s)
+    if timeout_s < MIN_ATTEMPT_S:
+        refuse(state, work, (Code.QUEUE_DEADLINE, "Too little time is left."))
+        return
+    if work.expiry is not None:
+        work.expiry.cancel()
+        work.expiry = None
+    work.started_at = now
+    entry.running.add(work)
+
+    def on_end(end: WorkEnd) -> None:
+        _finish(state, entry, work, end)
+
+    if isinstance(work.call, QueryCall):
+        state.transport.query(entry.target, work.call, timeout_s, on_end)
+    else:
+        state.transport.submit(entry.target, work.call, timeout_s, on_end)
+
+
+def _finish(state: HomesState, entry: Entry, work: Work, end: WorkEnd) -> None:
+    entry.running.discard(work)
+    now = state.clock()
+    _learn(entry, work, end, now)
+    if state.entries.get(entry.target.server_id) is entry:
+        mark_changed(state, entry)
+    _end(state, work, end)
+    pump(state, entry)
+
+
+def _learn(entry: Entry, work: Work, end: WorkEnd, now: float) -> None:
+    """Let the ramp and the estimate of waits follow how an attempt ended."""
+    elapsed_s = now - (work.started_at or now)
+    was_cut = False
+    if end.code is Code.OK:
+        entry.pause_s = 0.0
+        entry.service_s += SERVICE_SHARE * (elapsed_s - entry.service_s)
+        was_cut = note_success(entry.ramp, elapsed_s, now)
+    elif end.code is Code.SHARD_CANCELLED:
+        was_cut = note_cancelled(entry.ramp, elapsed_s, now)
+    elif end.code in _FAILURES:
+        was_cut = note_failure(entry.ramp, now)
+    if end.code is Code.CONNECT_FAILED:
+        longer = max(FIRST_PAUSE_S, 2 * entry.pause_s)
+        entry.pause_s = min(LONGEST_PAUSE_S, longer)
+        entry.paused_until = now + entry.pause_s
+    if was_cut:
+        server_id = entry.target.server_id
+        logging.warning(
+            "homes: %s looks cold (%s); its ramp begins again.", server_id, end.code
+        )
+
+
+def cancel_work(state: HomesState, entry: Entry, work: Work) -> None:
+    """Stop work that nobody waits for any more.
+
+    Queued work ends at once. A running query is cancelled at the server and
+    keeps its slot until it has ended there. A running submission goes on.
+    """
+    if work.ended_at is not None:
+        return
+    if work.on_end is not None:
+        work.on_end = None
+    if work.started_at is None:
+        if remove(entry.queue, work):
+            refuse(state, work, (Code.CANCELLED_IN_QUEUE, "Cancelled in the queue."))
+    elif isinstance(work.call, QueryCall):
+        request_id = work.call.request_id
+        state.transport.cancel(entry.target, request_id, work.attempt)
--- /dev/null
+++ b/src/bramleyrouter/homes/entries.py
@@ -0,0 +1,102 @@
+"""State of a home: its servers, their queues and what runs there."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bramleyrouter.board import Board
+from bramleyrouter.board.sections import ServerRecord
+from bramleyrouter.edges.servers.transport import (
+    QueryCall,
+    QueryEnd,
+    ServerTransport,
+    SubmitCall,
+    SubmitEnd,
+    Target,
+)
+from bramleyrouter.homes.holddowns import HoldDown
+from bramleyrouter.homes.limits import ASSUMED_SERVICE_S
+from bramleyrouter.homes.queues import FairQueue
+from bramleyrouter.homes.ramps import Ramp
+from bramleyrouter.homes.registrations import Registered
+from bramleyrouter.ids import AttemptId, ClassName, DataCentre, ServerId
+from bramleyrouter.wire.network import Network
+
+PublishRows = Callable[[list[ServerRecord], list[ServerId]], None]
+WorkEnd = QueryEnd | SubmitEnd
+
+
+@dataclass(eq=False)
+class Work:
+    """Hold one request to one server; times are loop times in seconds.
+
+    ``on_end`` is called once, or never after a cancellation.
+    """
+
+    call: QueryCall | SubmitCall
+    attempt: AttemptId
+    class_name: ClassName
+    sender_data_centre: DataCentre
+    deadline: float
+    queued_at: float
+    on_end: "Callable[[Work, WorkEnd], None] | None"
+    started_at: float | None = None
+    ended_at: float | None = None
+    expiry: asyncio.TimerHandle | None = None
+
+
+@dataclass(eq=False)
+class Entry:
+    """Hold one server whose home is this daemon.
+
+    ``slots`` and ``connection_limit`` are the lowest that the server declared
+    in this registration. ``paused_until`` holds work back after a failed
+    connection; ``is_handing_over`` holds it back during a handover.
+    """
+
+    registered: Registered
+    target: Target
+    slots: int
+    connection_limit: int
+    ramp: Ramp
+    hold: HoldDown
+    queue: FairQueue[Work]
+    running: set[Work] = field(default_factory=set)
+    service_s: float = ASSUMED_SERVICE_S
+    is_probing: bool = False
+    next_probe_at: float = 0.0
+    paused_until: float = float("-inf")
+    pause_s: float = 0.0
+    is_handing_over: bool = False
+    was_out: bool = False
+    published: ServerRecord | None = None
+
+
+@dataclass
+class Memory:
+    """Hold what stays known of a forgotten server until ``until``."""
+
+    order: tuple[int, int, int]
+    hold: HoldDown
+    until: float
+
+
+@dataclass
+class HomesState:
+    """Hold what the parts of the homes share."""
+
+    board: Board
+    network: Network
+    transport: ServerTransport
+    publish_rows: PublishRows
+    rng: random.Random
+    clock: Callable[[], float]
+    weight_of: Callable[[ClassName], int]
+    entries: dict[ServerId, Entry] = field(default_factory=dict)
+    memory: dict[ServerId, Memory] = field(default_factory=dict)
+    changed: set[ServerId] = field(default_factory=set)
+    # Ended work by result code, for metrics.
+    ended: dict[int, int] = field(default_factory=dict)
+    is_leaving: bool = False
+    is_closed: bool = False
--- /dev/null
+++ b/src/bramleyrouter/homes/handovers.py
@@ -0,0 +1,115 @@
+"""Planned handover of servers to other homes, without the authority wait.
+
+The home hands a server over when the server renews: it lets running work end,
+gives up its role for good, asks another daemon to take over and answers the
+renewal with that daemon's token. The server's echo of this token gives the new
+home its authority; so at no time have both homes authority. A lost answer
+costs the wait: the server then announces itself with the next registration.
+"""
+
+import asyncio
+
+from absl import logging
+from result import Err, Ok, Result
+
+from bramleyrouter.codes import Code
+from bramleyrouter.failures import Failure
+from bramleyrouter.homes.codecs import (
+    Handover,
+    decode_announcement_reply,
+    encode_handover,
+)
+from bramleyrouter.homes.entries import Entry, HomesState
+from bramleyrouter.homes.limits import (
+    FORWARD_TIMEOUT_S,
+    HANDOVER_DRAIN_S,
+    HANDOVER_RETRY_S,
+    HANDOVER_TIMEOUT_S,
+    MAX_FORWARD_TRIES,
+)
+from bramleyrouter.homes.messages import Announcement, AnnouncementReply
+from bramleyrouter.homes.placement import live_daemons, rank_homes
+from bramleyrouter.homes.registrations import hand_out, make_token
+from bramleyrouter.homes.registry import forget, renew_here
+from bramleyrouter.homes.rows import mark_changed
+from bramleyrouter.wire.kinds import Kind
+
+# Interval, in seconds, at which a handover looks whether work has ended.
+POLL_S = 0.01
+
+
+async def renew_or_hand_over(
+    state: HomesState, announcement: Announcement
+) -> Result[AnnouncementReply, Failure]:
+    """Renew a server here, or answer with its next home while leaving."""
+    renewed = renew_here(state, announcement)
+    if isinstance(renewed, Err) or not state.is_leaving:
+        return renewed
+    entry = state.entries[announcement.server_id]
+    if not await _drain(state, entry):
+        return Ok(_come_back(state, entry))
+    if state.entries.get(announcement.server_id) is not entry:
+        return Err(Failure(Code.LEASE_UNKNOWN, "The server has another home."))
+    following = await _give_away(state, entry)
+    if following is None:
+        entry.is_handing_over = False
+        mark_changed(state, entry)
+        return Ok(_come_back(state, entry))
+    return Ok(following)
+
+
+def _come_back(state: HomesState, entry: Entry) -> AnnouncementReply:
+    identity = state.board.identity
+    token = make_token(identity, entry.registered, state.clock())
+    return AnnouncementReply(token, identity.http_address, HANDOVER_RETRY_S)
+
+
+async def _drain(state: HomesState, entry: Entry) -> bool:
+    """Start nothing more and wait until nothing runs; return whether so."""
+    entry.is_handing_over = True
+    mark_changed(state, entry)
+    until = state.clock() + HANDOVER_DRAIN_S
+    while entry.running or entry.is_probing:
+        if state.clock() >= until:
+            return False
+        await asyncio.sleep(POLL_S)
+    return True
+
+
+async def _give_away(state: HomesState, entry: Entry) -> AnnouncementReply | None:
+    """Ask the best other daemons in turn; forget the server on success."""
+    announcement = hand_out(entry.registered.announcement)
+    own = state.board.identity
+    others = [
+        record
+        for record in state.board.daemons.records.values()
+        if record.daemon_id != own.daemon_id
+    ]
+    candidates = live_daemons(others, own.data_centre)
+    ranked = rank_homes(candidates, state.board.servers, announcement)
+    ramp = entry.ramp
+    payload = encode_handover(Handover(announcement, ramp.limit, ramp.baseline_s))
+    for home in ranked[:MAX_FORWARD_TRIES]:
+        outcome = await state.network.call(
+            home.internal_address, Kind.HANDOVER, payload, FORWARD_TIMEOUT_S
+        )
+        if isinstance(outcome, Err):
+            continue
+        reply = decode_announcement_reply(outcome.ok_value)
+        if isinstance(reply, Ok):
+            server_id = entry.target.server_id
+            logging.info("homes: handed %s over to %s.", server_id, home.daemon_id)
+            forget(state, entry, (Code.NOT_HOME, "The server has another home."))
+            return reply.ok_value
+    return None
+
+
+async def hand_over_all(state: HomesState) -> None:
+    """Give all servers away as they renew; return when none is left.
+
+    Servers that did not renew in time announce themselves elsewhere.
+    """
+    state.is_leaving = True
+    until = state.clock() + HANDOVER_TIMEOUT_S
+    while state.entries and state.clock() < until:
+        await asyncio.sleep(POLL_S)
--- /dev/null
+++ b/src/bramleyrouter/homes/placement.py
@@ -0,0 +1,71 @@
+"""Choice of the home of a backend server."""
+
+import hashlib
+from collections.abc import Iterable
+
+from bramleyrouter.board.sections import DaemonRecord, ServerTable
+from bramleyrouter.homes.messages import Announcement
+from bramleyrouter.ids import DaemonId, DataCentre, ServerId
+from bramleyrouter.states import DaemonState
+
+# Shards of a server that are looked up to find its sibling replicas; replicas
+# mostly hold the same shards, so a few are enough.
+SIBLING_SHARDS = 16
+
+
+def _weight(daemon_id: DaemonId, server_id: ServerId) -> bytes:
+    text = f"{daemon_id}\0{server_id}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
+
+
+def _sibling_homes(
+    servers: ServerTable, announcement: Announcement
+) -> dict[DaemonId, int]:
+    """Count, by home, the other replicas of the server's shards."""
+    siblings: set[ServerId] = set()
+    looked_up = 0
+    for holding in announcement.holdings:
+        for shard, versions in holding.shards.items():
+            if looked_up == SIBLING_SHARDS:
+                break
+            looked_up += 1
+            for version in versions:
+                siblings.update(
+                    servers.by_shard.get((holding.service, shard, version), ())
+                )
+    siblings.discard(announcement.server_id)
+    counts: dict[DaemonId, int] = {}
+    for server_id in siblings:
+        if record := servers.records.get(server_id):
+            counts[record.home] = counts.get(record.home, 0) + 1
+    return counts
+
+
+def live_daemons(
+    records: Iterable[DaemonRecord], data_centre: DataCentre
+) -> list[DaemonRecord]:
+    """Return the daemons of a data centre that may become homes."""
+    return [
+        record
+        for record in records
+        if record.data_centre == data_centre and record.state is DaemonState.ALIVE
+    ]
+
+
+def rank_homes(
+    candidates: Iterable[DaemonRecord],
+    servers: ServerTable,
+    announcement: Announcement,
+) -> list[DaemonRecord]:
+    """Order the candidates: fewest sibling replicas, then rendezvous hash.
+
+    So the loss of one home takes at most one replica of a shard while there
+    are enough daemons.
+    """
+    counts = _sibling_homes(servers, announcement)
+
+    def rank(record: DaemonRecord):
+        weight = _weight(record.daemon_id, announcement.server_id)
+        return counts.get(record.daemon_id, 0), weight
+
+    return sorted(candidates, key=rank)
--- /dev/null
+++ b/src/bramleyrouter/homes/ramps.py
@@ -0,0 +1,153 @@
+"""Cold-start ramp of one server: pure functions on its state.
+
+A server that has just started can handle only a little load. The ramp begins
+at one request in flight and is raised by one after enough successes at a
+healthy latency. A server that turns cold without warning shows a latency far
+above its own baseline, or refuses: the ramp is cut to one and begins again.
+"""
+
+from dataclasses import dataclass
+
+# Successes per request in flight that raise the limit by one.
+SUCCESSES_PER_STEP = 8
+# Shortest time between two raises, in seconds; a cold server needs time, not
+# only requests.
+MIN_STEP_S = 0.25
+# Share of the newest sample in the fast average. Two stragglers in a row at
+# ten times the latency stay below the cold factor.
+FAST_SHARE = 0.15
+# Share in the baseline while the server is healthy, and while it is not: then
+# the baseline still moves, so that a server whose work became more costly for
+# good is not held back for ever.
+BASELINE_SHARE = 0.02
+UNHEALTHY_SHARE = 0.005
+# A fast average above this multiple of the baseline means cold ...
+COLD_FACTOR = 4.0
+# ... and one below this multiple means healthy. The gap between both keeps
+# the limit from swinging.
+HEALTHY_FACTOR = 2.0
+# Samples before the baseline is trusted.
+BASELINE_SAMPLES = 20
+# Latencies below this, in seconds, are never taken for a sign of cold: at
+# this scale the network and the event loop dominate.
+NOISE_FLOOR_S = 0.002
+# Refusals or errors in a row that mean cold.
+FAILURES_TO_CUT = 3
+# A cut is followed by no other for this time, in seconds: what is still in
+# flight was sent before it.
+CUT_PAUSE_S = 0.5
+
+
+@dataclass
+class Ramp:
+    """Hold the limit of requests in flight and what it follows from.
+
+    ``fast_s`` and ``baseline_s`` are moving averages of the latency at the
+    server, in seconds; zero before the first sample.
+    """
+
+    slots: int
+    limit: int = 1
+    successes: int = 0
+    failures_in_row: int = 0
+    samples: int = 0
+    fast_s: float = 0.0
+    baseline_s: float = 0.0
+    last_step_at: float = float("-inf")
+    last_cut_at: float = float("-inf")
+    cuts: int = 0
+
+
+def headroom(ramp: Ramp) -> float:
+    """Return the share of the slots that the ramp allows, 0 to 1."""
+    return min(1.0, ramp.limit / ramp.slots)
+
+
+def restart(ramp: Ramp, now: float) -> None:
+    """Begin again at one request in flight; the baseline is kept."""
+    ramp.limit = 1
+    ramp.successes = 0
+    ramp.failures_in_row = 0
+    ramp.fast_s = 0.0
+    ramp.last_step_at = now
+
+
+def note_success(ramp: Ramp, latency_s: float, now: float) -> bool:
+    """Take one success; return whether the ramp was cut for its latency."""
+    ramp.failures_in_row = 0
+    if _note_latency(ramp, latency_s, now):
+        return True
+    if ramp.limit < ramp.slots and not _is_above(ramp, HEALTHY_FACTOR):
+        ramp.successes += 1
+        enough = ramp.successes >= SUCCESSES_PER_STEP * ramp.limit
+        if enough and now - ramp.last_step_at >= MIN_STEP_S:
+            ramp.limit += 1
+            ramp.successes = 0
+            ramp.last_step_at = now
+    return False
+
+
+def note_cancelled(ramp: Ramp, elapsed_s: float, now: float) -> bool:
+    """Take an attempt that was cancelled after ``elapsed_s``.
+
+    The time is a lower bound of its latency. Without it a server that turned
+    cold would never be seen to, when hedges win against it every time.
+    """
+    if elapsed_s <= ramp.fast_s:
+        return False
+    return _note_latency(ramp, elapsed_s, now)
+
+
+def _note_latency(ramp: Ramp, latency_s: float, now: float) -> bool:
+    ramp.samples += 1
+    if not ramp.baseline_s:
+        ramp.baseline_s = latency_s
+    if ramp.fast_s:
+        ramp.fast_s += FAST_SHARE * (latency_s - ramp.fast_s)
+    else:
+        ramp.fast_s = latency_s
+    share = UNHEALTHY_SHARE if _is_above(ramp, HEALTHY_FACTOR) else BASELINE_SHARE
+    share = max(share, 1 / ramp.samples)
+    ramp.baseline_s += share * (latency_s - ramp.baseline_s)
+    return _is_above(ramp, COLD_FACTOR) and note_cold(ramp, now)
+
+
+def _is_above(ramp: Ramp, factor: float) -> bool:
+    if ramp.samples < BASELINE_SAMPLES:
+        return False
+    return ramp.fast_s > max(NOISE_FLOOR_S, factor * ramp.baseline_s)
+
+
+def note_failure(ramp: Ramp, now: float) -> bool:
+    """Take a refusal, an error or a timeout; return whether the ramp was cut."""
+    ramp.failures_in_row += 1
+    ramp.successes = 0
+    if ramp.failures_in_row < FAILURES_TO_CUT:
+        return False
+    return note_cold(ramp, now)
+
+
+def note_cold(ramp: Ramp, now: float) -> bool:
+    """Cut the limit to one, at most once per pause."""
+    ramp.successes = 0
+    if now - ramp.last_cut_at < CUT_PAUSE_S:
+        return False
+    was_above_one = ramp.limit > 1
+    ramp.limit = 1
+    ramp.fast_s = 0.0
+    ramp.last_cut_at = ramp.last_step_at = now
+    ramp.failures_in_row = 0
+    ramp.cuts += was_above_one
+    return was_above_one
+
+
+def note_hint(ramp: Ramp, is_healthy: bool, queued: int, now: float) -> bool:
+    """Take a server's word on itself, which can only lower the limit."""
+    if not is_healthy:
+        return note_cold(ramp, now)
+    if queued > 0 and ramp.limit > 1:
+        ramp.limit -= 1
+        ramp.successes = 0
+        ramp.last_step_at = now
+        return True
+    return False
--- /dev/null
+++ b/src/bramleyrouter/homes/refusals.py
@@ -0,0 +1,53 @@
+"""Reasons for which a home dispatches nothing to a server."""
+
+from bramleyrouter.codes import Code
+from bramleyrouter.homes.entries import Entry, HomesState
+from bramleyrouter.homes.holddowns import is_held
+from bramleyrouter.homes.limits import STALE_AFTER_S
+from bramleyrouter.homes.registrations import has_authority
+from bramleyrouter.ids import DataCentre
+from bramleyrouter.states import ServerState
+
+Refusal = tuple[Code, str]
+
+
+def is_stale(state: HomesState, now: float) -> bool:
+    """Return whether this daemon's configuration is not confirmed."""
+    return now - state.board.config.confirmed_at > STALE_AFTER_S
+
+
+def is_out(state: HomesState, entry: Entry) -> bool:
+    """Return whether operators took the server or its data centre out."""
+    config = state.board.config
+    return (
+        state.board.identity.data_centre in config.data_centres_out
+        or entry.target.server_id in config.servers_out
+    )
+
+
+def find_refusal(
+    state: HomesState, entry: Entry, sender: DataCentre, now: float
+) -> Refusal | None:
+    """Return why nothing may be dispatched to the server now, or None."""
+    own = state.board.identity.data_centre
+    if sender != own and is_stale(state, now):
+        return Code.STALE_HOME, "The home's configuration is not confirmed."
+    if is_out(state, entry):
+        return Code.SERVER_OUT, "The server or its data centre is out of service."
+    return find_own_refusal(entry, now)
+
+
+def find_own_refusal(entry: Entry, now: float) -> Refusal | None:
+    """Return why the server itself takes no work now, or None."""
+    registered = entry.registered
+    if registered.is_withdrawn or registered.announcement.state is ServerState.DRAINING:
+        return Code.SERVER_LEAVING, "The server drains or has withdrawn."
+    if registered.announcement.state is ServerState.STARTING:
+        return Code.NOT_READY, "The server is starting."
+    if not has_authority(registered, now):
+        return Code.NO_AUTHORITY, "The home has no authority over the server now."
+    if is_held(entry.hold, now):
+        return Code.HELD_DOWN, "The server is held down."
+    if now < entry.paused_until:
+        return Code.CONNECT_FAILED, "The server refused its last connection."
+    return None
--- /dev/null
+++ b/src/bramleyrouter/homes/serving.py
@@ -0,0 +1,105 @@
+"""Handlers of the messages that other daemons send to a home."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+from result import Err, Ok, Result
+
+from bramleyrouter.failures import Failure
+from bramleyrouter.homes.announcing import accept
+from bramleyrouter.homes.batches import run_batch, run_submission
+from bramleyrouter.homes.codecs import (
+    decode_announcement,
+    decode_batch,
+    decode_handover,
+    decode_submit_request,
+    decode_withdrawal,
+    encode_announcement_reply,
+    encode_replies,
+    encode_submit_reply,
+)
+from bramleyrouter.homes.entries import HomesState
+from bramleyrouter.homes.limits import HOP_MARGIN_S
+from bramleyrouter.homes.messages import GroupReply
+from bramleyrouter.homes.registry import take_over_here, withdraw_here
+from bramleyrouter.wire.kinds import Kind
+from bramleyrouter.wire.network import Peer
+
+
+def serve_homes(state: HomesState) -> None:
+    """Register the handlers of all kinds that homes serve."""
+
+    async def batch(
+        peer: Peer, payload: bytes, send_item: Callable[[bytes], None]
+    ) -> Result[None, Failure]:
+        return await _serve_batch(state, peer, payload, send_item)
+
+    async def submit(peer: Peer, payload: bytes) -> Result[bytes, Failure]:
+        decoded = decode_submit_request(payload)
+        if isinstance(decoded, Err):
+            return decoded
+        request = _shrink(decoded.ok_value)
+        reply = await run_submission(state, request, peer.data_centre)
+        return Ok(encode_submit_reply(reply))
+
+    async def announce(_peer: Peer, payload: bytes) -> Result[bytes, Failure]:
+        decoded = decode_announcement(payload)
+        if isinstance(decoded, Err):
+            return decoded
+        reply = await accept(state, decoded.ok_value)
+        return reply.map(encode_announcement_reply)
+
+    async def hand_over(_peer: Peer, payload: bytes) -> Result[bytes, Failure]:
+        decoded = decode_handover(payload)
+        if isinstance(decoded, Err):
+            return decoded
+        reply = take_over_here(state, decoded.ok_value)
+        return reply.map(encode_announcement_reply)
+
+    async def withdraw(_peer: Peer, payload: bytes) -> Result[bytes, Failure]:
+        decoded = decode_withdrawal(payload)
+        if isinstance(decoded, Err):
+            return decoded
+        wish = decoded.ok_value
+        outcome = withdraw_here(state, wish.server_id, wish.incarnation)
+        return outcome.map(lambda _: b"")
+
+    state.network.serve_stream(Kind.SHARD_BATCH, batch)
+    state.network.serve(Kind.SUBMIT, submit)
+    state.network.serve(Kind.ANNOUNCE, announce)
+    state.network.serve(Kind.HANDOVER, hand_over)
+    state.network.serve(Kind.WITHDRAW, withdraw)
+
+
+def _shrink(message):
+    """Take both hops off the time that is left."""
+    remaining_s = message.remaining_s - HOP_MARGIN_S
+    return msgspec.structs.replace(message, remaining_s=remaining_s)
+
+
+async def _serve_batch(
+    state: HomesState,
+    peer: Peer,
+    payload: bytes,
+    send_item: Callable[[bytes], None],
+) -> Result[None, Failure]:
+    decoded = decode_batch(payload)
+    if isinstance(decoded, Err):
+        return decoded
+    done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    def on_replies(replies: list[GroupReply]) -> None:
+        send_item(encode_replies(replies))
+
+    def on_done() -> None:
+        if not done.done():
+            done.set_result(None)
+
+    batch = _shrink(decoded.ok_value)
+    cancel = run_batch(state, batch, peer.data_centre, on_replies, on_done)
+    try:
+        await done
+    finally:
+        cancel()
+    return Ok(None)
