--- a/src/bramleyrouter/edges/servers/formats.py
+++ b/src/bramleyrouter/edges/servers/formats.py
@@ -11,6 +11,13 @@
     SubmitEnd,
     Target,
 )
+from bramleyrouter.ids import (
+    AttemptId,
+    IndexVersion,
+    RequestId,
+    ServiceName,
+    ShardName,
+)
 from bramleyrouter.states import Outcome
 
 # The server is told to end this long, in seconds, before the home stops
@@ -32,12 +39,12 @@
 class QueryBody(msgspec.Struct, frozen=True):
     """Body of ``POST /shards/query``."""
 
-    request_id: str
-    attempt: int
-    version: str
+    request_id: RequestId
+    attempt: AttemptId
+    version: IndexVersion
     deadline_ms: int
-    service: str
-    shards: tuple[str, ...]
+    service: ServiceName
+    shards: tuple[ShardName, ...]
     query: msgspec.Raw
     incarnation: int
     registration: int
--- a/src/bramleyrouter/standins/handlers.py
+++ b/src/bramleyrouter/standins/handlers.py
@@ -178,8 +178,9 @@
 def _holds(state: StandinState, body: QueryBody) -> bool:
     for holding in state.behaviour.holdings:
         if holding.service == body.service:
-            held: dict[str, tuple] = {**holding.shards}
-            return all(body.version in held.get(shard, ()) for shard in body.shards)
+            return all(
+                body.version in holding.shards.get(shard, ()) for shard in body.shards
+            )
     return False
 
 
