Kept the place of queries that failed fast on full queues

Cause: such a query freed its place while its cancelled requests were still served, so the next ones failed as fast on the same queues.

--- a/src/bramleyrouter/routing/admission.py
+++ b/src/bramleyrouter/routing/admission.py
@@ -24,7 +24,8 @@
 OTHER_CLASSES = ClassName("")
 
 Request = Query | Submission
-Release = Callable[[], None]
+# Gives a place back; its argument says whether a request was shed or timed out.
+Release = Callable[[bool], None]
 
 
 @dataclass(eq=False, slots=True)
@@ -115,7 +116,7 @@
             return await future
         except asyncio.CancelledError:
             if future.done() and not future.cancelled() and future.result().is_ok():
-                future.result().unwrap()()
+                future.result().unwrap()(False)
             raise
         finally:
             timer.cancel()
@@ -232,14 +233,24 @@
     note_running(state.limit, state.running)
     started = clock()
 
-    def release() -> None:
+    def give_back() -> None:
         state.running -= 1
         _drop_one(state.running_by_tenant, tenant)
+        pump(state, cfg)
+
+    def release(was_lossy: bool) -> None:
         run_s = clock() - started
+        if was_lossy and run_s < state.run_s:
+            # A request that failed fast on full queues left others behind that
+            # are still served; its place stays taken for as long as usual, or
+            # the next ones would fail as fast on the same queues.
+            loop = asyncio.get_running_loop()
+            loop.call_later(state.run_s - run_s, give_back)
+            return
         if state.run_s == 0.0:
             state.run_s = run_s
         state.run_s += RUN_WEIGHT * (run_s - state.run_s)
-        pump(state, cfg)
+        give_back()
 
     return release
 
--- a/src/bramleyrouter/routing/router.py
+++ b/src/bramleyrouter/routing/router.py
@@ -64,7 +64,7 @@
         try:
             return await execute_query(ctx, req, wanted.ok_value, run_out)
         finally:
-            admitted.ok_value()
+            admitted.ok_value(bool(run_out) and run_out[0].has_lost)
 
     async def query(req: Query) -> Result[Answer, Failure]:
         nonlocal running
--- a/src/bramleyrouter/routing/submissions.py
+++ b/src/bramleyrouter/routing/submissions.py
@@ -221,7 +221,7 @@
     try:
         return await _offer(ctx, state, req)
     finally:
-        admitted.ok_value()
+        admitted.ok_value(False)
 
 
 async def _offer(
