--- a/tests/control/fake_log.py
+++ b/tests/control/fake_log.py
@@ -114,4 +114,5 @@
             remove_member=lambda member_id, timeout_s: change("remove", member_id),
             watch_applied=lambda callback: None,
             close=lambda: asyncio.sleep(0),
+            is_current=lambda: True,
         )
