--- /dev/null
+++ b/src/bramleyrouter/daemons/control.py
@@ -0,0 +1,42 @@
+"""Main function of ``bramley-control``."""
+
+import asyncio
+import sys
+
+from result import Err
+
+from bramleyrouter.conf.settings import Settings
+from bramleyrouter.daemons.arguments import (
+    EXIT_SETTINGS,
+    EXIT_START_FAILED,
+    build_parser,
+    load_settings,
+)
+from bramleyrouter.daemons.lifecycles import run_daemon
+from bramleyrouter.daemons.wiring import build_control_daemon
+from bramleyrouter.telemetry.logs import set_up_logs
+
+DESCRIPTION = "Keep the accepted configuration and the submission ledger on disk."
+
+
+async def _run(cfg: Settings) -> int:
+    built = build_control_daemon(cfg)
+    if isinstance(built, Err):
+        print(built.err_value, file=sys.stderr)
+        return EXIT_START_FAILED
+    await run_daemon(built.ok_value, cfg.balancer_wait_s, cfg.stop_timeout_s)
+    return 0
+
+
+def main() -> None:
+    """Run a control daemon until SIGTERM or SIGINT."""
+    cfg = load_settings(build_parser("bramley-control", DESCRIPTION).parse_args())
+    if not cfg.data_folder:
+        print("data_folder: a control daemon needs one.", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    set_up_logs(cfg.log_level)
+    sys.exit(asyncio.run(_run(cfg)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/bramleyrouter/daemons/entry.py
@@ -0,0 +1,26 @@
+"""Main function of ``bramley-entry``."""
+
+import asyncio
+
+from bramleyrouter.conf.settings import Settings
+from bramleyrouter.daemons.arguments import build_parser, load_settings
+from bramleyrouter.daemons.lifecycles import run_daemon
+from bramleyrouter.daemons.wiring import build_entry
+from bramleyrouter.telemetry.logs import set_up_logs
+
+DESCRIPTION = "Serve callers: route queries and submissions to backend servers."
+
+
+async def _run(cfg: Settings) -> None:
+    await run_daemon(build_entry(cfg), cfg.balancer_wait_s, cfg.stop_timeout_s)
+
+
+def main() -> None:
+    """Run an entry daemon until SIGTERM or SIGINT."""
+    cfg = load_settings(build_parser("bramley-entry", DESCRIPTION).parse_args())
+    set_up_logs(cfg.log_level)
+    asyncio.run(_run(cfg))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/bramleyrouter/daemons/operations.py
@@ -0,0 +1,47 @@
+"""Join the operators' HTTP routes to the parts that answer them."""
+
+import random
+from collections.abc import Callable
+
+from bramleyrouter.board.blackboard import Board
+from bramleyrouter.conf.settings import Settings
+from bramleyrouter.control.client import build_control_admin
+from bramleyrouter.control.interfaces import ControlClient
+from bramleyrouter.control.messages import SetAvailability
+from bramleyrouter.daemons.rollouts import ask_rollout
+from bramleyrouter.edges.http import RouteSpec
+from bramleyrouter.edges.operators.handlers import OperatorAccess, operator_routes
+from bramleyrouter.ids import Revision
+from bramleyrouter.wire.network import Network
+
+
+def build_operator_routes(
+    cfg: Settings,
+    board: Board,
+    network: Network,
+    client: ControlClient,
+    clock: Callable[[], float],
+    rng: random.Random,
+) -> list[RouteSpec]:
+    """Return the operators' routes; any daemon serves them."""
+
+    async def rollout(revision: Revision):
+        return await ask_rollout(network, cfg.control, revision)
+
+    def is_known(operation: SetAvailability) -> bool:
+        servers = board.servers.records
+        if operation.server_id is not None:
+            return operation.server_id in servers
+        daemons = board.daemons.records.values()
+        centres = {record.data_centre for record in daemons}
+        centres |= {record.data_centre for record in servers.values()}
+        return operation.data_centre in centres
+
+    access = OperatorAccess(
+        client,
+        build_control_admin(network, cfg.control, clock, rng),
+        rollout,
+        lambda: board.config,
+        is_known,
+    )
+    return operator_routes(access, cfg.operator_token)
--- /dev/null
+++ b/src/bramleyrouter/daemons/wiring.py
@@ -0,0 +1,178 @@
+"""Composition root: builds every part of a daemon and joins them."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from result import Err, Result
+
+from bramleyrouter.board.blackboard import Board
+from bramleyrouter.board.sections import Identity
+from bramleyrouter.codes import Code
+from bramleyrouter.conf.settings import Settings
+from bramleyrouter.consensus.files import open_folder
+from bramleyrouter.consensus.replicated_log import build_replicated_log
+from bramleyrouter.control.client import build_control_client
+from bramleyrouter.control.interfaces import ConfigSource
+from bramleyrouter.control.machine import build_machine
+from bramleyrouter.control.service import build_control
+from bramleyrouter.daemons.lifecycles import Daemon
+from bramleyrouter.daemons.operations import build_operator_routes
+from bramleyrouter.daemons.rollouts import serve_rollouts
+from bramleyrouter.dissemination.build import build_dissemination
+from bramleyrouter.edges.callers.handlers import caller_routes
+from bramleyrouter.edges.listeners import listen_http
+from bramleyrouter.edges.platform.handlers import platform_routes
+from bramleyrouter.edges.servers.client import build_curl_transport
+from bramleyrouter.edges.servers.handlers import server_routes
+from bramleyrouter.failures import Failure
+from bramleyrouter.homes.build import build_homes
+from bramleyrouter.ids import ClassName, DaemonId, DaemonIncarnation, DataCentre
+from bramleyrouter.membership.build import build_membership
+from bramleyrouter.routing.router import build_router
+from bramleyrouter.telemetry.metrics import Metrics
+from bramleyrouter.telemetry.observers import build_observer
+from bramleyrouter.wire.tcp import build_tcp_network
+
+MILLISECONDS = 1000
+
+
+def identity_of(cfg: Settings) -> Identity:
+    """Return the identity of a daemon that starts now.
+
+    The incarnation is the wall clock in milliseconds, so that a restart has a
+    larger one without a disk.
+    """
+    return Identity(
+        DaemonId(cfg.daemon_id),
+        DaemonIncarnation(int(time.time() * MILLISECONDS)),
+        DataCentre(cfg.data_centre),
+        cfg.internal_address,
+        cfg.http_address,
+    )
+
+
+def build_entry(cfg: Settings) -> Daemon:
+    """Wire an entry daemon; needs a running event loop."""
+    loop = asyncio.get_running_loop()
+    clock, rng = loop.time, random.Random()
+    board = Board(identity_of(cfg))
+    network, listen = build_tcp_network(board.identity, cfg.cluster_key.encode())
+    membership = build_membership(board, network, cfg.control, rng, clock)
+    dissemination = build_dissemination(
+        board, network, cfg.control, rng, clock, membership.relays
+    )
+    weights = {ClassName(name): item.weight for name, item in cfg.classes.items()}
+    homes = build_homes(
+        board,
+        network,
+        build_curl_transport(),
+        membership.publish_rows,
+        rng,
+        weights,
+        clock,
+    )
+    control_client = build_control_client(network, cfg.control, clock, rng)
+    metrics = Metrics()
+    observer, collect = build_observer(metrics, board)
+    router = build_router(
+        board, homes.client, control_client, cfg, clock, rng, observer
+    )
+    specs = [
+        *caller_routes(board, router, cfg, clock),
+        *platform_routes(board, metrics.registry, collect),
+        *build_operator_routes(cfg, board, network, control_client, clock, rng),
+    ]
+    stop_http: list[Callable] = []
+
+    async def start() -> None:
+        listen()
+        stop_http.append(listen_http(cfg.http_address, specs, server_routes(homes)))
+        membership.start()
+        dissemination.start()
+        board.readiness.reasons.discard("starting")
+
+    async def drain() -> None:
+        membership.announce_leaving()
+        await router.drain()
+        await homes.hand_over()
+
+    async def close() -> None:
+        for stop in stop_http:
+            await stop()
+        await membership.leave()
+        dissemination.stop()
+        homes.close()
+        await network.close()
+
+    return Daemon(board, start, drain, close)
+
+
+def build_control_daemon(cfg: Settings) -> Result[Daemon, Failure]:
+    """Wire a control daemon; needs a running event loop.
+
+    Fails with the codes of the log's recovery.
+    """
+    loop = asyncio.get_running_loop()
+    clock, rng = loop.time, random.Random()
+    board = Board(identity_of(cfg))
+    network, listen = build_tcp_network(board.identity, cfg.cluster_key.encode())
+    machine = build_machine()
+    try:
+        folder = open_folder(Path(cfg.data_folder))
+    except OSError as exc:
+        text = f'The data folder "{cfg.data_folder}" can\'t be opened: {exc}.'
+        return Err(Failure(Code.DISK_FAILED, text))
+    opened = build_replicated_log(
+        board.identity, cfg.members, network, rng, machine.for_log, folder
+    )
+    if isinstance(opened, Err):
+        return opened
+    log = opened.ok_value
+    control = build_control(network, log, machine, clock)
+    return opened.map(
+        lambda _: _control_daemon(cfg, board, network, listen, control, log, rng)
+    )
+
+
+def _control_daemon(cfg, board, network, listen, control, log, rng) -> Daemon:
+    clock = asyncio.get_running_loop().time
+    source: ConfigSource = control.source
+    membership = build_membership(
+        board, network, cfg.control, rng, clock, is_control=True
+    )
+    dissemination = build_dissemination(
+        board, network, cfg.control, rng, clock, membership.relays, source
+    )
+    control_client = build_control_client(network, cfg.control, clock, rng)
+    metrics = Metrics()
+    _, collect = build_observer(metrics, board)
+    serve_rollouts(network, dissemination.rollout)
+    specs = [
+        *platform_routes(board, metrics.registry, collect),
+        *build_operator_routes(cfg, board, network, control_client, clock, rng),
+    ]
+    stop_http: list[Callable] = []
+
+    async def start() -> None:
+        listen()
+        stop_http.append(listen_http(cfg.http_address, specs))
+        membership.start()
+        dissemination.start()
+        board.readiness.reasons.discard("starting")
+
+    async def drain() -> None:
+        membership.announce_leaving()
+
+    async def close() -> None:
+        for stop in stop_http:
+            await stop()
+        dissemination.stop()
+        await membership.leave()
+        await control.close()
+        await log.close()
+        await network.close()
+
+    return Daemon(board, start, drain, close)
--- a/src/bramleyrouter/standins/handlers.py
+++ b/src/bramleyrouter/standins/handlers.py
@@ -161,6 +161,8 @@
                     "server": self._state.announcer.server_id,
                     "shard": shard,
                     "version": body.version,
+                    # Shows the checkers whose answer this is.
+                    "query": body.query,
                 }
                 for shard in body.shards
             },
--- a/src/bramleyrouter/standins/servers.py
+++ b/src/bramleyrouter/standins/servers.py
@@ -150,7 +150,9 @@
         behaviour.holdings,
     )
     state = StandinState(behaviour, rng, announcer)
-    application = Application(standin_routes(state))
+    application = Application(
+        standin_routes(state), log_function=lambda handler: None
+    )
 
     async def start() -> None:
         server = CountingServer(application)
