Added the operators' HTTP routes and bramleyctl

The routes ask for the operators' token before they read a body, by a check that RouteSpec now offers. bramleyctl tries one daemon after another with the same request id. A test showed that a refused connection made a removal of an unknown member count as done; only attempts that may have acted do so now.

Each accepted change of availability is a revision of its own, as the history checker's model has it.

--- /dev/null
+++ b/src/bramleyrouter/commands/control.py
@@ -0,0 +1,107 @@
+"""``bramleyctl control``: show and change the control daemons."""
+
+import argparse
+
+from bramleyrouter.codes import Code
+from bramleyrouter.commands.arguments import Target, add_target_options, target_of
+from bramleyrouter.commands.exits import Exit
+from bramleyrouter.commands.outputs import print_error, report_failure
+from bramleyrouter.commands.requests import send_request
+
+# One attempt waits for a new member to catch up with the log, in seconds.
+CHANGE_TIMEOUT_S = 65.0
+CHANGE_PATH = "/v1/control/members"
+
+
+def add_parser(subparsers) -> None:
+    """Add the subcommands of ``control``."""
+    parser = subparsers.add_parser("control", help="show or change control daemons")
+    actions = parser.add_subparsers(dest="action", required=True)
+    _add_action(actions, "status", "show the log as each control daemon sees it", ())
+    _add_action(
+        actions, "add", "add a control daemon to the log", ("member_id", "address")
+    )
+    _add_action(actions, "remove", "remove a control daemon", ("member_id",))
+    _add_action(
+        actions,
+        "replace",
+        "add a control daemon, then remove a lost one",
+        ("lost_member_id", "member_id", "address"),
+    )
+
+
+def _add_action(actions, name: str, text: str, arguments: tuple[str, ...]) -> None:
+    parser = actions.add_parser(name, help=text, description=text)
+    helps = {
+        "member_id": "id in its data folder's file, as its log prints it",
+        "lost_member_id": "id of the member to remove",
+        "address": 'internal address, as in "10.0.0.1:7100"',
+    }
+    for argument in arguments:
+        metavar = argument.upper()
+        parser.add_argument(argument, metavar=metavar, help=helps[argument])
+    add_target_options(parser)
+    parser.set_defaults(run=run)
+
+
+async def run(args: argparse.Namespace) -> Exit:
+    """Carry out the action."""
+    target = target_of(args)
+    if args.action == "status":
+        return await _show_status(target)
+    if args.action == "remove":
+        return await _remove(target, args.member_id)
+    added = await _add(target, args.member_id, args.address)
+    if added is not Exit.DONE or args.action == "add":
+        return added
+    # The new member votes before the lost one goes, so that the majority
+    # is never smaller than before.
+    return await _remove(target, args.lost_member_id)
+
+
+async def _add(target: Target, member_id: str, address: str) -> Exit:
+    body = {"action": "add", "member_id": member_id, "address": address}
+    reply = await send_request(target, "POST", CHANGE_PATH, body, CHANGE_TIMEOUT_S)
+    if reply.code:
+        return report_failure(reply)
+    print(f'"{member_id}" at {address} is a member')
+    return Exit.DONE
+
+
+async def _remove(target: Target, member_id: str) -> Exit:
+    body = {"action": "remove", "member_id": member_id}
+    reply = await send_request(target, "POST", CHANGE_PATH, body, CHANGE_TIMEOUT_S)
+    # An earlier attempt may have removed it and its answer been lost.
+    is_gone = reply.code == Code.UNKNOWN_MEMBER and reply.maybe_acted
+    if reply.code and not is_gone:
+        return report_failure(reply)
+    print(f'"{member_id}" is no member any more')
+    return Exit.DONE
+
+
+async def _show_status(target: Target) -> Exit:
+    reply = await send_request(target, "GET", "/v1/control")
+    if reply.code:
+        return report_failure(reply)
+    views = reply.fields["control"]
+    for view in views:
+        print(_describe(view))
+    leaders = [view for view in views if not view["failure"] and view["is_leader"]]
+    if not leaders:
+        print_error("No control daemon leads.")
+        return Exit.UNCERTAIN
+    newest = max(leaders, key=lambda view: view["term"])
+    for member in newest["members"]:
+        kind = "voter" if member["is_voter"] else "learner"
+        print(f'member "{member["member_id"]}" at {member["address"]}: {kind}')
+    return Exit.DONE
+
+
+def _describe(view: dict) -> str:
+    if view["failure"]:
+        return f"{view['address']}: {view['failure']['text']}"
+    role = "leader" if view["is_leader"] else "follower"
+    return (
+        f'{view["address"]}: "{view["member_id"]}", {role}, term {view["term"]}, '
+        f"committed {view['commit_index']}, applied {view['applied_index']}"
+    )
--- /dev/null
+++ b/src/bramleyrouter/commands/publish.py
@@ -0,0 +1,44 @@
+"""``bramleyctl publish``: publish a manifest."""
+
+import argparse
+
+import msgspec
+from result import Err
+
+from bramleyrouter.commands.arguments import (
+    add_author_options,
+    add_manifest_argument,
+    add_target_options,
+    author_of,
+    target_of,
+)
+from bramleyrouter.commands.check import read_manifest, report_findings
+from bramleyrouter.commands.exits import Exit
+from bramleyrouter.commands.outputs import report_failure
+from bramleyrouter.commands.requests import send_request
+
+
+def add_parser(subparsers) -> None:
+    """Add the subcommand's arguments."""
+    parser = subparsers.add_parser("publish", help="check and publish a manifest")
+    add_manifest_argument(parser)
+    add_target_options(parser)
+    add_author_options(parser)
+    parser.set_defaults(run=run)
+
+
+async def run(args: argparse.Namespace) -> Exit:
+    """Publish the file and print the revision that it became."""
+    target, author = target_of(args), author_of(args)
+    checked = read_manifest(args.file.content)
+    if isinstance(checked, Err):
+        return report_findings(args.file.path, checked.err_value)
+    print(f"request id {author.request_id}")
+    manifest = msgspec.to_builtins(checked.ok_value)
+    body = {**author._asdict(), "manifest": manifest}
+    reply = await send_request(target, "POST", "/v1/config/manifest", body)
+    if reply.code:
+        return report_failure(reply, author.request_id)
+    revision, generation = reply.fields["revision"], reply.fields["generation"]
+    print(f"generation {generation} accepted as revision {revision}")
+    return Exit.DONE
--- /dev/null
+++ b/src/bramleyrouter/commands/status.py
@@ -0,0 +1,88 @@
+"""``bramleyctl status``: show the configuration and its rollout."""
+
+import argparse
+import asyncio
+
+from bramleyrouter.commands.arguments import (
+    Target,
+    add_target_options,
+    parse_revision,
+    target_of,
+)
+from bramleyrouter.commands.exits import Exit, exit_of
+from bramleyrouter.commands.outputs import print_error, report_failure
+from bramleyrouter.commands.requests import Reply, send_request
+
+POLL_S = 0.25
+
+
+def add_parser(subparsers) -> None:
+    """Add the subcommand's arguments."""
+    parser = subparsers.add_parser(
+        "status", help="show the accepted configuration and its rollout"
+    )
+    add_target_options(parser)
+    parser.add_argument(
+        "--wait",
+        action="store_true",
+        help="return once all daemons have confirmed the revision",
+    )
+    parser.add_argument(
+        "--revision",
+        type=parse_revision,
+        metavar="N",
+        help="revision to look at (default: the accepted one)",
+    )
+    parser.set_defaults(run=run)
+
+
+async def run(args: argparse.Namespace) -> Exit:
+    """Print the state, and wait for the rollout if asked to."""
+    target = target_of(args)
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + target.timeout_s
+    revision = args.revision
+    if revision is None:
+        state = await send_request(target, "GET", "/v1/config")
+        if state.code:
+            return report_failure(state)
+        _print_state(state.fields)
+        revision = state.fields["revision"]
+    path = f"/v1/config/status?revision={revision}"
+    while True:
+        left = max(deadline - loop.time(), POLL_S)
+        rollout = await send_request(target._replace(timeout_s=left), "GET", path)
+        is_over = loop.time() + POLL_S >= deadline
+        if _is_final(rollout) or not args.wait or is_over:
+            return _report(target, rollout, args.wait)
+        await asyncio.sleep(POLL_S)
+
+
+def _is_final(rollout: Reply) -> bool:
+    if rollout.code:
+        return exit_of(rollout.code) is not Exit.UNCERTAIN
+    return rollout.fields["is_complete"]
+
+
+def _report(target: Target, rollout: Reply, is_waiting: bool) -> Exit:
+    if rollout.code:
+        return report_failure(rollout)
+    fields = rollout.fields
+    revision, daemons = fields["revision"], fields["daemons"]
+    if fields["is_complete"]:
+        print(f"revision {revision} is confirmed by all {daemons} daemons")
+        return Exit.DONE
+    behind, names = fields["behind_count"], ", ".join(fields["behind"])
+    print(f"revision {revision} is not confirmed by {behind} of {daemons}: {names}")
+    if not is_waiting:
+        return Exit.DONE
+    print_error(f"The rollout did not end within {target.timeout_s:g} s.")
+    return Exit.NOT_IN_TIME
+
+
+def _print_state(fields: dict) -> None:
+    print(f"revision {fields['revision']}, generation {fields['generation']}")
+    print(f"digest {fields['digest']}")
+    for name in ("data_centres_out", "servers_out"):
+        names = ", ".join(fields[name]) or "none"
+        print(f"{name.replace('_', ' ')}: {names}")
--- a/src/bramleyrouter/control/configuration.py
+++ b/src/bramleyrouter/control/configuration.py
@@ -90,7 +90,8 @@
     """Take a data centre or server out or back in.
 
     One that no daemon knows yet is accepted: it may announce later, and must
-    then find itself out. A change to what already holds adds no revision.
+    then find itself out. A change to what already holds is recorded as a
+    revision, too, so that each accepted request has its own.
     """
     data_centre, server_id = operation.data_centre, operation.server_id
     target = data_centre if server_id is None else server_id
@@ -106,8 +107,7 @@
             f"centres and {MAX_SERVERS_OUT} servers may be out at once."
         )
         return _refuse(cfg, Failure(Code.TOO_MANY_OUT, text))
-    if (data_centres, servers) != (state.data_centres_out, state.servers_out):
-        _accept(cfg, state.manifest, data_centres, servers, None)
+    _accept(cfg, state.manifest, data_centres, servers, None)
     return _answer(cfg)
 
 
--- a/src/bramleyrouter/edges/http.py
+++ b/src/bramleyrouter/edges/http.py
@@ -25,7 +25,9 @@
     Code.GENERATION_CONFLICT: 409,
     Code.OPERATOR_REQUEST_REUSED: 409,
     Code.OLD_ANNOUNCEMENT: 409,
+    Code.TOO_MANY_OUT: 409,
     Code.MEMBERSHIP_CHANGE_PENDING: 409,
+    Code.UNKNOWN_MEMBER: 404,
     Code.SERVER_HELD_DOWN: 429,
 }
 _STATUS_OF_HUNDRED = {1: 400, 2: 503, 3: 504, 4: 504, 5: 400, 6: 503, 7: 400, 9: 503}
@@ -59,7 +61,8 @@
     """Describe one route: path, method, handler and the limit of its body.
 
     ``cancel_on_close`` ends the handler when the client goes away; it must be
-    false where work may not be abandoned half-way.
+    false where work may not be abandoned half-way. ``check`` may refuse the
+    request by its headers, before the body is read.
     """
 
     path: str
@@ -67,6 +70,7 @@
     handle: Handle
     max_body_bytes: int = 0
     cancel_on_close: bool = False
+    check: Callable[[HTTPServerRequest], HttpReply | None] | None = None
 
 
 def status_of(code: Code) -> int:
@@ -116,17 +120,21 @@
             self.set_status(405)
             self.finish()
             return
+        if spec.check and (refused := spec.check(self.request)) is not None:
+            self._write_reply(refused)
+            return
         length = self.request.headers.get("Content-Length", "0")
         if length.isdigit() and int(length) > spec.max_body_bytes:
             self._refuse_size(spec)
 
     def data_received(self, chunk: bytes):
         """Collect the body; a chunked one has no length to check before."""
+        if self._finished:
+            return
         self._size += len(chunk)
         spec = self._specs[self.request.method or ""]
         if self._size > spec.max_body_bytes:
-            if not self._finished:
-                self._refuse_size(spec)
+            self._refuse_size(spec)
             return
         self._chunks.append(chunk)
 
--- a/src/bramleyrouter/edges/operators/__init__.py
+++ b/src/bramleyrouter/edges/operators/__init__.py
@@ -1,1 +1,1 @@
-"""HTTP interface of operators."""
+"""HTTP interface for operators."""
--- /dev/null
+++ b/src/bramleyrouter/edges/operators/formats.py
@@ -0,0 +1,191 @@
+"""Formats of the operators' HTTP interface, apart from its decisions.
+
+``docs/reference/http-operators.md`` describes them for readers.
+"""
+
+from typing import Any
+
+import msgspec
+from result import Err, Ok, Result
+
+from bramleyrouter.board.sections import ConfigView
+from bramleyrouter.codes import Code
+from bramleyrouter.consensus.interfaces import LogStatus, Member
+from bramleyrouter.control.manifests import NAME_HINT, decode_manifest, is_name
+from bramleyrouter.control.messages import (
+    ConfigState,
+    Publish,
+    SetAvailability,
+)
+from bramleyrouter.control.replies import MemberChange, RemoveMember
+from bramleyrouter.failures import Failure
+from bramleyrouter.ids import (
+    DaemonId,
+    DataCentre,
+    MemberId,
+    OperatorRequestId,
+    Revision,
+    ServerId,
+)
+from bramleyrouter.utils.addresses import split_address
+
+
+class Rollout(msgspec.Struct, frozen=True):
+    """Say which daemons have not confirmed ``revision`` or a later one.
+
+    ``behind`` lists some of them, a bounded number; ``behind_count`` counts
+    all. ``daemons`` is the number of daemons known.
+    """
+
+    revision: Revision
+    daemons: int
+    behind_count: int
+    behind: tuple[DaemonId, ...] = ()
+
+
+class _Body(msgspec.Struct, forbid_unknown_fields=True):
+    """Hold what every change of an operator names."""
+
+    request_id: str
+    operator: str
+
+
+class _ManifestBody(_Body):
+    manifest: Any
+
+
+class _AvailabilityBody(_Body):
+    is_out: bool
+    data_centre: str | None = None
+    server_id: str | None = None
+
+
+class _MemberBody(msgspec.Struct, forbid_unknown_fields=True):
+    action: str
+    member_id: str
+    address: str = ""
+
+
+def decode_manifest_body(body: bytes) -> Result[Publish, Failure]:
+    """Decode the body of ``POST /v1/config/manifest``."""
+    decoded = _decode(body, _ManifestBody)
+    if isinstance(decoded, Err):
+        return decoded
+    parts: _ManifestBody = decoded.ok_value
+    manifest = decode_manifest(parts.manifest)
+    if isinstance(manifest, Err):
+        return manifest
+    request_id = OperatorRequestId(parts.request_id)
+    return Ok(Publish(request_id, parts.operator, manifest.ok_value))
+
+
+def decode_availability_body(body: bytes) -> Result[SetAvailability, Failure]:
+    """Decode the body of ``POST /v1/config/availability``."""
+    decoded = _decode(body, _AvailabilityBody)
+    if isinstance(decoded, Err):
+        return decoded
+    parts: _AvailabilityBody = decoded.ok_value
+    targets = [one for one in (parts.data_centre, parts.server_id) if one is not None]
+    if len(targets) != 1:
+        return _malformed('Exactly one of "data_centre" and "server_id" was expected.')
+    if not is_name(targets[0]):
+        return _malformed(f"{_show(targets[0])} can't be a target. {NAME_HINT}")
+    return Ok(
+        SetAvailability(
+            OperatorRequestId(parts.request_id),
+            parts.operator,
+            parts.is_out,
+            None if parts.data_centre is None else DataCentre(parts.data_centre),
+            None if parts.server_id is None else ServerId(parts.server_id),
+        )
+    )
+
+
+def decode_member_body(body: bytes) -> Result[MemberChange, Failure]:
+    """Decode the body of ``POST /v1/control/members``."""
+    decoded = _decode(body, _MemberBody)
+    if isinstance(decoded, Err):
+        return decoded
+    parts: _MemberBody = decoded.ok_value
+    if not is_name(parts.member_id):
+        return _malformed(f"{_show(parts.member_id)} is not a member id. {NAME_HINT}")
+    member_id = MemberId(parts.member_id)
+    if parts.action == "remove":
+        return Ok(RemoveMember(member_id))
+    if parts.action != "add":
+        text = f'{_show(parts.action)} was given; "add" or "remove" was expected.'
+        return _malformed(text)
+    try:
+        split_address(parts.address)
+    except ValueError:
+        text = f'{_show(parts.address)} is not an address such as "10.0.0.1:7000".'
+        return _malformed(text)
+    return Ok(Member(member_id, parts.address))
+
+
+def decode_revision(text: bytes) -> Result[Revision, Failure]:
+    """Decode the parameter ``revision``."""
+    if not (text.isdigit() and len(text) <= 18):
+        shown = _show(text.decode("latin-1"))
+        return _malformed(f"{shown} is not a revision; a number was expected.")
+    return Ok(Revision(int(text)))
+
+
+def _decode(body: bytes, struct: type) -> Result[Any, Failure]:
+    try:
+        parts: Any = msgspec.json.decode(body, type=struct)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
+        return _malformed(f"The body can't be decoded: {exc}.")
+    if isinstance(parts, _Body):
+        for place in ("request_id", "operator"):
+            value = getattr(parts, place)
+            if not is_name(value):
+                return _malformed(f"{_show(value)} can't be {place!r}. {NAME_HINT}")
+    return Ok(parts)
+
+
+def _malformed(text: str) -> Err[Failure]:
+    return Err(Failure(Code.MALFORMED_REQUEST, text))
+
+
+def _show(value: str) -> str:
+    return ascii(value[:40])
+
+
+def describe_state(state: ConfigState) -> dict:
+    """Return the fields of the accepted configuration, without the manifest."""
+    return {
+        "revision": state.revision,
+        "generation": state.manifest.generation if state.manifest else 0,
+        "digest": state.digest.hex(),
+        "data_centres_out": list(state.data_centres_out),
+        "servers_out": list(state.servers_out),
+    }
+
+
+def describe_view(view: ConfigView) -> dict:
+    """Return the fields of the configuration that one daemon applies."""
+    return {
+        "revision": view.revision,
+        "generation": view.manifest.generation if view.manifest else 0,
+        "digest": view.digest.hex(),
+        "data_centres_out": sorted(view.data_centres_out),
+        "servers_out": sorted(view.servers_out),
+    }
+
+
+def describe_rollout(rollout: Rollout) -> dict:
+    """Return the fields of a rollout's progress."""
+    is_complete = rollout.behind_count == 0
+    return {"is_complete": is_complete, **msgspec.structs.asdict(rollout)}
+
+
+def describe_member_view(address: str, view: Result[LogStatus, Failure]) -> dict:
+    """Return the fields of one control daemon's view of the log."""
+    if isinstance(view, Err):
+        failure = view.err_value
+        shown = {"code": int(failure.code), "text": failure.text}
+        return {"address": address, "failure": shown}
+    status = msgspec.structs.asdict(view.ok_value)
+    members = [msgspec.structs.asdict(member) for member in view.ok_value.members]
+    return {"address": address, "failure": None, **status, "members": members}
--- /dev/null
+++ b/tests/control/direct_access.py
@@ -0,0 +1,79 @@
+"""Access of operators to a state machine without a network between."""
+
+from dataclasses import dataclass, field
+
+from result import Err, Ok
+
+from bramleyrouter.board.sections import ConfigView
+from bramleyrouter.codes import Code
+from bramleyrouter.consensus.interfaces import LogStatus, Member
+from bramleyrouter.control.codecs import encode_command
+from bramleyrouter.control.interfaces import ControlAdmin, ControlClient
+from bramleyrouter.control.machine import build_machine
+from bramleyrouter.control.replies import decode_operator_result
+from bramleyrouter.edges.operators.formats import Rollout
+from bramleyrouter.edges.operators.handlers import OperatorAccess
+from bramleyrouter.failures import Failure
+from tests.control.builders import NOW_MS
+
+
+@dataclass
+class DirectControl:
+    """Hold a machine, the members, and what rollouts will say in turn.
+
+    ``refusals`` are sent in place of the next replies; with ``is_acted`` the
+    change is made all the same.
+    """
+
+    machine: object = field(default_factory=build_machine)
+    members: dict = field(default_factory=lambda: {"m1": "127.0.0.1:7100"})
+    behind: list = field(default_factory=list)
+    refusals: list = field(default_factory=list)
+    is_acted: bool = False
+    operations: list = field(default_factory=list)
+
+    def build_access(self):
+        """Return the access for ``operator_routes``."""
+        admin = ControlAdmin(self.status, self.add_member, self.remove_member)
+        client = ControlClient(self.operate, None, None, self.read_config)
+        return OperatorAccess(
+            client, admin, self.rollout, ConfigView, lambda one: one.server_id is None
+        )
+
+    def refuse(self):
+        return Err(Failure(self.refusals.pop(0), "refused")) if self.refusals else None
+
+    async def operate(self, operation, timeout_s):
+        self.operations.append(operation)
+        refused = self.refuse()
+        if refused and not self.is_acted:
+            return refused
+        reply = self.machine.for_log.apply(1, NOW_MS, encode_command(operation))
+        return refused or decode_operator_result(reply)
+
+    async def read_config(self, timeout_s):
+        return self.refuse() or Ok(self.machine.config())
+
+    async def rollout(self, revision):
+        behind = self.behind.pop(0) if self.behind else ()
+        return Ok(Rollout(revision, 3, len(behind), behind))
+
+    async def status(self):
+        members = tuple(Member(*one) for one in self.members.items())
+        view = LogStatus("m1", 4, True, "127.0.0.1:7100", 9, 9, members)
+        lost = Err(Failure(Code.PEER_UNREACHABLE, "gone"))
+        return ("127.0.0.1:7100", Ok(view)), ("127.0.0.1:7200", lost)
+
+    async def add_member(self, member, timeout_s):
+        refused = self.refuse()
+        if refused is None or self.is_acted:
+            self.members[member.member_id] = member.address
+        return refused or Ok(None)
+
+    async def remove_member(self, member_id, timeout_s):
+        refused = self.refuse()
+        if refused and not self.is_acted:
+            return refused
+        if self.members.pop(member_id, None) is None:
+            return refused or Err(Failure(Code.UNKNOWN_MEMBER, member_id))
+        return refused or Ok(None)
--- /dev/null
+++ b/tests/edges/operators/test_operator_routes.py
@@ -0,0 +1,182 @@
+"""Tests of the operators' HTTP interface on loopback."""
+
+import asyncio
+import json
+import socket
+
+import pytest
+from tornado.httpclient import AsyncHTTPClient
+
+from bramleyrouter.codes import Code
+from bramleyrouter.edges.listeners import listen_http
+from bramleyrouter.edges.operators.handlers import (
+    MAX_SMALL_BODY_BYTES,
+    operator_routes,
+)
+from tests.control.direct_access import DirectControl
+
+TOKEN = "t" * 32
+MANIFEST = {
+    "generation": 1,
+    "services": [{"name": "a", "shards": ["s1"], "versions": ["v1"]}],
+}
+CHANGE = {"request_id": "r1", "operator": "anna"}
+PATHS = {
+    "/v1/config": "GET",
+    "/v1/config/status": "GET",
+    "/v1/control": "GET",
+    "/v1/config/manifest": "POST",
+    "/v1/config/availability": "POST",
+    "/v1/control/members": "POST",
+}
+
+
+def run_with_routes(scenario):
+    """Run ``scenario(control, fetch)`` against a server on loopback."""
+
+    async def run():
+        control = DirectControl()
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{sock.getsockname()[1]}"
+        stop = listen_http(address, operator_routes(control.build_access(), TOKEN))
+        client = AsyncHTTPClient(force_instance=True)
+
+        async def fetch(path, body=None, token=TOKEN, **parts):
+            if body is not None and not isinstance(body, bytes):
+                body = json.dumps(body).encode()
+            response = await client.fetch(
+                f"http://{address}{path}",
+                method="GET" if body is None and not parts else "POST",
+                body=body,
+                headers={"Authorization": f"Bearer {token}"} if token else {},
+                raise_error=False,
+                **parts,
+            )
+            return response.code, json.loads(response.body)
+
+        try:
+            return await scenario(control, fetch)
+        finally:
+            client.close()
+            await stop()
+
+    return asyncio.run(run())
+
+
+class TestToken:
+    """Guard against operators' requests of strangers."""
+
+    @pytest.mark.parametrize("token", ["", "wrong", TOKEN[:-1], TOKEN + "t", "\xe9"])
+    def test_every_route_refuses_and_nothing_stays(self, token):
+        async def scenario(control, fetch):
+            seen = []
+            for path, method in PATHS.items():
+                body = {**CHANGE, "manifest": MANIFEST} if method == "POST" else None
+                seen.append(await fetch(path, body, token))
+            # A large body is refused unread, with the same answer.
+            seen.append(await fetch("/v1/config/availability", b"x" * 10**6, token))
+            return seen, control.operations, control.machine.config().revision
+
+        seen, operations, revision = run_with_routes(scenario)
+        for status, fields in seen:
+            assert (status, fields["code"]) == (401, Code.UNAUTHORIZED)
+        assert (operations, revision) == ([], 0)
+
+
+class TestChanges:
+    """Guard against changes that are misread, lost in form or unbounded."""
+
+    def test_manifest_and_availability_are_accepted_and_shown(self):
+        async def scenario(control, fetch):
+            published = await fetch(
+                "/v1/config/manifest", {**CHANGE, "manifest": MANIFEST}
+            )
+            again = await fetch(
+                "/v1/config/manifest",
+                {"request_id": "r2", "operator": "ben", "manifest": MANIFEST},
+            )
+            out = {**CHANGE, "request_id": "r3", "is_out": True}
+            taken = await fetch("/v1/config/availability", {**out, "server_id": "s9"})
+            return published, again, taken, await fetch("/v1/config")
+
+        published, again, taken, shown = run_with_routes(scenario)
+        assert published == (
+            200,
+            {"code": 0, "name": "OK", "revision": 1, "generation": 1},
+        )
+        assert again[0] == 409 and "anna" in again[1]["text"]
+        assert (taken[1]["revision"], taken[1]["is_known"]) == (2, False)
+        assert shown[1]["servers_out"] == ["s9"]
+        assert (shown[1]["revision"], shown[1]["here"]["revision"]) == (2, 0)
+
+    @pytest.mark.parametrize(
+        "path, body, code",
+        [
+            ("manifest", b"{", Code.MALFORMED_REQUEST),
+            ("manifest", {**CHANGE, "manifest": {}}, Code.INVALID_MANIFEST),
+            (
+                "manifest",
+                {**CHANGE, "request_id": "a b", "manifest": MANIFEST},
+                Code.MALFORMED_REQUEST,
+            ),
+            ("availability", {**CHANGE, "is_out": True}, Code.MALFORMED_REQUEST),
+            (
+                "availability",
+                {**CHANGE, "is_out": 1, "data_centre": "dc1"},
+                Code.MALFORMED_REQUEST,
+            ),
+            (
+                "availability",
+                {**CHANGE, "is_out": True, "data_centre": "\x00"},
+                Code.MALFORMED_REQUEST,
+            ),
+            ("availability", b"x" * (MAX_SMALL_BODY_BYTES + 1), Code.BODY_TOO_LARGE),
+            ("availability", b"[" * MAX_SMALL_BODY_BYTES, Code.MALFORMED_REQUEST),
+        ],
+    )
+    def test_unusable_body_gets_a_numbered_error(self, path, body, code):
+        async def scenario(control, fetch):
+            return await fetch(f"/v1/config/{path}", body), control.operations
+
+        (status, fields), operations = run_with_routes(scenario)
+        assert (fields["code"], operations) == (code, [])
+        assert status in (400, 413)
+
+    def test_body_without_a_length_is_bounded(self):
+        async def produce(write):
+            for _ in range(3):
+                await write(b"x" * MAX_SMALL_BODY_BYTES)
+
+        async def scenario(control, fetch):
+            return await fetch("/v1/config/availability", body_producer=produce)
+
+        status, fields = run_with_routes(scenario)
+        assert (status, fields["code"]) == (413, Code.BODY_TOO_LARGE)
+
+
+class TestReads:
+    """Guard against a state that is shown wrongly."""
+
+    def test_rollout_is_of_the_revision_asked_for(self):
+        async def scenario(control, fetch):
+            control.behind = [("e7",), ()]
+            await fetch("/v1/config/manifest", {**CHANGE, "manifest": MANIFEST})
+            asked = await fetch("/v1/config/status?revision=7")
+            default = await fetch("/v1/config/status")
+            return asked, default, await fetch("/v1/config/status?revision=x")
+
+        asked, default, wrong = run_with_routes(scenario)
+        assert asked[1]["revision"] == 7
+        assert (asked[1]["is_complete"], asked[1]["behind"]) == (False, ["e7"])
+        assert (default[1]["revision"], default[1]["is_complete"]) == (1, True)
+        assert (wrong[0], wrong[1]["code"]) == (400, Code.MALFORMED_REQUEST)
+
+    def test_log_is_shown_although_a_member_is_lost(self):
+        async def scenario(control, fetch):
+            return await fetch("/v1/control")
+
+        status, fields = run_with_routes(scenario)
+        first, second = fields["control"]
+        assert (status, first["is_leader"], first["failure"]) == (200, True, None)
+        assert second["failure"]["code"] == Code.PEER_UNREACHABLE
