--- a/src/bramleyrouter/codes.py
+++ b/src/bramleyrouter/codes.py
@@ -42,6 +42,7 @@
     CANCELLED_IN_QUEUE = 217
     VERSION_NOT_HELD = 218
     LEDGER_FULL = 219
+    HELD_DOWN = 220
 
     # 300: the outcome of a non-idempotent request is unknown.
     OUTCOME_UNKNOWN = 300
