--- a/tests/support/clusters.py
+++ b/tests/support/clusters.py
@@ -6,8 +6,10 @@
 
 from bramleyrouter.board import Board
 from bramleyrouter.board.sections import Identity, ServerRecord, ServiceHolding
+from bramleyrouter.dissemination.build import build_dissemination
 from bramleyrouter.membership.build import build_membership
 from bramleyrouter.states import ServerState
+from tests.support.config_sources import digest_of
 from tests.support.identities import make_identity
 from tests.support.memory_network import MemoryFabric
 
@@ -101,6 +103,35 @@
     await asyncio.sleep(settle_s)
 
 
+def with_dissemination(log):
+    """Return what builds dissemination over the stand-in ``log`` of control."""
+
+    def build(cluster, name, daemon, network, rng):
+        source = log.source(name) if name.startswith("c") else None
+        return build_dissemination(
+            daemon.board,
+            network,
+            cluster.control,
+            rng,
+            asyncio.get_running_loop().time,
+            daemon.membership.relays,
+            source,
+            digest_of,
+        )
+
+    return build
+
+
+async def until(condition, limit_s):
+    """Wait for a condition; return the seconds it took, fail at the limit."""
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    while not condition():
+        assert loop.time() - started < limit_s, f"Not within {limit_s} s."
+        await asyncio.sleep(0.01)
+    return loop.time() - started
+
+
 def make_record(name, home: Identity, registration=1, **changes):
     """Return the record of a backend server at ``home``."""
     fields = dict(
--- a/tests/support/config_sources.py
+++ b/tests/support/config_sources.py
@@ -1,6 +1,7 @@
 """A stand-in for the replicated log: commits that reach each control daemon."""
 
 import asyncio
+from bisect import bisect_right
 from dataclasses import dataclass, field
 from hashlib import blake2b
 
@@ -30,7 +31,7 @@
     applied: dict = field(default_factory=dict)
     watchers: dict = field(default_factory=dict)
     cut_off: set = field(default_factory=set)
-    committed_at: list = field(default_factory=lambda: [0.0])
+    committed_at: list = field(default_factory=lambda: [-1.0])
 
     def commit(self, **changes):
         """Accept a change of the state; return its revision."""
@@ -44,6 +45,10 @@
             loop.call_later(APPLY_DELAY_S, self.catch_up, name)
         return state.revision
 
+    def revision_at(self, at):
+        """Return the revision that every current daemon had at time ``at``."""
+        return bisect_right(self.committed_at, at - 2 * APPLY_DELAY_S) - 1
+
     def catch_up(self, name):
         """Let one control daemon apply all that is committed."""
         if name in self.cut_off:
