--- a/src/bramleyrouter/measure/baseline.py
+++ b/src/bramleyrouter/measure/baseline.py
@@ -119,9 +119,7 @@
 
     async def query(req: HTTPServerRequest, body: bytes) -> HttpReply:
         run_id = RequestId(f"{cfg.http_address}.{next(numbers)}")
-        message, caller_id = decode_query(
-            body, run_id, loop.time(), decoding
-        ).ok_value
+        message, caller_id = decode_query(body, run_id, loop.time(), decoding).unwrap()
         answer = await _fan_out(transport, cfg, message, rng)
         return HttpReply(200, encode_answer(answer, caller_id))
 
--- a/src/bramleyrouter/measure/deployments.py
+++ b/src/bramleyrouter/measure/deployments.py
@@ -9,7 +9,7 @@
 
 import msgspec
 from tornado.curl_httpclient import CurlAsyncHTTPClient
-from tornado.httpclient import HTTPRequest
+from tornado.httpclient import HTTPClientError, HTTPRequest
 
 from bramleyrouter.conf.settings import Settings
 from bramleyrouter.measure.baseline import BaselineConfig, Replica
@@ -74,6 +74,15 @@
     return ports
 
 
+async def fetch(client: CurlAsyncHTTPClient, request: HTTPRequest):
+    """Return status and body; the status is 599 when no response came."""
+    try:
+        response = await client.fetch(request, raise_error=False)
+    except (HTTPClientError, OSError):
+        return 599, b""
+    return response.code, response.body or b""
+
+
 async def post(
     deployment: Deployment, url: str, value: Any, timeout_s: float = 10.0
 ) -> tuple[int, bytes]:
@@ -85,16 +94,14 @@
         headers={"Authorization": f"Bearer {TOKEN}"},
         request_timeout=timeout_s,
     )
-    response = await deployment.client.fetch(request, raise_error=False)
-    return response.code, response.body or b""
+    return await fetch(deployment.client, request)
 
 
 async def get(deployment: Deployment, url: str) -> tuple[int, bytes]:
     """Get a page with the operators' token; return status and body."""
     headers = {"Authorization": f"Bearer {TOKEN}"}
     request = HTTPRequest(url, headers=headers, request_timeout=5.0)
-    response = await deployment.client.fetch(request, raise_error=False)
-    return response.code, response.body or b""
+    return await fetch(deployment.client, request)
 
 
 def _settings(name, data_centre, ports, control, **extra) -> Settings:
--- a/src/bramleyrouter/standins/servers.py
+++ b/src/bramleyrouter/standins/servers.py
@@ -150,9 +150,7 @@
         behaviour.holdings,
     )
     state = StandinState(behaviour, rng, announcer)
-    application = Application(
-        standin_routes(state), log_function=lambda handler: None
-    )
+    application = Application(standin_routes(state), log_function=lambda handler: None)
 
     async def start() -> None:
         server = CountingServer(application)
