Reduced the processor time of a request to a backend server

Sockets that wait to be reused stay with the event loop, options are set only when they change, and exchanges start in the same turn.

--- a/src/bramleyrouter/edges/servers/client.py
+++ b/src/bramleyrouter/edges/servers/client.py
@@ -20,7 +20,6 @@
     HttpEnd,
     ServerMulti,
     close_multi,
-    count_connections,
     open_multi,
     start_exchange,
 )
@@ -153,7 +152,7 @@
 
     def open_connections(server_id: ServerId) -> int:
         known = state.servers.get(server_id)
-        return count_connections(known[1]) if known else 0
+        return len(known[1].sockets) if known else 0
 
     def close() -> None:
         for server_id in list(state.servers):
--- a/src/bramleyrouter/edges/servers/multi.py
+++ b/src/bramleyrouter/edges/servers/multi.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import os
+import warnings
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from io import BytesIO
@@ -45,6 +46,10 @@
     body: BytesIO
     on_end: OnEnd | None = None
     sent: int = 0
+    path: str = ""
+    is_repeatable: bool = True
+    # Loop time after which the request must not be sent any more.
+    until: float = 0.0
 
 
 @dataclass(eq=False)
@@ -57,9 +62,12 @@
     idle: list[Exchange] = field(default_factory=list)
     active: dict[pycurl.Curl, Exchange] = field(default_factory=dict)
     watched: dict[int, int] = field(default_factory=dict)
-    # Inode of each open socket by its descriptor.
-    sockets: dict[int, int] = field(default_factory=dict)
-    timer: asyncio.Handle | None = None
+    # Watched sockets of connections that wait to be reused.
+    unused: set[int] = field(default_factory=set)
+    sockets: set[int] = field(default_factory=set)
+    timer: asyncio.TimerHandle | None = None
+    # Loop time at which curl wants to be called; the timer may fire earlier.
+    due: float | None = None
     is_closed: bool = False
 
 
@@ -78,42 +86,73 @@
 
 
 def _watch(state: ServerMulti, event: int, fd: int) -> None:
-    """Let the event loop watch what curl wants to know of a socket."""
+    """Let the event loop watch what curl wants to know of a socket.
+
+    A socket that only waits to be reused stays with the event loop, which
+    saves two system calls per exchange. When something happens on it, the
+    server closed it, and it is taken out then.
+    """
     before = state.watched.get(fd, 0)
-    wanted = 0 if event == pycurl.POLL_REMOVE else event
     loop = state.loop
-    if wanted & pycurl.POLL_IN and not before & pycurl.POLL_IN:
+    if event == pycurl.POLL_REMOVE:
+        if before & pycurl.POLL_OUT:
+            loop.remove_writer(fd)
+        state.watched[fd] = before & pycurl.POLL_IN
+        state.unused.add(fd)
+        return
+    state.unused.discard(fd)
+    if event & pycurl.POLL_IN and not before & pycurl.POLL_IN:
         loop.add_reader(fd, _act, state, fd, pycurl.CSELECT_IN)
-    elif before & pycurl.POLL_IN and not wanted & pycurl.POLL_IN:
-        loop.remove_reader(fd)
-    if wanted & pycurl.POLL_OUT and not before & pycurl.POLL_OUT:
+    if event & pycurl.POLL_OUT and not before & pycurl.POLL_OUT:
         loop.add_writer(fd, _act, state, fd, pycurl.CSELECT_OUT)
-    elif before & pycurl.POLL_OUT and not wanted & pycurl.POLL_OUT:
+    elif before & pycurl.POLL_OUT and not event & pycurl.POLL_OUT:
         loop.remove_writer(fd)
-    if wanted:
-        state.watched[fd] = wanted
-    else:
-        state.watched.pop(fd, None)
+    state.watched[fd] = event | before & pycurl.POLL_IN
+
+
+def _unwatch(state: ServerMulti, fd: int) -> None:
+    before = state.watched.pop(fd, 0)
+    state.unused.discard(fd)
+    if before & pycurl.POLL_IN:
+        state.loop.remove_reader(fd)
+    if before & pycurl.POLL_OUT:
+        state.loop.remove_writer(fd)
 
 
 def _set_timer(state: ServerMulti, milliseconds: int) -> None:
+    """Note when curl wants to be called.
+
+    curl moves its timer several times in an exchange. A timer of the event
+    loop that is due earlier is left alone and looks again when it fires.
+    """
+    if milliseconds < 0:
+        state.due = None
+        return
+    due = state.due = state.loop.time() + milliseconds / 1000
     if state.timer is not None:
+        if state.timer.when() <= due:
+            return
         state.timer.cancel()
-        state.timer = None
-    if milliseconds == 0:
-        state.timer = state.loop.call_soon(_on_timer, state)
-    elif milliseconds > 0:
-        state.timer = state.loop.call_later(milliseconds / 1000, _on_timer, state)
+    state.timer = state.loop.call_at(due, _on_timer, state)
 
 
 def _on_timer(state: ServerMulti) -> None:
     state.timer = None
+    if state.due is None:
+        return
+    if state.loop.time() < state.due:
+        state.timer = state.loop.call_at(state.due, _on_timer, state)
+        return
+    state.due = None
     _act(state, pycurl.SOCKET_TIMEOUT, 0)
 
 
 def _act(state: ServerMulti, fd: int, events: int) -> None:
     if state.is_closed:
         return
+    if fd in state.unused:
+        _unwatch(state, fd)
+        return
     state.multi.socket_action(fd, events)
     _collect(state)
 
@@ -145,30 +184,20 @@
 
 
 def _note_socket(state: ServerMulti, fd: int) -> int:
-    _forget_closed(state)
-    state.sockets[fd] = os.fstat(fd).st_ino
+    state.sockets.add(fd)
     return 0
 
 
-def _forget_closed(state: ServerMulti) -> None:
-    """Forget sockets that curl closed; a reused number has another inode.
+def _close_socket(state: ServerMulti, fd: int) -> int:
+    """Close a socket for curl, after the event loop let go of it.
 
-    pycurl can't call a Python closure for every socket that curl closes, so
-    the sockets are looked at when somebody asks.
+    Otherwise the event loop would take the next socket with the same number
+    for this one.
     """
-    for fd, inode in list(state.sockets.items()):
-        try:
-            is_open = os.fstat(fd).st_ino == inode
-        except OSError:
-            is_open = False
-        if not is_open:
-            del state.sockets[fd]
-
-
-def count_connections(state: ServerMulti) -> int:
-    """Return the number of connections that are open to the server."""
-    _forget_closed(state)
-    return len(state.sockets)
+    _unwatch(state, fd)
+    state.sockets.discard(fd)
+    os.close(fd)
+    return 0
 
 
 def _new_exchange(state: ServerMulti) -> Exchange:
@@ -183,6 +212,9 @@
     curl.setopt(pycurl.HTTPHEADER, ["Content-Type: application/json", "Expect:"])
     curl.setopt(pycurl.WRITEDATA, exchange.body)
     curl.setopt(pycurl.SOCKOPTFUNCTION, lambda fd, _: _note_socket(state, fd))
+    curl.setopt(pycurl.CLOSESOCKETFUNCTION, lambda fd: _close_socket(state, fd))
+    loop = state.loop
+    curl.setopt(pycurl.PREREQFUNCTION, lambda *_: _guard(exchange, loop))
     return exchange
 
 
@@ -203,32 +235,46 @@
     exchange = state.idle.pop() if state.idle else _new_exchange(state)
     exchange.on_end = on_end
     exchange.sent = 0
+    exchange.until = state.loop.time() + timeout_s
     exchange.body.seek(0)
     exchange.body.truncate()
     curl = exchange.curl
-    curl.setopt(pycurl.URL, f"http://{state.address}{path}")
+    if path != exchange.path:
+        exchange.path = path
+        curl.setopt(pycurl.URL, f"http://{state.address}{path}")
+    if is_repeatable != exchange.is_repeatable:
+        exchange.is_repeatable = is_repeatable
+        curl.setopt(pycurl.FRESH_CONNECT, 0 if is_repeatable else 1)
     curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
-    curl.setopt(pycurl.FRESH_CONNECT, 0 if is_repeatable else 1)
-    curl.setopt(pycurl.PREREQFUNCTION, _guard_of(exchange, is_repeatable))
     if body is None:
         curl.setopt(pycurl.HTTPGET, 1)
     else:
-        curl.setopt(pycurl.POST, 1)
         curl.setopt(pycurl.POSTFIELDS, body)
     state.active[curl] = exchange
     state.multi.add_handle(curl)
+    _start_now(state)
+
 
+def _start_now(state: ServerMulti) -> None:
+    """Let curl act on a new exchange at once instead of in the next turn.
 
-def _guard_of(exchange: Exchange, is_repeatable: bool):
-    """Return the closure that curl calls right before it sends a request."""
+    Ends are still handed out in the next turn, so that nobody is called back
+    while starting an exchange.
+    """
+    state.due = None
+    _, running = state.multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
+    if running < len(state.active):
+        state.loop.call_soon(_collect, state)
 
-    def guard(*_addresses) -> int:
-        exchange.sent += 1
-        if exchange.sent > 1 and not is_repeatable:
-            return pycurl.PREREQFUNC_ABORT
-        return pycurl.PREREQFUNC_OK
 
-    return guard
+def _guard(exchange: Exchange, loop: asyncio.AbstractEventLoop) -> int:
+    """Decide, right before curl sends a request, whether it may."""
+    if loop.time() >= exchange.until:
+        return pycurl.PREREQFUNC_ABORT
+    if exchange.sent and not exchange.is_repeatable:
+        return pycurl.PREREQFUNC_ABORT
+    exchange.sent += 1
+    return pycurl.PREREQFUNC_OK
 
 
 def close_multi(state: ServerMulti, text: str) -> None:
@@ -243,10 +289,22 @@
         end = HttpEnd(pycurl.E_RECV_ERROR, text, 0, b"", exchange.sent > 0)
         if exchange.on_end is not None:
             state.loop.call_soon(exchange.on_end, end)
+    for fd in list(state.watched):
+        _unwatch(state, fd)
+    _close_handle(state.multi)
     for exchange in [*state.active.values(), *state.idle]:
         exchange.curl.close()
     state.active.clear()
     state.idle.clear()
-    for fd in list(state.watched):
-        _watch(state, pycurl.POLL_REMOVE, fd)
-    state.multi.close()
+    state.sockets.clear()
+
+
+def _close_handle(multi: pycurl.CurlMulti) -> None:
+    """Close a multi handle and its connections.
+
+    pycurl can't call closures then, closes the sockets itself and warns of
+    it. The easy handles have to live until then.
+    """
+    with warnings.catch_warnings():
+        warnings.simplefilter("ignore", RuntimeWarning)
+        multi.close()
