--- a/src/bramleyrouter/dissemination/subscribing.py
+++ b/src/bramleyrouter/dissemination/subscribing.py
@@ -61,15 +61,12 @@
 
     ``proof_at`` is the loop time of the newest proof that the parent gave.
     ``known_cover`` is the digest of the cover that the parent holds.
-    ``missed`` counts heartbeats in a row that named a revision which did not
-    arrive.
     """
 
     address: str = ""
     cancel: Callable[[], None] = lambda: None
     proof_at: float = float("-inf")
     known_cover: int = 0
-    missed: int = 0
     is_searching: bool = False
     next_search: float = 0.0
     next_return: float = 0.0
@@ -160,11 +157,11 @@
         heartbeat = reply.heartbeat
         upstream.proof_at = max(upstream.proof_at, reply.proof_at)
         upstream.known_cover = 0 if heartbeat.wants_cover else reply.cover_digest
-        is_behind = heartbeat.revision > store.state.revision
-        upstream.missed = upstream.missed + 1 if is_behind else 0
-        if not heartbeat.is_child or upstream.missed > 1 or is_damaged(reply):
-            is_full = upstream.missed > 1 or is_damaged(reply)
-            attach(address, upstream.proof_at, is_full=is_full)
+        # Items of the subscription come before the heartbeat on the connection,
+        # so a revision that has not arrived was lost.
+        is_lost = heartbeat.revision > store.state.revision
+        if not heartbeat.is_child or is_lost or is_damaged(reply):
+            attach(address, upstream.proof_at, is_full=is_damaged(reply))
 
     def report() -> None:
         if upstream.address:
@@ -176,7 +173,7 @@
         if upstream.address != address:
             logging.info('dissemination: subscribing to "%s".', address)
         upstream.address, upstream.proof_at = address, proof_at
-        upstream.known_cover, upstream.missed = 0, 0
+        upstream.known_cover = 0
         state = store.state
         payload = encode(
             Subscription(
