--- /dev/null
+++ b/tests/dissemination/test_readiness.py
@@ -0,0 +1,137 @@
+"""Tests of when a started daemon may serve callers."""
+
+import asyncio
+
+from bramleyrouter.dissemination.interfaces import CONFIGURATION_REASON, STALE_S
+from bramleyrouter.membership.interfaces import MEMBERSHIP_REASON
+from tests.support.clusters import (
+    make_cluster,
+    make_record,
+    start_all,
+    until,
+    with_dissemination,
+)
+from tests.support.config_sources import FakeLog, make_manifest
+from tests.support.virtual_time import run_virtual
+
+# Settling takes 2 s, asking everyone 0.5 s, subscribing 0.5 s.
+READY_LIMIT_S = 4.0
+SERVERS = 20
+
+
+def run_cluster(scenario, changes=5):
+    async def run():
+        log = FakeLog()
+        cluster = make_cluster(build_more=with_dissemination(log))
+        await start_all(cluster)
+        home = cluster.daemons["e0dc3"]
+        records = [make_record(f"s{i}", home.identity) for i in range(SERVERS)]
+        home.membership.publish_rows(records, [])
+        for number in range(changes):
+            log.commit(manifest=make_manifest(number + 1))
+        await asyncio.sleep(1)
+        await scenario(cluster, log)
+
+    run_virtual(run())
+
+
+def is_ready(daemon):
+    reasons = daemon.board.readiness.reasons
+    return not reasons & {CONFIGURATION_REASON, MEMBERSHIP_REASON}
+
+
+def restart(cluster, name):
+    incarnation = cluster.daemons[name].identity.incarnation
+    cluster.kill(name)
+    return cluster.start(name, incarnation + 1)
+
+
+class TestReadiness:
+    def test_restarted_daemon_knows_everything_when_ready(self):
+        """Guards against a restart that forgets what is out, or its servers."""
+
+        async def scenario(cluster, log):
+            for number in range(10):
+                daemon = restart(cluster, "e1dc1")
+                assert not is_ready(daemon)
+                log.commit(servers_out=(f"s{number}",))
+                waited = await until(lambda daemon=daemon: is_ready(daemon), 2.0)
+                assert waited > 0
+                assert daemon.board.config.revision == len(log.states) - 1
+                assert len(daemon.board.servers.records) == SERVERS
+                await asyncio.sleep(0.3)
+
+        run_cluster(scenario)
+
+    def test_without_control_the_highest_revision_in_reach_is_taken(self):
+        """Guards against a revert by a restart inside a partition."""
+
+        async def scenario(cluster, log):
+            low, high, fresh = (
+                cluster.daemons[name] for name in ("e0dc2", "e1dc2", "e2dc2")
+            )
+            everyone = {d.address for d in cluster.daemons.values()}
+            rest = everyone - {low.address, high.address, fresh.address}
+            cluster.fabric.cut_groups([low.address], everyone - {fresh.address})
+            cluster.fabric.cut_groups([fresh.address], rest | {high.address})
+            latest = log.commit(servers_out=("late",))
+            await until(lambda: high.board.config.revision == latest, 4.0)
+            cluster.fabric.cut_groups([high.address], rest)
+            cluster.fabric.cuts -= {
+                (fresh.address, high.address),
+                (high.address, fresh.address),
+            }
+            cluster.kill("e2dc2")
+            assert low.board.config.revision < high.board.config.revision
+            daemon = cluster.start("e2dc2", 2)
+            waited = await until(lambda: is_ready(daemon), READY_LIMIT_S)
+            assert waited >= STALE_S
+            assert daemon.board.config.revision == high.board.config.revision
+            assert daemon.board.config.servers_out == {"late"}
+            now = asyncio.get_running_loop().time()
+            assert now - daemon.board.config.confirmed_at > STALE_S
+
+        run_cluster(scenario)
+
+    def test_cut_off_control_daemon_counts_as_a_peer(self):
+        """Guards against a partition whose restarted daemons never serve."""
+
+        async def scenario(cluster, log):
+            names = {"c0", "e0dc1"}
+            inside = {cluster.daemons[name].address for name in names}
+            everyone = {d.address for d in cluster.daemons.values()}
+            cluster.fabric.cut_groups(inside, everyone - inside)
+            log.cut_off.add("c0")
+            await asyncio.sleep(10)
+            cluster.kill("c0")
+            control = cluster.start("c0", 2)
+            entry = restart(cluster, "e0dc1")
+            await until(
+                lambda: is_ready(entry) and is_ready(control), 2 * READY_LIMIT_S
+            )
+            assert entry.board.config.revision == 5
+
+        run_cluster(scenario)
+
+    def test_daemon_that_reaches_nobody_is_not_ready(self):
+        """Guards against an empty daemon that refuses every query."""
+
+        async def scenario(cluster, log):
+            everyone = {d.address for d in cluster.daemons.values()}
+            own = cluster.daemons["e0dc1"].address
+            cluster.fabric.cut_groups([own], everyone - {own})
+            daemon = restart(cluster, "e0dc1")
+            await asyncio.sleep(30)
+            assert CONFIGURATION_REASON in daemon.board.readiness.reasons
+            cluster.fabric.heal()
+            await until(lambda: is_ready(daemon), READY_LIMIT_S)
+
+        run_cluster(scenario)
+
+    def test_new_cluster_without_a_manifest_becomes_ready(self):
+        """Guards against daemons that wait for a first configuration for ever."""
+
+        async def scenario(cluster, log):
+            assert all(is_ready(daemon) for daemon in cluster.daemons.values())
+
+        run_cluster(scenario, changes=0)
--- a/tests/dissemination/test_tree.py
+++ b/tests/dissemination/test_tree.py
@@ -208,6 +208,23 @@
 
         run_tree(scenario)
 
+    def test_slow_heartbeat_proves_nothing_of_the_time_it_took(self):
+        """Guards against a proof that gets younger on its way.
+
+        The observer compares each proof with what was accepted by then.
+        """
+
+        async def scenario(cluster, log):
+            daemon = cluster.daemons["e0dc1"]
+            for other in cluster.daemons.values():
+                cluster.fabric.delays[(other.address, daemon.address)] = 1.2
+            for number in range(60):
+                change(log, number)
+                await asyncio.sleep(0.3)
+            assert daemon.board.config.revision > 50
+
+        run_tree(scenario)
+
     @given(
         st.lists(
             st.tuples(
