Excluded control daemons from the choice of homes

Cause: live_daemons() returned control daemons too, so about half of the servers of a data centre with one entry and one control daemon registered nowhere (code 908). Ruled out: held-down servers and lost announcements (a hand-made announcement got 908). A test now lists a control daemon among the candidates.

--- a/src/bramleyrouter/homes/placement.py
+++ b/src/bramleyrouter/homes/placement.py
@@ -48,7 +48,10 @@
     return [
         record
         for record in records
-        if record.data_centre == data_centre and record.state is DaemonState.ALIVE
+        if record.data_centre == data_centre
+        and record.state is DaemonState.ALIVE
+        # Control daemons serve no homes.
+        and not record.is_control
     ]
 
 
--- /dev/null
+++ b/tests/homes/test_placement.py
@@ -0,0 +1,35 @@
+"""Tests of the choice of the home of a backend server."""
+
+from bramleyrouter.board.sections import DaemonRecord
+from bramleyrouter.homes.placement import live_daemons
+from bramleyrouter.ids import DaemonId, DaemonIncarnation, DataCentre
+from bramleyrouter.states import DaemonState
+
+
+def make_daemon(name, state=DaemonState.ALIVE, is_control=False, centre="dc1"):
+    return DaemonRecord(
+        DaemonId(name),
+        DaemonIncarnation(1),
+        DataCentre(centre),
+        "127.0.0.1:1",
+        "127.0.0.1:2",
+        state,
+        is_control,
+    )
+
+
+class TestLiveDaemons:
+    """Guard against a home that can't serve.
+
+    A control daemon was chosen once, and its servers could not register.
+    """
+
+    def test_only_live_entry_daemons_of_the_data_centre_become_homes(self):
+        records = [
+            make_daemon("entry-1"),
+            make_daemon("control-1", is_control=True),
+            make_daemon("entry-2", state=DaemonState.SUSPECT),
+            make_daemon("entry-3", centre="dc2"),
+        ]
+        found = live_daemons(records, DataCentre("dc1"))
+        assert [record.daemon_id for record in found] == ["entry-1"]
