--- a/src/bramleyrouter/dissemination/build.py
+++ b/src/bramleyrouter/dissemination/build.py
@@ -24,7 +24,6 @@
 from bramleyrouter.dissemination.serving import Parent, build_parent
 from bramleyrouter.dissemination.store import (
     ConfigStore,
-    DigestOf,
     is_stale,
     note_proof,
     review_staleness,
@@ -56,16 +55,14 @@
     clock: Callable[[], float],
     relays: Relays,
     source: ConfigSource | None = None,
-    digest_of: DigestOf | None = None,
 ) -> Dissemination:
     """Return the closures of dissemination; writes the configuration section.
 
     ``relays`` is the closure of ``Membership``. ``source`` is set at a control
-    daemon, which is a root of the tree. ``digest_of`` computes the digest of a
-    state, to check what is received.
+    daemon, which is a root of the tree.
     """
     board.readiness.reasons.add(CONFIGURATION_REASON)
-    store = ConfigStore(board, clock, digest_of)
+    store = ConfigStore(board, clock)
     tasks = TaskGroup("dissemination")
     if source is not None:
         return _build_root(store, network, control_addresses, source, tasks)
--- a/src/bramleyrouter/dissemination/store.py
+++ b/src/bramleyrouter/dissemination/store.py
@@ -10,6 +10,7 @@
 from bramleyrouter.board import Board, Section
 from bramleyrouter.board.sections import Manifest
 from bramleyrouter.control.messages import ConfigDelta, ConfigState
+from bramleyrouter.dissemination.digests import DigestOf, build_digest
 from bramleyrouter.dissemination.interfaces import STALE_S
 from bramleyrouter.dissemination.manifests import (
     ManifestDifference,
@@ -32,8 +33,6 @@
 # Rough size of a change apart from its manifest, in bytes.
 CHANGE_OVERHEAD_BYTES = 256
 
-DigestOf = Callable[[ConfigState], bytes]
-
 
 @dataclass
 class ConfigStore:
@@ -45,7 +44,7 @@
 
     board: Board
     clock: Callable[[], float]
-    digest_of: DigestOf | None = None
+    digest_of: DigestOf = field(default_factory=build_digest)
     state: ConfigState = ConfigState(Revision(0), None)
     changes: deque[Change] = field(default_factory=deque)
     kept_bytes: int = 0
@@ -101,7 +100,7 @@
 
 
 def _is_intact(store: ConfigStore, state: ConfigState) -> bool:
-    if store.digest_of is None or store.digest_of(state) == state.digest:
+    if store.digest_of(state) == state.digest:
         return True
     logging.error(
         "dissemination: revision %d has another digest than stated.", state.revision
--- a/tests/dissemination/test_store.py
+++ b/tests/dissemination/test_store.py
@@ -9,6 +9,7 @@
 from bramleyrouter.board import Board
 from bramleyrouter.board.sections import Manifest, ServiceSpec
 from bramleyrouter.codes import Code
+from bramleyrouter.control.digests import compute_digest
 from bramleyrouter.control.messages import ConfigState
 from bramleyrouter.dissemination import messages
 from bramleyrouter.dissemination.manifests import apply_difference, find_difference
@@ -22,13 +23,13 @@
     take_update,
     updates_since,
 )
-from tests.support.config_sources import delta_between, digest_of, make_manifest
+from tests.support.config_sources import delta_between, make_manifest
 from tests.support.identities import make_identity
 
 
 def sealed(revision, manifest=None, **changes):
     state = ConfigState(revision, manifest, **changes)
-    return msgspec.structs.replace(state, digest=digest_of(state))
+    return msgspec.structs.replace(state, digest=compute_digest(state))
 
 
 STATES = [ConfigState(0, None)] + [
@@ -37,7 +38,7 @@
 
 
 def open_store(revision=0, now=0.0):
-    store = ConfigStore(Board(make_identity("own")), lambda: now, digest_of)
+    store = ConfigStore(Board(make_identity("own")), lambda: now)
     take_state(store, STATES[revision])
     return store
 
@@ -126,7 +127,7 @@
     def test_small_change_of_a_large_manifest_is_small(self):
         """Guards against a whole manifest on the wire for one version."""
         states = [sealed(n + 1, make_manifest(n, services=500)) for n in range(2)]
-        source = ConfigStore(Board(make_identity("own")), lambda: 0.0, digest_of)
+        source = ConfigStore(Board(make_identity("own")), lambda: 0.0)
         take_state(source, states[0])
         take_delta(source, delta_between(*states))
         assert len(encode(updates_since(source, 1, False))) < 500
--- a/tests/support/clusters.py
+++ b/tests/support/clusters.py
@@ -9,7 +9,6 @@
 from bramleyrouter.dissemination.build import build_dissemination
 from bramleyrouter.membership.build import build_membership
 from bramleyrouter.states import ServerState
-from tests.support.config_sources import digest_of
 from tests.support.identities import make_identity
 from tests.support.memory_network import MemoryFabric
 
@@ -116,7 +115,6 @@
             asyncio.get_running_loop().time,
             daemon.membership.relays,
             source,
-            digest_of,
         )
 
     return build
--- a/tests/support/config_sources.py
+++ b/tests/support/config_sources.py
@@ -3,23 +3,17 @@
 import asyncio
 from bisect import bisect_right
 from dataclasses import dataclass, field
-from hashlib import blake2b
 
 import msgspec
 
 from bramleyrouter.board.sections import Manifest, ServiceSpec
+from bramleyrouter.control.digests import compute_digest
 from bramleyrouter.control.interfaces import ConfigSource
 from bramleyrouter.control.messages import ConfigDelta, ConfigState
 
 APPLY_DELAY_S = 0.002
 
 
-def digest_of(state):
-    """Return a digest of all but the digest."""
-    body = msgspec.msgpack.encode(msgspec.structs.replace(state, digest=b""))
-    return blake2b(body, digest_size=16).digest()
-
-
 @dataclass
 class FakeLog:
     """Hold the committed states, and how far each control daemon got.
@@ -37,7 +31,7 @@
         """Accept a change of the state; return its revision."""
         old = self.states[-1]
         state = msgspec.structs.replace(old, revision=old.revision + 1, **changes)
-        state = msgspec.structs.replace(state, digest=digest_of(state))
+        state = msgspec.structs.replace(state, digest=compute_digest(state))
         self.states.append(state)
         loop = asyncio.get_running_loop()
         self.committed_at.append(loop.time())
