--- a/src/bramleyrouter/membership/membership.capnp
+++ b/src/bramleyrouter/membership/membership.capnp
@@ -93,16 +93,21 @@
   version @4 :UInt64;
 }
 
+# First asks what differs in some data centres; then asks for what is wanted.
 struct SyncRequest {
   protocolVersion @0 :UInt16;
   dataCentres @1 :List(Text);
-  held @2 :List(Held);
+  # For each daemon that is not dead: 8 bytes for its id, 8 for its record.
+  known @2 :Data;
+  wanted @3 :List(Held);
 }
 
 struct SyncReply {
   protocolVersion @0 :UInt16;
-  batch @1 :Batch;
-  wanted @2 :List(Held);
-  isSettled @3 :Bool;
+  # What the answering daemon holds of those that differ.
+  differing @1 :List(Held);
+  # Ids, in 8 bytes each, that it does not know.
+  missing @2 :Data;
+  batch @3 :Batch;
   hasMore @4 :Bool;
 }
--- a/src/bramleyrouter/membership/messages.py
+++ b/src/bramleyrouter/membership/messages.py
@@ -162,20 +162,24 @@
 
 
 class SyncRequest(msgspec.Struct, frozen=True, rename="camel"):
-    """Say what the sender holds of some data centres, to be completed."""
+    """Ask what differs in some data centres, or for what is ``wanted``.
+
+    ``known`` packs what the sender holds, see ``syncing.pack_known``.
+    """
 
     protocol_version: int = PROTOCOL_VERSION
     data_centres: tuple[DataCentre, ...] = ()
-    held: tuple[Held, ...] = ()
+    known: bytes = b""
+    wanted: tuple[Held, ...] = ()
 
 
 class SyncReply(msgspec.Struct, frozen=True, rename="camel"):
-    """Bring what the asker lacked; ``wanted`` names what it has newer."""
+    """Say what differs, and bring what was wanted as far as it fits."""
 
     protocol_version: int = PROTOCOL_VERSION
+    differing: tuple[Held, ...] = ()
+    missing: bytes = b""
     batch: Batch = Batch()
-    wanted: tuple[Held, ...] = ()
-    is_settled: bool = False
     has_more: bool = False
 
 
--- a/src/bramleyrouter/membership/records.py
+++ b/src/bramleyrouter/membership/records.py
@@ -1,12 +1,16 @@
 """Which of two records of a daemon is newer, and how records are summarised."""
 
+from functools import lru_cache
 from hashlib import blake2b
 
 from bramleyrouter.board.sections import DaemonRecord, Identity
+from bramleyrouter.ids import DaemonId
 from bramleyrouter.membership.messages import DAEMON_STATES, Entry
 from bramleyrouter.states import DaemonState
 
 HASH_BYTES = 8
+# More than the daemons of ten regions; only speed depends on it.
+MAX_NAME_HASHES = 8192
 
 # What peers found out overrides what the daemon said before; within one
 # statement of the daemon a verdict is never withdrawn.
@@ -50,6 +54,12 @@
     return int.from_bytes(digest, "big")
 
 
+@lru_cache(maxsize=MAX_NAME_HASHES)
+def name_hash(name: DaemonId) -> bytes:
+    """Return 8 bytes that stand for a daemon's id."""
+    return blake2b(name.encode(), digest_size=HASH_BYTES).digest()
+
+
 def own_entry(identity: Identity, is_control: bool) -> Entry:
     """Return the first entry of a daemon about itself."""
     return Entry(
--- a/src/bramleyrouter/membership/store.py
+++ b/src/bramleyrouter/membership/store.py
@@ -9,7 +9,6 @@
 from bramleyrouter.board import Board, Section
 from bramleyrouter.ids import DaemonId, DataCentre, ServerId
 from bramleyrouter.membership.messages import (
-    DAEMON_STATES,
     MAX_ROWS_PER_BATCH,
     Batch,
     Delta,
@@ -259,70 +258,42 @@
         state.board.touch(Section.DAEMONS)
 
 
-def held_in(state: MembershipState, centres: Iterable[DataCentre]) -> tuple[Held, ...]:
-    """Return what is held of the daemons of some data centres."""
-    wanted = set(centres)
-    return tuple(
-        _held(state, entry)
-        for entry in state.entries.values()
-        if entry.data_centre in wanted
-    )
+def held_of(state: MembershipState, name: DaemonId) -> Held:
+    """Return what is held of a daemon and of its rows."""
+    entry = state.entries.get(name)
+    if entry is None:
+        return Held(name)
+    rows = state.rows.get(name)
+    version = rows.version if rows else 0
+    return Held(name, entry.incarnation, entry.statement, entry.state, version)
 
 
-def _held(state: MembershipState, entry: Entry) -> Held:
-    rows = state.rows.get(entry.daemon_id)
-    version = rows.version if rows else 0
-    return Held(
-        entry.daemon_id, entry.incarnation, entry.statement, entry.state, version
+def is_ahead(held: Held, of: Held) -> bool:
+    """Return whether ``held`` has a newer entry or newer rows than ``of``."""
+    return _order(held) > _order(of) or (
+        held.incarnation == of.incarnation and held.version > of.version
     )
 
 
-def news_for(
-    state: MembershipState, centres: Iterable[DataCentre], held: tuple[Held, ...]
-) -> tuple[Batch, tuple[Held, ...], bool]:
-    """Return what a peer lacks, what it has newer, and whether more remains.
-
-    ``held`` is what the peer holds of ``centres``.
-    """
-    theirs = {item.daemon_id: item for item in held}
-    entries, deltas, wanted = [], [], []
+def batch_for(state: MembershipState, held: Iterable[Held]) -> tuple[Batch, bool]:
+    """Return what a peer that has ``held`` lacks, and whether more remains."""
+    entries, deltas = [], []
     budget = MAX_ROWS_PER_BATCH
-    centres = set(centres)
-    for name, entry in state.entries.items():
-        item = theirs.pop(name, None)
-        if item is None:
-            if entry.data_centre not in centres or is_dead(entry):
-                continue
-            item = Held(name)
+    for item in held:
+        entry = state.entries.get(item.daemon_id)
+        if entry is None:
+            continue
         if _order(entry) > _order(item):
             entries.append(entry)
-        elif _order(entry) < _order(item):
-            wanted.append(_held(state, entry))
-            continue
-        mine = state.rows.get(name)
-        if mine is None:
-            continue
+        rows = state.rows.get(item.daemon_id)
         version = item.version if item.incarnation == entry.incarnation else 0
-        if mine.version < version:
-            wanted.append(_held(state, entry))
-        elif mine.version > version and budget > 0:
-            delta = delta_since(mine, name, version)
-            deltas.append(delta)
-            budget -= len(delta.rows) + len(delta.statuses) + 1
-    wanted.extend(Held(name) for name, item in theirs.items() if not _is_dead(item))
-    batch = Batch(entries=tuple(entries), deltas=tuple(deltas))
-    return batch, tuple(wanted), budget <= 0
-
-
-def _is_dead(item: Held) -> bool:
-    return DAEMON_STATES[item.state] is DaemonState.DEAD
+        if rows is None or rows.version <= version or budget <= 0:
+            continue
+        delta = delta_since(rows, item.daemon_id, version)
+        deltas.append(delta)
+        budget -= len(delta.rows) + len(delta.statuses) + 1
+    return Batch(entries=tuple(entries), deltas=tuple(deltas)), budget <= 0
 
 
 def _order(item: Entry | Held) -> tuple[int, int, int]:
     return order_of(item.incarnation, item.statement, item.state)
-
-
-def batch_for(state: MembershipState, wanted: tuple[Held, ...]) -> Batch:
-    """Return the entries and deltas that a peer asked for."""
-    batch, _, _ = news_for(state, (), wanted)
-    return batch
--- a/tests/membership/test_messages.py
+++ b/tests/membership/test_messages.py
@@ -44,8 +44,8 @@
         digests=(CentreDigest("dc1", 2**64 - 1, 5),),
         forward_to="127.0.0.1:1",
     ),
-    SyncRequest(data_centres=("dc1",), held=(Held("home", 1, 2, 3, 4),)),
-    SyncReply(batch=make_batch(), wanted=(Held("x"),), has_more=True),
+    SyncRequest(data_centres=("dc1",), known=b"k" * 16, wanted=(Held("home", 1),)),
+    SyncReply(differing=(Held("x", 1, 2, 3, 4),), batch=make_batch(), has_more=True),
 ]
 
 
