Kept overloaded daemons from suspecting others

A trial with 75 daemons that share one core ended in false suspicions, whose messages kept the core busy. A daemon whose loop turns late now suspects nobody for 2 s. Signs of life of other data centres also spread by received probes, and the time after which one shows as suspect grows with the own data centre: with 25 daemons each, some had none for 4 s. Messages grow too much with the load on one core to measure more than about 40 daemons in one process.

--- a/src/bramleyrouter/membership/build.py
+++ b/src/bramleyrouter/membership/build.py
@@ -13,6 +13,7 @@
 from bramleyrouter.membership.messages import SCOPE_UP, Batch, encode
 from bramleyrouter.membership.probing import (
     PROBE_INTERVAL_S,
+    REVIEW_INTERVAL_S,
     build_probing,
 )
 from bramleyrouter.membership.publishing import build_publishing
@@ -30,7 +31,6 @@
 from bramleyrouter.wire.kinds import Kind
 from bramleyrouter.wire.network import Network
 
-REVIEW_INTERVAL_S = 0.25
 # A daemon that reaches no peer with complete tables for this long takes it
 # that nobody has any.
 SETTLING_S = 2.0
--- a/src/bramleyrouter/membership/probing.py
+++ b/src/bramleyrouter/membership/probing.py
@@ -42,6 +42,12 @@
 # Interval at which a daemon tries control daemons and peers it holds dead, so
 # that both sides of a healed partition find each other again.
 OUTREACH_INTERVAL_S = 2.0
+REVIEW_INTERVAL_S = 0.25
+# A loop that turns this much late may have missed replies that had arrived.
+LAG_S = 0.05
+# After that this daemon suspects nobody and asks no helpers for this long: on an
+# overloaded VM both would bring more messages and so more load.
+LAG_HOLD_S = 2.0
 
 
 @dataclass
@@ -52,7 +58,8 @@
     far: list[DataCentre] = field(default_factory=list)
     syncing: set[str] = field(default_factory=set)
     next_outreach: float = 0.0
-    last_tick: float = 0.0
+    reviewed_at: float = float("inf")
+    lagged_at: float = float("-inf")
     has_reached_settled: bool = False
 
 
@@ -134,7 +141,7 @@
         reply = await probe(address, target, PROBE_TIMEOUT_S)
         if reply is not None and reply.sender.daemon_id == target.daemon_id:
             return
-        if await ask_helpers(target):
+        if state.clock() - queues.lagged_at < LAG_HOLD_S or await ask_helpers(target):
             return
         current = state.entries.get(target.daemon_id)
         if current != target or state_of(target) is DaemonState.SUSPECT:
@@ -177,6 +184,9 @@
             return decoded
         asked = decoded.ok_value
         learn(asked)
+        # How long the probe took is not known here; a data centre that looks a
+        # little younger does no harm, and half of all news comes this way.
+        _note_ages(state, asked, state.clock())
         is_alive = False
         if asked.forward_to:
             reply = await probe(asked.forward_to, None, PROBE_TIMEOUT_S)
@@ -230,12 +240,14 @@
 
     def review_suspicions() -> None:
         now = state.clock()
-        # A process that was frozen has not listened to refutations meanwhile.
-        was_frozen = now - queues.last_tick > 2 * PROBE_INTERVAL_S
-        queues.last_tick = now
+        lag = now - queues.reviewed_at - REVIEW_INTERVAL_S
+        queues.reviewed_at = now
+        if lag > LAG_S:
+            queues.lagged_at = now
         for name, due in list(state.suspicions.items()):
-            if was_frozen:
-                state.suspicions[name] = max(due, now + PROBE_INTERVAL_S)
+            if lag > LAG_S:
+                # A process that was frozen has heard no refutations meanwhile.
+                state.suspicions[name] = due + lag
             elif due <= now:
                 logging.warning('membership: "%s" is taken to be dead.', name)
                 network.close_peer(state.entries[name].internal_address)
@@ -246,11 +258,7 @@
 
 
 def _note_ages(state: MembershipState, reply: Probe, sent: float) -> None:
-    """Note signs of life; ages count from when the probe was sent.
-
-    The reply was written after that, so a delayed one never looks newer than
-    it is.
-    """
+    """Note signs of life; their ages count from loop time ``sent``."""
     note_heard(state, reply.sender.data_centre, sent)
     for item in reply.digests:
         note_heard(state, item.data_centre, sent - item.age_ms / 1000)
--- a/src/bramleyrouter/membership/store.py
+++ b/src/bramleyrouter/membership/store.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from math import log2
 
 import msgspec
 from absl import logging
@@ -30,10 +31,14 @@
 
 # A suspected daemon has this long to refute it.
 SUSPICION_S = 1.5
-# Another data centre without a sign of life for this long shows as suspect.
+# Another data centre without a sign of life for this long shows as suspect. The
+# time grows with each doubling of the own data centre, through which signs of
+# life spread from the relays by probes between random peers.
 CENTRE_SUSPECT_S = 4.0
-# After this long its servers are hidden; they return with its next sign of life.
-CENTRE_LOST_S = 10.0
+CENTRE_SUSPECT_PER_DOUBLING_S = 1.0
+# After this many times as long its servers are hidden; they return with its next
+# sign of life.
+CENTRE_LOST_FACTOR = 2.0
 # A dead daemon's record outlives the older records that may still be under way.
 TOMBSTONE_S = 3600.0
 
@@ -217,8 +222,10 @@
         for centre, digest in state.digests.items()
         if centre != state.own.data_centre and digest
     }
-    suspected = frozenset(c for c, age in silent.items() if age > CENTRE_SUSPECT_S)
-    hidden = frozenset(c for c, age in silent.items() if age > CENTRE_LOST_S)
+    limit = _centre_limit(state)
+    suspected = frozenset(c for c, age in silent.items() if age > limit)
+    limit *= CENTRE_LOST_FACTOR
+    hidden = frozenset(c for c, age in silent.items() if age > limit)
     if suspected != state.suspected_centres:
         _log_centres(state.suspected_centres, suspected)
         state.suspected_centres = suspected
@@ -231,6 +238,12 @@
         refresh(state, _rows_of_centres(state, changed))
 
 
+def _centre_limit(state: MembershipState) -> float:
+    own = state.own.data_centre
+    members = sum(1 for centre, _ in state.hashes.values() if centre == own)
+    return CENTRE_SUSPECT_S + CENTRE_SUSPECT_PER_DOUBLING_S * log2(max(members, 1))
+
+
 def _log_centres(old: frozenset[DataCentre], new: frozenset[DataCentre]) -> None:
     for centre in sorted(new - old):
         logging.warning('membership: no sign of life from data centre "%s".', centre)
--- a/tests/membership/test_failure_detection.py
+++ b/tests/membership/test_failure_detection.py
@@ -151,6 +151,7 @@
             near, far = cluster.addresses("dc1"), cluster.addresses("dc2", "dc3")
             cluster.fabric.cut_groups(near, far)
             others = [d for d in cluster.daemons.values() if d.address in far]
+            # 4 s and one more for each doubling of four daemons, and the review.
             await asyncio.sleep(7)
             assert all(
                 d.board.daemons.records["e0dc1"].state is DaemonState.SUSPECT
