--- a/src/bramleyrouter/measure/control_clusters.py
+++ b/src/bramleyrouter/measure/control_clusters.py
@@ -52,24 +52,29 @@
 
 @dataclass
 class Log:
-    """Stand in for the replicated log: each change is accepted at once."""
+    """Stand in for the replicated log: each change is accepted at once.
+
+    ``cut_off`` holds the members that are not current, with the revision that
+    they stay at.
+    """
 
     states: list[ConfigState] = field(
         default_factory=lambda: [ConfigState(Revision(0), None)]
     )
     watchers: list[Callable[[], None]] = field(default_factory=list)
-    cut_off: set[str] = field(default_factory=set)
+    cut_off: dict[str, Revision] = field(default_factory=dict)
 
 
 def source_of(log: Log, name: str) -> ConfigSource:
     """Return what a control daemon reads of the log."""
 
     def deltas_since(revision: Revision) -> tuple[ConfigDelta, ...]:
-        pairs = zip(log.states[revision:], log.states[revision + 1 :], strict=False)
+        states = log.states[revision : log.cut_off.get(name, len(log.states)) + 1]
+        pairs = zip(states, states[1:], strict=False)
         return tuple(_delta(old, new) for old, new in pairs)
 
     return ConfigSource(
-        lambda: log.states[-1],
+        lambda: log.states[log.cut_off.get(name, -1)],
         deltas_since,
         log.watchers.append,
         lambda: name not in log.cut_off,
--- a/src/bramleyrouter/measure/control_cost.py
+++ b/src/bramleyrouter/measure/control_cost.py
@@ -31,6 +31,7 @@
     stop_cluster,
     stop_daemon,
 )
+from bramleyrouter.membership.relays import ranked
 
 # More than about 40 daemons exceed the one core that they share here.
 DAEMON_COUNTS = (8, 16, 32)
@@ -41,7 +42,10 @@
 STATUS_SERVERS = 1_000
 LATENCY_CHANGES = 300
 LATENCY_PAUSE_S = 0.05
-PARTITION_S = 10.0
+PARTITIONS = 10
+PARTITION_CHANGES = 10
+# Not a multiple of the intervals of reports and searches.
+PARTITION_PAUSE_S = 0.53
 # Bounds what a failed run waits for.
 LIMIT_S = 30.0
 MICROSECONDS = 1e6
@@ -220,9 +224,7 @@
 
 
 async def _hit_relay(cluster: Cluster, fault: str) -> Daemon:
-    centre = cluster.daemons[0].board.identity.data_centre
-    relay = cluster.daemons[0].membership.relays(centre)[0]
-    address = relay.internal_address
+    address = _parent_of_a_leaf(cluster)
     daemon = next(d for d in cluster.daemons if d.address == address)
     if fault == "killed":
         await stop_daemon(daemon)
@@ -231,6 +233,15 @@
     return daemon
 
 
+def _parent_of_a_leaf(cluster: Cluster) -> str:
+    for daemon in cluster.daemons:
+        relays = daemon.membership.relays(daemon.board.identity.data_centre)
+        addresses = [relay.internal_address for relay in relays]
+        if not daemon.is_control and daemon.address not in addresses:
+            return ranked(daemon.board.identity.daemon_id, addresses)[0]
+    raise LookupError("Every entry daemon is a relay.")
+
+
 def _cut(cluster: Cluster, group: set[str]) -> None:
     rest = {daemon.address for daemon in cluster.daemons} - group
     pairs = {frozenset((one, other)) for one in group for other in rest}
@@ -252,14 +263,27 @@
     """Return the time from the end of a partition to in force, and to fresh."""
     cluster = await start_cluster(ENTRIES_TODAY)
     await asyncio.sleep(2.0)
+    seen = [await _heal_partition(cluster) for _ in range(PARTITIONS)]
+    await stop_cluster(cluster)
+    return {
+        "partitions": PARTITIONS,
+        "in_force_ms_median": statistics.median(at for at, _ in seen) * 1000,
+        "in_force_ms_max": max(at for at, _ in seen) * 1000,
+        "fresh_ms_max": max(at for _, at in seen) * 1000,
+    }
+
+
+async def _heal_partition(cluster: Cluster) -> tuple[float, float]:
+    """Cut one data centre off while changes are accepted, then heal."""
     first = cluster.daemons[0]
     centre = first.board.identity.data_centre
     inside = [d for d in cluster.daemons if d.board.identity.data_centre == centre]
     _cut(cluster, {daemon.address for daemon in inside})
-    cluster.log.cut_off.add(first.board.identity.daemon_id)
-    for _ in range(int(PARTITION_S / 0.5)):
+    at = cluster.log.states[-1].revision
+    cluster.log.cut_off[first.board.identity.daemon_id] = at
+    for _ in range(PARTITION_CHANGES):
         commit(cluster.log)
-        await asyncio.sleep(0.5)
+        await asyncio.sleep(PARTITION_PAUSE_S)
     latest = cluster.log.states[-1].revision
     entries = [daemon for daemon in inside if not daemon.is_control]
     clock = asyncio.get_running_loop().time
@@ -271,8 +295,8 @@
     fresh = in_force + await wait_for(
         lambda: all(clock() - d.board.config.confirmed_at < STALE_S for d in entries)
     )
-    await stop_cluster(cluster)
-    return {"in_force_ms": in_force * 1000, "fresh_ms": fresh * 1000}
+    await asyncio.sleep(2.0)
+    return in_force, fresh
 
 
 def slopes_of(figures: dict[str, Figures]) -> Figures:
@@ -287,8 +311,8 @@
     }
 
 
-async def measure_all(window_s: float) -> dict:
-    """Run every experiment."""
+async def measure_all(window_s: float, only: str) -> dict:
+    """Run the experiments whose names start with ``only``."""
     series: dict[str, Callable[[], Awaitable[dict[str, Figures]]]] = {
         "daemons": lambda: measure_daemons(window_s),
         "servers": lambda: measure_servers(window_s),
@@ -301,11 +325,15 @@
     }
     report: dict = {"python": platform.python_version(), "window_s": window_s}
     for name, run in series.items():
+        if not name.startswith(only):
+            continue
         figures = await run()
         report[name] = {"figures": figures, "slopes": slopes_of(figures)}
     for fault in ("none", "killed", "silent"):
-        report[f"latency_{fault}"] = await measure_latency(fault)
-    report["partition"] = await measure_partition()
+        if f"latency_{fault}".startswith(only):
+            report[f"latency_{fault}"] = await measure_latency(fault)
+    if "partition".startswith(only):
+        report["partition"] = await measure_partition()
     return report
 
 
@@ -319,9 +347,10 @@
     """Print the figures as JSON."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--window", type=float, default=8.0, help="seconds")
+    parser.add_argument("--only", help="prefix of the experiments to run")
     args = parser.parse_args()
     logging.set_verbosity(logging.FATAL)
-    report = asyncio.run(measure_all(args.window))
+    report = asyncio.run(measure_all(args.window, args.only or ""))
     print(json.dumps(_rounded(report), indent=2))
 
 
--- a/src/bramleyrouter/membership/messages.py
+++ b/src/bramleyrouter/membership/messages.py
@@ -1,6 +1,7 @@
 """Typed messages of membership and server tables, and their encoding."""
 
 from pathlib import Path
+from sys import intern
 from typing import Annotated
 
 import capnp
@@ -224,21 +225,30 @@
     return Holding(holding.service, tuple(shards))
 
 
+# Replicas share these names; one copy of each keeps the tables small.
+def _shard_of(item: ShardVersions) -> ShardName:
+    return ShardName(intern(item.shard))
+
+
+def _versions_of(item: ShardVersions) -> tuple[IndexVersion, ...]:
+    return tuple(IndexVersion(intern(version)) for version in item.versions)
+
+
 def record_of(row: Row, delta: Delta) -> ServerRecord:
     """Return the record that ``row`` of ``delta`` carries."""
     return ServerRecord(
         row.server_id,
         row.incarnation,
         row.registration,
-        row.data_centre,
+        DataCentre(intern(row.data_centre)),
         row.address,
         SERVER_STATES[row.state],
         row.slots,
         row.connection_limit,
         tuple(
             ServiceHolding(
-                holding.service,
-                {item.shard: item.versions for item in holding.shards},
+                ServiceName(intern(holding.service)),
+                {_shard_of(item): _versions_of(item) for item in holding.shards},
             )
             for holding in row.holdings
         ),
--- a/src/bramleyrouter/membership/server_view.py
+++ b/src/bramleyrouter/membership/server_view.py
@@ -11,7 +11,7 @@
 Order = tuple[int, int]
 
 
-@dataclass
+@dataclass(slots=True)
 class Claims:
     """Hold which homes have a row of a server, and the newest registration.
 
@@ -19,7 +19,7 @@
     successor dies: the server announces again with a larger number.
     """
 
-    homes: set[DaemonId] = field(default_factory=set)
+    homes: tuple[DaemonId, ...] = ()
     newest: Order = (0, 0)
 
 
@@ -47,17 +47,18 @@
 
 def _choose(view, rows_by_home, is_visible, home, server_id) -> ServerRecord | None:
     claims = view.claims.setdefault(server_id, Claims())
-    claims.homes.add(home)
+    homes = []
     candidates = []
-    for name in tuple(claims.homes):
+    for name in {*claims.homes, home}:
         rows = rows_by_home.get(name)
         record = rows.records.get(server_id) if rows else None
         if record is None:
-            claims.homes.discard(name)
             continue
+        homes.append(name)
         claims.newest = max(claims.newest, _order(record))
         candidates.append(record)
-    if not claims.homes:
+    claims.homes = tuple(homes)
+    if not homes:
         del view.claims[server_id]
     # Equal registrations occur for a moment while a home hands a server over.
     return max(
