Added tests of the Raft core under hostile schedules

Schedules lose, double and reorder messages, crash members, lose disks, change members and let clocks jump; after each step the accepted entries of all members are compared, and their durability at a majority is checked.

--- /dev/null
+++ b/tests/consensus/test_core.py
@@ -0,0 +1,296 @@
+"""Tests of the Raft core under hostile schedules, and of single rules."""
+
+import bisect
+import itertools
+import random
+from collections import Counter
+from unittest import mock
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from bramleyrouter.consensus import core
+from bramleyrouter.consensus import raft_state as rs
+from bramleyrouter.consensus.entries import Entry, EntryKind, HardState, encode_members
+from bramleyrouter.consensus.interfaces import Member
+from bramleyrouter.consensus.messages import (
+    AppendReply,
+    AppendRequest,
+    VoteReply,
+    VoteRequest,
+)
+from bramleyrouter.consensus.replication import answered_by_majority, holds_lease
+from tests.support.raft_simulation import MAX_PROPOSALS, Simulation
+
+totals = Counter()
+
+
+ACTIONS = {
+    "deliver the oldest": 120,
+    "deliver any": 60,
+    "deliver twice": 12,
+    "drop": 12,
+    "sync": 60,
+    "tick": 24,
+    "jump back": 1,
+    "propose": 20,
+    "compact": 8,
+    "crash": 4,
+    "change": 4,
+    "lose a disk": 1,
+}
+
+
+def act(simulation, action, number):
+    """Do one action of a schedule to the member or message ``number``."""
+    names = sorted(simulation.hosts)
+    name = names[number % len(names)]
+    if action.startswith("deliver"):
+        position = 0 if action == "deliver the oldest" else number
+        simulation.deliver(position, is_kept=action == "deliver twice")
+    elif action == "drop":
+        simulation.drop(number)
+    elif action == "sync":
+        simulation.sync(name)
+    elif action == "tick":
+        simulation.tick(name, (number >> 3) / 32)
+    elif action == "jump back":
+        simulation.hosts[name].clock -= number / 100
+    elif action == "propose" and simulation.proposals < MAX_PROPOSALS:
+        simulation.propose(simulation.leader() or name)
+    elif action == "compact":
+        simulation.compact(name)
+    elif action == "crash":
+        simulation.crash(name)
+    elif action == "change":
+        simulation.change(number)
+    elif action == "lose a disk":
+        simulation.lose_disk(name)
+
+
+def run_schedule(schedule):
+    """Run a schedule of bytes, then let the members settle.
+
+    The first bytes scale how often each action comes, so that schedules differ
+    in kind; each later pair is an action and its object.
+    """
+    scales = schedule[: len(ACTIONS)].ljust(len(ACTIONS), b"\x40")
+    weights = [
+        weight * (scale % 8)
+        for weight, scale in zip(ACTIONS.values(), scales, strict=True)
+    ]
+    bounds = list(itertools.accumulate(weights))
+    pairs = schedule[len(ACTIONS) :]
+    with mock.patch.object(core, "KEPT_ENTRIES", 2):
+        simulation = Simulation()
+        for byte, number in zip(pairs[::2], pairs[1::2], strict=False):
+            position = bisect.bisect_right(bounds, byte * bounds[-1] / 256)
+            if position < len(ACTIONS):
+                act(simulation, list(ACTIONS)[position], number)
+        simulation.settle()
+    totals.update(simulation.counts)
+    totals["accepted"] += len(simulation.accepted)
+    totals["terms"] += len(simulation.leaders)
+
+
+class TestSchedules:
+    """Guards against two leaders in a term and against losing what was accepted.
+
+    ``Simulation.check`` compares every accepted entry at every member; after
+    the schedule all members that are left must hold all of them.
+    """
+
+    @settings(
+        max_examples=150,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given(st.binary(max_size=1500))
+    def test_any_schedule(self, schedule):
+        run_schedule(schedule)
+
+    def test_long_schedules(self):
+        totals.clear()
+        for seed in range(120):
+            run_schedule(random.Random(seed).randbytes(6000))
+        # The schedules must reach what they are meant to test.
+        for what in ("installed", "crashed", "compacted", "changed", "lost"):
+            assert totals[what] >= 10, totals
+        assert totals["terms"] >= 240 and totals["accepted"] >= 1200, totals
+
+
+MEMBERS = tuple(Member(name, "") for name in "abcde")
+
+
+def entry(index, term, kind=EntryKind.COMMAND, command=b"x"):
+    return Entry(term, index, 0, kind, command)
+
+
+def make_member(entries=(), term=1, members=MEMBERS[:3], voted_for=""):
+    """Return member "a" after its start, when it may vote again."""
+    hard = HardState(term, voted_for)
+    return core.make_state(
+        "a", random.Random(1), members, hard, None, list(entries), -10.0
+    )
+
+
+def make_leader(entries=(), members=MEMBERS[:3]):
+    """Return member "a" as leader of term 2, elected at time 0."""
+    state = make_member(entries, members=members)
+    core.step(state, rs.Tick(), 0.0)
+    for campaign, is_pre in ((2, True), (2, False)):
+        for voter in "bc":
+            term = 1 if is_pre else campaign
+            reply = VoteReply(voter, "a", term, campaign, True, is_pre)
+            core.step(state, rs.Incoming(reply), 0.0)
+    assert state.role is rs.Role.LEADER
+    return state
+
+
+def append(prev, prev_term, entries=(), commit=0, term=1):
+    return rs.Incoming(
+        AppendRequest("b", "a", term, 1, prev, prev_term, commit, tuple(entries))
+    )
+
+
+def answer_of(effects):
+    (answer,) = [item for item in effects if isinstance(item, rs.Answer)]
+    return answer
+
+
+def request_to(effects, target):
+    (request,) = [
+        item.message
+        for item in effects
+        if isinstance(item, rs.Send) and item.message.target == target
+    ]
+    return request
+
+
+def answered(request, match):
+    return rs.Incoming(
+        AppendReply(request.target, "a", request.term, request.sequence, True, match)
+    )
+
+
+class TestVoting:
+    """Guards against a second vote in a term and against deposing a leader."""
+
+    def test_a_vote_waits_for_the_disk(self):
+        effects = core.step(
+            make_member(), rs.Incoming(VoteRequest("b", "a", 2, 0, 0, False)), 0.0
+        )
+        saved = [item for item in effects if isinstance(item, rs.SaveTerm)]
+        assert saved[-1].hard == HardState(2, "b")
+        assert answer_of(effects).after_sync and answer_of(effects).message.is_granted
+
+    def test_own_vote_is_durable_before_others_are_asked(self):
+        state = make_member()
+        core.step(state, rs.Tick(), 0.0)
+        reply = VoteReply("b", "a", 1, 2, True, True)
+        effects = core.step(state, rs.Incoming(reply), 0.0)
+        assert effects[0] == rs.SaveTerm(HardState(2, "a"))
+        assert all(item.after_sync for item in effects[1:])
+
+    def test_a_vote_survives_a_restart(self):
+        state = make_member(term=2, voted_for="b")
+        request = rs.Incoming(VoteRequest("c", "a", 2, 9, 1, False))
+        assert not answer_of(core.step(state, request, 0.0)).message.is_granted
+
+    def test_whoever_hears_a_leader_refuses_and_keeps_its_term(self):
+        state = make_member()
+        core.step(state, append(0, 0), 0.0)
+        for is_pre in (True, False):
+            request = rs.Incoming(VoteRequest("c", "a", 7, 9, 1, is_pre))
+            effects = core.step(state, request, rs.ELECTION_MIN_S - 0.01)
+            assert not answer_of(effects).message.is_granted and state.term == 1
+
+    def test_a_pre_vote_changes_nothing(self):
+        state = make_member()
+        request = rs.Incoming(VoteRequest("c", "a", 7, 9, 1, True))
+        effects = core.step(state, request, 0.0)
+        assert answer_of(effects).message.is_granted and len(effects) == 1
+        assert (state.term, state.voted_for) == (1, "")
+
+
+class TestFollowing:
+    """Guards against acknowledging or accepting what the leader does not hold."""
+
+    def test_an_answer_waits_for_entries_and_for_the_term(self):
+        state = make_member()
+        effects = core.step(state, append(0, 0, [entry(1, 1)]), 0.0)
+        assert answer_of(effects).after_sync
+        core.step(state, rs.Persisted(1, 1, 1), 0.0)
+        assert not answer_of(core.step(state, append(1, 1), 0.0)).after_sync
+        assert answer_of(core.step(state, append(1, 1, term=2), 0.0)).after_sync
+
+    def test_doubled_and_late_requests_drop_nothing(self):
+        state = make_member()
+        first = append(0, 0, [entry(1, 1)])
+        second = append(1, 1, [entry(2, 1), entry(3, 1)])
+        for event in (first, second, first, second, first):
+            core.step(state, event, 0.0)
+        assert state.log.last_index == 3
+
+    def test_an_unchecked_tail_is_not_accepted(self):
+        state = make_member([entry(1, 1), entry(2, 1)])
+        core.step(state, append(1, 1, commit=2, term=2), 0.0)
+        assert state.commit_index == 1
+
+    def test_replaced_entries_are_not_durable(self):
+        state = make_member([entry(1, 1), entry(2, 1)])
+        core.step(state, append(1, 1, [entry(2, 2)], term=2), 0.0)
+        core.step(state, rs.Persisted(1, 2, 1), 0.0)
+        assert state.durable_index == 1
+
+    def test_a_dropped_configuration_is_not_in_force(self):
+        changed = entry(1, 1, EntryKind.MEMBERS, encode_members(MEMBERS))
+        state = make_member([changed])
+        assert len(rs.voters_of(state)) == 5
+        core.step(state, append(0, 0, [entry(1, 2)], term=2), 0.0)
+        assert len(rs.voters_of(state)) == 3
+
+
+class TestLeading:
+    """Guards against accepting too early and against serving old reads."""
+
+    def test_entries_of_an_earlier_term_wait_for_one_of_its_own(self):
+        state = make_leader([entry(1, 1)])
+        state.durable_index = 1
+        core.step(state, rs.Incoming(AppendReply("b", "a", 2, 0, True, 1)), 0.0)
+        assert state.commit_index == 0
+        core.step(state, rs.Persisted(2, 2, 2), 0.0)
+        core.step(state, rs.Incoming(AppendReply("b", "a", 2, 0, True, 2)), 0.0)
+        assert state.commit_index == 2
+
+    def test_a_change_waits_for_the_one_before(self):
+        state = make_leader()
+        change = rs.Propose(1, EntryKind.MEMBERS, encode_members(MEMBERS[:4]), 0)
+        assert core.step(state, change, 0.0)[0].index == 0
+        core.step(state, rs.Persisted(2, 1, 2), 0.0)
+        core.step(state, rs.Incoming(AppendReply("b", "a", 2, 0, True, 1)), 0.0)
+        assert core.step(state, change, 0.0)[0].index == 2
+        assert core.step(state, change, 0.0)[0].index == 0
+
+    def test_the_lease_counts_from_the_request_that_was_answered(self):
+        state = make_leader()
+        core.step(state, rs.Persisted(2, 1, 2), 0.0)
+        request = request_to(core.step(state, rs.Tick(), 0.2), "b")
+        core.step(state, rs.Incoming(AppendReply("b", "a", 2, 1, True, 1)), 0.3)
+        assert holds_lease(state, rs.LEASE_S - 0.01)
+        assert not holds_lease(state, rs.LEASE_S)
+        core.step(state, answered(request, 1), 0.35)
+        assert holds_lease(state, 0.2 + rs.LEASE_S - 0.01)
+        core.step(state, rs.Tick(), 0.2 + rs.ELECTION_MIN_S)
+        assert state.role is rs.Role.FOLLOWER
+
+    def test_a_read_needs_answers_to_later_requests(self):
+        state = make_leader()
+        mark = state.sequence
+        core.step(state, rs.Incoming(AppendReply("b", "a", 2, 1, True, 0)), 0.0)
+        assert not answered_by_majority(state, mark)
+        effects = core.step(state, rs.BeginRound(), 0.0)
+        core.step(state, answered(request_to(effects, "b"), 0), 0.0)
+        assert answered_by_majority(state, mark)
--- /dev/null
+++ b/tests/support/raft_simulation.py
@@ -0,0 +1,284 @@
+"""Members of the Raft core under a schedule that loses, doubles and reorders.
+
+Only the core and a model of the disk run here, so a schedule may deliver any
+message at any time, sync or crash any member, and let clocks jump.
+"""
+
+import itertools
+import random
+from dataclasses import dataclass, field
+
+import msgspec
+
+from bramleyrouter.consensus import core
+from bramleyrouter.consensus import raft_state as rs
+from bramleyrouter.consensus.entries import EntryKind, HardState, Snapshot
+from bramleyrouter.consensus.entries import encode_members as encode
+from bramleyrouter.consensus.interfaces import Member
+from bramleyrouter.consensus.memory_log import entry_at, term_at
+from bramleyrouter.consensus.messages import ChunkRequest, Request, VoteRequest
+from bramleyrouter.consensus.storage import encode_snapshot
+
+CHUNK_BYTES = 40
+MAX_PROPOSALS = 60
+
+
+@dataclass
+class Host:
+    """Hold one member, its clock, its disk and what waits for the next sync."""
+
+    raft: rs.RaftState
+    clock: float = 0.0
+    hard: HardState = HardState()
+    entries: list = field(default_factory=list)
+    snapshot: Snapshot | None = None
+    data: bytes = b""
+    queue: list = field(default_factory=list)
+    applied: dict = field(default_factory=dict)
+
+
+@dataclass
+class Simulation:
+    """Hold all members, the messages under way and what was accepted."""
+
+    rng: random.Random = field(default_factory=lambda: random.Random(7))
+    hosts: dict[str, Host] = field(default_factory=dict)
+    lost: dict[str, Host] = field(default_factory=dict)
+    messages: list = field(default_factory=list)
+    accepted: dict[int, tuple] = field(default_factory=dict)
+    leaders: dict[int, str] = field(default_factory=dict)
+    names: itertools.count = field(default_factory=itertools.count)
+    proposals: int = 0
+    counts: dict[str, int] = field(default_factory=dict)
+
+    def __post_init__(self):
+        first = tuple(Member(f"m{next(self.names)}", "") for _ in range(3))
+        for member in first:
+            self.make_host(member.member_id, first)
+
+    def make_host(self, name, members=()):
+        raft = core.make_state(name, self.rng, members, HardState(), None, [], 0.0)
+        self.hosts[name] = Host(raft)
+
+    def note(self, what):
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    def step(self, name, event):
+        """Apply an event at a member, queue its effects and check the rules."""
+        host = self.hosts[name]
+        for effect in core.step(host.raft, event, host.clock):
+            self.carry_out(name, host, effect)
+        self.check(name, host)
+
+    def carry_out(self, name, host, effect):
+        raft = host.raft
+        if isinstance(effect, rs.SaveTerm | rs.SaveLog | rs.Install):
+            host.queue.append(effect)
+            if isinstance(effect, rs.Install):
+                held = msgspec.msgpack.decode(effect.snapshot.state, type=dict)
+                host.applied = {index: tuple(item) for index, item in held.items()}
+                self.note("installed")
+        elif isinstance(effect, rs.SendChunk):
+            end = effect.offset + CHUNK_BYTES
+            chunk = ChunkRequest(
+                name,
+                effect.target,
+                raft.term,
+                effect.sequence,
+                raft.snapshot_index,
+                raft.snapshot_term,
+                effect.offset,
+                host.data[effect.offset : end],
+                end >= len(host.data),
+            )
+            self.messages.append(chunk)
+        elif not isinstance(effect, rs.Proposed):
+            held = effect.after_sync and host.queue
+            (host.queue if held else self.messages).append(effect.message)
+
+    def check(self, name, host):
+        raft = host.raft
+        if raft.role is rs.Role.LEADER:
+            assert self.leaders.setdefault(raft.term, name) == name
+        start = max(host.applied, default=raft.log.base_index) + 1
+        for index in range(start, raft.commit_index + 1):
+            entry = entry_at(raft.log, index)
+            host.applied[index] = (entry.term, entry.command)
+            item = self.accepted.setdefault(index, host.applied[index])
+            assert item == host.applied[index], f"entry {index} of {name}"
+            if raft.role is rs.Role.LEADER:
+                assert self.is_durable(raft, entry), f"entry {index} not durable"
+
+    def is_durable(self, raft, entry):
+        """Return whether a majority of the voters has an entry on disk."""
+        disks = [self.hosts.get(item) or self.lost[item] for item in rs.voters_of(raft)]
+        held = [
+            entry in host.entries
+            or (host.snapshot is not None and host.snapshot.index >= entry.index)
+            for host in disks
+        ]
+        return 2 * sum(held) > len(held)
+
+    def sync(self, name):
+        """Make a member's queue durable and let go what waited for it."""
+        host, raft = self.hosts[name], self.hosts[name].raft
+        queue, host.queue = host.queue, []
+        mark = rs.Persisted(raft.term, raft.log.last_index, raft.log.last_term)
+        waiting = [effect for effect in queue if not self.save(host, effect)]
+        self.messages += waiting
+        self.step(name, mark)
+
+    def save(self, host, effect):
+        if isinstance(effect, rs.SaveTerm):
+            host.hard = effect.hard
+        elif isinstance(effect, rs.SaveLog):
+            first = effect.entries[0].index
+            host.entries = [item for item in host.entries if item.index < first]
+            host.entries += effect.entries
+        elif isinstance(effect, rs.Install):
+            host.snapshot, host.data = effect.snapshot, effect.data
+            if effect.replaces_log:
+                host.entries = []
+        else:
+            return False
+        return True
+
+    def crash(self, name):
+        """Restart a member with what its disk holds."""
+        host = self.hosts[name]
+        for message in host.queue:
+            if isinstance(message, Request) or hasattr(message, "sequence"):
+                self.unreached(message)
+        host.queue, snapshot = [], host.snapshot
+        initial = host.raft.configs[0][1] if host.raft.configs[0][0] == 0 else ()
+        host.raft = core.make_state(
+            name, self.rng, initial, host.hard, snapshot, host.entries, host.clock
+        )
+        host.raft.snapshot_bytes = len(host.data)
+        limit = snapshot.index if snapshot else 0
+        host.applied = {k: v for k, v in host.applied.items() if k <= limit}
+        self.note("crashed")
+
+    def unreached(self, message):
+        """Tell the sender of a request that it was not answered."""
+        if isinstance(message, VoteRequest) or not hasattr(message, "sequence"):
+            return
+        is_request = isinstance(message, Request)
+        asker = message.sender if is_request else message.target
+        other = message.target if is_request else message.sender
+        if asker in self.hosts:
+            self.step(asker, rs.Unreached(other, message.sequence))
+
+    def deliver(self, position, is_kept=False):
+        """Deliver any message under way; keep it, too, for another time."""
+        if not self.messages:
+            return
+        position %= len(self.messages)
+        message = self.messages[position]
+        if not is_kept:
+            del self.messages[position]
+        if message.target in self.hosts:
+            self.step(message.target, rs.Incoming(message))
+        else:
+            self.unreached(message)
+
+    def drop(self, position):
+        """Lose a message."""
+        if self.messages:
+            self.unreached(self.messages.pop(position % len(self.messages)))
+
+    def tick(self, name, jump_s):
+        """Let a member's clock jump, then its timer fire."""
+        self.hosts[name].clock += jump_s
+        self.step(name, rs.Tick())
+
+    def leader(self):
+        """Return the leader of the largest term, if any."""
+        leading = [
+            (host.raft.term, name)
+            for name, host in self.hosts.items()
+            if host.raft.role is rs.Role.LEADER
+        ]
+        return max(leading)[1] if leading else None
+
+    def propose(self, name, kind=EntryKind.COMMAND, command=b""):
+        self.proposals += self.leader() is not None
+        command = command or b"%d" % self.proposals
+        self.step(name, rs.Propose(0, kind, command, self.proposals))
+
+    def compact(self, name):
+        """Store a snapshot of what a member applied."""
+        host, raft = self.hosts[name], self.hosts[name].raft
+        index = raft.commit_index
+        if host.queue or index <= raft.snapshot_index:
+            return
+        members = [item for start, item in raft.configs if start <= index][-1]
+        state = msgspec.msgpack.encode(host.applied)
+        term = term_at(raft.log, index)
+        host.snapshot = Snapshot(index, term, raft.stamp_ms, members, state)
+        host.data = encode_snapshot(host.snapshot)
+        self.step(name, rs.Compacted(index, term, len(host.data)))
+        self.note("compacted")
+
+    def change(self, number):
+        """Let the leader add, promote or remove one member."""
+        name = self.leader()
+        if name is None or len(self.hosts) > 6:
+            return
+        raft = self.hosts[name].raft
+        members = list(rs.members_of(raft))
+        position = number % (len(members) + 1)
+        if position == len(members):
+            added = f"m{next(self.names)}"
+            self.make_host(added)
+            members.append(Member(added, "", False))
+        elif not members[position].is_voter:
+            progress = raft.progress.get(members[position].member_id)
+            if progress is None or progress.match_index < raft.commit_index:
+                return
+            members[position] = Member(members[position].member_id, "")
+        elif self.may_remove(members, position):
+            del members[position]
+        self.propose(name, EntryKind.MEMBERS, encode(tuple(members)))
+        self.note("changed")
+
+    def may_remove(self, members, position):
+        voters = [item for item in members if item.is_voter]
+        is_lost = members[position].member_id in self.lost
+        return len(voters) > 2 and (is_lost or not self.lost)
+
+    def lose_disk(self, name):
+        """Lose a voter for good, if every configuration bears one loss more."""
+        configs = [
+            {item.member_id for item in members if item.is_voter}
+            for host in self.hosts.values()
+            for _, members in host.raft.configs
+        ]
+        if any(len(voters) in (1, 2) or voters & set(self.lost) for voters in configs):
+            return
+        while self.messages:
+            self.drop(0)
+        self.lost[name] = self.hosts.pop(name)
+        self.note("lost")
+
+    def settle(self, turns=3000):
+        """Deliver all in order until every accepted entry is held everywhere."""
+        while self.messages:
+            self.drop(0)
+        for _ in range(turns):
+            for name in list(self.hosts):
+                self.sync(name)
+                self.tick(name, 0.01)
+            for _ in range(len(self.messages)):
+                self.deliver(0)
+            leader = self.leader()
+            if leader and self.is_settled(leader):
+                return
+        raise AssertionError("The members did not agree after all faults ended.")
+
+    def is_settled(self, leader):
+        raft = self.hosts[leader].raft
+        voters = [item for item in rs.voters_of(raft) if item not in self.lost]
+        last = max(self.accepted, default=0)
+        reached = [self.hosts[item].raft.commit_index for item in voters]
+        return raft.commit_index >= raft.term_start and min(reached) >= last
