Answered the proposal by which a leader removes itself

The leader stopped leading, and told all proposers so, before it applied the committed change. Found by a new test of whole members; the others there cover leader loss, lost disks, failed syncs, compaction and random faults.

--- a/src/bramleyrouter/consensus/driver.py
+++ b/src/bramleyrouter/consensus/driver.py
@@ -72,9 +72,10 @@
             answers.append(effect)
         else:
             _carry_out(node, effect)
+    # A leader that removed itself answers that proposal before it stops.
+    _apply_committed(node)
     if was_leader != node.is_leader or old_term != node.raft.term:
         _note_leadership(node, was_leader)
-    _apply_committed(node)
     for hook in node.hooks:
         hook()
     arm_timer(node)
--- a/tests/consensus/test_replicated_log.py
+++ b/tests/consensus/test_replicated_log.py
@@ -1,11 +1,16 @@
 """Tests of whole members: elections, failures, restarts, repairs."""
 
 import asyncio
+import random
 
+import pytest
 from result import Err, Ok
 
 from bramleyrouter.codes import Code
+from bramleyrouter.consensus.interfaces import Member
+from bramleyrouter.consensus.node import Limits
 from tests.support.log_cluster import ADDRESSES, LogCluster
+from tests.support.memory_disk import MemoryDisk
 from tests.support.virtual_time import run_virtual
 
 
@@ -33,6 +38,49 @@
 
         run_virtual(scenario())
 
+    def test_all_first_members_are_needed_once(self):
+        async def scenario():
+            cluster = LogCluster()
+            cluster.start(0, 1)
+            await asyncio.sleep(10.0)
+            assert cluster.leaders() == []
+            cluster.start(2)
+            await cluster.propose(b"a")
+
+        run_virtual(scenario())
+
+    @pytest.mark.parametrize("survivor", [0, 2])
+    def test_members_without_disks_form_no_second_cluster(self, survivor):
+        async def scenario():
+            cluster = LogCluster()
+            cluster.start(0, 1, 2)
+            await cluster.propose(b"a")
+            others = {0, 1, 2} - {survivor}
+            for number in others:
+                await cluster.lose_disk(number)
+            cluster.start(*others)
+            await asyncio.sleep(20.0)
+            assert cluster.leaders() == []
+            assert not any(log.is_current() for log in cluster.logs.values())
+
+        run_virtual(scenario())
+
+    def test_a_stored_configuration_is_reported_only_once_durable(self):
+        async def scenario():
+            cluster = LogCluster(disks={0: MemoryDisk(sync_s=0.5)})
+            cluster.start(0, 1, 2)
+            while "member" not in cluster.disks[1].names:
+                await asyncio.sleep(0.01)
+            before = cluster.disks[1].syncs
+            while cluster.disks[1].syncs == before:
+                await asyncio.sleep(0.001)
+            # What member 1 stored came from member 0, which must hold it too.
+            await cluster.kill(0)
+            cluster.start(0)
+            await cluster.propose(b"a")
+
+        run_virtual(scenario())
+
 
 class TestLeaderLoss:
     """Guards against two leaders and against accepting without a majority."""
@@ -58,8 +106,10 @@
             cluster.start(0, 1, 2)
             old = await cluster.propose(b"a")
             cluster.isolate(old)
+            before = asyncio.get_running_loop().time()
             lost = await cluster.logs[old].propose(b"lost", 5.0)
             assert lost.unwrap_err().code is Code.NO_MAJORITY
+            assert asyncio.get_running_loop().time() - before < 1.0
             others = set(cluster.logs) - {old}
             await cluster.propose(b"b", others)
             await asyncio.sleep(60.0)
@@ -77,3 +127,286 @@
             assert cluster.commands[old] == [b"a", b"b"]
 
         run_virtual(scenario())
+
+
+class TestDisks:
+    """Guards against losing accepted entries with a disk, or a sync, lost."""
+
+    def test_a_lost_disk_is_replaced_before_a_second_member_is_lost(self):
+        async def scenario():
+            cluster = LogCluster()
+            cluster.start(0, 1, 2)
+            for number in range(20):
+                await cluster.propose(b"%d" % number)
+            await cluster.lose_disk(1)
+            await cluster.propose(b"without 1")
+            cluster.start(1)
+            await cluster.repair(1, {0, 2})
+            leader = await cluster.wait_leader()
+            held = list(cluster.commands[leader])
+            # The repaired member and one other are all that is left.
+            await cluster.lose_disk(0)
+            await cluster.propose(b"last", {1, 2})
+            await asyncio.sleep(0.5)
+            assert cluster.commands[1] == cluster.commands[2] == [*held, b"last"]
+            assert len(held) == 21
+
+        run_virtual(scenario())
+
+    def test_a_new_disk_never_votes_for_the_old_member(self):
+        async def scenario():
+            cluster = LogCluster()
+            cluster.start(0, 1, 2)
+            leader = await cluster.propose(b"a")
+            others = [number for number in range(3) if number != leader]
+            old_id = cluster.logs[others[0]].status().member_id
+            await cluster.lose_disk(others[0])
+            cluster.start(others[0])
+            assert cluster.logs[others[0]].status().member_id != old_id
+            await cluster.kill(leader)
+            await asyncio.sleep(20.0)
+            assert cluster.leaders() == []
+            cluster.start(leader)
+            await cluster.repair(others[0], {leader, others[1]})
+            await cluster.propose(b"b")
+
+        run_virtual(scenario())
+
+    @pytest.mark.parametrize("torn_bytes", [0, 25])
+    def test_answers_wait_for_the_syncs_of_a_majority(self, torn_bytes):
+        async def scenario():
+            cluster = LogCluster(
+                disks={number: MemoryDisk(sync_s=0.02) for number in range(3)}
+            )
+            cluster.start(0, 1, 2)
+            leader = await cluster.propose(b"first")
+            accepted = []
+
+            async def propose(number):
+                await asyncio.sleep(number * 0.003)
+                outcome = await cluster.logs[leader].propose(b"%d" % number, 1.0)
+                if isinstance(outcome, Ok):
+                    accepted.append(b"%d" % number)
+
+            works = [asyncio.ensure_future(propose(number)) for number in range(60)]
+            while len(accepted) < 20:
+                await asyncio.sleep(0.001)
+            # The power of all VMs fails at the moment of an answer.
+            for number in range(3):
+                await cluster.kill(number, torn_bytes)
+            for work in works:
+                work.cancel()
+            cluster.start(0, 1, 2)
+            await cluster.propose(b"again")
+            await asyncio.sleep(0.5)
+            assert set(accepted) <= set(cluster.commands[0])
+            assert cluster.commands[0] == cluster.commands[1] == cluster.commands[2]
+
+        run_virtual(scenario())
+
+    def test_proposals_share_syncs(self):
+        async def scenario():
+            cluster = LogCluster(
+                first=ADDRESSES[:1], disks={0: MemoryDisk(sync_s=0.01)}
+            )
+            cluster.start(0)
+            await cluster.propose(b"first")
+            before = cluster.disks[0].syncs
+            log = cluster.logs[0]
+            await asyncio.gather(*(log.propose(b"x", 1.0) for _ in range(100)))
+            assert cluster.disks[0].syncs - before <= 2
+
+        run_virtual(scenario())
+
+    def test_a_failed_sync_stops_the_leader(self):
+        async def scenario():
+            cluster = LogCluster()
+            cluster.start(0, 1, 2)
+            leader = await cluster.propose(b"a")
+            cluster.disks[leader].fail_syncs = True
+            log = cluster.logs[leader]
+            assert isinstance(await log.propose(b"b", 1.0), Err)
+            assert (await log.propose(b"c", 1.0)).unwrap_err().code is Code.DISK_FAILED
+            assert isinstance(await log.read_barrier(1.0), Err)
+            assert not log.status().is_leader and not log.is_current()
+            others = set(cluster.logs) - {leader}
+            await cluster.propose(b"d", others)
+            cluster.disks[leader].fail_syncs = False
+            await cluster.kill(leader)
+            cluster.start(leader)
+            await asyncio.sleep(1.0)
+            commands = cluster.commands[leader]
+            assert commands == cluster.commands[others.pop()] and b"c" not in commands
+
+        run_virtual(scenario())
+
+    def test_a_lone_member_accepts_nothing_unsynced(self):
+        async def scenario():
+            cluster = LogCluster(first=ADDRESSES[:1])
+            cluster.start(0)
+            await cluster.propose(b"a")
+            cluster.disks[0].fail_syncs = True
+            assert isinstance(await cluster.logs[0].propose(b"b", 1.0), Err)
+            assert cluster.commands[0] == [b"a"]
+
+        run_virtual(scenario())
+
+
+class TestCompaction:
+    """Guards against a log, or a restart, that grows without bound."""
+
+    LIMITS = Limits(compact_entries=50, segment_bytes=2000, chunk_bytes=700)
+
+    def test_restart_after_500_proposals(self):
+        async def scenario():
+            cluster = LogCluster(limits=self.LIMITS)
+            cluster.start(0, 1, 2)
+            sent = [b"change %d" % number for number in range(500)]
+            for command in sent:
+                await cluster.propose(command)
+            assert cluster.disks[0].total_bytes() < 30_000
+            for number in range(3):
+                await cluster.kill(number)
+            cluster.start(0, 1, 2)
+            await cluster.propose(b"after")
+            await asyncio.sleep(0.5)
+            assert list(cluster.commands.values()) == [[*sent, b"after"]] * 3
+
+        run_virtual(scenario())
+
+    def test_a_member_far_behind_gets_the_snapshot_in_chunks(self):
+        async def scenario():
+            cluster = LogCluster(limits=self.LIMITS)
+            cluster.start(0, 1, 2)
+            leader = await cluster.propose(b"first")
+            behind = (leader + 1) % 3
+            await cluster.kill(behind)
+            for number in range(600):
+                await cluster.propose(b"change %d" % number)
+            cluster.start(behind)
+            await asyncio.sleep(2.0)
+            assert cluster.commands[behind] == cluster.commands[leader]
+            await cluster.kill(behind)
+            cluster.start(behind)
+            await cluster.propose(b"last")
+            await asyncio.sleep(1.0)
+            assert cluster.commands[behind] == cluster.commands[leader]
+            assert len(cluster.commands[behind]) == 602
+
+        run_virtual(scenario())
+
+
+class TestMembers:
+    """Guards against changes that leave no majority or make two."""
+
+    def test_grow_and_shrink(self):
+        async def scenario():
+            cluster = LogCluster(first=ADDRESSES[:1])
+            cluster.start(0)
+            await cluster.propose(b"a")
+            log = cluster.logs[0]
+            own = log.status().member_id
+            refused = await log.remove_member(own, 1.0)
+            assert refused.unwrap_err().code is Code.UNKNOWN_MEMBER
+            cluster.start(1, 2, 3)
+            for number in (1, 2, 3):
+                added = await log.add_member(Member("", ADDRESSES[number]), 5.0)
+                assert added == Ok(None)
+            assert all(item.is_voter for item in log.status().members)
+            assert await log.remove_member(own, 5.0) == Ok(None)
+            leader = await cluster.wait_leader({1, 2, 3})
+            await cluster.kill(0)
+            await cluster.propose(b"b", {1, 2, 3})
+            assert cluster.commands[leader] == [b"a", b"b"]
+            assert len(cluster.logs[leader].status().members) == 3
+
+        run_virtual(scenario())
+
+    def test_changes_without_a_majority_are_not_accepted(self):
+        async def scenario():
+            cluster = LogCluster()
+            cluster.start(0, 1, 2, 3)
+            leader = await cluster.propose(b"a")
+            log = cluster.logs[leader]
+            for number in {0, 1, 2} - {leader}:
+                await cluster.kill(number)
+            added = await log.add_member(Member("", ADDRESSES[3]), 5.0)
+            assert added.unwrap_err().code is Code.NO_MAJORITY
+            await asyncio.sleep(5.0)
+            assert cluster.leaders() == []
+
+        run_virtual(scenario())
+
+
+class TestRandomFaults:
+    """Guards against losing or doubling what was accepted, whatever fails."""
+
+    async def disturb(self, cluster, rng):
+        """Do one random fault; at most one member is down at a time."""
+        fabric = cluster.fabric
+        down = [number for number in range(3) if number not in cluster.logs]
+        chance = rng.random()
+        if down:
+            cluster.start(*down)
+        elif chance < 0.3:
+            await cluster.kill(rng.randrange(3), rng.choice((0, 10, 1000)))
+        elif chance < 0.5:
+            cluster.isolate(rng.randrange(3))
+        elif chance < 0.6:
+            fabric.cuts.add(tuple(rng.sample(ADDRESSES[:3], 2)))
+        elif chance < 0.7:
+            fabric.freeze(ADDRESSES[rng.randrange(3)])
+        elif chance < 0.8:
+            pair = tuple(rng.sample(ADDRESSES[:3], 2))
+            fabric.delays[pair] = rng.uniform(0.0, 0.5)
+        else:
+            self.calm(cluster)
+
+    def calm(self, cluster):
+        cluster.fabric.heal()
+        cluster.fabric.delays.clear()
+        for address in ADDRESSES:
+            cluster.fabric.thaw(address)
+
+    async def load(self, cluster, name, accepted):
+        """Propose at whoever leads, and note what was accepted."""
+        number = 0
+        while True:
+            number += 1
+            await asyncio.sleep(0.05)
+            for leader in cluster.leaders():
+                command = b"%s-%d-%d" % (name, number, leader)
+                outcome = await cluster.logs[leader].propose(command, 0.5)
+                if isinstance(outcome, Ok):
+                    accepted.append(command)
+                break
+
+    @pytest.mark.parametrize("seed", range(6))
+    def test_schedule(self, seed):
+        async def scenario():
+            rng = random.Random(seed)
+            limits = Limits(compact_entries=40, segment_bytes=1500, chunk_bytes=600)
+            disks = {number: MemoryDisk(sync_s=0.004) for number in range(3)}
+            cluster = LogCluster(seed, limits=limits, disks=disks)
+            cluster.start(0, 1, 2)
+            accepted = []
+            works = [
+                asyncio.ensure_future(self.load(cluster, name, accepted))
+                for name in (b"a", b"b", b"c")
+            ]
+            for _ in range(60):
+                await asyncio.sleep(rng.uniform(0.1, 1.5))
+                await self.disturb(cluster, rng)
+            self.calm(cluster)
+            cluster.start(*({0, 1, 2} - set(cluster.logs)))
+            await asyncio.sleep(2.0)
+            for work in works:
+                work.cancel()
+            await cluster.propose(b"end")
+            await asyncio.sleep(1.0)
+            first = cluster.commands[0]
+            assert first == cluster.commands[1] == cluster.commands[2]
+            assert len(set(first)) == len(first) and set(accepted) <= set(first)
+            assert len(accepted) > 200
+
+        run_virtual(scenario())
