Showed operators the rollout that the control leader knows

Acknowledgements meet at the control daemons, and operators' requests come to any daemon; SHOW_ROLLOUT asks the leader. A control daemon is now added by its address alone, as the log offers.

--- a/src/bramleyrouter/commands/control.py
+++ b/src/bramleyrouter/commands/control.py
@@ -18,24 +18,21 @@
     parser = subparsers.add_parser("control", help="show or change control daemons")
     actions = parser.add_subparsers(dest="action", required=True)
     _add_action(actions, "status", "show the log as each control daemon sees it", ())
-    _add_action(
-        actions, "add", "add a control daemon to the log", ("member_id", "address")
-    )
+    _add_action(actions, "add", "add a control daemon to the log", ("address",))
     _add_action(actions, "remove", "remove a control daemon", ("member_id",))
     _add_action(
         actions,
         "replace",
         "add a control daemon, then remove a lost one",
-        ("lost_member_id", "member_id", "address"),
+        ("member_id", "address"),
     )
 
 
 def _add_action(actions, name: str, text: str, arguments: tuple[str, ...]) -> None:
     parser = actions.add_parser(name, help=text, description=text)
     helps = {
-        "member_id": "id in its data folder's file, as its log prints it",
-        "lost_member_id": "id of the member to remove",
-        "address": 'internal address, as in "10.0.0.1:7100"',
+        "member_id": 'id of the member to remove, as "control status" prints it',
+        "address": 'internal address of the daemon to add, as in "10.0.0.1:7100"',
     }
     for argument in arguments:
         metavar = argument.upper()
@@ -51,20 +48,20 @@
         return await _show_status(target)
     if args.action == "remove":
         return await _remove(target, args.member_id)
-    added = await _add(target, args.member_id, args.address)
+    added = await _add(target, args.address)
     if added is not Exit.DONE or args.action == "add":
         return added
     # The new member votes before the lost one goes, so that the majority
     # is never smaller than before.
-    return await _remove(target, args.lost_member_id)
+    return await _remove(target, args.member_id)
 
 
-async def _add(target: Target, member_id: str, address: str) -> Exit:
-    body = {"action": "add", "member_id": member_id, "address": address}
+async def _add(target: Target, address: str) -> Exit:
+    body = {"action": "add", "address": address}
     reply = await send_request(target, "POST", CHANGE_PATH, body, CHANGE_TIMEOUT_S)
     if reply.code:
         return report_failure(reply)
-    print(f'"{member_id}" at {address} is a member')
+    print(f"the control daemon at {address} is a member")
     return Exit.DONE
 
 
--- a/src/bramleyrouter/commands/status.py
+++ b/src/bramleyrouter/commands/status.py
@@ -72,8 +72,12 @@
     if fields["is_complete"]:
         print(f"revision {revision} is confirmed by all {daemons} daemons")
         return Exit.DONE
-    behind, names = fields["behind_count"], ", ".join(fields["behind"])
-    print(f"revision {revision} is not confirmed by {behind} of {daemons}: {names}")
+    print(f"revision {revision} is not confirmed by all of {daemons} daemons")
+    for lag in fields["behind"]:
+        print(f"behind: {lag['daemon_id']} at revision {lag['revision']}")
+    if fields["silent"]:
+        names = ", ".join(fields["silent"])
+        print(f"no acknowledgement from {fields['silent_count']}: {names}")
     if not is_waiting:
         return Exit.DONE
     print_error(f"The rollout did not end within {target.timeout_s:g} s.")
--- a/src/bramleyrouter/control/client.py
+++ b/src/bramleyrouter/control/client.py
@@ -31,7 +31,9 @@
     encode_read_config,
     encode_status_request,
 )
+from bramleyrouter.control.rollouts import decode_rollout, encode_rollout_request
 from bramleyrouter.control.settling import build_settle
+from bramleyrouter.dissemination.interfaces import Rollout
 from bramleyrouter.failures import Failure
 from bramleyrouter.ids import MemberId, Revision
 from bramleyrouter.wire.kinds import Kind
@@ -75,7 +77,12 @@
     ) -> Result[None, Failure]:
         return await _change_members(leaders, RemoveMember(member_id), timeout_s)
 
-    return ControlAdmin(_build_status(leaders), add_member, remove_member)
+    async def rollout(timeout_s: float) -> Result[Rollout, Failure]:
+        payload = encode_rollout_request()
+        reply = await call_leader(leaders, Kind.SHOW_ROLLOUT, payload, timeout_s)
+        return reply if isinstance(reply, Err) else decode_rollout(reply.ok_value)
+
+    return ControlAdmin(_build_status(leaders), add_member, remove_member, rollout)
 
 
 def _build_operate(leaders: Leaders):
--- a/src/bramleyrouter/control/control.capnp
+++ b/src/bramleyrouter/control/control.capnp
@@ -125,7 +125,27 @@
 struct ChangeMembers {
   protocolVersion @0 :UInt16;
   union {
-    add @1 :Member;
+    add @1 :Member;         # No id: whichever member answers at the address.
     remove @2 :Text;
   }
 }
+
+struct RolloutRequest {
+  protocolVersion @0 :UInt16;
+}
+
+struct Lag {
+  daemonId @0 :Text;
+  revision @1 :UInt64;
+}
+
+struct Rollout {
+  protocolVersion @0 :UInt16;
+  revision @1 :UInt64;      # In force at every daemon that acknowledges.
+  latest @2 :UInt64;
+  daemons @3 :UInt32;
+  behind @4 :List(Lag);
+  behindCount @5 :UInt32;
+  silent @6 :List(Text);
+  silentCount @7 :UInt32;
+}
--- a/src/bramleyrouter/control/interfaces.py
+++ b/src/bramleyrouter/control/interfaces.py
@@ -16,6 +16,7 @@
     SetAvailability,
     Settle,
 )
+from bramleyrouter.dissemination.interfaces import Rollout
 from bramleyrouter.failures import Failure
 from bramleyrouter.ids import MemberId, Revision
 
@@ -41,12 +42,15 @@
 
     ``status()`` returns the view of each control daemon that is known, by its
     address, and needs no majority. ``add_member`` and ``remove_member`` take a
-    timeout in seconds and are safe to repeat.
+    timeout in seconds and are safe to repeat; a member that is added without an
+    id is the one that answers at its address. ``rollout(timeout_s)`` is the
+    leader's view of the acknowledgements.
     """
 
     status: Callable[[], Awaitable[tuple[tuple[str, Result[LogStatus, Failure]], ...]]]
     add_member: Callable[[Member, float], Awaitable[Result[None, Failure]]]
     remove_member: Callable[[MemberId, float], Awaitable[Result[None, Failure]]]
+    rollout: Callable[[float], Awaitable[Result[Rollout, Failure]]]
 
 
 class ConfigSource(NamedTuple):
--- a/src/bramleyrouter/control/replies.py
+++ b/src/bramleyrouter/control/replies.py
@@ -208,7 +208,7 @@
     def convert(message: Any) -> MemberChange:
         which = str(message.which())
         if which == "add":
-            return _convert_member(message.add)
+            return _convert_member(message.add, is_id_needed=False)
         if which == "remove":
             member_id = bounded(message.remove, MAX_NAME_CHARACTERS, "member_id")
             return RemoveMember(MemberId(member_id))
@@ -223,9 +223,10 @@
     part.isVoter = member.is_voter
 
 
-def _convert_member(part: Any) -> Member:
+def _convert_member(part: Any, is_id_needed: bool = True) -> Member:
+    limit, is_empty_allowed = MAX_NAME_CHARACTERS, not is_id_needed
     return Member(
-        MemberId(bounded(part.memberId, MAX_NAME_CHARACTERS, "member_id")),
+        MemberId(bounded(part.memberId, limit, "member_id", is_empty_allowed)),
         bounded(part.address, MAX_NAME_CHARACTERS, "address"),
         part.isVoter,
     )
--- /dev/null
+++ b/src/bramleyrouter/control/rollouts.py
@@ -0,0 +1,86 @@
+"""Show any daemon how far the newest revision has come.
+
+Acknowledgements meet at the control daemons; the leader answers for all.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from result import Err, Ok, Result
+
+from bramleyrouter.codes import Code
+from bramleyrouter.consensus.interfaces import LogStatus
+from bramleyrouter.control.frames import SCHEMA, bounded, decode_message, new_message
+from bramleyrouter.control.limits import MAX_NAME_CHARACTERS
+from bramleyrouter.dissemination.interfaces import DaemonLag, Rollout
+from bramleyrouter.failures import Failure
+from bramleyrouter.ids import DaemonId, Revision
+from bramleyrouter.wire.kinds import Kind
+from bramleyrouter.wire.network import Network, Peer
+
+MAX_REQUEST_BYTES = 4096
+MAX_ROLLOUT_BYTES = 1024 * 1024
+
+
+def serve_rollout(
+    network: Network, status: Callable[[], LogStatus], rollout: Callable[[], Rollout]
+) -> None:
+    """Answer ``SHOW_ROLLOUT`` while this control daemon leads."""
+
+    async def serve(peer: Peer, payload: bytes) -> Result[bytes, Failure]:
+        decoded = decode_message(
+            SCHEMA.RolloutRequest, payload, MAX_REQUEST_BYTES, lambda message: None
+        )
+        if isinstance(decoded, Err):
+            return decoded
+        seen = status()
+        if not seen.is_leader:
+            return Err(Failure(Code.NOT_LEADER, seen.leader_address))
+        return Ok(encode_rollout(rollout()))
+
+    network.serve(Kind.SHOW_ROLLOUT, serve)
+
+
+def encode_rollout_request() -> bytes:
+    """Return a request as bytes."""
+    return new_message(SCHEMA.RolloutRequest).to_bytes()
+
+
+def encode_rollout(rollout: Rollout) -> bytes:
+    """Return a rollout as bytes."""
+    message = new_message(SCHEMA.Rollout)
+    message.revision = rollout.revision
+    message.latest = rollout.latest
+    message.daemons = rollout.daemons
+    message.behindCount = rollout.behind_count
+    message.silentCount = rollout.silent_count
+    message.silent = list(rollout.silent)
+    parts = message.init("behind", len(rollout.behind))
+    for part, lag in zip(parts, rollout.behind, strict=True):
+        part.daemonId = lag.daemon_id
+        part.revision = lag.revision
+    return message.to_bytes()
+
+
+def decode_rollout(data: bytes) -> Result[Rollout, Failure]:
+    """Decode a rollout; fail with a ``WIRE_*`` code."""
+
+    def convert(message: Any) -> Rollout:
+        return Rollout(
+            Revision(message.revision),
+            Revision(message.latest),
+            message.daemons,
+            tuple(
+                DaemonLag(_daemon_id(part.daemonId), Revision(part.revision))
+                for part in message.behind
+            ),
+            message.behindCount,
+            tuple(_daemon_id(name) for name in message.silent),
+            message.silentCount,
+        )
+
+    return decode_message(SCHEMA.Rollout, data, MAX_ROLLOUT_BYTES, convert)
+
+
+def _daemon_id(name: str) -> DaemonId:
+    return DaemonId(bounded(name, MAX_NAME_CHARACTERS, "daemon_id"))
--- a/src/bramleyrouter/edges/operators/formats.py
+++ b/src/bramleyrouter/edges/operators/formats.py
@@ -18,9 +18,9 @@
     SetAvailability,
 )
 from bramleyrouter.control.replies import MemberChange, RemoveMember
+from bramleyrouter.dissemination.interfaces import Rollout
 from bramleyrouter.failures import Failure
 from bramleyrouter.ids import (
-    DaemonId,
     DataCentre,
     MemberId,
     OperatorRequestId,
@@ -30,19 +30,6 @@
 from bramleyrouter.utils.addresses import split_address
 
 
-class Rollout(msgspec.Struct, frozen=True):
-    """Say which daemons have not confirmed ``revision`` or a later one.
-
-    ``behind`` lists some of them, a bounded number; ``behind_count`` counts
-    all. ``daemons`` is the number of daemons known.
-    """
-
-    revision: Revision
-    daemons: int
-    behind_count: int
-    behind: tuple[DaemonId, ...] = ()
-
-
 class _Body(msgspec.Struct, forbid_unknown_fields=True):
     """Hold what every change of an operator names."""
 
@@ -62,7 +49,7 @@
 
 class _MemberBody(msgspec.Struct, forbid_unknown_fields=True):
     action: str
-    member_id: str
+    member_id: str = ""
     address: str = ""
 
 
@@ -107,9 +94,10 @@
     if isinstance(decoded, Err):
         return decoded
     parts: _MemberBody = decoded.ok_value
-    if not is_name(parts.member_id):
-        return _malformed(f"{_show(parts.member_id)} is not a member id. {NAME_HINT}")
     member_id = MemberId(parts.member_id)
+    # The member that is added may be named by its address alone.
+    if not is_name(member_id) and (member_id or parts.action == "remove"):
+        return _malformed(f"{_show(member_id)} is not a member id. {NAME_HINT}")
     if parts.action == "remove":
         return Ok(RemoveMember(member_id))
     if parts.action != "add":
@@ -174,10 +162,24 @@
     }
 
 
-def describe_rollout(rollout: Rollout) -> dict:
-    """Return the fields of a rollout's progress."""
-    is_complete = rollout.behind_count == 0
-    return {"is_complete": is_complete, **msgspec.structs.asdict(rollout)}
+def describe_rollout(rollout: Rollout, asked: Revision) -> dict:
+    """Return the fields of a rollout's progress towards the revision asked for.
+
+    ``behind`` lists daemons that acknowledged an older one; more may be behind
+    than are listed.
+    """
+    is_complete = rollout.revision >= asked and not rollout.silent_count
+    behind = [lag for lag in rollout.behind if lag.revision < asked]
+    return {
+        "is_complete": is_complete,
+        "revision": asked,
+        "in_force": rollout.revision,
+        "latest": rollout.latest,
+        "daemons": rollout.daemons,
+        "behind": [msgspec.structs.asdict(lag) for lag in behind],
+        "silent": list(rollout.silent),
+        "silent_count": rollout.silent_count,
+    }
 
 
 def describe_member_view(address: str, view: Result[LogStatus, Failure]) -> dict:
--- a/src/bramleyrouter/edges/operators/handlers.py
+++ b/src/bramleyrouter/edges/operators/handlers.py
@@ -1,7 +1,7 @@
 """Routes of the operators' interface."""
 
 import hmac
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import msgspec
@@ -17,7 +17,6 @@
 from bramleyrouter.control.messages import SetAvailability
 from bramleyrouter.edges.http import Handle, HttpReply, RouteSpec, failure_reply
 from bramleyrouter.edges.operators import formats
-from bramleyrouter.edges.operators.formats import Rollout
 from bramleyrouter.failures import Failure
 from bramleyrouter.ids import Revision
 
@@ -31,13 +30,10 @@
 MAX_MANIFEST_BODY_BYTES = 2 * MAX_MANIFEST_BYTES
 MAX_SMALL_BODY_BYTES = 16 * 1024
 
-AskRollout = Callable[[Revision], Awaitable[Result[Rollout, Failure]]]
-
 
 class OperatorAccess(NamedTuple):
     """Bundle what the operators' routes use.
 
-    ``rollout(revision)`` says which daemons have not confirmed the revision.
     ``view()`` is the configuration that this daemon applies.
     ``is_known(operation)`` says whether this daemon knows the data centre or
     server that is taken out or in.
@@ -45,7 +41,6 @@
 
     client: ControlClient
     admin: ControlAdmin
-    rollout: AskRollout
     view: Callable[[], ConfigView]
     is_known: Callable[[SetAvailability], bool] = lambda operation: True
 
@@ -169,10 +164,10 @@
         asked = await _find_revision(access, text)
         if isinstance(asked, Err):
             return failure_reply(asked.err_value)
-        found = await access.rollout(asked.ok_value)
+        found = await access.admin.rollout(READ_TIMEOUT_S)
         if isinstance(found, Err):
             return failure_reply(found.err_value)
-        return _succeed(**formats.describe_rollout(found.ok_value))
+        return _succeed(**formats.describe_rollout(found.ok_value, asked.ok_value))
 
     return show_rollout
 
--- a/src/bramleyrouter/wire/kinds.py
+++ b/src/bramleyrouter/wire/kinds.py
@@ -27,6 +27,7 @@
     READ_CONFIG = 53
     CHANGE_MEMBERS = 54
     CONTROL_STATUS = 55
+    SHOW_ROLLOUT = 56
 
     # Dissemination and membership.
     SUBSCRIBE = 70
--- a/tests/control/test_control_codecs.py
+++ b/tests/control/test_control_codecs.py
@@ -7,9 +7,10 @@
 
 from bramleyrouter.codes import Code
 from bramleyrouter.consensus.interfaces import LogStatus, Member
-from bramleyrouter.control import codecs, replies
+from bramleyrouter.control import codecs, replies, rollouts
 from bramleyrouter.control.limits import MAX_SETTLES
 from bramleyrouter.control.messages import ClaimResult, ConfigState, OperatorResult
+from bramleyrouter.dissemination.interfaces import DaemonLag, Rollout
 from bramleyrouter.failures import Failure, Finding
 from bramleyrouter.states import Outcome
 from bramleyrouter.wire.envelopes import PROTOCOL_VERSION
@@ -62,6 +63,16 @@
         replies.decode_status,
         LogStatus("m1", 3, True, "127.0.0.1:7100", 9, 8, (MEMBER,)),
     ),
+    "add_by_address": (
+        replies.encode_member_change,
+        replies.decode_member_change,
+        Member("", "127.0.0.1:7100"),
+    ),
+    "rollout": (
+        rollouts.encode_rollout,
+        rollouts.decode_rollout,
+        Rollout(4, 5, 3, (DaemonLag("e1", 4),), 1, ("e2", "e3"), 2),
+    ),
     "add": (replies.encode_member_change, replies.decode_member_change, MEMBER),
     "remove": (
         replies.encode_member_change,
