Fixed a close() of the control daemon that could wait for ever

asyncio.wait_for of Python 3.11 loses a cancellation that comes together with the result, so the loop that confirms currency went on after close(). It, the leader client and settle use asyncio.timeout now.

--- a/src/bramleyrouter/control/currency.py
+++ b/src/bramleyrouter/control/currency.py
@@ -48,8 +48,11 @@
     while True:
         started = clock()
         try:
-            confirming = _confirm(log, network, clock)
-            if await asyncio.wait_for(confirming, 2 * CONFIRM_TIMEOUT_S):
+            # Not wait_for: that of Python 3.11 loses a cancellation that comes
+            # together with the result, and this loop would never end.
+            async with asyncio.timeout(2 * CONFIRM_TIMEOUT_S):
+                is_confirmed = await _confirm(log, network, clock)
+            if is_confirmed:
                 currency.confirmed_at = started
         except TimeoutError:
             pass
--- a/src/bramleyrouter/control/leaders.py
+++ b/src/bramleyrouter/control/leaders.py
@@ -109,8 +109,8 @@
 ) -> Result[bytes, Failure]:
     """Bound the connecting, too, which the network does by itself alone."""
     try:
-        call = network.call(target, kind, payload, wait_s)
-        return await asyncio.wait_for(call, wait_s + FIRST_BACKOFF_S)
+        async with asyncio.timeout(wait_s + FIRST_BACKOFF_S):
+            return await network.call(target, kind, payload, wait_s)
     except TimeoutError:
         text = f'"{target}" sent no reply within {wait_s:.3f} s.'
         return Err(Failure(Code.PEER_TIMEOUT, text))
--- a/src/bramleyrouter/control/settling.py
+++ b/src/bramleyrouter/control/settling.py
@@ -64,7 +64,8 @@
         if settling.task is None or settling.task.done():
             settling.task = loop.create_task(_send_batches(leaders, settling))
         try:
-            return await asyncio.wait_for(fut, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await fut
         except TimeoutError:
             return Err(_not_settled("the time is over"))
 
--- a/tests/control/test_control_service.py
+++ b/tests/control/test_control_service.py
@@ -7,7 +7,7 @@
 from result import Err, Ok
 
 from bramleyrouter.codes import Code
-from bramleyrouter.consensus.interfaces import Member
+from bramleyrouter.consensus.interfaces import LogStatus, Member
 from bramleyrouter.control.client import build_control_admin, build_control_client
 from bramleyrouter.control.machine import build_machine
 from bramleyrouter.control.service import build_control
@@ -179,6 +179,16 @@
         assert not views["127.0.0.1:7200"].ok_value.is_leader
         assert isinstance(views["127.0.0.1:7300"], Err)
 
+    def test_unproved_leader_confirms_no_change(self):
+        """Guard against "done" from a member that is cut off from the majority."""
+
+        async def scenario(world):
+            world.cluster.has_majority = False
+            present = Member("m1", world.cluster.addresses[1])
+            return await world.admin.add_member(present, 1.0)
+
+        assert run_in_world(scenario).err_value.code is Code.NO_MAJORITY
+
     def test_member_change_is_repeated_without_a_second_one(self):
         async def scenario(world):
             world.cluster.lost = 1
@@ -215,6 +225,45 @@
             [False, False, False],
         ]
 
+    def test_close_ends_whatever_is_under_way(self):
+        """Guard against a cancellation that is lost as a confirmation ends."""
+
+        async def scenario(world):
+            log = world.cluster.build_log(0)
+            log = log._replace(
+                read_barrier=lambda timeout_s: asyncio.sleep(0, Ok(None))
+            )
+            machine, clock = world.cluster.machines[0], asyncio.get_running_loop().time
+            network = world.fabric.build_network(make_identity("c9", port=7900))
+            for turns in range(12):
+                control = build_control(network, log, machine, clock)
+                for _ in range(turns):
+                    await asyncio.sleep(0)
+                closing = asyncio.ensure_future(control.close())
+                done, _ = await asyncio.wait({closing}, timeout=5)
+                assert done
+
+        run_in_world(scenario)
+
+    def test_member_that_lags_is_not_current(self):
+        """Guard against an old state that a heartbeat makes look current."""
+
+        async def scenario(world):
+            log = world.cluster.build_log(1)
+            behind = LogStatus("m1", 3, False, world.cluster.addresses[0], 0, 0, ())
+            await world.client.claim(make_claim(), 1.0)
+            network = world.fabric.build_network(make_identity("c9", port=7900))
+            control = build_control(
+                network,
+                log._replace(status=lambda: behind),
+                world.cluster.machines[1],
+                asyncio.get_running_loop().time,
+            )
+            await asyncio.sleep(2)
+            return control.source.is_current()
+
+        assert run_in_world(scenario) is False
+
     def test_watchers_hear_of_each_revision_once(self):
         async def scenario(world):
             seen = []
