Hardened the homes and tested dispatch at its limits

A server's word on itself takes at most half of its slots, a late event loop no longer makes servers look cold, withdrawn incarnations stay withdrawn, and the first measured service time replaces the assumed one.

--- a/src/bramleyrouter/edges/servers/multi.py
+++ b/src/bramleyrouter/edges/servers/multi.py
@@ -252,19 +252,6 @@
         curl.setopt(pycurl.POSTFIELDS, body)
     state.active[curl] = exchange
     state.multi.add_handle(curl)
-    _start_now(state)
-
-
-def _start_now(state: ServerMulti) -> None:
-    """Let curl act on a new exchange at once instead of in the next turn.
-
-    Ends are still handed out in the next turn, so that nobody is called back
-    while starting an exchange.
-    """
-    state.due = None
-    _, running = state.multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
-    if running < len(state.active):
-        state.loop.call_soon(_collect, state)
 
 
 def _guard(exchange: Exchange, loop: asyncio.AbstractEventLoop) -> int:
--- a/src/bramleyrouter/homes/dispatching.py
+++ b/src/bramleyrouter/homes/dispatching.py
@@ -68,8 +68,8 @@
     else:
         push(entry.queue, work)
         loop = asyncio.get_running_loop()
-        at = work.deadline - MIN_ATTEMPT_S
-        work.expiry = loop.call_at(at, _expire, state, entry, work)
+        wait_s = max(0.0, work.deadline - MIN_ATTEMPT_S - now)
+        work.expiry = loop.call_later(wait_s, _expire, state, entry, work)
         pump(state, entry)
 
 
@@ -138,7 +138,10 @@
         refuse(state, work, (Code.NO_AUTHORITY, "The home's authority ends now."))
         return
     timeout_s = min(work.deadline - now, authority_s)
-    if timeout_s < MIN_ATTEMPT_S:
+    # What waited and has less than half of the usual time left would mostly
+    # take a slot for nothing.
+    needed_s = entry.service_s / 2 if work.expiry is not None else 0.0
+    if timeout_s < max(MIN_ATTEMPT_S, needed_s):
         refuse(state, work, (Code.QUEUE_DEADLINE, "Too little time is left."))
         return
     if work.expiry is not None:
@@ -159,21 +162,24 @@
 def _finish(state: HomesState, entry: Entry, work: Work, end: WorkEnd) -> None:
     entry.running.discard(work)
     now = state.clock()
-    _learn(entry, work, end, now)
+    _learn(entry, work, end, now, state.lag_s)
     if state.entries.get(entry.target.server_id) is entry:
         mark_changed(state, entry)
     _end(state, work, end)
     pump(state, entry)
 
 
-def _learn(entry: Entry, work: Work, end: WorkEnd, now: float) -> None:
+def _learn(entry: Entry, work: Work, end: WorkEnd, now: float, lag_s: float) -> None:
     """Let the ramp and the estimate of waits follow how an attempt ended."""
-    elapsed_s = now - (work.started_at or now)
+    started_at = work.started_at if work.started_at is not None else now
+    # A late event loop sees every server late; that is no sign of cold.
+    elapsed_s = max(0.0, now - started_at - lag_s)
     was_cut = False
     if end.code is Code.OK:
         entry.pause_s = 0.0
-        entry.service_s += SERVICE_SHARE * (elapsed_s - entry.service_s)
         was_cut = note_success(entry.ramp, elapsed_s, now)
+        share = max(SERVICE_SHARE, 1 / entry.ramp.samples)
+        entry.service_s += share * (elapsed_s - entry.service_s)
     elif end.code is Code.SHARD_CANCELLED:
         was_cut = note_cancelled(entry.ramp, elapsed_s, now)
     elif end.code in _FAILURES:
--- a/src/bramleyrouter/homes/entries.py
+++ b/src/bramleyrouter/homes/entries.py
@@ -80,6 +80,11 @@
     order: tuple[int, int, int]
     hold: HoldDown
     until: float
+    is_withdrawn: bool = False
+
+    def is_withdrawn_for(self, incarnation: int) -> bool:
+        """Return whether the server withdrew in this incarnation or a later one."""
+        return self.is_withdrawn and incarnation <= self.order[0]
 
 
 @dataclass
@@ -98,5 +103,7 @@
     changed: set[ServerId] = field(default_factory=set)
     # Ended work by result code, for metrics.
     ended: dict[int, int] = field(default_factory=dict)
+    # How late the event loop ran lately, in seconds.
+    lag_s: float = 0.0
     is_leaving: bool = False
     is_closed: bool = False
--- a/src/bramleyrouter/homes/ramps.py
+++ b/src/bramleyrouter/homes/ramps.py
@@ -30,7 +30,7 @@
 BASELINE_SAMPLES = 20
 # Latencies below this, in seconds, are never taken for a sign of cold: at
 # this scale the network and the event loop dominate.
-NOISE_FLOOR_S = 0.002
+NOISE_FLOOR_S = 0.005
 # Refusals or errors in a row that mean cold.
 FAILURES_TO_CUT = 3
 # A cut is followed by no other for this time, in seconds: what is still in
@@ -142,12 +142,18 @@
 
 
 def note_hint(ramp: Ramp, is_healthy: bool, queued: int, now: float) -> bool:
-    """Take a server's word on itself, which can only lower the limit."""
-    if not is_healthy:
-        return note_cold(ramp, now)
-    if queued > 0 and ramp.limit > 1:
-        ramp.limit -= 1
-        ramp.successes = 0
-        ramp.last_step_at = now
-        return True
-    return False
+    """Take a server's word on itself, which can only lower the limit.
+
+    Words may mislead, so they never take more than half of the slots; what is
+    measured may take more.
+    """
+    if is_healthy and queued == 0:
+        return False
+    half = (ramp.slots + 1) // 2
+    lowered = half if not is_healthy else max(half, ramp.limit - 1)
+    if lowered >= ramp.limit:
+        return False
+    ramp.limit = lowered
+    ramp.successes = 0
+    ramp.last_step_at = now
+    return True
--- a/src/bramleyrouter/homes/registrations.py
+++ b/src/bramleyrouter/homes/registrations.py
@@ -168,10 +168,10 @@
 
 
 def take_over(
-    current: Registered | None, announcement: Announcement, now: float
+    known: tuple[int, int, int] | None, announcement: Announcement, now: float
 ) -> Result[Registered, Failure]:
     """Take a server from its home, which has stopped to dispatch for good."""
-    if current is not None and order_of(announcement)[:2] <= current.order[:2]:
+    if known is not None and order_of(announcement)[:2] <= known[:2]:
         return _old(announcement)
     return Ok(Registered(announcement, now))
 
--- a/src/bramleyrouter/homes/registry.py
+++ b/src/bramleyrouter/homes/registry.py
@@ -35,6 +35,7 @@
 )
 from bramleyrouter.homes.rows import mark_changed, remove_row
 from bramleyrouter.ids import ServerId, ServerIncarnation
+from bramleyrouter.states import ServerState
 
 
 def _reply(state: HomesState, registered: Registered) -> AnnouncementReply:
@@ -56,6 +57,8 @@
     entry = state.entries.get(server_id)
     memory = state.memory.get(server_id)
     current = entry.registered if entry else None
+    if memory is not None and memory.is_withdrawn_for(announcement.incarnation):
+        return Err(Failure(Code.OLD_ANNOUNCEMENT, "The server has withdrawn."))
     order = memory.order if memory else None
     registered = register(current, order, announcement, now)
     if isinstance(registered, Err):
@@ -134,8 +137,12 @@
     if isinstance(renewed, Err):
         return renewed
     assert entry is not None
-    if changed_limits(entry.registered.announcement, announcement):
+    before = entry.registered.announcement
+    if changed_limits(before, announcement):
         _hold_contradiction(entry, announcement, now)
+    if before.state is not ServerState.READY:
+        # It has just become ready or returned to service.
+        restart(entry.ramp, now)
     entry.registered = renewed.ok_value
     after_change(state, entry, now)
     return Ok(_reply(state, entry.registered))
@@ -146,6 +153,8 @@
     entry.slots = min(entry.slots, announcement.slots)
     entry.connection_limit = min(entry.connection_limit, announcement.connection_limit)
     entry.ramp.slots = entry.slots
+    most = min(entry.connection_limit, entry.slots + 1)
+    entry.target = entry.target._replace(max_connections=most)
     note_contradiction(entry.hold, now)
     restart(entry.ramp, now)
     logging.warning(
@@ -173,7 +182,9 @@
     now = state.clock()
     announcement = handover.announcement
     old = state.entries.get(announcement.server_id)
-    taken = take_over(old.registered if old else None, announcement, now)
+    memory = state.memory.get(announcement.server_id)
+    known = old.registered.order if old else memory.order if memory else None
+    taken = take_over(known, announcement, now)
     if isinstance(taken, Err):
         return taken
     entry = _enter(state, old, taken.ok_value, now)
@@ -204,7 +215,10 @@
         return
     del state.entries[server_id]
     until = state.clock() + MEMORY_S
-    state.memory[server_id] = Memory(entry.registered.order, entry.hold, until)
+    registered = entry.registered
+    state.memory[server_id] = Memory(
+        registered.order, entry.hold, until, registered.is_withdrawn
+    )
     refuse_waiting(state, entry, refusal)
     state.transport.drop(server_id)
     remove_row(state, entry)
--- a/src/bramleyrouter/homes/sweeps.py
+++ b/src/bramleyrouter/homes/sweeps.py
@@ -18,6 +18,9 @@
 from bramleyrouter.homes.registry import after_change, forget
 from bramleyrouter.homes.rows import mark_changed
 
+# Share of the last lag of the event loop that still counts a sweep later.
+LAG_KEEP = 0.8
+
 
 def start_sweeps(state: HomesState) -> None:
     """Sweep regularly, and at once when the configuration or table changes."""
@@ -25,12 +28,14 @@
     state.board.watch(Section.SERVERS, lambda: _follow_table(state))
     loop = asyncio.get_running_loop()
 
-    def again() -> None:
+    def again(due: float) -> None:
         if not state.is_closed:
+            now = loop.time()
+            state.lag_s = max(now - due, LAG_KEEP * state.lag_s)
             sweep(state)
-            loop.call_later(SWEEP_S, again)
+            loop.call_later(SWEEP_S, again, now + SWEEP_S)
 
-    loop.call_later(SWEEP_S, again)
+    loop.call_later(SWEEP_S, again, loop.time() + SWEEP_S)
 
 
 def sweep(state: HomesState) -> None:
--- /dev/null
+++ b/tests/homes/fakes.py
@@ -0,0 +1,258 @@
+"""Fake backend servers and a cluster of homes on virtual time."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from bramleyrouter.board import Board, Section
+from bramleyrouter.board.sections import DaemonRecord, ServiceHolding
+from bramleyrouter.codes import Code
+from bramleyrouter.edges.servers.formats import REPLY_MARGIN_S
+from bramleyrouter.edges.servers.transport import (
+    ProbeEnd,
+    QueryEnd,
+    ServerTransport,
+    SubmitEnd,
+)
+from bramleyrouter.homes.build import build_homes
+from bramleyrouter.homes.messages import (
+    Announcement,
+    ServerGroup,
+    ShardBatch,
+    SubmitRequest,
+)
+from bramleyrouter.states import DaemonState, Outcome, ServerState
+from tests.support.identities import make_identity
+from tests.support.memory_network import MemoryFabric
+
+HOLDINGS = (ServiceHolding("sheets", {"a": ("v1",), "b": ("v1",)}),)
+
+
+@dataclass
+class FakeServer:
+    """A server that does what it is asked, and counts it.
+
+    It fences nothing off and goes on after a closed connection until its
+    deadline, so that only the homes keep its limits.
+    """
+
+    latency_s: float = 0.01
+    delay_s: float = 0.0
+    code: Code = Code.OK
+    in_flight: int = 0
+    peak: int = 0
+    started: int = 0
+    cancels: list = field(default_factory=list)
+    drops: int = 0
+    last_end: float = 0.0
+    deadlines: list = field(default_factory=list)
+    running: dict = field(default_factory=dict)
+    probe: ProbeEnd = ProbeEnd(True)
+
+
+def make_transport(servers):
+    """Return a transport to ``servers``, a dict by server id."""
+    loop = asyncio.get_running_loop()
+    waiting = {}
+
+    def run(target, call, timeout_s, on_end, ok, timeout):
+        server = servers[target.server_id]
+        told_s = timeout_s - REPLY_MARGIN_S
+        server.deadlines.append(loop.time() + timeout_s)
+        key = object()
+        calls = waiting.setdefault(target.server_id, {})
+        calls[key] = on_end
+
+        def answer(end):
+            if calls.pop(key, None):
+                on_end(end)
+
+        def leave(end):
+            if server.running.pop(key, None):
+                server.in_flight -= 1
+                server.last_end = loop.time()
+                answer(end)
+
+        def arrive():
+            server.started += 1
+            server.in_flight += 1
+            server.peak = max(server.peak, server.in_flight)
+            is_late = server.latency_s > told_s
+            seconds = min(server.latency_s, told_s)
+            server.running[key] = leave
+            loop.call_later(seconds, leave, timeout if is_late else ok)
+
+        if server.code is not Code.OK:
+            loop.call_soon(answer, QueryEnd(server.code))
+        else:
+            loop.call_later(server.delay_s, arrive)
+            loop.call_later(timeout_s, answer, timeout)
+
+    def query(target, call, timeout_s, on_end):
+        ok = QueryEnd(Code.OK, "", {shard: b"1" for shard in call.shards})
+        run(target, call, timeout_s, on_end, ok, QueryEnd(Code.SHARD_TIMEOUT))
+
+    def submit(target, call, timeout_s, on_end):
+        ok = SubmitEnd(Outcome.DONE, Code.OK, "", b"1")
+        late = SubmitEnd(Outcome.UNKNOWN, Code.OUTCOME_UNKNOWN)
+        run(target, call, timeout_s, on_end, ok, late)
+
+    def cancel(target, request_id, attempt):
+        servers[target.server_id].cancels.append((request_id, attempt))
+
+    def probe(target, timeout_s, on_end):
+        server = servers[target.server_id]
+        server.in_flight += 1
+        server.peak = max(server.peak, server.in_flight)
+
+        def leave():
+            server.in_flight -= 1
+            on_end(server.probe)
+
+        loop.call_later(0.001, leave)
+
+    def drop(server_id):
+        servers[server_id].drops += 1
+        for on_end in waiting.pop(server_id, {}).values():
+            loop.call_soon(on_end, QueryEnd(Code.SHARD_CONNECTION_LOST))
+
+    return ServerTransport(
+        query, submit, cancel, probe, drop, lambda _: 0, lambda: None
+    )
+
+
+def make_announcement(server_id="s1", **changes):
+    """Return a first announcement of a ready server with two slots."""
+    values = dict(
+        server_id=server_id,
+        incarnation=1,
+        registration=1,
+        sequence=1,
+        data_centre="dc1",
+        address="127.0.0.1:9000",
+        state=ServerState.READY,
+        slots=2,
+        connection_limit=25,
+        holdings=HOLDINGS,
+        lease=None,
+    )
+    return Announcement(**(values | changes))
+
+
+class Cluster:
+    """Hold several daemons with their homes, and the fake servers."""
+
+    def __init__(self, names=("d1",), data_centres=None, clocks=None):
+        """Build the homes; needs a running loop."""
+        self.loop = asyncio.get_running_loop()
+        self.fabric = MemoryFabric()
+        self.servers = {}
+        self.boards, self.homes, self.rows = {}, {}, []
+        centres = data_centres or ["dc1"] * len(names)
+        for index, (name, centre) in enumerate(zip(names, centres, strict=True)):
+            self.boards[name] = Board(make_identity(name, centre, 7000 + 10 * index))
+        for name, board in self.boards.items():
+            for other in self.boards.values():
+                self.set_daemon(board, other.identity)
+            clock = (clocks or {}).get(name)
+            self.homes[name] = build_homes(
+                board,
+                self.fabric.build_network(board.identity),
+                make_transport(self.servers),
+                self._publish,
+                random.Random(name),
+                clock=clock,
+            )
+            self.confirm(name)
+
+    def set_daemon(self, board, identity, state=DaemonState.ALIVE):
+        """Tell ``board`` of a daemon."""
+        board.daemons.records[identity.daemon_id] = DaemonRecord(
+            identity.daemon_id,
+            identity.incarnation,
+            identity.data_centre,
+            identity.internal_address,
+            identity.http_address,
+            state,
+        )
+
+    def confirm(self, name, until=float("inf")):
+        """Confirm the configuration of a daemon until a loop time."""
+        self.boards[name].config.confirmed_at = until
+
+    def _publish(self, changed, removed):
+        self.rows.append((changed, removed))
+        for board in self.boards.values():
+            for row in changed:
+                board.servers.records[row.server_id] = row
+            for server_id in removed:
+                board.servers.records.pop(server_id, None)
+
+    def touch_config(self):
+        """Tell every daemon that the configuration changed."""
+        for board in self.boards.values():
+            board.touch(Section.CONFIG)
+
+    def row(self, server_id="s1"):
+        """Return the last row of a server, or None."""
+        return next(iter(self.boards.values())).servers.records.get(server_id)
+
+    async def enter(self, name="d1", server=None, **changes):
+        """Register a server through ``name`` and echo its first token."""
+        first = make_announcement(**changes)
+        self.servers.setdefault(first.server_id, server or FakeServer())
+        reply = (await self.homes[name].announce(first)).unwrap()
+        return await self.renew(name, first, reply.lease, 2)
+
+    async def renew(self, name, announcement, lease, sequence, **changes):
+        """Echo ``lease`` at ``name``; return the announcement and the new lease."""
+        values = {"lease": lease, "sequence": sequence} | changes
+        renewal = Announcement(
+            **{f: getattr(announcement, f) for f in announcement.__struct_fields__}
+            | values
+        )
+        reply = (await self.homes[name].announce(renewal)).unwrap()
+        return renewal, reply.lease
+
+    def query(self, name="d1", home=None, server_id="s1", request="r", **changes):
+        """Dispatch one group; return its replies, its end and the cancel closure."""
+        values = dict(
+            request_id=request,
+            tenant="t",
+            class_name="c",
+            version="v1",
+            revision=0,
+            remaining_s=1.0,
+            is_stale=False,
+            groups=(ServerGroup(server_id, 1, "sheets", ("a",)),),
+            query=b"{}",
+        )
+        replies, end = [], self.loop.create_future()
+        cancel = self.homes[name].client.dispatch(
+            home or name,
+            ShardBatch(**(values | changes)),
+            replies.append,
+            lambda outcome: end.done() or end.set_result(outcome),
+        )
+        return replies, end, cancel
+
+    async def code(self, *args, **kwargs):
+        """Return the code of one group."""
+        replies, end, _ = self.query(*args, **kwargs)
+        await end
+        return replies[0].code if replies else end.result().err_value.code
+
+    async def submit(self, name="d1", home=None, remaining_s=1.0, server_id="s1"):
+        """Submit one operation and return the reply."""
+        request = SubmitRequest(
+            "x", "t", "c", 0, remaining_s, False, server_id, "sheets", "a", b"{}"
+        )
+        return await self.homes[name].client.submit(home or name, request)
+
+    async def warm(self, name="d1", seconds=2.0, **changes):
+        """Send one query after the other, so that the ramp grows."""
+        until = self.loop.time() + seconds
+        while self.loop.time() < until:
+            await asyncio.gather(
+                *(self.code(name, request=f"w{i}", **changes) for i in range(2))
+            )
