--- a/src/bramleyrouter/routing/submissions.py
+++ b/src/bramleyrouter/routing/submissions.py
@@ -37,6 +37,9 @@
 # seconds, with pauses up to the second value.
 SETTLE_REPAIR_S = 60.0
 MAX_SETTLE_PAUSE_S = 2.0
+# Submissions that may be at the ledger at once, for each place that admission
+# has for running and waiting requests.
+CLAIMS_PER_PLACE = 4
 # Identities remembered as dispatched by this daemon.
 REMEMBERED_IDENTITIES = 10_000
 
@@ -65,6 +68,7 @@
     unsettled: dict[Identity, tuple[bytes, Settle]] = field(default_factory=dict)
     repairs: set[asyncio.Task] = field(default_factory=set)
     dispatched: OrderedDict[Identity, None] = field(default_factory=OrderedDict)
+    attempts: int = 0
 
 
 async def execute_submission(
@@ -88,7 +92,8 @@
         if settle.outcome is not Outcome.NOT_RUN:
             code = Code(settle.code)
             return _answer(req, settle.outcome, code, answer=settle.answer)
-    if len(state.running) >= ctx.cfg.max_running_queries + ctx.cfg.max_waiting_queries:
+    places = ctx.cfg.max_running_queries + ctx.cfg.max_waiting_queries
+    if len(state.running) >= CLAIMS_PER_PLACE * places:
         text = "Too many submissions run in this daemon."
         return _refuse_unclaimed(state, req, Code.OVERLOADED, text)
     coroutine = _run(ctx, state, req, digest)
@@ -126,7 +131,7 @@
         body_digest=digest,
         claimant=identity.daemon_id,
         claimant_incarnation=identity.incarnation,
-        attempt_token=ctx.rng.randbytes(TOKEN_BYTES),
+        attempt_token=_new_token(ctx, state),
     )
     answer = await _claim(ctx, state, req, claim)
     if answer is None:
@@ -135,6 +140,15 @@
     return answer
 
 
+def _new_token(ctx: Context, state: SubmissionState) -> bytes:
+    """Return a token that no other attempt has, whatever seed others use."""
+    identity = ctx.board.identity
+    state.attempts += 1
+    text = f"{identity.daemon_id}/{identity.incarnation}/{state.attempts}"
+    salt = ctx.rng.randbytes(TOKEN_BYTES)
+    return hashlib.blake2b(text.encode(), key=salt, digest_size=TOKEN_BYTES).digest()
+
+
 async def _claim(
     ctx: Context, state: SubmissionState, req: Submission, claim: Claim
 ) -> SubmissionAnswer | None:
