--- /dev/null
+++ b/tests/routing/test_budgets_and_limits.py
@@ -0,0 +1,136 @@
+"""Tests of hedge and retry budgets, quantiles, the limit and the ring."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bramleyrouter.codes import Code
+from bramleyrouter.routing.budgets import MICRO, build_bucket, charge, earn, spend
+from bramleyrouter.routing.coverage import reason_of
+from bramleyrouter.routing.hedging import (
+    MIN_SAMPLES,
+    LatencyTable,
+    hedge_delay,
+    record_latency,
+)
+from bramleyrouter.routing.limits import (
+    MIN_LIMIT,
+    build_limit,
+    note_query,
+    note_request,
+    note_running,
+)
+from bramleyrouter.routing.retries import (
+    DAEMON_BURST,
+    RetryBudget,
+    RetryKind,
+    classify,
+    may_retry,
+    note_reply,
+)
+
+
+class TestBuckets:
+    """Guard against extra requests beyond their share."""
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(
+        st.lists(st.tuples(st.integers(0, 130), st.integers(0, 9)), max_size=60),
+        st.floats(0, 0.2),
+    )
+    def test_hedges_never_exceed_their_share_of_first_requests(self, steps, share):
+        bucket, first, extra = build_bucket(share, 10), 0, 0
+        for requests, wanted in steps:
+            earn(bucket, requests)
+            first += requests
+            extra += sum(spend(bucket, 1) for _ in range(wanted))
+            assert extra <= share * first
+
+
+class TestLatencies:
+    """Guard against hedges on guesses, and on an ordinary spread."""
+
+    def test_delay_follows_the_body_and_not_the_stragglers(self):
+        table, rng = LatencyTable(), random.Random(1)
+        for _ in range(MIN_SAMPLES - 1):
+            record_latency(table, "s", 0.010, rng)
+        assert hedge_delay(table, "s") is None
+        for number in range(5000):
+            record_latency(table, "s", 0.1 if number % 20 == 0 else 0.010, rng)
+        assert 0.012 < hedge_delay(table, "s") < 0.02
+        for _ in range(20000):
+            record_latency(table, "s", 0.030, rng)
+        assert 0.04 < hedge_delay(table, "s") < 0.06
+
+
+class TestRetries:
+    """Guard against amplification of an overload, and against lost coverage."""
+
+    def allowed(self, kind, budget=None, units=2.0, left=1.0, typical=0.01):
+        budget = budget or RetryBudget(build_bucket(0.1, DAEMON_BURST, True))
+        return may_retry(kind, budget, units, left, typical)
+
+    def test_every_code_has_a_kind_that_fits_its_hundred(self):
+        for code in Code:
+            if classify(code) in (RetryKind.REDIRECT, RetryKind.SHED):
+                assert 200 <= code < 300 or code is Code.PEER_UNREACHABLE
+            assert 400 <= reason_of(code) < 500
+
+    def test_budgets_and_deadline_bound_what_may_have_run(self):
+        assert self.allowed(RetryKind.REPEAT)
+        assert not self.allowed(RetryKind.REPEAT, units=0.9)
+        assert not self.allowed(RetryKind.REPEAT, left=0.005)
+        empty = RetryBudget(build_bucket(0.1, DAEMON_BURST))
+        assert not self.allowed(RetryKind.REPEAT, empty)
+        assert self.allowed(RetryKind.REDIRECT, empty, units=0.0)
+        assert not self.allowed(RetryKind.NEVER)
+
+    def test_debt_of_a_wide_retry_is_paid_before_the_next(self):
+        bucket = build_bucket(0.5, 1, is_full=True)
+        charge(bucket, 3)
+        earn(bucket, 5)
+        assert bucket.tokens == MICRO // 2 and not spend(bucket, 1)
+
+    def test_no_retry_of_shed_requests_while_many_are_shed(self):
+        budget = RetryBudget(build_bucket(0.1, DAEMON_BURST, True))
+        assert self.allowed(RetryKind.SHED, budget)
+        for _ in range(50):
+            note_reply(budget, RetryKind.SHED)
+        assert not self.allowed(RetryKind.SHED, budget)
+        assert self.allowed(RetryKind.REPEAT, budget)
+
+
+class TestLimit:
+    """Guard against a limit that ignores overload or collapses without cause."""
+
+    def window(self, limit, now, queue_s, lossy=0, delayed=1.0, running=99):
+        note_running(limit, running)
+        for number in range(100):
+            note_request(limit, queue_s if number < delayed * 100 else 0, 0.01, False)
+        for number in range(100):
+            at = now if number == 99 else limit.window_started
+            note_query(limit, number < lossy, at)
+        return limit.value
+
+    def test_long_queues_lower_it_and_use_without_queues_raises_it(self):
+        limit = build_limit(64, 0.0)
+        assert self.window(limit, 1.0, queue_s=0.050) == 16
+        assert self.window(limit, 2.0, queue_s=0.0) == 17
+        assert self.window(limit, 3.0, queue_s=0.0, running=3) == 17
+        for now in range(4, 90):
+            self.window(limit, now, queue_s=0.0)
+        assert limit.value == 64
+
+    def test_losses_lower_it_only_together_with_queues(self):
+        limit = build_limit(64, 0.0)
+        self.window(limit, 1.0, 0.05, lossy=20, delayed=0.1, running=3)
+        assert limit.value == 32
+        self.window(limit, 2.0, 0.05, lossy=20, delayed=0.3)
+        assert limit.value < 32
+
+    def test_it_never_falls_below_the_least(self):
+        limit = build_limit(64, 0.0)
+        for now in range(1, 50):
+            self.window(limit, now, queue_s=1.0)
+        assert limit.value == MIN_LIMIT
--- /dev/null
+++ b/tests/routing/test_choices.py
@@ -0,0 +1,230 @@
+"""Tests of the choice of versions and replicas, and of the index behind them."""
+
+import random
+from itertools import count
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bramleyrouter.board import Section
+from bramleyrouter.board.sections import ServiceSpec
+from bramleyrouter.codes import Code
+from bramleyrouter.routing.messages import ServiceTarget, ShardKey
+from bramleyrouter.routing.plans import (
+    MAX_SHARDS_PER_GROUP,
+    ShardProgress,
+    group_by_home,
+    plan_attempts,
+)
+from bramleyrouter.routing.replica_index import build_replica_index, space_out
+from bramleyrouter.routing.replicas import ChoiceState, choose_replica
+from bramleyrouter.routing.snapshots import choose_version, resolve_targets
+from bramleyrouter.states import ServerState
+from tests.support.routing_fakes import (
+    make_board,
+    make_record,
+    put_servers,
+    put_services,
+)
+
+
+def index_of(board):
+    """Return an index whose clock stands still, so that it follows at once."""
+    return build_replica_index(board, lambda: 0.0)
+
+
+def chosen(board, *targets):
+    """Return the version chosen for the targets."""
+    index = index_of(board)
+    wanted = resolve_targets(index, targets or [ServiceTarget("s")]).ok_value
+    return choose_version(index, wanted)
+
+
+class TestChooseVersion:
+    """Guard against answers from versions that are not permitted or cover less."""
+
+    def test_newest_wins_on_ties_and_coverage_wins_over_age(self):
+        board = make_board("ab", 1)
+        assert chosen(board) == ("v2", 2)
+        put_servers(board, make_record("b0", "b", ["v1"]))
+        assert chosen(board) == ("v1", 2)
+        assert chosen(board, ServiceTarget("s", ("a",))) == ("v2", 1)
+
+    def test_version_must_be_permitted_for_every_service(self):
+        board = make_board("a", 1)
+        other = ServiceSpec("o", ("x",), ("v0", "v1"))
+        put_services(board, *board.config.services.values(), other)
+        put_servers(board, make_record("x0", "x", ["v0", "v1", "v2"], service="o"))
+        assert chosen(board, ServiceTarget("s"), ServiceTarget("o")) == ("v1", 2)
+        put_services(board, ServiceSpec("s", ("a",), ("v2",)), other)
+        assert chosen(board, ServiceTarget("s"), ServiceTarget("o")) is None
+
+    def test_unusable_servers_do_not_count(self):
+        for change in (
+            dict(usable=False),
+            dict(state=ServerState.DRAINING),
+            dict(headroom=0.0),
+        ):
+            board = make_board("ab", 1)
+            put_servers(board, make_record("a0", "a", **change))
+            assert chosen(board).covered == 1
+        board = make_board("ab", 1)
+        index = index_of(board)
+        board.config.servers_out = frozenset({"a0"})
+        board.touch(Section.CONFIG)
+        assert index.covered[("s", "v2")] == 1
+
+    def test_unknown_names_are_refused(self):
+        index = index_of(make_board())
+        for target, code in (
+            (ServiceTarget("z"), Code.UNKNOWN_SERVICE),
+            (ServiceTarget("s", ("z",)), Code.UNKNOWN_SHARD),
+        ):
+            assert resolve_targets(index, [target]).err_value.code is code
+
+
+CHANGES = st.lists(
+    st.tuples(
+        st.sampled_from(["add", "drop", "out", "spec"]),
+        st.sampled_from(["s1", "s2", "s3", "s4"]),
+        st.sets(st.sampled_from("abc"), min_size=1),
+        st.sets(st.sampled_from(["v1", "v2"]), min_size=1),
+        st.booleans(),
+    ),
+    max_size=25,
+)
+
+
+class TestReplicaIndex:
+    """Guard against counts that drift from the table after many changes."""
+
+    @settings(derandomize=True, max_examples=150, deadline=None)
+    @given(CHANGES)
+    def test_changes_one_by_one_equal_a_new_index(self, changes):
+        board = make_board("abc", 0)
+        index = index_of(board)
+        for kind, name, shards, versions, usable in changes:
+            if kind == "add":
+                put_servers(board, make_record(name, shards, versions, usable=usable))
+            elif kind == "drop":
+                board.servers.records.pop(name, None)
+                put_servers(board)
+            elif kind == "out":
+                board.config.servers_out = frozenset({name} if usable else ())
+                board.touch(Section.CONFIG)
+            else:
+                put_services(board, ServiceSpec("s", tuple(shards), ("v1", "v2")))
+        fresh = index_of(board)
+        assert {key: n for key, n in index.covered.items() if n} == fresh.covered
+
+        def names(of):
+            return {
+                (key, shard): sorted(view.record.server_id for view in views)
+                for key, holders in of.holders.items()
+                for shard, views in holders.items()
+            }
+
+        assert names(index) == names(fresh)
+
+    def test_close_changes_share_a_pass(self):
+        now, runs = [0.0], []
+
+        def slow():
+            runs.append(now[0])
+            now[0] += 0.01
+
+        call = space_out(slow, lambda: now[0])
+        call()
+        now[0] += 1.0
+        call()
+        assert runs == [0.0, 1.01]
+
+
+class TestChooseReplica:
+    """Guard against herds, and against work for servers that can't take it."""
+
+    def choose(self, views, state=None, tried=(), seed=0, **options):
+        rng = random.Random(seed)
+        return choose_replica(views, tried, state or ChoiceState(), rng, 0.0, **options)
+
+    def views(self, *changes):
+        board = make_board("a", 0)
+        records = [
+            make_record(f"a{n}", "a", **change) for n, change in enumerate(changes)
+        ]
+        put_servers(board, *records)
+        return list(index_of(board).views.values())
+
+    def test_own_data_centre_first_then_the_nearest_with_a_free_slot(self):
+        own, far, near = self.views(
+            {}, dict(data_centre="dc2"), dict(data_centre="dc3")
+        )
+        state = ChoiceState(distance_s={"dc2": 0.030, "dc3": 0.002})
+        assert self.choose([own, far, near], state) is own
+        own.load.in_flight = 2
+        assert self.choose([own, far, near], state) is near
+        state.is_stale = True
+        assert self.choose([own, far, near], state) is own
+        far.load.in_flight = near.load.in_flight = 2
+        assert self.choose([own, far, near]) is own
+        assert self.choose([own, far, near], only_free=True) is None
+
+    def test_headroom_of_a_cold_server_bounds_its_slots(self):
+        cold, warm = self.views(dict(headroom=0.4), {})
+        cold.load.in_flight = warm.load.in_flight = 1
+        assert self.choose([cold, warm]) is warm
+
+    def test_tried_servers_and_unreachable_homes_come_last(self):
+        one, other = self.views({}, {})
+        assert self.choose([one, other], tried={"a0"}) is other
+        state = ChoiceState(avoid_until={"home-a0": 1.0})
+        assert self.choose([one, other], state) is other
+        assert self.choose([one], state) is one
+
+    def test_equal_servers_share_the_load_and_a_slow_one_gets_less(self):
+        views = self.views({}, {}, {}, {})
+        picks = [self.choose(views, seed=seed) for seed in range(400)]
+        assert all(70 < picks.count(view) < 130 for view in views)
+        views[0].load.latency_s = 0.5
+        picks = [self.choose(views, seed=seed) for seed in range(400)]
+        assert picks.count(views[0]) < 10
+
+
+class TestPlans:
+    """Guard against shards planned twice, forgotten, or piled on one server."""
+
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(st.integers(1, 40), st.integers(0, 3), st.integers(0, 99))
+    def test_every_shard_is_planned_once_or_reported(self, shards, servers, seed):
+        names = [f"s{n}" for n in range(shards)]
+        board = make_board(names, 0)
+        put_servers(
+            board,
+            *(
+                make_record(f"r{n}", names[n:], home=f"h{n % 2}")
+                for n in range(servers)
+            ),
+        )
+        index = index_of(board)
+        progress = [ShardProgress(ShardKey("s", name)) for name in names]
+        args = (ChoiceState(), random.Random(seed), 0.0, count(1).__next__)
+        plan = plan_attempts(index, "v2", progress, *args)
+        planned = [one for attempt in plan.attempts for one in attempt.shards]
+        assert sorted(map(id, planned + plan.unplaced)) == sorted(map(id, progress))
+        for attempt in plan.attempts:
+            assert len(attempt.shards) <= MAX_SHARDS_PER_GROUP
+            held = attempt.view.record.holdings[0].shards
+            assert all(one.key.shard in held for one in attempt.shards)
+        in_flight = sum(view.load.in_flight for view in index.views.values())
+        assert in_flight == len(plan.attempts)
+        homes = group_by_home(plan.attempts)
+        assert sum(map(len, homes.values())) == len(plan.attempts)
+
+    def test_new_incarnation_forgets_the_hints_of_the_old_one(self):
+        board = make_board("a", 1)
+        index = index_of(board)
+        index.views["a0"].rest_until = 9.0
+        old = board.servers.records["a0"]
+        put_servers(board, msgspec.structs.replace(old, incarnation=2))
+        assert index.views["a0"].rest_until < 0
