Let hedges wait for about one service time

Cause: a hedge went only to a server with a free slot, and a sixth of the stragglers found none at a fifth of the load.

--- a/src/bramleyrouter/routing/dispatches.py
+++ b/src/bramleyrouter/routing/dispatches.py
@@ -18,6 +18,7 @@
     group_by_home,
     plan_attempts,
 )
+from bramleyrouter.routing.replicas import NO_MAX_LOAD
 from bramleyrouter.routing.retries import RetryKind, classify, note_reply
 from bramleyrouter.routing.runs import Batch, Pass, Run
 
@@ -30,7 +31,10 @@
 
 
 def plan_step(
-    ctx: Context, run: Run, shards: Iterable[ShardProgress], only_free: bool = False
+    ctx: Context,
+    run: Run,
+    shards: Iterable[ShardProgress],
+    max_load: float = NO_MAX_LOAD,
 ) -> list[Attempt]:
     """Plan requests for ``shards``; what finds no replica is given up."""
     current, now = run.current, ctx.clock()
@@ -43,7 +47,7 @@
         ctx.rng,
         now,
         ctx.next_attempt,
-        only_free,
+        max_load,
     )
     for progress in plan.unplaced:
         if progress.live == 0:
--- a/src/bramleyrouter/routing/hedge_rounds.py
+++ b/src/bramleyrouter/routing/hedge_rounds.py
@@ -13,6 +13,11 @@
 from bramleyrouter.routing.plans import Attempt
 from bramleyrouter.routing.runs import Pass, Run
 
+# A hedge goes to a server with at most this much running, as a multiple of its
+# capacity: it then waits for about one service time, far less than a straggler
+# takes. With 1 a sixth of the stragglers found no server at a fifth of the load.
+MAX_HEDGE_LOAD = 2.0
+
 
 def schedule_hedges(
     ctx: Context, run: Run, attempts: list[Attempt], handlers: Handlers
@@ -78,7 +83,7 @@
         if progress.key in run.current.open_shards and progress.live == 1
     ]
     affordable = []
-    for attempt in plan_step(ctx, run, shards, only_free=True):
+    for attempt in plan_step(ctx, run, shards, MAX_HEDGE_LOAD):
         if spend(ctx.hedge_bucket, 1):
             attempt.is_hedge = True
             affordable.append(attempt)
--- a/src/bramleyrouter/routing/plans.py
+++ b/src/bramleyrouter/routing/plans.py
@@ -7,7 +7,7 @@
 from bramleyrouter.ids import AttemptId, DaemonId, IndexVersion, ServerId, ServiceName
 from bramleyrouter.routing.messages import ShardKey
 from bramleyrouter.routing.replica_index import ReplicaIndex, ReplicaView
-from bramleyrouter.routing.replicas import ChoiceState, choose_replica
+from bramleyrouter.routing.replicas import NO_MAX_LOAD, ChoiceState, choose_replica
 
 # Shards that one request to a server asks for. More per request saves requests
 # and slots; fewer lets several replicas work on the query at once.
@@ -55,7 +55,7 @@
     rng: random.Random,
     now: float,
     next_attempt: Callable[[], int],
-    only_free: bool = False,
+    max_load: float = NO_MAX_LOAD,
 ) -> Plan:
     """Choose a replica for each shard; shards of one server share a request.
 
@@ -78,9 +78,7 @@
             continue
         group = _find_open_group(open_groups, candidates, progress)
         if group is None:
-            view = choose_replica(
-                candidates, progress.tried, state, rng, now, only_free
-            )
+            view = choose_replica(candidates, progress.tried, state, rng, now, max_load)
             if view is None:
                 plan.unplaced.append(progress)
                 continue
--- a/src/bramleyrouter/routing/queries.py
+++ b/src/bramleyrouter/routing/queries.py
@@ -25,6 +25,7 @@
 from bramleyrouter.routing.limits import note_query, note_request
 from bramleyrouter.routing.messages import Answer, Query
 from bramleyrouter.routing.plans import Attempt, ShardProgress
+from bramleyrouter.routing.replicas import NO_MAX_LOAD
 from bramleyrouter.routing.retries import RetryKind, classify, may_retry, query_units
 from bramleyrouter.routing.runs import Batch, Pass, Run
 from bramleyrouter.routing.snapshots import (
@@ -190,7 +191,9 @@
 ) -> None:
     if kind is RetryKind.REPEAT:
         _open_second_round(ctx, run, shards)
-    attempts = plan_step(ctx, run, shards, only_free=kind is RetryKind.SHED)
+    # What was shed goes only where a slot is free.
+    max_load = 1.0 if kind is RetryKind.SHED else NO_MAX_LOAD
+    attempts = plan_step(ctx, run, shards, max_load)
     if kind is not RetryKind.REDIRECT:
         units = 1 if code is Code.SHARD_HOME_LOST else len(attempts)
         run.retry_units -= units
--- a/src/bramleyrouter/routing/replicas.py
+++ b/src/bramleyrouter/routing/replicas.py
@@ -27,6 +27,8 @@
 # that daemons with the same stale hints do not all choose the same server.
 NEAR_EQUAL = 1.25
 
+NO_MAX_LOAD = float("inf")
+
 TIER_OTHER_CENTRE, TIER_FULL, TIER_AVOIDED = 1, 2, 4
 
 
@@ -57,6 +59,14 @@
     return now < view.rest_until or estimate_load(view, now) >= view.capacity
 
 
+def is_over(view: ReplicaView, max_load: float, now: float) -> bool:
+    """Return whether the server may not get an extra request."""
+    if max_load == NO_MAX_LOAD:
+        return False
+    load = estimate_load(view, now)
+    return now < view.rest_until or load >= max_load * view.capacity
+
+
 def estimate_cost(view: ReplicaView, state: ChoiceState, now: float) -> float:
     """Return the expected seconds until a reply, queue included."""
     latency = view.load.latency_s or UNMEASURED_LATENCY_S
@@ -70,7 +80,7 @@
     state: ChoiceState,
     rng: random.Random,
     now: float,
-    only_free: bool = False,
+    max_load: float = NO_MAX_LOAD,
 ) -> ReplicaView | None:
     """Return the replica to ask, or None when all were tried.
 
@@ -78,18 +88,19 @@
     has a free slot, then another data centre that has one, nearest first, then
     whichever is full. A stale daemon leaves its data centre only when that has
     no candidate at all. Within a tier the better of two random ones is taken.
-    With ``only_free`` a full server or an unreachable home is no candidate.
+    An extra request gives ``max_load``: a server with more running, as a
+    multiple of its capacity, or at rest is no candidate then.
     """
     best_tier, tier_members = 99, []
     for view in candidates:
-        if view.record.server_id in tried:
+        if view.record.server_id in tried or is_over(view, max_load, now):
             continue
         tier = _tier(view, state, now)
         if tier < best_tier:
             best_tier, tier_members = tier, [view]
         elif tier == best_tier:
             tier_members.append(view)
-    if not tier_members or (only_free and best_tier >= TIER_FULL):
+    if not tier_members:
         return None
     if best_tier & TIER_OTHER_CENTRE and len(tier_members) > 1:
         tier_members = _nearest(tier_members, state)
--- a/tests/routing/test_choices.py
+++ b/tests/routing/test_choices.py
@@ -168,7 +168,7 @@
         assert self.choose([own, far, near], state) is own
         far.load.in_flight = near.load.in_flight = 2
         assert self.choose([own, far, near]) is own
-        assert self.choose([own, far, near], only_free=True) is None
+        assert self.choose([own, far, near], max_load=1.0) is None
 
     def test_headroom_of_a_cold_server_bounds_its_slots(self):
         cold, warm = self.views(dict(headroom=0.4), {})
