--- a/src/bramleyrouter/routing/hedge_rounds.py
+++ b/src/bramleyrouter/routing/hedge_rounds.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from bramleyrouter.ids import ServiceName
 from bramleyrouter.routing.budgets import can_spend, spend
 from bramleyrouter.routing.contexts import Context
 from bramleyrouter.routing.dispatches import Handlers, dispatch, plan_step
@@ -13,10 +14,13 @@
 from bramleyrouter.routing.plans import Attempt
 from bramleyrouter.routing.runs import Pass, Run
 
-# A hedge goes to a server with at most this much running, as a multiple of its
+# A hedge goes to a server with less than this running, as a multiple of its
 # capacity: it then waits for about one service time, far less than a straggler
 # takes. With 1 a sixth of the stragglers found no server at a fifth of the load.
 MAX_HEDGE_LOAD = 2.0
+# A straggler that got no hedge, for want of a server or of budget, is looked at
+# again after this share of its service's delay.
+LOOK_AGAIN_SHARE = 0.25
 
 
 def schedule_hedges(
@@ -27,56 +31,57 @@
     One timer per pass serves all services, the one with the shortest delay
     first: most requests have been answered by then, so few looks follow.
     """
-    current, services = run.current, {attempt.service for attempt in attempts}
-    delays = []
-    for service in services:
+    due = []
+    for service in {attempt.service for attempt in attempts}:
         delay = hedge_delay(ctx.latencies, service)
         if delay is not None:
-            delays.append((delay, service))
-    started = ctx.clock()
-    _schedule(ctx, run, current, sorted(delays), started, handlers)
+            due.append((delay, service))
+    _schedule(ctx, run, run.current, sorted(due), ctx.clock(), handlers)
 
 
-def _schedule(ctx, run: Run, current: Pass, delays, started, handlers) -> None:
-    if not delays or started + delays[0][0] >= run.answer_by:
+def _schedule(ctx, run: Run, current: Pass, due, started, handlers) -> None:
+    """Set the timer for the earliest of ``due``, pairs of seconds and service."""
+    if not due or started + due[0][0] >= run.answer_by:
         return
-    wait_s = max(0.0, started + delays[0][0] - ctx.clock())
 
     def look() -> None:
         if run.done.done() or current is not run.current:
             return
-        elapsed = ctx.clock() - started
-        due = {service for delay, service in delays if delay <= elapsed}
-        due.add(delays[0][1])
-        _hedge(ctx, run, due, handlers)
-        waiting = {
-            attempt.service
-            for batch in current.batches
-            for attempt in batch.attempts.values()
-        }
-        later = [one for one in delays if one[1] in waiting and one[1] not in due]
-        _schedule(ctx, run, current, later, started, handlers)
-
+        elapsed = max(ctx.clock() - started, due[0][0])
+        now_due = {service for delay, service in due if delay <= elapsed}
+        later = [one for one in due if one[0] > elapsed]
+        for service in _hedge(ctx, run, now_due, handlers):
+            again = elapsed + LOOK_AGAIN_SHARE * (
+                hedge_delay(ctx.latencies, service) or elapsed
+            )
+            later.append((again, service))
+        _schedule(ctx, run, current, sorted(later), started, handlers)
+
+    wait_s = max(0.0, started + due[0][0] - ctx.clock())
     current.hedge_timer = asyncio.get_running_loop().call_later(wait_s, look)
 
 
-def _hedge(ctx: Context, run: Run, services, handlers: Handlers) -> None:
-    """Send the stragglers of the services to other servers that are free."""
-    if ctx.admission.is_overloaded():
-        return
-    left = run.answer_by - ctx.clock()
+def _hedge(
+    ctx: Context, run: Run, services: set[ServiceName], handlers: Handlers
+) -> set[ServiceName]:
+    """Send stragglers to other servers; return where some still want a hedge."""
     open_attempts = [
         attempt for batch in run.current.batches for attempt in batch.attempts.values()
     ]
+    left, unmet = run.answer_by - ctx.clock(), set()
     for straggler in find_stragglers(open_attempts, services):
-        if not can_spend(ctx.hedge_bucket, 1):
-            return
-        if left >= typical_latency(ctx.latencies, straggler.service):
-            straggler.was_hedged = True
-            _hedge_one(ctx, run, straggler, handlers)
-
-
-def _hedge_one(ctx: Context, run: Run, straggler: Attempt, handlers: Handlers) -> None:
+        if left < typical_latency(ctx.latencies, straggler.service):
+            continue
+        if ctx.admission.is_overloaded() or not can_spend(ctx.hedge_bucket, 1):
+            unmet.add(straggler.service)
+            continue
+        straggler.was_hedged = _hedge_one(ctx, run, straggler, handlers)
+        if not straggler.was_hedged:
+            unmet.add(straggler.service)
+    return unmet
+
+
+def _hedge_one(ctx: Context, run: Run, straggler: Attempt, handlers: Handlers) -> bool:
     shards = [
         progress
         for progress in straggler.shards
@@ -92,6 +97,7 @@
             _take_back(attempt)
     run.hedges += len(affordable)
     dispatch(ctx, run, affordable, handlers)
+    return bool(affordable)
 
 
 def _take_back(attempt: Attempt) -> None:
