Tested admission, goodput under overload and extra requests

Cause: a server that was new or slow once was never asked again while its sibling was cheaper, which the test of hedges showed; the dearer of two is now asked at least once a second. A query for full coverage that fails early names the shards it gave up first and the cancelled ones after them. 19 new unit tests pass; goodput at twice the capacity is at least 90% of capacity in four settings of the fake servers.

--- a/src/bramleyrouter/routing/coverage.py
+++ b/src/bramleyrouter/routing/coverage.py
@@ -79,7 +79,13 @@
 
 
 def refuse_partial(answer: Answer) -> Failure:
-    """Return the failure of a query for full coverage that lacks shards."""
+    """Return the failure of a query for full coverage that lacks shards.
+
+    Shards that were given up because of others come after those.
+    """
+    ordered = sorted(
+        answer.missing, key=lambda missing: missing.code is Code.SHARD_CANCELLED
+    )
     findings = tuple(
         Finding(
             str(int(missing.code)),
@@ -87,9 +93,9 @@
             f"{missing.service}/{missing.shard}",
             f"The shard is missing: {missing.code.name}.",
         )
-        for missing in answer.missing[:MAX_NAMED_SHARDS]
+        for missing in ordered[:MAX_NAMED_SHARDS]
     )
     total = len(answer.included) + len(answer.missing)
     names = ", ".join(finding.place for finding in findings[:5])
-    text = f"{len(answer.missing)} of {total} shards are missing, such as {names}."
+    text = f"{len(ordered)} of {total} shards are missing, such as {names}."
     return Failure(Code.COVERAGE_NOT_REACHED, text, findings)
--- a/src/bramleyrouter/routing/plans.py
+++ b/src/bramleyrouter/routing/plans.py
@@ -112,5 +112,6 @@
 
 def _open_group(view: ReplicaView, service, now, next_attempt) -> Attempt:
     view.load.in_flight += 1
+    view.asked_at = now
     attempt_id = AttemptId(next_attempt())
     return Attempt(attempt_id, view, view.record.home, service, [], now)
--- a/src/bramleyrouter/routing/queries.py
+++ b/src/bramleyrouter/routing/queries.py
@@ -283,7 +283,9 @@
     _keep_best(run)
     best = run.best
     assert best is not None
-    best.reasons.update(dict.fromkeys(best.open_shards, Code.SHARD_TIMEOUT))
+    is_late = ctx.clock() >= run.answer_by
+    code = Code.SHARD_TIMEOUT if is_late else Code.SHARD_CANCELLED
+    best.reasons.update(dict.fromkeys(best.open_shards, code))
     answer = build_answer(
         run.query,
         best.version,
--- a/src/bramleyrouter/routing/replica_index.py
+++ b/src/bramleyrouter/routing/replica_index.py
@@ -31,7 +31,8 @@
     ``capacity`` is slots times headroom. ``others_in_flight`` is what the home
     last said that other daemons had running there, at loop time ``hint_at``.
     ``rest_until`` is set when the server refused or failed a request.
-    ``is_listed`` says whether the index lists the server now.
+    ``asked_at`` is when this daemon last chose it. ``is_listed`` says whether
+    the index lists the server now.
     """
 
     record: ServerRecord
@@ -42,6 +43,7 @@
     others_in_flight: int = 0
     hint_at: float = float("-inf")
     rest_until: float = float("-inf")
+    asked_at: float = float("-inf")
 
 
 Holders = dict[ShardName, list[ReplicaView]]
--- a/src/bramleyrouter/routing/replicas.py
+++ b/src/bramleyrouter/routing/replicas.py
@@ -27,6 +27,10 @@
 # that daemons with the same stale hints do not all choose the same server.
 NEAR_EQUAL = 1.25
 
+# The dearer of two servers is taken nevertheless when it was not asked for so
+# long, in seconds; else one that was slow once, or is new, would never be
+# measured again.
+PROBE_INTERVAL_S = 1.0
 NO_MAX_LOAD = float("inf")
 
 TIER_OTHER_CENTRE, TIER_FULL, TIER_AVOIDED = 1, 2, 4
@@ -139,7 +143,8 @@
     second = (first + 1 + int(rng.random() * (count - 1))) % count
     one, other = views[first], views[second]
     cost, other_cost = estimate_cost(one, state, now), estimate_cost(other, state, now)
-    if other_cost * NEAR_EQUAL < cost:
-        return other
-    # ``one`` is random already, so it stands for a random one of near equals.
-    return one
+    if cost <= other_cost * NEAR_EQUAL and other_cost <= cost * NEAR_EQUAL:
+        # ``one`` is random already, so it stands for a random one of the two.
+        return one
+    cheaper, dearer = (one, other) if cost < other_cost else (other, one)
+    return dearer if now - dearer.asked_at > PROBE_INTERVAL_S else cheaper
--- /dev/null
+++ b/tests/routing/test_admission.py
@@ -0,0 +1,170 @@
+"""Tests of admission: early refusals, fair waiting and goodput under overload."""
+
+import asyncio
+import random
+from collections import Counter
+
+import pytest
+
+from bramleyrouter.codes import Code
+from bramleyrouter.conf.settings import ClassSettings, TenantSettings
+from bramleyrouter.routing.admission import build_admission
+from bramleyrouter.states import CoverageMode
+from tests.support.capacity_homes import CapacityHomes
+from tests.support.routing_fakes import (
+    make_board,
+    make_query,
+    make_settings,
+    start_router,
+)
+from tests.support.virtual_time import run_virtual
+
+
+def with_admission(main, **changes):
+    """Run ``main(admission, loop)`` in virtual time."""
+
+    async def start():
+        loop = asyncio.get_running_loop()
+        admission = build_admission(make_settings(**changes), loop.time)
+        return await main(admission, loop)
+
+    return run_virtual(start())
+
+
+class TestAdmission:
+    """Guard against unbounded waiting, unfair shares and leaked places."""
+
+    def test_places_and_waiters_are_bounded(self):
+        async def main(admission, loop):
+            tasks = [
+                asyncio.create_task(admission.admit(make_query(deadline=0.5)))
+                for _ in range(10)
+            ]
+            await asyncio.sleep(0.1)
+            done = [task.result() for task in tasks if task.done()]
+            assert [one.is_ok() for one in done] == [True] * 2 + [False] * 5
+            assert all(one.err_value.code is Code.OVERLOADED for one in done[2:])
+            done[0].ok_value(False)
+            await asyncio.sleep(0.5)
+            ended = [task.result() for task in tasks]
+            assert sum(one.is_ok() for one in ended) == 3
+            late = [one.err_value.code for one in ended if one.is_err()]
+            assert late.count(Code.QUEUE_DEADLINE) == 2
+            return admission.state
+
+        state = with_admission(main, max_running_queries=2, max_waiting_queries=3)
+        assert (state.running, state.waiting) == (2, 0)
+
+    def test_cancelled_waiter_leaks_no_place(self):
+        async def main(admission, loop):
+            first = await admission.admit(make_query())
+            waiters = [
+                asyncio.create_task(admission.admit(make_query())) for _ in range(2)
+            ]
+            await asyncio.sleep(0.01)
+            # One is cancelled while it waits, the other in the turn it starts.
+            waiters[0].cancel()
+            first.ok_value(False)
+            waiters[1].cancel()
+            await asyncio.gather(*waiters, return_exceptions=True)
+            return admission.state
+
+        state = with_admission(main, max_running_queries=1)
+        assert (state.running, state.waiting) == (0, 0)
+        assert not state.running_by_tenant and not state.waiting_by_tenant
+
+    def test_what_cannot_be_done_in_time_is_refused_at_once(self):
+        async def main(admission, loop):
+            admission.state.run_s = 0.1
+            await admission.admit(make_query(deadline=9.0))
+            refused = await admission.admit(make_query(deadline=0.25))
+            assert refused.err_value.code is Code.OVERLOADED and loop.time() == 0
+
+        with_admission(main, max_running_queries=1)
+
+    def test_tenant_is_held_to_its_share_of_places(self):
+        async def main(admission, loop):
+            queries = [make_query(tenant="small") for _ in range(8)]
+            tasks = [asyncio.create_task(admission.admit(one)) for one in queries]
+            await asyncio.sleep(0.01)
+            granted = [task for task in tasks if task.done() and task.result().is_ok()]
+            refused = [task for task in tasks if task.done() and task.result().is_err()]
+            assert len(granted) == 2
+            codes = {task.result().err_value.code for task in refused}
+            assert codes == {Code.TENANT_LIMIT} and len(refused) == 3
+            # Another tenant does not wait behind it.
+            assert (await admission.admit(make_query(tenant="big"))).is_ok()
+            assert loop.time() == 0.01
+
+        with_admission(
+            main,
+            max_running_queries=8,
+            max_waiting_queries=12,
+            tenants={"small": TenantSettings(0.25)},
+        )
+
+    def test_classes_get_places_by_their_weights(self):
+        async def main(admission, loop):
+            served = Counter()
+
+            async def one(name):
+                permit = await admission.admit(make_query(class_name=name, deadline=9))
+                served[name] += 1
+                await asyncio.sleep(0.01)
+                permit.ok_value(False)
+
+            names = ["bulk"] * 100 + ["urgent"] * 100
+            tasks = [asyncio.create_task(one(name)) for name in names]
+            await asyncio.sleep(0.4)
+            for task in tasks:
+                task.cancel()
+            return served
+
+        served = with_admission(
+            main,
+            max_running_queries=2,
+            classes={"bulk": ClassSettings(1), "urgent": ClassSettings(3)},
+        )
+        assert 2.4 < served["urgent"] / served["bulk"] < 3.6
+
+
+class TestOverload:
+    """Guard against goodput that collapses when callers offer too much."""
+
+    MEAN_S, SECONDS, WARM_UP_S = 0.010, 3.0, 1.0
+
+    @pytest.mark.parametrize(
+        ("shards", "deadline_s", "max_queue"),
+        [(3, 0.2, 20), (3, 0.05, 20), (10, 0.2, 4), (1, 1.0, 20)],
+    )
+    def test_goodput_at_twice_the_capacity(self, shards, deadline_s, max_queue):
+        # Two replicas of two slots for each shard.
+        capacity = 2 * 2 / self.MEAN_S
+        homes = CapacityHomes(
+            random.Random(3),
+            lambda rng, _: rng.uniform(0.6 * self.MEAN_S, 1.4 * self.MEAN_S),
+            max_queue=max_queue,
+        )
+        board = make_board([f"s{number}x" for number in range(shards)])
+        counts = Counter()
+
+        async def one(router, loop):
+            started = loop.time()
+            query = make_query(CoverageMode.FULL, started + deadline_s)
+            result = await router.query(query)
+            if started >= self.WARM_UP_S:
+                in_time = loop.time() <= query.deadline
+                counts["good" if result.is_ok() and in_time else "refused"] += 1
+
+        async def main():
+            loop, arrivals = asyncio.get_running_loop(), random.Random(4)
+            router, tasks = start_router(board, homes), []
+            while loop.time() < self.WARM_UP_S + self.SECONDS:
+                await asyncio.sleep(arrivals.expovariate(2 * capacity))
+                tasks.append(asyncio.create_task(one(router, loop)))
+            await asyncio.gather(*tasks)
+            await router.drain()
+
+        run_virtual(main())
+        assert counts["good"] >= 0.9 * capacity * self.SECONDS
+        assert all(load.in_flight == 0 for load in board.load.servers.values())
--- a/tests/routing/test_choices.py
+++ b/tests/routing/test_choices.py
@@ -187,8 +187,12 @@
         picks = [self.choose(views, seed=seed) for seed in range(400)]
         assert all(70 < picks.count(view) < 130 for view in views)
         views[0].load.latency_s = 0.5
+        views[0].asked_at = -0.5
         picks = [self.choose(views, seed=seed) for seed in range(400)]
-        assert picks.count(views[0]) < 10
+        assert picks.count(views[0]) == 0
+        views[0].asked_at = -1.5
+        picks = [self.choose(views, seed=seed) for seed in range(400)]
+        assert 150 < picks.count(views[0]) < 250
 
 
 class TestPlans:
--- a/tests/routing/test_query_execution.py
+++ b/tests/routing/test_query_execution.py
@@ -1,18 +1,22 @@
 """Tests of the execution of queries over fake homes."""
 
 import asyncio
+from collections import Counter
 
 from result import Err, Ok
 
 from bramleyrouter.codes import Code
 from bramleyrouter.failures import Failure
+from bramleyrouter.routing.observers import RoutingObserver
 from bramleyrouter.states import CoverageMode
 from tests.support.routing_fakes import (
     NEWEST,
     FakeHomes,
     make_board,
     make_query,
+    make_record,
     ok_reply,
+    put_servers,
     start_router,
 )
 from tests.support.virtual_time import run_virtual
@@ -116,3 +120,160 @@
         query = make_query(CoverageMode.BEST)
         answer = run_query(make_board("ab", 1), homes, query)[0].ok_value
         assert missing_codes(answer) == {"a": Code.SHARD_CONNECTION_LOST}
+
+
+class TestVersions:
+    """Guard against mixed versions when the pinned one disappears."""
+
+    def run_while_v2_disappears(self, query):
+        board, homes = make_board("ab", 1), FakeHomes()
+
+        def not_held(batch, group):
+            put_servers(board, make_record("b0", "b", ["v1"]))
+            code = Code.VERSION_NOT_HELD
+            return [(0.001, ok_reply(batch, group, code=code, results={}))]
+
+        def answer_b(batch, group):
+            if batch.version == NEWEST:
+                return not_held(batch, group)
+            return [(0.001, ok_reply(batch, group))]
+
+        homes.answers["b0"] = answer_b
+        return run_query(board, homes, query)[0], homes
+
+    def test_query_restarts_whole_on_the_other_version(self):
+        for mode in CoverageMode:
+            result, homes = self.run_while_v2_disappears(make_query(mode))
+            answer = result.ok_value
+            assert answer.version == "v1" and not answer.missing
+            assert all(body.endswith(b"@v1") for body in answer.results.values())
+            assert homes.asked().count("a0") == 2
+
+    def test_without_time_the_shards_are_missing_from_the_pinned_version(self):
+        board, homes = make_board("ab", 1), FakeHomes()
+        late = 0.0999
+
+        def lost(batch, group):
+            put_servers(board, make_record("b0", "b", ["v1"]))
+            code = Code.VERSION_NOT_HELD
+            return [(late, ok_reply(batch, group, code=code, results={}))]
+
+        homes.answers["b0"] = lost
+        query = make_query(CoverageMode.BEST, 0.1)
+        answer = run_query(board, homes, query)[0].ok_value
+        assert answer.version == NEWEST
+        assert list(missing_codes(answer)) == ["b"]
+
+
+class TestDeadlines:
+    """Guard against late answers and against partial ones sold as full."""
+
+    def test_best_answers_before_its_deadline_with_what_it_has(self):
+        homes = FakeHomes()
+        homes.answers["a0"] = lambda b, g: []
+        homes.ends["home-a0"] = (None, None)
+        query = make_query(CoverageMode.BEST, 0.2)
+        result, ended = run_query(make_board("ab", 1), homes, query)
+        assert missing_codes(result.ok_value) == {"a": Code.SHARD_TIMEOUT}
+        assert 0.19 < ended < 0.2 and homes.cancelled == 1
+
+    def test_full_fails_at_once_and_names_what_is_missing(self):
+        homes = FakeHomes(unreachable={"home-a0"})
+        result, ended = run_query(make_board("ab", 1), homes)
+        failure = result.err_value
+        assert failure.code is Code.COVERAGE_NOT_REACHED and ended < 0.1
+        assert [(one.place, int(one.code)) for one in failure.findings] == [
+            ("s/a", Code.SHARD_HOME_LOST),
+            ("s/b", Code.SHARD_CANCELLED),
+        ]
+
+    def test_nothing_is_sent_without_a_version_a_server_or_time(self):
+        for board, query, code in (
+            (make_board("a", 1, []), make_query(), Code.NO_VERSION),
+            (make_board("a", 0), make_query(), Code.NO_SERVER),
+            (make_board("a"), make_query(deadline=0.0), Code.DEADLINE_PASSED),
+        ):
+            homes = FakeHomes()
+            assert run_query(board, homes, query)[0].err_value.code is code
+            assert not homes.batches
+
+    def test_caller_that_goes_away_cancels_its_requests(self):
+        board, homes = make_board(), FakeHomes(delay_s=0.5)
+
+        async def main():
+            router = start_router(board, homes)
+            task = asyncio.create_task(router.query(make_query()))
+            await asyncio.sleep(0.1)
+            task.cancel()
+            await router.drain()
+
+        run_virtual(main())
+        assert homes.cancelled == 3
+        assert all(load.in_flight == 0 for load in board.load.servers.values())
+
+
+class TestExtraRequests:
+    """Guard against hedges and retries that add load where it does harm."""
+
+    def run_many(self, homes, shards="abcdefghij", queries=60, **settings):
+        """Run queries one after the other and return the last answer."""
+        board, counts = make_board(shards), Counter()
+        observer = RoutingObserver(
+            hedged=lambda service: counts.update(["hedges"]),
+            retried=lambda service, code: counts.update(["retries"]),
+            decided=lambda seconds, requests: counts.update(first=requests),
+        )
+
+        async def main():
+            router = start_router(board, homes, observer=observer, **settings)
+            loop = asyncio.get_running_loop()
+            for _ in range(queries):
+                query = make_query(CoverageMode.BEST, loop.time() + 1)
+                result = await router.query(query)
+                assert counts["hedges"] <= 0.05 * counts["first"]
+            await asyncio.sleep(0)
+            return result, router.recent(10**6)
+
+        result, decisions = run_virtual(main())
+        assert all(load.in_flight == 0 for load in board.load.servers.values())
+        return result.ok_value, counts, decisions
+
+    def test_straggler_is_hedged_at_another_server_and_cancelled(self):
+        homes = FakeHomes()
+
+        def straggle(batch, group):
+            delay = 0.005 if len(homes.batches) < 300 else 0.5
+            return [(delay, ok_reply(batch, group))]
+
+        homes.answers["a0"] = straggle
+        answer, counts, decisions = self.run_many(homes)
+        assert not answer.missing and counts["hedges"] > 0
+        assert homes.cancelled == counts["hedges"]
+        assert max(one.latency_s for one in decisions) < 0.05
+        assert sum(one.hedges for one in decisions) == counts["hedges"]
+
+    def test_everything_slow_spends_no_more_than_the_budget(self):
+        homes = FakeHomes()
+
+        def answer(batch, group):
+            delay = 0.005 if len(homes.batches) < 300 else 0.2
+            return [(delay, ok_reply(batch, group))]
+
+        homes.answers = {f"{shard}{n}": answer for shard in "abcdefghij" for n in "01"}
+        _, counts, _ = self.run_many(homes)
+        assert homes.requests == counts["first"] + counts["hedges"] + counts["retries"]
+
+    def test_shedding_everywhere_is_not_amplified(self):
+        def shed(batch, group):
+            return [(0.001, ok_reply(batch, group, code=Code.QUEUE_FULL, results={}))]
+
+        homes = FakeHomes()
+        homes.answers = {f"{shard}{n}": shed for shard in "abcdefghij" for n in "01"}
+        answer, counts, _ = self.run_many(homes)
+        assert len(answer.missing) == 10
+        assert counts["retries"] <= 0.1 * counts["first"]
+
+    def test_recent_decisions_are_bounded_and_newest_first(self):
+        _, _, decisions = self.run_many(FakeHomes(), "a", 5, recent_decisions=3)
+        assert len(decisions) == 3 and decisions[0].at_s > decisions[1].at_s
+        assert decisions[0].servers[0] in ("a0", "a1")
