--- a/src/bramleyrouter/daemons/operations.py
+++ b/src/bramleyrouter/daemons/operations.py
@@ -8,10 +8,8 @@
 from bramleyrouter.control.client import build_control_admin
 from bramleyrouter.control.interfaces import ControlClient
 from bramleyrouter.control.messages import SetAvailability
-from bramleyrouter.daemons.rollouts import ask_rollout
 from bramleyrouter.edges.http import RouteSpec
 from bramleyrouter.edges.operators.handlers import OperatorAccess, operator_routes
-from bramleyrouter.ids import Revision
 from bramleyrouter.wire.network import Network
 
 
@@ -25,9 +23,6 @@
 ) -> list[RouteSpec]:
     """Return the operators' routes; any daemon serves them."""
 
-    async def rollout(revision: Revision):
-        return await ask_rollout(network, cfg.control, revision)
-
     def is_known(operation: SetAvailability) -> bool:
         servers = board.servers.records
         if operation.server_id is not None:
@@ -40,7 +35,6 @@
     access = OperatorAccess(
         client,
         build_control_admin(network, cfg.control, clock, rng),
-        rollout,
         lambda: board.config,
         is_known,
     )
--- a/src/bramleyrouter/daemons/wiring.py
+++ b/src/bramleyrouter/daemons/wiring.py
@@ -17,10 +17,10 @@
 from bramleyrouter.control.client import build_control_client
 from bramleyrouter.control.interfaces import ConfigSource
 from bramleyrouter.control.machine import build_machine
+from bramleyrouter.control.rollouts import serve_rollout
 from bramleyrouter.control.service import build_control
 from bramleyrouter.daemons.lifecycles import Daemon
 from bramleyrouter.daemons.operations import build_operator_routes
-from bramleyrouter.daemons.rollouts import serve_rollouts
 from bramleyrouter.dissemination.build import build_dissemination
 from bramleyrouter.edges.callers.handlers import caller_routes
 from bramleyrouter.edges.listeners import listen_http
@@ -149,7 +149,7 @@
     control_client = build_control_client(network, cfg.control, clock, rng)
     metrics = Metrics()
     _, collect = build_observer(metrics, board)
-    serve_rollouts(network, dissemination.rollout)
+    serve_rollout(network, log.status, dissemination.rollout)
     specs = [
         *platform_routes(board, metrics.registry, collect),
         *build_operator_routes(cfg, board, network, control_client, clock, rng),
--- a/src/bramleyrouter/wire/kinds.py
+++ b/src/bramleyrouter/wire/kinds.py
@@ -37,4 +37,3 @@
     TABLE_DIGEST = 74
     LEAVE = 75
     ROLLOUT = 76
-    ROLLOUT_SUMMARY = 77
