--- a/src/bramleyrouter/control/ledger.py
+++ b/src/bramleyrouter/control/ledger.py
@@ -31,9 +31,12 @@
 IDENTITY = re.compile(r"([0-9]{1,15})-.+", re.DOTALL)
 
 
-class Record(msgspec.Struct):
+class Record(msgspec.Struct, array_like=True, gc=False):
     """Hold one submission.
 
+    Many are held, so the garbage collector does not track them; they refer to
+    no container but a tuple of bytes.
+
     ``outcome`` is none while the claim is open. ``retired`` lists tokens that
     ended as not run: a late copy of their claim is not granted. An empty
     ``body_digest`` is of a record that a settlement made ahead of its claim.
--- a/src/bramleyrouter/control/snapshots.py
+++ b/src/bramleyrouter/control/snapshots.py
@@ -11,9 +11,13 @@
 from bramleyrouter.board.sections import Manifest
 from bramleyrouter.control.configuration import Configuration, Publisher, make_state
 from bramleyrouter.control.digests import digest_manifest
-from bramleyrouter.control.ledger import Ledger, Record, parse_created_ms
+from bramleyrouter.control.ledger import Ledger, Record, RecordKey, parse_created_ms
 from bramleyrouter.control.limits import IDENTITY_LIFETIME_MS
-from bramleyrouter.control.operator_requests import KeptResult, OperatorRequests
+from bramleyrouter.control.operator_requests import (
+    KeptResult,
+    OperatorRequests,
+    RequestKey,
+)
 from bramleyrouter.control.state import ControlState
 from bramleyrouter.ids import Revision
 
@@ -30,8 +34,8 @@
     data_centres_out: tuple[str, ...]
     servers_out: tuple[str, ...]
     publisher: Publisher | None
-    results: list[tuple[str, str, bytes, bytes]]
-    records: list[tuple[str, str, Record]]
+    results: dict[RequestKey, KeptResult]
+    records: dict[RecordKey, Record]
 
 
 def encode_snapshot(state: ControlState) -> bytes:
@@ -45,8 +49,8 @@
         config.data_centres_out,
         config.servers_out,
         state.config.publisher,
-        [(*key, *kept) for key, kept in state.requests.results.items()],
-        [(*key, record) for key, record in state.ledger.records.items()],
+        state.requests.results,
+        state.ledger.records,
     )
     return msgspec.msgpack.encode(snapshot)
 
@@ -81,17 +85,12 @@
 
 
 def _restore_requests(snapshot: Snapshot) -> OperatorRequests:
-    results = {
-        (operator, request_id): KeptResult(body_digest, result)
-        for operator, request_id, body_digest, result in snapshot.results
-    }
+    results = snapshot.results
     return OperatorRequests(results, sum(len(kept.result) for kept in results.values()))
 
 
 def _restore_ledger(snapshot: Snapshot) -> Ledger:
-    records = {
-        (tenant, request_id): record for tenant, request_id, record in snapshot.records
-    }
+    records = snapshot.records
     ends = [
         (created_ms + IDENTITY_LIFETIME_MS, key)
         for key in records
