--- a/tests/commands/test_bramleyctl.py
+++ b/tests/commands/test_bramleyctl.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import socket
+from pathlib import Path
 
 import pytest
 
@@ -14,6 +15,8 @@
 from tests.control.direct_access import DirectControl
 from tests.edges.operators.test_operator_routes import MANIFEST, TOKEN
 
+PAGE = Path(__file__).parents[2] / "docs" / "reference" / "bramleyctl.md"
+
 
 def free_address():
     with socket.socket() as sock:
@@ -80,9 +83,10 @@
         assert codes == [Exit.UNAUTHORIZED] * 3
 
     def test_help_and_page_list_every_exit_code(self):
-        text = build_parser().format_help()
+        text, page = build_parser().format_help(), PAGE.read_text()
         for code, meaning in MEANINGS.items():
             assert f"  {int(code)}  {meaning}" in text
+            assert f"| {int(code)} | {meaning} |" in page
 
     @pytest.mark.parametrize(
         "arguments",
