Stopped watching sockets that curl may close, which lost queries

Cause: idle sockets stayed with the event loop to save two system calls. curl closes such a socket while its easy handle is idle; pycurl then can't call the closing closure ('failed to acquire thread'), the event loop kept a stale entry for the number, and the next socket with this number raised or was never read. Queries waited for their deadline and one raised 'not on this multi-stack'. Ruled out: retry budgets (their loss ends a query early, not at its deadline). Conclusion: sockets are watched only while curl asks for it; the count of open connections is now an upper bound.

--- a/src/bramleyrouter/edges/servers/client.py
+++ b/src/bramleyrouter/edges/servers/client.py
@@ -152,7 +152,7 @@
 
     def open_connections(server_id: ServerId) -> int:
         known = state.servers.get(server_id)
-        return len(known[1].sockets) if known else 0
+        return known[1].connections if known else 0
 
     def close() -> None:
         for server_id in list(state.servers):
--- a/src/bramleyrouter/edges/servers/multi.py
+++ b/src/bramleyrouter/edges/servers/multi.py
@@ -7,7 +7,6 @@
 """
 
 import asyncio
-import os
 import warnings
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -62,9 +61,9 @@
     idle: list[Exchange] = field(default_factory=list)
     active: dict[pycurl.Curl, Exchange] = field(default_factory=dict)
     watched: dict[int, int] = field(default_factory=dict)
-    # Watched sockets of connections that wait to be reused.
-    unused: set[int] = field(default_factory=set)
-    sockets: set[int] = field(default_factory=set)
+    # Upper bound of the open connections; curl does not tell of each closing.
+    connections: int = 0
+    max_connections: int = 0
     timer: asyncio.TimerHandle | None = None
     # Loop time at which curl wants to be called; the timer may fire earlier.
     due: float | None = None
@@ -75,6 +74,7 @@
     """Return the handles for the server at "ip:port"."""
     multi = pycurl.CurlMulti()
     state = ServerMulti(multi, address, asyncio.get_running_loop())
+    state.max_connections = max_connections
     multi.setopt(pycurl.M_MAX_HOST_CONNECTIONS, max_connections)
     multi.setopt(pycurl.M_MAXCONNECTS, max_connections)
     multi.setopt(
@@ -88,31 +88,28 @@
 def _watch(state: ServerMulti, event: int, fd: int) -> None:
     """Let the event loop watch what curl wants to know of a socket.
 
-    A socket that only waits to be reused stays with the event loop, which
-    saves two system calls per exchange. When something happens on it, the
-    server closed it, and it is taken out then.
+    A socket that only waits to be reused is not watched: curl may close it at
+    any time without a word, and the event loop would then take the next socket
+    with its number for this one.
     """
-    before = state.watched.get(fd, 0)
-    loop = state.loop
     if event == pycurl.POLL_REMOVE:
-        if before & pycurl.POLL_OUT:
-            loop.remove_writer(fd)
-        state.watched[fd] = before & pycurl.POLL_IN
-        state.unused.add(fd)
+        _unwatch(state, fd)
         return
-    state.unused.discard(fd)
+    before = state.watched.get(fd, 0)
+    loop = state.loop
     if event & pycurl.POLL_IN and not before & pycurl.POLL_IN:
         loop.add_reader(fd, _act, state, fd, pycurl.CSELECT_IN)
+    elif before & pycurl.POLL_IN and not event & pycurl.POLL_IN:
+        loop.remove_reader(fd)
     if event & pycurl.POLL_OUT and not before & pycurl.POLL_OUT:
         loop.add_writer(fd, _act, state, fd, pycurl.CSELECT_OUT)
     elif before & pycurl.POLL_OUT and not event & pycurl.POLL_OUT:
         loop.remove_writer(fd)
-    state.watched[fd] = event | before & pycurl.POLL_IN
+    state.watched[fd] = event
 
 
 def _unwatch(state: ServerMulti, fd: int) -> None:
     before = state.watched.pop(fd, 0)
-    state.unused.discard(fd)
     if before & pycurl.POLL_IN:
         state.loop.remove_reader(fd)
     if before & pycurl.POLL_OUT:
@@ -150,9 +147,6 @@
 def _act(state: ServerMulti, fd: int, events: int) -> None:
     if state.is_closed:
         return
-    if fd in state.unused:
-        _unwatch(state, fd)
-        return
     state.multi.socket_action(fd, events)
     _collect(state)
 
@@ -174,6 +168,8 @@
     if exchange is None:
         return
     state.multi.remove_handle(curl)
+    opened = state.connections + curl.getinfo(pycurl.NUM_CONNECTS)
+    state.connections = min(opened, state.max_connections)
     status = 0 if error else curl.getinfo(pycurl.RESPONSE_CODE)
     end = HttpEnd(error, text, status, exchange.body.getvalue(), exchange.sent > 0)
     on_end = exchange.on_end
@@ -183,23 +179,6 @@
         on_end(end)
 
 
-def _note_socket(state: ServerMulti, fd: int) -> int:
-    state.sockets.add(fd)
-    return 0
-
-
-def _close_socket(state: ServerMulti, fd: int) -> int:
-    """Close a socket for curl, after the event loop let go of it.
-
-    Otherwise the event loop would take the next socket with the same number
-    for this one.
-    """
-    _unwatch(state, fd)
-    state.sockets.discard(fd)
-    os.close(fd)
-    return 0
-
-
 def _new_exchange(state: ServerMulti) -> Exchange:
     curl = pycurl.Curl()
     exchange = Exchange(curl, BytesIO())
@@ -211,8 +190,6 @@
     curl.setopt(pycurl.MAXFILESIZE, MAX_REPLY_BYTES)
     curl.setopt(pycurl.HTTPHEADER, ["Content-Type: application/json", "Expect:"])
     curl.setopt(pycurl.WRITEDATA, exchange.body)
-    curl.setopt(pycurl.SOCKOPTFUNCTION, lambda fd, _: _note_socket(state, fd))
-    curl.setopt(pycurl.CLOSESOCKETFUNCTION, lambda fd: _close_socket(state, fd))
     loop = state.loop
     curl.setopt(pycurl.PREREQFUNCTION, lambda *_: _guard(exchange, loop))
     return exchange
@@ -283,7 +260,7 @@
         exchange.curl.close()
     state.active.clear()
     state.idle.clear()
-    state.sockets.clear()
+    state.connections = 0
 
 
 def _close_handle(multi: pycurl.CurlMulti) -> None:
