Left a change of members the time that it takes

The client repeated CHANGE_MEMBERS after 0.5 to 4 s and so cancelled a member that was still catching up. It now finds a leader that proves itself first and then waits. An address that nobody answers at is reported as such and no longer as an unreachable cluster, and a control daemon whose disk failed is left for the next one.

--- a/src/bramleyrouter/control/client.py
+++ b/src/bramleyrouter/control/client.py
@@ -178,10 +178,19 @@
 async def _change_members(
     leaders: Leaders, change: MemberChange, timeout_s: float
 ) -> Result[None, Failure]:
+    """Find a leader that proves itself, and leave it the time for the change."""
     attempts = Attempts(leaders.clock() + timeout_s)
-    payload = encode_member_change(change)
+    proof = encode_status_request(is_proof_asked=True)
+    found = await call_leader(leaders, Kind.CONTROL_STATUS, proof, timeout_s)
+    if isinstance(found, Err):
+        return found
     reply = await call_leader(
-        leaders, Kind.CHANGE_MEMBERS, payload, timeout_s, attempts
+        leaders,
+        Kind.CHANGE_MEMBERS,
+        encode_member_change(change),
+        timeout_s,
+        attempts,
+        first_wait_s=timeout_s,
     )
     if isinstance(reply, Ok):
         return Ok(None)
--- a/src/bramleyrouter/control/leaders.py
+++ b/src/bramleyrouter/control/leaders.py
@@ -33,6 +33,7 @@
         Code.PEER_TIMEOUT,
         Code.PEER_DISCONNECTED,
         Code.PEER_REFUSED,
+        Code.DISK_FAILED,
     }
 )
 # Another attempt, at another control daemon or later, may succeed.
@@ -77,24 +78,27 @@
     payload: bytes,
     timeout_s: float,
     attempts: Attempts | None = None,
+    first_wait_s: float = FIRST_REPLY_WAIT_S,
 ) -> Result[bytes, Failure]:
     """Send a request that is safe to repeat, until a leader answers it.
 
-    After ``timeout_s`` (seconds) it fails with ``NO_MAJORITY`` when the request
-    may have been accepted, else with ``PEER_UNREACHABLE``.
+    ``first_wait_s`` is the wait of the first attempt, in seconds. After
+    ``timeout_s`` (seconds) it fails with ``NO_MAJORITY`` when the request may
+    have been accepted, else with ``PEER_UNREACHABLE``.
     """
     attempts = attempts or Attempts(leaders.clock() + timeout_s)
     target = leaders.leader or _pick(leaders, "")
     while (remaining := attempts.deadline - leaders.clock()) > 0:
-        wait_s = FIRST_REPLY_WAIT_S * 2 ** min(attempts.made, 8)
-        wait_s = min(wait_s, MAX_REPLY_WAIT_S, remaining)
+        wait_s = first_wait_s * 2 ** min(attempts.made, 8)
+        wait_s = min(wait_s, max(MAX_REPLY_WAIT_S, first_wait_s), remaining)
         attempts.made += 1
         reply = await _call_one(leaders.network, target, kind, payload, wait_s)
         if isinstance(reply, Ok):
             leaders.leader = target
             return reply
         failure = reply.err_value
-        if failure.code not in REPEATABLE:
+        is_own = failure.code is Code.MEMBERSHIP_CHANGE_PENDING and attempts.maybe_acted
+        if failure.code not in REPEATABLE and not is_own:
             return reply
         attempts.last = failure
         attempts.maybe_acted |= failure.code in MAYBE_ACTED
--- a/src/bramleyrouter/control/service.py
+++ b/src/bramleyrouter/control/service.py
@@ -39,6 +39,16 @@
 BARRIER_TIMEOUT_S = 1.0
 # A new member catches up with the log before it votes.
 CHANGE_MEMBERS_TIMEOUT_S = 60.0
+PEER_FAILURES = frozenset(
+    {
+        Code.PEER_UNREACHABLE,
+        Code.PEER_TIMEOUT,
+        Code.PEER_DISCONNECTED,
+        Code.PEER_REFUSED,
+        Code.UNKNOWN_MESSAGE_KIND,
+        Code.WIRE_AUTH_FAILED,
+    }
+)
 
 
 class Control(NamedTuple):
@@ -169,5 +179,11 @@
     if isinstance(change, Member):
         if change in log.status().members:
             return Ok(None)
-        return await log.add_member(change, CHANGE_MEMBERS_TIMEOUT_S)
+        added = await log.add_member(change, CHANGE_MEMBERS_TIMEOUT_S)
+        if isinstance(added, Err) and added.err_value.code in PEER_FAILURES:
+            # Not to be taken for a failure to reach this control daemon.
+            text = f'No control daemon joins from "{change.address}"'
+            failure = Failure(Code.UNKNOWN_MEMBER, f"{text}: {added.err_value.text}")
+            return Err(failure)
+        return added
     return await log.remove_member(change.member_id, CHANGE_MEMBERS_TIMEOUT_S)
--- a/tests/control/fake_log.py
+++ b/tests/control/fake_log.py
@@ -27,6 +27,7 @@
     stamp_ms: int = 0
     leader: int | None = 0
     has_majority: bool = True
+    failed_disks: set = field(default_factory=set)
     lost: int = 0
     late: int = 0
     entries: list = field(default_factory=list)
@@ -55,6 +56,8 @@
         """Return the log as one member sees it."""
 
         def refusal():
+            if number in self.failed_disks:
+                return Err(Failure(Code.DISK_FAILED, "no disk"))
             if self.leader != number:
                 hint = "" if self.leader is None else self.addresses[self.leader]
                 return Err(Failure(Code.NOT_LEADER, hint))
--- a/tests/control/test_control_cluster.py
+++ b/tests/control/test_control_cluster.py
@@ -6,6 +6,7 @@
 from result import Ok
 
 from bramleyrouter.codes import Code
+from bramleyrouter.consensus.interfaces import Member
 from bramleyrouter.consensus.replicated_log import build_replicated_log
 from bramleyrouter.control.client import build_control_admin, build_control_client
 from bramleyrouter.control.machine import build_machine
@@ -217,6 +218,30 @@
         assert reused.ok_value.failure.code is Code.OPERATOR_REQUEST_REUSED
         assert state.ok_value.revision == 2
 
+    def test_lost_member_is_replaced_by_address(self):
+        """Guard against an unreachable VM that is taken for a lost cluster."""
+
+        async def scenario(cluster):
+            admin = cluster.build_client(1, build_control_admin)
+            await cluster.build_client(0).operate(make_publish(), 5.0)
+            lost = next(n for n in range(3) if n != cluster.leader())
+            member_id = cluster.running[lost][0].status().member_id
+            await cluster.kill(lost)
+            cluster.disks[lost] = MemoryDisk()
+            new = Member("", ADDRESSES[lost])
+            refused = await admin.add_member(new, 5.0)
+            cluster.start(lost)
+            added = await admin.add_member(new, 20.0)
+            removed = await admin.remove_member(member_id, 5.0)
+            await asyncio.sleep(1)
+            machine = cluster.running[lost][2]
+            return refused, added, removed, machine.config().revision
+
+        refused, *changed, revision = run_in_cluster(scenario)
+        assert refused.err_value.code is Code.UNKNOWN_MEMBER
+        assert changed == [Ok(None)] * 2
+        assert revision == 1
+
     def test_rollout_is_the_leaders(self):
         async def scenario(cluster):
             admin = cluster.build_client(1, build_control_admin)
--- a/tests/control/test_control_service.py
+++ b/tests/control/test_control_service.py
@@ -88,13 +88,15 @@
         assert claimed.ok_value.is_granted
         assert len(world.cluster.entries) == 4
 
-    @pytest.mark.parametrize("fault", ["kill", "freeze", "cut"])
+    @pytest.mark.parametrize("fault", ["kill", "freeze", "cut", "disk"])
     def test_leader_that_fails_is_left_for_the_next(self, fault):
         async def scenario(world):
             first = "127.0.0.1:7100"
             assert (await world.client.claim(make_claim(), 1.0)).ok_value.is_granted
             if fault == "cut":
                 world.fabric.cut(first, world.own.internal_address)
+            elif fault == "disk":
+                world.cluster.failed_disks.add(0)
             else:
                 getattr(world.fabric, fault)(first)
             world.cluster.leader = 2
@@ -191,10 +193,18 @@
 
     def test_member_change_is_repeated_without_a_second_one(self):
         async def scenario(world):
-            world.cluster.lost = 1
+            # The connection breaks while the first attempt waits.
+            def break_soon():
+                world.cluster.lost = 1
+                asyncio.get_running_loop().call_later(
+                    1, world.fabric._break, (world.own.internal_address, first)
+                )
+
+            first = world.cluster.addresses[0]
             member = Member("m9", "127.0.0.1:7900")
+            break_soon()
             added = await world.admin.add_member(member, 10.0)
-            world.cluster.lost = 1
+            break_soon()
             removed = await world.admin.remove_member("m0", 10.0)
             return added, removed, await world.admin.remove_member("m8", 1.0), world
 
