--- a/src/bramleyrouter/routing/replicas.py
+++ b/src/bramleyrouter/routing/replicas.py
@@ -27,6 +27,12 @@
 # that daemons with the same stale hints do not all choose the same server.
 NEAR_EQUAL = 1.25
 
+# The dearer of two servers is taken nevertheless when it was not asked for so
+# long, in seconds; else one that was slow once, or is new, would never be
+# measured again.
+PROBE_INTERVAL_S = 1.0
+NO_MAX_LOAD = float("inf")
+
 TIER_OTHER_CENTRE, TIER_FULL, TIER_AVOIDED = 1, 2, 4
 
 
@@ -57,6 +63,14 @@
     return now < view.rest_until or estimate_load(view, now) >= view.capacity
 
 
+def is_over(view: ReplicaView, max_load: float, now: float) -> bool:
+    """Return whether the server may not get an extra request."""
+    if max_load == NO_MAX_LOAD:
+        return False
+    load = estimate_load(view, now)
+    return now < view.rest_until or load >= max_load * view.capacity
+
+
 def estimate_cost(view: ReplicaView, state: ChoiceState, now: float) -> float:
     """Return the expected seconds until a reply, queue included."""
     latency = view.load.latency_s or UNMEASURED_LATENCY_S
@@ -70,7 +84,7 @@
     state: ChoiceState,
     rng: random.Random,
     now: float,
-    only_free: bool = False,
+    max_load: float = NO_MAX_LOAD,
 ) -> ReplicaView | None:
     """Return the replica to ask, or None when all were tried.
 
@@ -78,18 +92,19 @@
     has a free slot, then another data centre that has one, nearest first, then
     whichever is full. A stale daemon leaves its data centre only when that has
     no candidate at all. Within a tier the better of two random ones is taken.
-    With ``only_free`` a full server or an unreachable home is no candidate.
+    An extra request gives ``max_load``: a server with more running, as a
+    multiple of its capacity, or at rest is no candidate then.
     """
     best_tier, tier_members = 99, []
     for view in candidates:
-        if view.record.server_id in tried:
+        if view.record.server_id in tried or is_over(view, max_load, now):
             continue
         tier = _tier(view, state, now)
         if tier < best_tier:
             best_tier, tier_members = tier, [view]
         elif tier == best_tier:
             tier_members.append(view)
-    if not tier_members or (only_free and best_tier >= TIER_FULL):
+    if not tier_members:
         return None
     if best_tier & TIER_OTHER_CENTRE and len(tier_members) > 1:
         tier_members = _nearest(tier_members, state)
@@ -128,7 +143,8 @@
     second = (first + 1 + int(rng.random() * (count - 1))) % count
     one, other = views[first], views[second]
     cost, other_cost = estimate_cost(one, state, now), estimate_cost(other, state, now)
-    if other_cost * NEAR_EQUAL < cost:
-        return other
-    # ``one`` is random already, so it stands for a random one of near equals.
-    return one
+    if cost <= other_cost * NEAR_EQUAL and other_cost <= cost * NEAR_EQUAL:
+        # ``one`` is random already, so it stands for a random one of the two.
+        return one
+    cheaper, dearer = (one, other) if cost < other_cost else (other, one)
+    return dearer if now - dearer.asked_at > PROBE_INTERVAL_S else cheaper
