Kept the slot of an attempt whose end was not seen

A schedule over three homes showed 3 requests in flight where 2 slots were declared: a server counts its deadline from the arrival of a request, so it may work on for the transit time after the home's timeout. The slot is now kept for that time. A server that re-registers no longer gets the home it has just given up, which others may reach while it does not.

--- a/src/bramleyrouter/homes/dispatching.py
+++ b/src/bramleyrouter/homes/dispatching.py
@@ -12,6 +12,7 @@
     MIN_ATTEMPT_S,
     QUEUE_PER_SLOT,
     SERVICE_SHARE,
+    TRANSIT_S,
 )
 from bramleyrouter.homes.queues import count_ahead, pop, push, remove, take_all
 from bramleyrouter.homes.ramps import note_cancelled, note_failure, note_success
@@ -40,6 +41,13 @@
 )
 
 
+# Ends that say nothing of the server, which may work on until the deadline
+# that it was told. The slot is kept until then.
+_UNSEEN = frozenset(
+    {Code.SHARD_TIMEOUT, Code.SHARD_CONNECTION_LOST, Code.OUTCOME_UNKNOWN}
+)
+
+
 def connections_for(connection_limit: int, slots: int) -> int:
     """Return how many connections are opened to a server.
 
@@ -155,6 +163,7 @@
         work.expiry.cancel()
         work.expiry = None
     work.started_at = now
+    work.until = now + timeout_s
     entry.running.add(work)
 
     def on_end(end: WorkEnd) -> None:
@@ -167,8 +176,13 @@
 
 
 def _finish(state: HomesState, entry: Entry, work: Work, end: WorkEnd) -> None:
-    entry.running.discard(work)
     now = state.clock()
+    if end.code in _UNSEEN and work.until + TRANSIT_S > now:
+        wait_s = work.until + TRANSIT_S - now
+        loop = asyncio.get_running_loop()
+        loop.call_later(wait_s, _release, state, entry, work)
+    else:
+        entry.running.discard(work)
     _learn(entry, work, end, now, state.lag_s)
     if state.entries.get(entry.target.server_id) is entry:
         mark_changed(state, entry)
@@ -176,6 +190,12 @@
     pump(state, entry)
 
 
+def _release(state: HomesState, entry: Entry, work: Work) -> None:
+    """Free the slot of an attempt whose end at the server was not seen."""
+    entry.running.discard(work)
+    pump(state, entry)
+
+
 def _learn(entry: Entry, work: Work, end: WorkEnd, now: float, lag_s: float) -> None:
     """Let the ramp and the estimate of waits follow how an attempt ended."""
     started_at = work.started_at if work.started_at is not None else now
--- a/src/bramleyrouter/homes/entries.py
+++ b/src/bramleyrouter/homes/entries.py
@@ -43,6 +43,8 @@
     on_end: "Callable[[Work, WorkEnd], None] | None"
     started_at: float | None = None
     ended_at: float | None = None
+    # When the server has stopped at the latest, but for the request's transit.
+    until: float = 0.0
     expiry: asyncio.TimerHandle | None = None
 
 
--- a/src/bramleyrouter/homes/limits.py
+++ b/src/bramleyrouter/homes/limits.py
@@ -7,9 +7,11 @@
 # A new home waits this long, so that the old home's authority has ended by
 # any clock within the drift bound.
 AUTHORITY_WAIT_S = AUTHORITY_S * (1 + DRIFT_BOUND)
-# Attempts end this long, in seconds, before the authority does: a request on
-# its way to the server counts its deadline from its arrival.
-AUTHORITY_MARGIN_S = 0.05
+# Longest way of a request to a server, in seconds, a new connection included.
+# The server counts its deadline from the arrival.
+TRANSIT_S = 0.05
+# Attempts end this long, in seconds, before the authority does.
+AUTHORITY_MARGIN_S = TRANSIT_S
 # Servers renew this often, in seconds.
 RENEW_AFTER_S = 1.0
 # The first reply asks for an echo at once, since authority begins with it.
--- a/src/bramleyrouter/homes/placement.py
+++ b/src/bramleyrouter/homes/placement.py
@@ -41,6 +41,14 @@
     return counts
 
 
+def _given_up_home(servers: ServerTable, announcement: Announcement) -> DaemonId | None:
+    """Return the home of the server's last registration, if it left it."""
+    row = servers.records.get(announcement.server_id)
+    if row is None or row.incarnation != announcement.incarnation:
+        return None
+    return row.home if row.registration < announcement.registration else None
+
+
 def live_daemons(
     records: Iterable[DaemonRecord], data_centre: DataCentre
 ) -> list[DaemonRecord]:
@@ -60,12 +68,15 @@
     """Order the candidates: fewest sibling replicas, then rendezvous hash.
 
     So the loss of one home takes at most one replica of a shard while there
-    are enough daemons.
+    are enough daemons. A home that the server has just given up comes last:
+    other daemons may reach it while the server does not.
     """
     counts = _sibling_homes(servers, announcement)
+    given_up = _given_up_home(servers, announcement)
 
     def rank(record: DaemonRecord):
         weight = _weight(record.daemon_id, announcement.server_id)
-        return counts.get(record.daemon_id, 0), weight
+        is_given_up = record.daemon_id == given_up
+        return is_given_up, counts.get(record.daemon_id, 0), weight
 
     return sorted(candidates, key=rank)
--- a/tests/homes/fakes.py
+++ b/tests/homes/fakes.py
@@ -212,6 +212,8 @@
             | values
         )
         reply = (await self.homes[name].announce(renewal)).unwrap()
+        # Rows are published in the next turn of the loop.
+        await asyncio.sleep(0)
         return renewal, reply.lease
 
     def query(self, name="d1", home=None, server_id="s1", request="r", **changes):
--- /dev/null
+++ b/tests/homes/test_exclusive_homes.py
@@ -0,0 +1,205 @@
+"""Tests that a server's limits hold in sum over several homes."""
+
+import asyncio
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bramleyrouter.codes import Code
+from bramleyrouter.homes.limits import AUTHORITY_WAIT_S
+from bramleyrouter.standins.announcers import AnnouncerState, run_announcer
+from tests.homes.fakes import HOLDINGS, Cluster, FakeServer
+from tests.support.virtual_time import run_virtual
+
+NAMES = ("d1", "d2", "d3")
+SLOTS = 2
+# Interval, in seconds, at which every daemon sends work to its own home.
+LOAD_EVERY_S = 0.02
+ANNOUNCE_TIMEOUT_S = 0.8
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["cut", "heal", "freeze", "thaw", "delay", "hand over", "replay", "part"]
+        ),
+        st.sampled_from(NAMES),
+        st.sampled_from([0.1, 0.9, 2.2, 3.5]),
+    ),
+    min_size=1,
+    max_size=8,
+)
+
+
+class Link:
+    """Carry announcements between the server and the daemons, with faults.
+
+    A frozen daemon answers nothing, and acts on what it got when it thaws.
+    """
+
+    def __init__(self, cluster, clocks):
+        """Begin without faults."""
+        self.cluster = cluster
+        self.cut, self.delay, self.frozen = set(), {}, {}
+        self.sent = []
+        self.names = {
+            board.identity.http_address: name for name, board in cluster.boards.items()
+        }
+
+    async def post(self, address, announcement):
+        """Send an announcement; return the reply, a code, or None."""
+        name = self.names[address]
+        self.sent.append((name, announcement))
+        task = asyncio.ensure_future(self._arrive(name, announcement))
+        done, _ = await asyncio.wait([task], timeout=ANNOUNCE_TIMEOUT_S)
+        return task.result() if done else None
+
+    async def _arrive(self, name, announcement):
+        await asyncio.sleep(0.001 + self.delay.get(name, 0.0))
+        if name in self.frozen:
+            await self.frozen[name].wait()
+        if name in self.cut:
+            await asyncio.sleep(ANNOUNCE_TIMEOUT_S)
+            return None
+        outcome = await self.cluster.homes[name].announce(announcement)
+        await asyncio.sleep(0.001 + self.delay.get(name, 0.0))
+        if name in self.cut:
+            return None
+        return outcome.ok_value if outcome.is_ok() else outcome.err_value.code
+
+
+def apply_step(cluster, link, step, name):
+    """Do one step of a schedule."""
+    address = cluster.boards[name].identity.internal_address
+    if step == "cut":
+        link.cut.add(name)
+    elif step == "part":
+        others = [
+            board.identity.internal_address
+            for other, board in cluster.boards.items()
+            if other != name
+        ]
+        cluster.fabric.cut_groups([address], others)
+    elif step == "heal":
+        link.cut.clear()
+        link.delay.clear()
+        cluster.fabric.heal()
+    elif step == "freeze":
+        link.frozen.setdefault(name, asyncio.Event())
+        cluster.fabric.freeze(address)
+    elif step == "thaw" and name in link.frozen:
+        link.frozen.pop(name).set()
+        cluster.fabric.thaw(address)
+    elif step == "delay":
+        link.delay[name] = 0.6
+    elif step == "hand over":
+        asyncio.ensure_future(cluster.homes[name].hand_over())
+    elif step == "replay":
+        for other, announcement in link.sent[-6:]:
+            asyncio.ensure_future(cluster.homes[other].announce(announcement))
+
+
+async def load(cluster, name, codes, at_once=3, every_s=LOAD_EVERY_S, **changes):
+    """Send work to a daemon's own home for ever."""
+    while True:
+        for number in range(at_once):
+            replies, end, _ = cluster.query(name, request=f"{number}", **changes)
+            end.add_done_callback(
+                lambda _, replies=replies: codes.extend(r.code for r in replies)
+            )
+        await asyncio.sleep(every_s)
+
+
+def make_scene(drifts):
+    """Return a cluster whose clocks drift, a link and the server's announcer."""
+    loop = asyncio.get_running_loop()
+    clocks = {
+        name: (lambda rate=rate: 1000 * rate + loop.time() * rate)
+        for name, rate in zip(NAMES, drifts, strict=True)
+    }
+    cluster = Cluster(NAMES, clocks=clocks)
+    cluster.servers["s1"] = FakeServer(latency_s=0.4, delay_s=0.02)
+    link = Link(cluster, clocks)
+    state = AnnouncerState(
+        "s1", 1, "dc1", "127.0.0.1:9000", list(link.names), SLOTS, 25, HOLDINGS
+    )
+    announcer = run_announcer(state, link.post, random.Random(1))
+    return cluster, link, state, asyncio.ensure_future(announcer)
+
+
+class TestExclusiveHomes:
+    """Guard against two homes that dispatch to one server at once."""
+
+    @settings(max_examples=25, derandomize=True, deadline=None, database=None)
+    @given(STEPS, st.permutations([0.995, 1.0, 1.005]))
+    def test_slots_hold_in_sum_under_partitions_freezes_and_handovers(
+        self, steps, drifts
+    ):
+        async def scenario():
+            cluster, link, _, task = make_scene(drifts)
+            codes = []
+            tasks = [asyncio.ensure_future(load(cluster, n, codes)) for n in NAMES]
+            await asyncio.sleep(2.0)
+            assert Code.OK in codes
+            for step, name, pause_s in steps:
+                apply_step(cluster, link, step, name)
+                await asyncio.sleep(pause_s)
+            apply_step(cluster, link, "heal", NAMES[0])
+            for name in NAMES:
+                apply_step(cluster, link, "thaw", name)
+            await asyncio.sleep(2 * AUTHORITY_WAIT_S)
+            for one in (*tasks, task):
+                one.cancel()
+            assert cluster.servers["s1"].peak <= SLOTS
+
+        run_virtual(scenario())
+
+    def test_a_server_whose_home_is_lost_is_dispatched_to_after_the_wait(self):
+        async def scenario():
+            cluster, link, state, task = make_scene((1.0, 1.0, 1.0))
+            await asyncio.sleep(1.5)
+            old = cluster.row().home
+            link.cut.add(old)
+            lost_at = cluster.loop.time()
+            while cluster.row().home == old or not cluster.row().usable:
+                await asyncio.sleep(0.05)
+            took_s = cluster.loop.time() - lost_at
+            assert state.registration == 2
+            assert await cluster.code(cluster.row().home) is Code.OK
+            # Two renewals that fail, then the wait.
+            assert AUTHORITY_WAIT_S < took_s < AUTHORITY_WAIT_S + 3.0
+            task.cancel()
+
+        run_virtual(scenario())
+
+
+class TestHandover:
+    """Guard against pauses and broken requests at a planned stop."""
+
+    @pytest.mark.parametrize("latency_s", [0.005, 0.4])
+    def test_a_handover_breaks_no_request_and_needs_no_wait(self, latency_s):
+        async def scenario():
+            cluster, link, state, task = make_scene((1.0, 1.0, 1.0))
+            cluster.servers["s1"].latency_s = latency_s
+            await asyncio.sleep(2.0)
+            old = cluster.row().home
+            codes = []
+            steady = load(cluster, old, codes, 1, 2 * latency_s, remaining_s=2.5)
+            work = asyncio.ensure_future(steady)
+            await asyncio.sleep(0.5)
+            await cluster.homes[old].hand_over()
+            ended_at = cluster.loop.time()
+            while cluster.row() is None or not cluster.row().usable:
+                await asyncio.sleep(0.01)
+            assert cluster.row().home != old
+            assert cluster.loop.time() - ended_at < 0.1
+            assert await cluster.code(cluster.row().home) is Code.OK
+            assert state.registration == 2
+            work.cancel()
+            await asyncio.sleep(1.0)
+            assert set(codes) <= {Code.OK, Code.NOT_HOME}
+            assert cluster.servers["s1"].peak <= SLOTS
+            task.cancel()
+
+        run_virtual(scenario())
--- /dev/null
+++ b/tests/homes/test_ramps.py
@@ -0,0 +1,132 @@
+"""Tests of the cold-start ramp and of the queue of a server."""
+
+import random
+from dataclasses import dataclass
+
+from bramleyrouter.homes.queues import FairQueue, count_ahead, pop, push, remove
+from bramleyrouter.homes.ramps import (
+    Ramp,
+    note_cancelled,
+    note_failure,
+    note_hint,
+    note_success,
+)
+
+
+def feed(ramp, latency_s, count, now, step_s=0.02):
+    """Feed successes; return the time after them."""
+    for _ in range(count):
+        note_success(ramp, latency_s, now)
+        now += step_s
+    return now
+
+
+class TestRamp:
+    """Guard against full load on a cold server, and against a swinging limit."""
+
+    def test_it_begins_at_one_and_grows_with_successes_and_time(self):
+        ramp = Ramp(4)
+        feed(ramp, 0.01, 500, 0.0, step_s=0.0)
+        assert ramp.limit == 2
+        ramp = Ramp(4)
+        now = feed(ramp, 0.01, 7, 0.0)
+        assert ramp.limit == 1
+        feed(ramp, 0.01, 200, now)
+        assert ramp.limit == 4
+
+    def test_a_latency_jump_cuts_once_and_growth_waits_for_health(self):
+        ramp = Ramp(4)
+        now = feed(ramp, 0.01, 300, 0.0)
+        now = feed(ramp, 0.1, 30, now)
+        assert (ramp.limit, ramp.cuts) == (1, 1)
+        feed(ramp, 0.01, 100, now)
+        assert (ramp.limit, ramp.cuts) == (4, 1)
+
+    def test_one_percent_stragglers_at_ten_times_cut_nothing(self):
+        ramp, rng = Ramp(4), random.Random(5)
+        now = 0.0
+        for _ in range(20_000):
+            slow = rng.random() < 0.01
+            latency_s = (0.008 + rng.expovariate(500.0)) * (10 if slow else 1)
+            note_success(ramp, latency_s, now)
+            now += 0.01
+        assert (ramp.limit, ramp.cuts) == (4, 0)
+
+    def test_a_lasting_rise_becomes_the_new_normal(self):
+        ramp = Ramp(3)
+        now = feed(ramp, 0.01, 300, 0.0)
+        now = feed(ramp, 0.06, 2000, now)
+        assert ramp.limit == 3
+
+    def test_refusals_in_a_row_cut_and_single_ones_do_not(self):
+        ramp = Ramp(3)
+        now = feed(ramp, 0.01, 300, 0.0)
+        for _ in range(20):
+            note_failure(ramp, now)
+            note_failure(ramp, now)
+            now = feed(ramp, 0.01, 1, now)
+        assert ramp.limit == 3
+        cuts = [note_failure(ramp, now) for _ in range(3)]
+        assert cuts == [False, False, True]
+
+    def test_cancelled_attempts_show_a_cold_server_too(self):
+        ramp = Ramp(3)
+        now = feed(ramp, 0.01, 300, 0.0)
+        assert not any(note_cancelled(ramp, 0.005, now) for _ in range(50))
+        assert any(note_cancelled(ramp, 0.2, now) for _ in range(5))
+
+    def test_the_server_s_own_words_take_at_most_half(self):
+        ramp = Ramp(6, limit=6)
+        for _ in range(10):
+            note_hint(ramp, False, 50, 0.0)
+        assert ramp.limit == 3
+        ramp.limit = 1
+        assert not note_hint(ramp, True, 0, 0.0)
+        assert ramp.limit == 1
+
+
+@dataclass(eq=False)
+class Item:
+    """Stand for queued work."""
+
+    class_name: str
+    deadline: float
+
+
+def drain(queue):
+    """Take everything out, in order."""
+    return [pop(queue) for _ in range(queue.size)]
+
+
+class TestQueue:
+    """Guard against classes that starve, and against late work first."""
+
+    def test_the_earliest_deadline_of_a_class_goes_first(self):
+        queue = FairQueue(lambda name: 1)
+        items = [Item("c", deadline) for deadline in (3.0, 1.0, 2.0)]
+        for item in items:
+            push(queue, item)
+        assert count_ahead(queue, 2.0) == 2
+        assert remove(queue, items[2]) and not remove(queue, items[2])
+        assert [item.deadline for item in drain(queue)] == [1.0, 3.0]
+        assert pop(queue) is None
+
+    def test_classes_share_by_weight_whatever_their_deadlines(self):
+        queue = FairQueue({"bulk": 1, "inspect": 3}.get)
+        for number in range(40):
+            push(queue, Item("bulk", float(number)))
+        for number in range(12):
+            push(queue, Item("inspect", 100.0 + number))
+        first = [item.class_name for item in drain(queue)[:16]]
+        assert first.count("inspect") == 12
+
+    def test_an_idle_class_saves_up_no_turns(self):
+        queue = FairQueue(lambda name: 1)
+        for number in range(30):
+            push(queue, Item("busy", float(number)))
+        for _ in range(20):
+            pop(queue)
+        for number in range(10):
+            push(queue, Item("late", 100.0 + number))
+        names = [pop(queue).class_name for _ in range(6)]
+        assert names.count("late") == 3
