--- a/src/bramleyrouter/codes.py
+++ b/src/bramleyrouter/codes.py
@@ -28,7 +28,6 @@
     TENANT_LIMIT = 202
     STOPPING = 203
     NO_VERSION = 204
-    COVERAGE_NOT_REACHED = 205
     LEDGER_UNREACHABLE = 206
     NO_SERVER = 207
     SERVER_REFUSED = 208
@@ -42,12 +41,15 @@
     NOT_HOME = 216
     CANCELLED_IN_QUEUE = 217
     VERSION_NOT_HELD = 218
-    HELD_DOWN = 219
+    LEDGER_FULL = 219
+    HELD_DOWN = 220
 
     # 300: the outcome of a non-idempotent request is unknown.
     OUTCOME_UNKNOWN = 300
     CLAIMANT_LOST = 301
     IDENTITY_EXPIRED = 302
+    # The request ran, but its answer was too large to keep for resends.
+    ANSWER_NOT_KEPT = 303
 
     # 400: reasons why a shard is missing from an answer.
     SHARD_NO_REPLICA = 400
@@ -60,6 +62,8 @@
     SHARD_RETRIES_SPENT = 407
     SHARD_HOME_LOST = 408
     SHARD_CANCELLED = 409
+    # The whole query: some shards answered, so it is no "not run".
+    COVERAGE_NOT_REACHED = 410
 
     # 500: configuration and operators.
     UNAUTHORIZED = 500
@@ -67,6 +71,7 @@
     GENERATION_CONFLICT = 502
     UNKNOWN_TARGET = 503
     OPERATOR_REQUEST_REUSED = 504
+    TOO_MANY_OUT = 505
 
     # 600: control daemons and their log.
     NOT_LEADER = 600
