--- a/src/bramleyrouter/routing/replicas.py
+++ b/src/bramleyrouter/routing/replicas.py
@@ -33,7 +33,9 @@
 PROBE_INTERVAL_S = 1.0
 NO_MAX_LOAD = float("inf")
 
-TIER_OTHER_CENTRE, TIER_FULL, TIER_AVOIDED = 1, 2, 4
+TIER_OWN, TIER_OTHER_CENTRE, TIER_FULL, TIER_LEAVE_STALE = range(4)
+# Added to the tier of a server whose home could not be reached.
+TIER_AVOIDED = 4
 
 
 @dataclass
@@ -106,7 +108,7 @@
             tier_members.append(view)
     if not tier_members:
         return None
-    if best_tier & TIER_OTHER_CENTRE and len(tier_members) > 1:
+    if best_tier % TIER_AVOIDED == TIER_OTHER_CENTRE and len(tier_members) > 1:
         tier_members = _nearest(tier_members, state)
     if len(tier_members) == 1:
         return tier_members[0]
@@ -114,11 +116,14 @@
 
 
 def _tier(view: ReplicaView, state: ChoiceState, now: float) -> int:
-    tier = 0 if view.is_own else TIER_OTHER_CENTRE
-    if is_full(view, now):
-        tier += TIER_FULL
     if state.is_stale and not view.is_own:
-        tier += TIER_FULL
+        tier = TIER_LEAVE_STALE
+    elif is_full(view, now):
+        # Full servers of all data centres compete by cost; else the queues of
+        # the own one would grow while others drain.
+        tier = TIER_FULL
+    else:
+        tier = TIER_OWN if view.is_own else TIER_OTHER_CENTRE
     if state.avoid_until and now < state.avoid_until.get(view.record.home, now):
         tier += TIER_AVOIDED
     return tier
--- a/tests/routing/test_admission.py
+++ b/tests/routing/test_admission.py
@@ -8,9 +8,12 @@
 
 from bramleyrouter.codes import Code
 from bramleyrouter.conf.settings import ClassSettings, TenantSettings
+from bramleyrouter.measure.simulated_homes import (
+    SimulatedHomes,
+    build_simulated_client,
+)
 from bramleyrouter.routing.admission import build_admission
 from bramleyrouter.states import CoverageMode
-from tests.support.capacity_homes import CapacityHomes
 from tests.support.routing_fakes import (
     make_board,
     make_query,
@@ -140,11 +143,8 @@
     def test_goodput_at_twice_the_capacity(self, shards, deadline_s, max_queue):
         # Two replicas of two slots for each shard.
         capacity = 2 * 2 / self.MEAN_S
-        homes = CapacityHomes(
-            random.Random(3),
-            lambda rng, _: rng.uniform(0.6 * self.MEAN_S, 1.4 * self.MEAN_S),
-            max_queue=max_queue,
-        )
+        draw = lambda rng, _: rng.uniform(0.6 * self.MEAN_S, 1.4 * self.MEAN_S)
+        homes = SimulatedHomes(random.Random(3), draw, max_queue=max_queue)
         board = make_board([f"s{number}x" for number in range(shards)])
         counts = Counter()
 
@@ -158,7 +158,7 @@
 
         async def main():
             loop, arrivals = asyncio.get_running_loop(), random.Random(4)
-            router, tasks = start_router(board, homes), []
+            router, tasks = start_router(board, build_simulated_client(homes)), []
             while loop.time() < self.WARM_UP_S + self.SECONDS:
                 await asyncio.sleep(arrivals.expovariate(2 * capacity))
                 tasks.append(asyncio.create_task(one(router, loop)))
--- a/tests/routing/test_choices.py
+++ b/tests/routing/test_choices.py
@@ -167,7 +167,10 @@
         state.is_stale = True
         assert self.choose([own, far, near], state) is own
         far.load.in_flight = near.load.in_flight = 2
-        assert self.choose([own, far, near]) is own
+        assert self.choose([own, far, near], state) is own
+        state.is_stale = False
+        own.load.in_flight, own.asked_at = 6, 0.0
+        assert self.choose([own, near], state) is near
         assert self.choose([own, far, near], max_load=1.0) is None
 
     def test_headroom_of_a_cold_server_bounds_its_slots(self):
--- a/tests/support/routing_fakes.py
+++ b/tests/support/routing_fakes.py
@@ -275,7 +275,7 @@
     """Return a router over the fakes; call it inside the running loop."""
     return build_router(
         board,
-        homes.client(),
+        homes.client() if isinstance(homes, FakeHomes) else homes,
         (ledger or FakeLedger()).client(),
         make_settings(**settings),
         asyncio.get_running_loop().time,
