Lowered the least limit of running queries to one

Cause: eight daemons that kept two queries each had more running than the queues of a narrow service hold.

--- a/src/bramleyrouter/routing/limits.py
+++ b/src/bramleyrouter/routing/limits.py
@@ -4,7 +4,7 @@
 
 # The limit before anything was measured, and the least that it falls to.
 INITIAL_LIMIT = 32.0
-MIN_LIMIT = 2.0
+MIN_LIMIT = 1.0
 # A window has at least so many seconds and ended queries.
 MIN_WINDOW_S = 0.05
 MIN_WINDOW_QUERIES = 8
