--- /dev/null
+++ b/src/bramleyrouter/edges/servers/multi.py
@@ -0,0 +1,297 @@
+"""Exchanges of one backend server on a pycurl multi handle in the event loop.
+
+Each server has a multi handle of its own. So curl's limit of connections is
+that of the server, and closing the handle closes exactly its connections.
+Easy handles keep their options between exchanges, since setting them anew
+costs more processor time than an exchange itself.
+"""
+
+import asyncio
+import os
+import warnings
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from io import BytesIO
+from typing import NamedTuple
+
+import pycurl
+
+# Larger than any reply to a group of shards that a caller could be sent.
+MAX_REPLY_BYTES = 8 * 1024 * 1024
+CONNECT_TIMEOUT_MS = 1000
+
+
+class HttpEnd(NamedTuple):
+    """Tell how an exchange ended.
+
+    ``error`` is curl's number, 0 for a whole reply. ``may_have_run`` is false
+    when no byte of the request can have left this process.
+    """
+
+    error: int
+    text: str
+    status: int
+    body: bytes
+    may_have_run: bool
+
+
+OnEnd = Callable[[HttpEnd], None]
+
+
+@dataclass(eq=False)
+class Exchange:
+    """Hold one easy handle, the reply it collects and who waits for it."""
+
+    curl: pycurl.Curl
+    body: BytesIO
+    on_end: OnEnd | None = None
+    sent: int = 0
+    path: str = ""
+    is_repeatable: bool = True
+    # Loop time after which the request must not be sent any more.
+    until: float = 0.0
+
+
+@dataclass(eq=False)
+class ServerMulti:
+    """Hold the handles of one server and what the event loop watches."""
+
+    multi: pycurl.CurlMulti
+    address: str
+    loop: asyncio.AbstractEventLoop
+    idle: list[Exchange] = field(default_factory=list)
+    active: dict[pycurl.Curl, Exchange] = field(default_factory=dict)
+    watched: dict[int, int] = field(default_factory=dict)
+    # Watched sockets of connections that wait to be reused.
+    unused: set[int] = field(default_factory=set)
+    sockets: set[int] = field(default_factory=set)
+    timer: asyncio.TimerHandle | None = None
+    # Loop time at which curl wants to be called; the timer may fire earlier.
+    due: float | None = None
+    is_closed: bool = False
+
+
+def open_multi(address: str, max_connections: int) -> ServerMulti:
+    """Return the handles for the server at "ip:port"."""
+    multi = pycurl.CurlMulti()
+    state = ServerMulti(multi, address, asyncio.get_running_loop())
+    multi.setopt(pycurl.M_MAX_HOST_CONNECTIONS, max_connections)
+    multi.setopt(pycurl.M_MAXCONNECTS, max_connections)
+    multi.setopt(
+        pycurl.M_SOCKETFUNCTION,
+        lambda event, fd, _multi, _data: _watch(state, event, fd),
+    )
+    multi.setopt(pycurl.M_TIMERFUNCTION, lambda ms: _set_timer(state, ms))
+    return state
+
+
+def _watch(state: ServerMulti, event: int, fd: int) -> None:
+    """Let the event loop watch what curl wants to know of a socket.
+
+    A socket that only waits to be reused stays with the event loop, which
+    saves two system calls per exchange. When something happens on it, the
+    server closed it, and it is taken out then.
+    """
+    before = state.watched.get(fd, 0)
+    loop = state.loop
+    if event == pycurl.POLL_REMOVE:
+        if before & pycurl.POLL_OUT:
+            loop.remove_writer(fd)
+        state.watched[fd] = before & pycurl.POLL_IN
+        state.unused.add(fd)
+        return
+    state.unused.discard(fd)
+    if event & pycurl.POLL_IN and not before & pycurl.POLL_IN:
+        loop.add_reader(fd, _act, state, fd, pycurl.CSELECT_IN)
+    if event & pycurl.POLL_OUT and not before & pycurl.POLL_OUT:
+        loop.add_writer(fd, _act, state, fd, pycurl.CSELECT_OUT)
+    elif before & pycurl.POLL_OUT and not event & pycurl.POLL_OUT:
+        loop.remove_writer(fd)
+    state.watched[fd] = event | before & pycurl.POLL_IN
+
+
+def _unwatch(state: ServerMulti, fd: int) -> None:
+    before = state.watched.pop(fd, 0)
+    state.unused.discard(fd)
+    if before & pycurl.POLL_IN:
+        state.loop.remove_reader(fd)
+    if before & pycurl.POLL_OUT:
+        state.loop.remove_writer(fd)
+
+
+def _set_timer(state: ServerMulti, milliseconds: int) -> None:
+    """Note when curl wants to be called.
+
+    curl moves its timer several times in an exchange. A timer of the event
+    loop that is due earlier is left alone and looks again when it fires.
+    """
+    if milliseconds < 0:
+        state.due = None
+        return
+    due = state.due = state.loop.time() + milliseconds / 1000
+    if state.timer is not None:
+        if state.timer.when() <= due:
+            return
+        state.timer.cancel()
+    state.timer = state.loop.call_at(due, _on_timer, state)
+
+
+def _on_timer(state: ServerMulti) -> None:
+    state.timer = None
+    if state.due is None:
+        return
+    if state.loop.time() < state.due:
+        state.timer = state.loop.call_at(state.due, _on_timer, state)
+        return
+    state.due = None
+    _act(state, pycurl.SOCKET_TIMEOUT, 0)
+
+
+def _act(state: ServerMulti, fd: int, events: int) -> None:
+    if state.is_closed:
+        return
+    if fd in state.unused:
+        _unwatch(state, fd)
+        return
+    state.multi.socket_action(fd, events)
+    _collect(state)
+
+
+def _collect(state: ServerMulti) -> None:
+    """End the exchanges that curl finished."""
+    while not state.is_closed:
+        waiting, done, failed = state.multi.info_read()
+        for curl in done:
+            _finish(state, curl, 0, "")
+        for curl, error, text in failed:
+            _finish(state, curl, error, text)
+        if not waiting:
+            return
+
+
+def _finish(state: ServerMulti, curl: pycurl.Curl, error: int, text: str) -> None:
+    exchange = state.active.pop(curl, None)
+    if exchange is None:
+        return
+    state.multi.remove_handle(curl)
+    status = 0 if error else curl.getinfo(pycurl.RESPONSE_CODE)
+    end = HttpEnd(error, text, status, exchange.body.getvalue(), exchange.sent > 0)
+    on_end = exchange.on_end
+    exchange.on_end = None
+    state.idle.append(exchange)
+    if on_end is not None:
+        on_end(end)
+
+
+def _note_socket(state: ServerMulti, fd: int) -> int:
+    state.sockets.add(fd)
+    return 0
+
+
+def _close_socket(state: ServerMulti, fd: int) -> int:
+    """Close a socket for curl, after the event loop let go of it.
+
+    Otherwise the event loop would take the next socket with the same number
+    for this one.
+    """
+    _unwatch(state, fd)
+    state.sockets.discard(fd)
+    os.close(fd)
+    return 0
+
+
+def _new_exchange(state: ServerMulti) -> Exchange:
+    curl = pycurl.Curl()
+    exchange = Exchange(curl, BytesIO())
+    curl.setopt(pycurl.NOSIGNAL, 1)
+    curl.setopt(pycurl.PROXY, "")
+    curl.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP)
+    curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+    curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+    curl.setopt(pycurl.MAXFILESIZE, MAX_REPLY_BYTES)
+    curl.setopt(pycurl.HTTPHEADER, ["Content-Type: application/json", "Expect:"])
+    curl.setopt(pycurl.WRITEDATA, exchange.body)
+    curl.setopt(pycurl.SOCKOPTFUNCTION, lambda fd, _: _note_socket(state, fd))
+    curl.setopt(pycurl.CLOSESOCKETFUNCTION, lambda fd: _close_socket(state, fd))
+    loop = state.loop
+    curl.setopt(pycurl.PREREQFUNCTION, lambda *_: _guard(exchange, loop))
+    return exchange
+
+
+def start_exchange(
+    state: ServerMulti,
+    path: str,
+    body: bytes | None,
+    timeout_s: float,
+    on_end: OnEnd,
+    is_repeatable: bool = True,
+) -> None:
+    """Send a request (POST with ``body``, GET without); call ``on_end`` once.
+
+    curl repeats a request by itself when a reused connection turns out dead,
+    whatever its method. A request that is not repeatable therefore gets a
+    fresh connection, and a second attempt to send it is refused.
+    """
+    exchange = state.idle.pop() if state.idle else _new_exchange(state)
+    exchange.on_end = on_end
+    exchange.sent = 0
+    exchange.until = state.loop.time() + timeout_s
+    exchange.body.seek(0)
+    exchange.body.truncate()
+    curl = exchange.curl
+    if path != exchange.path:
+        exchange.path = path
+        curl.setopt(pycurl.URL, f"http://{state.address}{path}")
+    if is_repeatable != exchange.is_repeatable:
+        exchange.is_repeatable = is_repeatable
+        curl.setopt(pycurl.FRESH_CONNECT, 0 if is_repeatable else 1)
+    curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
+    if body is None:
+        curl.setopt(pycurl.HTTPGET, 1)
+    else:
+        curl.setopt(pycurl.POSTFIELDS, body)
+    state.active[curl] = exchange
+    state.multi.add_handle(curl)
+
+
+def _guard(exchange: Exchange, loop: asyncio.AbstractEventLoop) -> int:
+    """Decide, right before curl sends a request, whether it may."""
+    if loop.time() >= exchange.until:
+        return pycurl.PREREQFUNC_ABORT
+    if exchange.sent and not exchange.is_repeatable:
+        return pycurl.PREREQFUNC_ABORT
+    exchange.sent += 1
+    return pycurl.PREREQFUNC_OK
+
+
+def close_multi(state: ServerMulti, text: str) -> None:
+    """Close all connections; exchanges that run end as failed, next turn."""
+    if state.is_closed:
+        return
+    state.is_closed = True
+    if state.timer is not None:
+        state.timer.cancel()
+    for exchange in list(state.active.values()):
+        state.multi.remove_handle(exchange.curl)
+        end = HttpEnd(pycurl.E_RECV_ERROR, text, 0, b"", exchange.sent > 0)
+        if exchange.on_end is not None:
+            state.loop.call_soon(exchange.on_end, end)
+    for fd in list(state.watched):
+        _unwatch(state, fd)
+    _close_handle(state.multi)
+    for exchange in [*state.active.values(), *state.idle]:
+        exchange.curl.close()
+    state.active.clear()
+    state.idle.clear()
+    state.sockets.clear()
+
+
+def _close_handle(multi: pycurl.CurlMulti) -> None:
+    """Close a multi handle and its connections.
+
+    pycurl can't call closures then, closes the sockets itself and warns of
+    it. The easy handles have to live until then.
+    """
+    with warnings.catch_warnings():
+        warnings.simplefilter("ignore", RuntimeWarning)
+        multi.close()
--- a/src/bramleyrouter/wire/kinds.py
+++ b/src/bramleyrouter/wire/kinds.py
@@ -18,6 +18,7 @@
     VOTE = 31
     APPEND = 32
     INSTALL_SNAPSHOT = 33
+    PRESENCE = 34
 
     # Clients of control daemons.
     OPERATE = 50
@@ -26,6 +27,7 @@
     READ_CONFIG = 53
     CHANGE_MEMBERS = 54
     CONTROL_STATUS = 55
+    SHOW_ROLLOUT = 56
 
     # Dissemination and membership.
     SUBSCRIBE = 70
