Said unknown when the ledger is lost while another claimant runs

Cause: a resend that had seen an unsettled claim of another daemon and then lost the ledger was answered as not run. Also: a refusal by a daemon that is not the home no longer sets the server's headroom, failed claims other than an unreachable ledger end at once, a planned stop waits at most 3 s for settlements, and a submission's refusal always has a 1xx or 2xx code. 201 unit tests of routing pass.

--- a/src/bramleyrouter/routing/loads.py
+++ b/src/bramleyrouter/routing/loads.py
@@ -13,6 +13,7 @@
     UNMEASURED_DISTANCE_S,
     ChoiceState,
 )
+from bramleyrouter.routing.retries import RetryKind, classify
 
 # Weight of one reply in the moving averages of latency and distance.
 LATENCY_WEIGHT = 0.1
@@ -49,7 +50,8 @@
     view = attempt.view
     load, elapsed = view.load, now - attempt.sent_at
     load.in_flight -= 1
-    if reply is not None:
+    # Who refuses without being the server's home has no state of it to tell.
+    if reply is not None and classify(reply.code) is not RetryKind.REDIRECT:
         _take_hints(view, reply, now)
     if code is Code.SHARD_CANCELLED:
         # The time until the cancel is a lower bound of the latency.
--- a/src/bramleyrouter/routing/retries.py
+++ b/src/bramleyrouter/routing/retries.py
@@ -43,6 +43,7 @@
     Code.STALE_HOME,
     Code.NOT_HOME,
     Code.VERSION_NOT_HELD,
+    Code.HELD_DOWN,
     Code.PEER_UNREACHABLE,
 }
 _SHEDS = {
--- a/src/bramleyrouter/routing/router.py
+++ b/src/bramleyrouter/routing/router.py
@@ -29,6 +29,7 @@
     drain_submissions,
     execute_submission,
 )
+from bramleyrouter.states import Outcome
 
 DRAIN_POLL_S = 0.01
 
@@ -151,7 +152,7 @@
 def _describe_submission(
     req: Submission, answer: SubmissionAnswer, started: float, latency: float
 ) -> Decision:
-    is_done = answer.code is Code.OK
+    is_done = answer.outcome is Outcome.DONE
     return Decision(
         request_id=req.request_id,
         tenant=req.tenant,
--- a/src/bramleyrouter/routing/submissions.py
+++ b/src/bramleyrouter/routing/submissions.py
@@ -37,6 +37,9 @@
 # seconds, with pauses up to the second value.
 SETTLE_REPAIR_S = 60.0
 MAX_SETTLE_PAUSE_S = 2.0
+# A planned stop waits for repeated settlements for so long, in seconds; the
+# homes are handed over after it.
+DRAIN_SETTLE_S = 3.0
 # Submissions that may be at the ledger at once, for each place that admission
 # has for running and waiting requests.
 CLAIMS_PER_PLACE = 4
@@ -115,10 +118,11 @@
 
 
 async def drain_submissions(state: SubmissionState) -> None:
-    """Wait for what runs, and for settlements that are being repeated."""
-    while state.running or state.repairs:
-        tasks = [running.task for running in state.running.values()]
-        await asyncio.wait([*tasks, *state.repairs])
+    """Wait for what runs, and for a while for settlements being repeated."""
+    while state.running:
+        await asyncio.wait([running.task for running in state.running.values()])
+    if state.repairs:
+        await asyncio.wait(state.repairs, timeout=DRAIN_SETTLE_S)
 
 
 async def _run(
@@ -158,20 +162,22 @@
     and not made twice. If the last call's reply is missing, the claim may be
     recorded; nothing was dispatched for it, so it is settled as not run.
     """
-    may_be_recorded = False
+    may_be_recorded = is_claimed_elsewhere = False
     while True:
         left = req.deadline - ANSWER_MARGIN_S - ctx.clock()
         if left <= 0:
             break
         reply = await ctx.control_client.claim(claim, min(left, CLAIM_TRY_S))
-        if reply.is_err():
+        if isinstance(reply, Err):
             may_be_recorded = True
+            if reply.err_value.code is not Code.LEDGER_UNREACHABLE:
+                break
             await _pause(ctx, req, LEDGER_PAUSE_S)
             continue
         result = reply.unwrap()
         if result.is_granted:
             return None
-        may_be_recorded = False
+        may_be_recorded, is_claimed_elsewhere = False, True
         answer = _judge_earlier(ctx, req, claim, result)
         if answer is not None:
             return answer
@@ -183,6 +189,8 @@
     if may_be_recorded:
         not_run = _not_run(req, Code.LEDGER_UNREACHABLE, text)
         _repair(ctx, state, claim, _settlement(claim, not_run))
+    if is_claimed_elsewhere:
+        return _answer(req, Outcome.UNKNOWN, Code.OUTCOME_UNKNOWN, text)
     return _refuse_unclaimed(state, req, Code.LEDGER_UNREACHABLE, text)
 
 
@@ -269,7 +277,8 @@
             return _answer(req, reply.outcome, reply.code, reply.text, reply.answer)
         view.rest_until = ctx.clock() + REST_S
         refusal = reply
-    return _not_run(req, refusal.code, refusal.text)
+    code = refusal.code if 200 <= refusal.code < 300 else Code.CONNECT_FAILED
+    return _not_run(req, code, refusal.text)
 
 
 def _list_candidates(ctx: Context, req: Submission, versions) -> list[ReplicaView]:
--- a/tests/routing/test_submissions.py
+++ b/tests/routing/test_submissions.py
@@ -146,7 +146,7 @@
 class TestClaimants:
     """Guard against waiting for the dead and against running beside the living."""
 
-    def resend(self, claimant, incarnation, state):
+    def resend(self, claimant, incarnation, state, down_at=9.0):
         homes, ledger = FakeHomes(), FakeLedger()
         board = board_of("entry-2")
         put_daemon(board, "entry-1", state=state)
@@ -156,8 +156,10 @@
             body_digest = blake2b(make_submission().body, digest_size=16).digest()
             claim = Claim("t", "1-x", body_digest, claimant, incarnation, b"other")
             ledger.records[("t", "1-x")] = (claim, None)
+            loop = asyncio.get_running_loop()
+            loop.call_later(down_at, setattr, ledger, "is_down", True)
             answer = await router.submit(make_submission())
-            return answer, asyncio.get_running_loop().time()
+            return answer, loop.time()
 
         answer, ended = run_virtual(main())
         assert not homes.runs
@@ -167,6 +169,10 @@
         answer, ended = self.resend("entry-1", 1, DaemonState.ALIVE)
         assert answer.code is Code.OUTCOME_UNKNOWN and ended > 0.9
 
+    def test_ledger_lost_while_waiting_is_no_proof_of_not_run(self):
+        answer, _ = self.resend("entry-1", 1, DaemonState.ALIVE, down_at=0.3)
+        assert answer.outcome is Outcome.UNKNOWN
+
     @pytest.mark.parametrize(
         ("claimant", "incarnation", "state"),
         [
