Charged requests lost with their server to the daemon's retry budget alone

Cause: when half of the servers died at once, a query had 17 to 25 lost requests and a budget of 7 retries, and left up to 25 of 50 shards out although each had a living replica. Ruled out: connect failures, which are redirects and free already.

--- a/src/bramleyrouter/routing/queries.py
+++ b/src/bramleyrouter/routing/queries.py
@@ -189,14 +189,15 @@
 def _retry(
     ctx: Context, run: Run, kind: RetryKind, code: Code, shards: list[ShardProgress]
 ) -> None:
-    if kind is RetryKind.REPEAT:
+    if kind in (RetryKind.REPEAT, RetryKind.LOST):
         _open_second_round(ctx, run, shards)
     # What was shed goes only where a slot is free.
     max_load = 1.0 if kind is RetryKind.SHED else NO_MAX_LOAD
     attempts = plan_step(ctx, run, shards, max_load)
     if kind is not RetryKind.REDIRECT:
         units = 1 if code is Code.SHARD_HOME_LOST else len(attempts)
-        run.retry_units -= units
+        if kind is not RetryKind.LOST:
+            run.retry_units -= units
         charge(ctx.retry_budget.bucket, units)
     run.retries += len(attempts)
     for planned in attempts:
--- a/src/bramleyrouter/routing/retries.py
+++ b/src/bramleyrouter/routing/retries.py
@@ -28,6 +28,10 @@
     SHED = "shed"
     # It may have run; a query is idempotent, so it may run again.
     REPEAT = "repeat"
+    # It may have run, but the server or its home died and took the load along.
+    # Charged to the daemon's budget alone: the death of many servers at once
+    # would spend a query's own budget and leave shards out.
+    LOST = "lost"
     # Another request would end alike, or there is no time left.
     NEVER = "never"
 
@@ -58,9 +62,11 @@
     Code.SHARD_WRONG_VERSION,
     Code.SHARD_WRONG_IDENTITY,
     Code.SHARD_SERVER_ERROR,
+    Code.SHARD_CANCELLED,
+}
+_LOSSES = {
     Code.SHARD_CONNECTION_LOST,
     Code.SHARD_HOME_LOST,
-    Code.SHARD_CANCELLED,
 }
 
 
@@ -78,6 +84,8 @@
         return RetryKind.REDIRECT
     if code in _SHEDS:
         return RetryKind.SHED
+    if code in _LOSSES:
+        return RetryKind.LOST
     return RetryKind.REPEAT if code in _REPEATS else RetryKind.NEVER
 
 
@@ -101,8 +109,8 @@
 ) -> bool:
     """Return whether to send again; ``units_left`` is the query's own budget.
 
-    The caller charges the requests that come of it to both budgets, unless it
-    is a redirect.
+    The caller charges the requests that come of it to both budgets; a redirect
+    to none of them, and a lost request to the daemon's alone.
     """
     if kind is RetryKind.NEVER or time_left_s < max(MIN_RETRY_TIME_S, typical_s):
         return False
@@ -110,4 +118,5 @@
         return True
     if kind is RetryKind.SHED and budget.shed_share > SHED_LIMIT:
         return False
-    return units_left >= 1 and can_spend(budget.bucket, 1)
+    has_units = kind is RetryKind.LOST or units_left >= 1
+    return has_units and can_spend(budget.bucket, 1)
--- a/tests/routing/test_budgets_and_limits.py
+++ b/tests/routing/test_budgets_and_limits.py
@@ -86,6 +86,12 @@
         assert self.allowed(RetryKind.REDIRECT, empty, units=0.0)
         assert not self.allowed(RetryKind.NEVER)
 
+    def test_losses_are_bounded_by_the_daemons_budget_alone(self):
+        assert self.allowed(RetryKind.LOST, units=0.0)
+        assert not self.allowed(RetryKind.LOST, left=0.005)
+        empty = RetryBudget(build_bucket(0.1, DAEMON_BURST))
+        assert not self.allowed(RetryKind.LOST, empty)
+
     def test_debt_of_a_wide_retry_is_paid_before_the_next(self):
         bucket = build_bucket(0.5, 1, is_full=True)
         charge(bucket, 3)
