--- a/tests/routing/test_query_execution.py
+++ b/tests/routing/test_query_execution.py
@@ -17,6 +17,7 @@
     make_record,
     ok_reply,
     put_servers,
+    refusal,
     start_router,
 )
 from tests.support.virtual_time import run_virtual
@@ -125,42 +126,29 @@
 class TestVersions:
     """Guard against mixed versions when the pinned one disappears."""
 
-    def run_while_v2_disappears(self, query):
+    def run_while_v2_disappears(self, query, after_s):
         board, homes = make_board("ab", 1), FakeHomes()
 
-        def not_held(batch, group):
-            put_servers(board, make_record("b0", "b", ["v1"]))
-            code = Code.VERSION_NOT_HELD
-            return [(0.001, ok_reply(batch, group, code=code, results={}))]
-
         def answer_b(batch, group):
-            if batch.version == NEWEST:
-                return not_held(batch, group)
-            return [(0.001, ok_reply(batch, group))]
+            if batch.version != NEWEST:
+                return [(0.001, ok_reply(batch, group))]
+            put_servers(board, make_record("b0", "b", ["v1"]))
+            return [(after_s, refusal(batch, group, Code.VERSION_NOT_HELD))]
 
         homes.answers["b0"] = answer_b
         return run_query(board, homes, query)[0], homes
 
     def test_query_restarts_whole_on_the_other_version(self):
         for mode in CoverageMode:
-            result, homes = self.run_while_v2_disappears(make_query(mode))
+            result, homes = self.run_while_v2_disappears(make_query(mode), 0.001)
             answer = result.ok_value
             assert answer.version == "v1" and not answer.missing
             assert all(body.endswith(b"@v1") for body in answer.results.values())
             assert homes.asked().count("a0") == 2
 
     def test_without_time_the_shards_are_missing_from_the_pinned_version(self):
-        board, homes = make_board("ab", 1), FakeHomes()
-        late = 0.0999
-
-        def lost(batch, group):
-            put_servers(board, make_record("b0", "b", ["v1"]))
-            code = Code.VERSION_NOT_HELD
-            return [(late, ok_reply(batch, group, code=code, results={}))]
-
-        homes.answers["b0"] = lost
         query = make_query(CoverageMode.BEST, 0.1)
-        answer = run_query(board, homes, query)[0].ok_value
+        answer = self.run_while_v2_disappears(query, 0.0999)[0].ok_value
         assert answer.version == NEWEST
         assert list(missing_codes(answer)) == ["b"]
 
@@ -253,22 +241,21 @@
         assert sum(one.hedges for one in decisions) == counts["hedges"]
 
     def test_everything_slow_spends_no_more_than_the_budget(self):
-        homes = FakeHomes()
-
         def answer(batch, group):
             delay = 0.005 if len(homes.batches) < 300 else 0.2
             return [(delay, ok_reply(batch, group))]
 
-        homes.answers = {f"{shard}{n}": answer for shard in "abcdefghij" for n in "01"}
+        homes = FakeHomes(
+            answers={f"{s}{n}": answer for s in "abcdefghij" for n in "01"}
+        )
         _, counts, _ = self.run_many(homes)
         assert homes.requests == counts["first"] + counts["hedges"] + counts["retries"]
 
     def test_shedding_everywhere_is_not_amplified(self):
         def shed(batch, group):
-            return [(0.001, ok_reply(batch, group, code=Code.QUEUE_FULL, results={}))]
+            return [(0.001, refusal(batch, group, Code.QUEUE_FULL))]
 
-        homes = FakeHomes()
-        homes.answers = {f"{shard}{n}": shed for shard in "abcdefghij" for n in "01"}
+        homes = FakeHomes(answers={f"{s}{n}": shed for s in "abcdefghij" for n in "01"})
         answer, counts, _ = self.run_many(homes)
         assert len(answer.missing) == 10
         assert counts["retries"] <= 0.1 * counts["first"]
--- a/tests/routing/test_submissions.py
+++ b/tests/routing/test_submissions.py
@@ -83,12 +83,17 @@
         answer = submit_once(homes, ledger)
         assert answer.outcome is Outcome.DONE and sum(homes.runs.values()) == 1
 
+    def test_claim_whose_replies_are_all_lost_is_settled_as_not_run(self):
+        homes, ledger = FakeHomes(), FakeLedger(claim_losses=["reply"] * 99)
+        answer = submit_once(homes, ledger)
+        assert (answer.outcome, homes.runs) == (Outcome.NOT_RUN, {})
+        assert ledger.outcome_of() is Outcome.NOT_RUN
+
     def test_refusal_is_offered_to_another_replica_under_the_same_claim(self):
-        homes, ledger = FakeHomes(submits={"a0": ["refuse"]}), FakeLedger()
+        homes = FakeHomes(submits={"a0": ["refuse"]})
         for seed in range(4):
             homes.runs.clear()
-            ledger.records.clear()
-            answer = submit_once(homes, ledger, seed)
+            answer = submit_once(homes, FakeLedger(), seed)
             assert answer.outcome is Outcome.DONE and sum(homes.runs.values()) == 1
 
     def test_all_replicas_refusing_is_settled_as_not_run(self):
@@ -155,7 +160,7 @@
             router = start_router(board, homes, ledger)
             body_digest = blake2b(make_submission().body, digest_size=16).digest()
             claim = Claim("t", "1-x", body_digest, claimant, incarnation, b"other")
-            ledger.records[("t", "1-x")] = (claim, None)
+            await ledger.claim(claim, 1.0)
             loop = asyncio.get_running_loop()
             loop.call_later(down_at, setattr, ledger, "is_down", True)
             answer = await router.submit(make_submission())
@@ -215,7 +220,7 @@
             await router.drain()
 
         run_virtual(main())
-        assert ledger.records[("t", "1-x")][1].outcome is Outcome.DONE
+        assert ledger.outcome_of() is Outcome.DONE
 
     def test_refused_admission_after_the_claim_is_settled_as_not_run(self):
         homes, ledger = FakeHomes(), FakeLedger()
@@ -232,5 +237,5 @@
         assert [answer.outcome for answer in answers].count(Outcome.DONE) == 1
         refused = next(a for a in answers if a.outcome is not Outcome.DONE)
         assert (refused.outcome, refused.code) == (Outcome.NOT_RUN, Code.OVERLOADED)
-        settled = ledger.records[("t", refused.request_id)][1]
-        assert settled.outcome is Outcome.NOT_RUN and sum(homes.runs.values()) == 1
+        assert ledger.outcome_of(refused.request_id) is Outcome.NOT_RUN
+        assert sum(homes.runs.values()) == 1
--- a/tests/support/routing_fakes.py
+++ b/tests/support/routing_fakes.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+from msgspec.structs import replace
 from result import Err, Ok
 
 from bramleyrouter.board import Board, Section
@@ -16,32 +17,24 @@
 )
 from bramleyrouter.codes import Code
 from bramleyrouter.conf.settings import Settings
+from bramleyrouter.control import ledger as ledgers
 from bramleyrouter.control.interfaces import ControlClient
-from bramleyrouter.control.messages import ClaimResult
 from bramleyrouter.failures import Failure
 from bramleyrouter.homes.interfaces import HomeClient
 from bramleyrouter.homes.messages import GroupReply, SubmitReply
-from bramleyrouter.ids import DaemonId, DaemonIncarnation
 from bramleyrouter.routing.messages import Query, ServiceTarget, Submission
 from bramleyrouter.routing.router import build_router
 from bramleyrouter.states import CoverageMode, DaemonState, Outcome, ServerState
 from tests.support.identities import make_identity
 
 NEWEST, OLDER = "v2", "v1"
+# The ledger's time; identities such as "1-x" were created a moment before.
+LEDGER_NOW_MS = 2
 
 
 def make_settings(**changes) -> Settings:
     """Return settings with defaults for all that routing reads."""
-    needed = {
-        "daemon_id": "entry-1",
-        "data_centre": "dc1",
-        "internal_address": "127.0.0.1:7000",
-        "http_address": "127.0.0.1:8000",
-        "cluster_key": "c" * 32,
-        "operator_token": "o" * 32,
-        "control": ("127.0.0.1:7100",),
-    }
-    return Settings(**{**needed, **changes})
+    return Settings("entry-1", "dc1", "a:1", "a:2", "", "", ("a:3",), **changes)
 
 
 def make_record(
@@ -49,26 +42,16 @@
 ) -> ServerRecord:
     """Return a ready server; its home is "home-" and its name by default."""
     holding = ServiceHolding(service, dict.fromkeys(shards, tuple(versions)))
-    values = dict(
-        server_id=name,
-        incarnation=1,
-        registration=1,
-        data_centre="dc1",
-        address="127.0.0.1:9000",
-        state=ServerState.READY,
-        slots=2,
-        connection_limit=20,
-        holdings=(holding,),
-        home=home or f"home-{name}",
-        home_incarnation=1,
+    ready, home = ServerState.READY, home or f"home-{name}"
+    record = ServerRecord(
+        name, 1, 1, "dc1", "127.0.0.1:9000", ready, 2, 20, (holding,), home, 1
     )
-    return ServerRecord(**{**values, **changes})
+    return replace(record, **changes)
 
 
 def put_servers(board: Board, *records) -> None:
     """Add or replace records and tell the watchers."""
-    for record in records:
-        board.servers.records[record.server_id] = record
+    board.servers.records.update({record.server_id: record for record in records})
     board.touch(Section.SERVERS)
 
 
@@ -83,50 +66,34 @@
     board = Board(make_identity("entry-1"))
     board.config.confirmed_at = float("inf")
     put_services(board, ServiceSpec("s", tuple(shards), tuple(versions)))
-    put_servers(
-        board,
-        *(
-            make_record(f"{shard}{number}", [shard], versions)
-            for shard in shards
-            for number in range(replicas)
-        ),
-    )
+    places = [(shard, number) for shard in shards for number in range(replicas)]
+    put_servers(board, *(make_record(f"{s}{n}", [s], versions) for s, n in places))
     return board
 
 
-def make_query(coverage=CoverageMode.FULL, deadline=1.0, shards=(), **changes):
-    """Return a query to service "s"."""
-    values = dict(
-        request_id="q1",
-        tenant="t",
-        class_name="default",
-        deadline=deadline,
-        targets=(ServiceTarget("s", tuple(shards)),),
-        coverage=coverage,
-        body=b"{}",
-    )
-    return Query(**{**values, **changes})
+def make_query(coverage=CoverageMode.FULL, deadline=1.0, **changes) -> Query:
+    """Return a query to all of service "s"."""
+    targets = (ServiceTarget("s"),)
+    query = Query("q1", "t", "default", deadline, targets, coverage, b"{}")
+    return replace(query, **changes)
 
 
 def make_submission(request_id="1-x", deadline=1.0, body=b"hold", **changes):
     """Return a submission to shard "a" of service "s"."""
-    values = dict(tenant="t", class_name="default", service="s", shard="a")
-    return Submission(
-        request_id=request_id, deadline=deadline, body=body, **{**values, **changes}
-    )
+    req = Submission(request_id, "t", "default", deadline, "s", "a", body)
+    return replace(req, **changes)
 
 
 def ok_reply(batch, group, **changes) -> GroupReply:
     """Return the whole reply to a group; results name server and version."""
     text = f"{group.server_id}@{batch.version}".encode()
-    values = dict(
-        server_id=group.server_id,
-        attempt=group.attempt,
-        version=batch.version,
-        code=Code.OK,
-        results=dict.fromkeys(group.shards, text),
-    )
-    return GroupReply(**{**values, **changes})
+    reply = GroupReply(group.server_id, group.attempt, batch.version, Code.OK)
+    return replace(reply, **{"results": dict.fromkeys(group.shards, text), **changes})
+
+
+def refusal(batch, group, code) -> GroupReply:
+    """Return a reply without results."""
+    return ok_reply(batch, group, code=code, results={})
 
 
 @dataclass
@@ -159,19 +126,15 @@
         """Take a batch as ``HomeClient.dispatch`` does."""
         loop = asyncio.get_running_loop()
         if home in self.unreachable:
-            failure = Failure(Code.PEER_UNREACHABLE, "unreachable")
-            loop.call_soon(on_end, Err(failure))
+            loop.call_soon(on_end, Err(Failure(Code.PEER_UNREACHABLE, "unreachable")))
             return lambda: None
         self.batches.append((home, batch))
+        self.requests += len(batch.groups)
         timers, last = [], 0.0
         for group in batch.groups:
-            self.requests += 1
-            answer = self.answers.get(group.server_id)
-            replies = (
-                answer(batch, group)
-                if answer
-                else [(self.delay_s, ok_reply(batch, group))]
-            )
+            replies = [(self.delay_s, ok_reply(batch, group))]
+            if group.server_id in self.answers:
+                replies = self.answers[group.server_id](batch, group)
             for delay, reply in replies:
                 timers.append(loop.call_later(delay, on_reply, reply))
                 last = max(last, delay)
@@ -210,61 +173,37 @@
 
 @dataclass
 class FakeLedger:
-    """Hold a ledger with the rules of the design page.
+    """Hold the ledger's real state machine behind calls that can be lost.
 
-    ``losses`` lists, call by call, "request" (never arrives), "reply" (acts,
-    and the reply is lost) or "" (works); then all work.
+    The lists of losses name, call by call, "request" (never arrives), "reply"
+    (acts, and the reply is lost) or "" (works); then all calls work.
     """
 
-    records: dict = field(default_factory=dict)
+    ledger: ledgers.Ledger = field(default_factory=ledgers.Ledger)
     claim_losses: list = field(default_factory=list)
     settle_losses: list = field(default_factory=list)
     is_down: bool = False
-    delay_s: float = 0.002
 
-    async def _pass(self, losses, act):
+    async def _pass(self, losses, act, request):
         loss = losses.pop(0) if losses else ""
-        await asyncio.sleep(self.delay_s)
-        unreachable = Err(Failure(Code.LEDGER_UNREACHABLE, "no leader"))
-        if self.is_down or loss == "request":
-            return unreachable
-        result = act()
-        return unreachable if loss == "reply" else result
+        await asyncio.sleep(0.002)
+        if not self.is_down and loss != "request":
+            result = act(self.ledger, request, LEDGER_NOW_MS)
+            if loss != "reply":
+                return Ok(result)
+        return Err(Failure(Code.LEDGER_UNREACHABLE, "no leader"))
 
     async def claim(self, claim, timeout_s):
         """Take a claim as ``ControlClient.claim`` does."""
-        return await self._pass(self.claim_losses, lambda: self._claim(claim))
+        return await self._pass(self.claim_losses, ledgers.claim, claim)
 
     async def settle(self, settle, timeout_s):
         """Take a settlement as ``ControlClient.settle`` does."""
-        return await self._pass(self.settle_losses, lambda: self._settle(settle))
-
-    def _claim(self, claim):
-        key = (claim.tenant, claim.request_id)
-        first, outcome = self.records.get(key, (None, None))
-        if first is not None and first.body_digest != claim.body_digest:
-            reused = Failure(Code.IDENTITY_REUSED, "another body")
-            return Ok(ClaimResult(False, failure=reused))
-        is_free = first is None or (
-            outcome is not None and outcome.outcome is Outcome.NOT_RUN
-        )
-        if is_free and (first is None or first.attempt_token != claim.attempt_token):
-            self.records[key] = (claim, None)
-            return Ok(ClaimResult(True, claim.claimant, claim.claimant_incarnation))
-        owner = (first.claimant, first.claimant_incarnation)
-        if outcome is not None:
-            done = (outcome.outcome, outcome.code, outcome.answer)
-            return Ok(ClaimResult(False, *owner, *done))
-        return Ok(ClaimResult(first.attempt_token == claim.attempt_token, *owner))
-
-    def _settle(self, settle):
-        key = (settle.tenant, settle.request_id)
-        first, outcome = self.records.get(key, (None, None))
-        if first is None or first.attempt_token != settle.attempt_token:
-            return Err(Failure(Code.IDENTITY_REUSED, "not the claimant"))
-        if outcome is None:
-            self.records[key] = (first, settle)
-        return Ok(None)
+        return await self._pass(self.settle_losses, ledgers.settle, settle)
+
+    def outcome_of(self, request_id="1-x"):
+        """Return what the ledger holds of a submission."""
+        return self.ledger.records[("t", request_id)].outcome
 
     def client(self):
         """Return the interface; operators' calls are not used here."""
@@ -286,6 +225,5 @@
 
 def put_daemon(board, name, incarnation=1, state=DaemonState.ALIVE):
     """Make a daemon known to the board."""
-    board.daemons.records[DaemonId(name)] = DaemonRecord(
-        DaemonId(name), DaemonIncarnation(incarnation), "dc1", "a:1", "a:2", state
-    )
+    record = DaemonRecord(name, incarnation, "dc1", "a:1", "a:2", state)
+    board.daemons.records[name] = record
