Let the latency of all services stand in for one with few samples

Cause: hedging waited for 50 samples of each service; at 10 queries a second to 50 services over three daemons that takes 15 s after each start, and a straggler set the latency of 40% of the queries until then.

--- a/src/bramleyrouter/routing/hedging.py
+++ b/src/bramleyrouter/routing/hedging.py
@@ -46,9 +46,15 @@
 
 @dataclass
 class LatencyTable:
-    """Hold the measured latencies by service."""
+    """Hold the measured latencies by service, and of all services together.
+
+    The latter stands in for a service until it has samples of its own. A small
+    site asks each of its 50 services a few times a second in all, and would
+    otherwise go without hedges for the first minute of each daemon.
+    """
 
     services: dict[ServiceName, ServiceLatency] = field(default_factory=dict)
+    overall: ServiceLatency = field(default_factory=lambda: _new_latency())
 
 
 def record_latency(
@@ -57,10 +63,15 @@
     """Offer one latency; the quantiles are recomputed every few samples."""
     one = table.services.get(service)
     if one is None:
-        one = ServiceLatency(_new_histogram(), _new_histogram())
-        table.services[service] = one
+        one = table.services[service] = _new_latency()
+    if one.samples < MIN_SAMPLES:
+        _count(table.overall, latency_s)
     if one.samples >= MIN_SAMPLES and rng.random() >= SAMPLED_SHARE:
         return
+    _count(one, latency_s)
+
+
+def _count(one: ServiceLatency, latency_s: float) -> None:
     micros = min(max(int(latency_s * 1e6), _LOWEST_US), _HIGHEST_US)
     one.current.record_value(micros)
     one.samples += 1
@@ -73,7 +84,9 @@
 def hedge_delay(table: LatencyTable, service: ServiceName) -> float | None:
     """Return after how many seconds a request straggles; None if unknown yet."""
     one = table.services.get(service)
-    return None if one is None else one.hedge_delay_s
+    if one is None or one.hedge_delay_s is None:
+        return table.overall.hedge_delay_s
+    return one.hedge_delay_s
 
 
 def typical_latency(table: LatencyTable, service: ServiceName) -> float:
@@ -95,6 +108,10 @@
     ]
 
 
+def _new_latency() -> ServiceLatency:
+    return ServiceLatency(_new_histogram(), _new_histogram())
+
+
 def _new_histogram() -> HdrHistogram:
     return HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
 
--- a/tests/routing/test_budgets_and_limits.py
+++ b/tests/routing/test_budgets_and_limits.py
@@ -63,6 +63,15 @@
             record_latency(table, "s", 0.030, rng)
         assert 0.04 < hedge_delay(table, "s") < 0.06
 
+    def test_all_services_together_stand_in_for_one_with_few_samples(self):
+        table, rng = LatencyTable(), random.Random(1)
+        for number in range(MIN_SAMPLES):
+            record_latency(table, f"s{number}", 0.010, rng)
+        assert 0.012 < hedge_delay(table, "s0") < 0.02
+        for _ in range(MIN_SAMPLES):
+            record_latency(table, "slow", 0.100, rng)
+        assert 0.12 < hedge_delay(table, "slow") < 0.2
+
 
 class TestRetries:
     """Guard against amplification of an overload, and against lost coverage."""
