--- a/src/bramleyrouter/measure/routing_trials.py
+++ b/src/bramleyrouter/measure/routing_trials.py
@@ -1,9 +1,11 @@
 """Measure goodput under overload and the tail with and without hedges.
 
 Run ``python -m bramleyrouter.measure.routing_trials [--seconds N]``. The query
-path of one daemon runs over simulated homes in simulated time: each shard has
-two replicas of two slots, and a request takes 10 ms with 40% spread. The
-offered load is a Poisson stream, as a multiple of what the slots can serve.
+path of one or several daemons runs over simulated homes in simulated time:
+each shard has two replicas of two slots, and a request takes 10 ms with 40%
+spread. The offered load is a Poisson stream, as a multiple of what the slots
+can serve; each query reaches a random daemon. Daemons know of each other's
+requests only by the homes' hints and queue times.
 """
 
 import argparse
@@ -14,15 +16,15 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+import msgspec
 from result import Ok
 
 from bramleyrouter.conf import defaults
 from bramleyrouter.conf.settings import Settings
 from bramleyrouter.control.interfaces import ControlClient
-from bramleyrouter.ids import ClassName, RequestId, ServiceName, TenantName
-from bramleyrouter.measure.decision_cost import REPLICAS, build_board
+from bramleyrouter.ids import ClassName, DataCentre, RequestId, ServiceName, TenantName
+from bramleyrouter.measure.decision_cost import DATA_CENTRES, REPLICAS, build_board
 from bramleyrouter.measure.simulated_homes import (
-    DrawService,
     SimulatedHomes,
     build_simulated_client,
 )
@@ -50,6 +52,7 @@
     max_queue: int = 20
     hedge_budget: float = defaults.HEDGE_BUDGET
     has_stragglers: bool = False
+    daemons: int = 1
 
 
 @dataclass
@@ -76,7 +79,10 @@
     loop, outcome = asyncio.get_running_loop(), Outcome()
     arrivals = random.Random(SEED + 1)
     draw = draw_with_stragglers if trial.has_stragglers else draw_even
-    router = _build_router(trial, draw, outcome)
+    homes = SimulatedHomes(random.Random(SEED), draw, SLOTS, trial.max_queue)
+    routers = [
+        _build_router(trial, homes, outcome, number) for number in range(trial.daemons)
+    ]
     capacity = REPLICAS * SLOTS / MEAN_SERVICE_S
     started, tasks, number = loop.time(), [], 0
     next_at = started
@@ -84,24 +90,28 @@
         await asyncio.sleep(max(0.0, next_at - loop.time()))
         counts = next_at - started >= WARM_UP_S
         query = _make_query(number, loop.time() + trial.deadline_s)
+        router = routers[arrivals.randrange(trial.daemons)]
         tasks.append(loop.create_task(_ask(router, query, outcome if counts else None)))
         next_at += arrivals.expovariate(trial.load * capacity)
         number += 1
     await asyncio.gather(*tasks)
-    await router.drain()
     return _summarise(trial, outcome, capacity * seconds)
 
 
-def _build_router(trial: Trial, draw: DrawService, outcome: Outcome) -> Router:
-    homes = SimulatedHomes(random.Random(SEED), draw, SLOTS, trial.max_queue)
+def _build_router(
+    trial: Trial, homes: SimulatedHomes, outcome: Outcome, number: int
+) -> Router:
     observer = RoutingObserver(
         decided=lambda _, requests: outcome.counts.update(requests=requests),
         hedged=lambda _: outcome.counts.update(hedges=1),
     )
     board = build_board(1, trial.shards, 24, trial.shards * REPLICAS)
+    board.identity = msgspec.structs.replace(
+        board.identity, data_centre=DataCentre(f"dc{number % DATA_CENTRES}")
+    )
     cfg = Settings("e", "dc0", "", "", "", "", (), hedge_budget=trial.hedge_budget)
     control: Any = ControlClient(None, None, None, None)  # type: ignore[arg-type]
-    clock, rng = asyncio.get_running_loop().time, random.Random(SEED)
+    clock, rng = asyncio.get_running_loop().time, random.Random(SEED + number)
     client = build_simulated_client(homes)
     return build_router(board, client, control, cfg, clock, rng, observer)
 
@@ -138,6 +148,7 @@
         return round(latencies[int(share * (len(latencies) - 1))] * 1e3, 1)
 
     return {
+        "daemons": trial.daemons,
         "shards": trial.shards,
         "load": trial.load,
         "deadline_s": trial.deadline_s,
@@ -155,6 +166,11 @@
     *(Trial(3, load, 0.2) for load in (0.8, 1.0, 2.0, 4.0)),
     Trial(3, 2.0, 0.05),
     Trial(3, 2.0, 0.2, max_queue=4),
+    Trial(3, 0.8, 0.2, daemons=8),
+    Trial(3, 2.0, 0.2, daemons=8),
+    Trial(3, 2.0, 0.05, daemons=8),
+    Trial(10, 2.0, 0.2, daemons=8),
+    Trial(10, 2.0, 0.2, max_queue=4, daemons=8),
     *(
         Trial(shards, load, hedge_budget=budget, has_stragglers=True)
         for shards in (10, 50)
