Stopped saying 'not run' of submissions that the ledger was not asked about

Cause: without the ledger a submission was refused as not run, although an earlier sending of the same identity to another daemon may have run; callers and balancers resend the same bytes. The flag is_resend, by which the caller was to mark a resend, is dropped: a balancer does not set it. Before: a resend without a majority of control daemons was told 'not run'. After: it is told 'unknown' with code 304.

--- a/src/bramleyrouter/codes.py
+++ b/src/bramleyrouter/codes.py
@@ -50,6 +50,8 @@
     IDENTITY_EXPIRED = 302
     # The request ran, but its answer was too large to keep for resends.
     ANSWER_NOT_KEPT = 303
+    # This sending did not run; only the ledger knows of earlier ones.
+    LEDGER_NOT_CONSULTED = 304
 
     # 400: reasons why a shard is missing from an answer.
     SHARD_NO_REPLICA = 400
--- a/src/bramleyrouter/edges/callers/handlers.py
+++ b/src/bramleyrouter/edges/callers/handlers.py
@@ -34,12 +34,13 @@
     identity = board.identity
     prefix = f"{identity.daemon_id}.{identity.incarnation}"
 
-    def refusal() -> HttpReply | None:
+    def refusal(may_have_run_before: bool = False) -> HttpReply | None:
         if board.readiness.is_ready or board.readiness.reasons == {"stopping"}:
             # While the balancer learns of a stop, callers are still served.
             return None
         reasons = ", ".join(sorted(board.readiness.reasons))
-        return failure_reply(Failure(Code.NOT_READY, f"Not ready: {reasons}."))
+        failure = Failure(Code.NOT_READY, f"Not ready: {reasons}.")
+        return failure_reply(failure, may_have_run_before)
 
     async def query(req: HTTPServerRequest, body: bytes) -> HttpReply:
         if (refused := refusal()) is not None:
@@ -57,11 +58,13 @@
         )
 
     async def submit(req: HTTPServerRequest, body: bytes) -> HttpReply:
-        if (refused := refusal()) is not None:
+        if (refused := refusal(may_have_run_before=True)) is not None:
             return refused
         decoded = formats.decode_submission(body, clock(), decode_cfg)
         if isinstance(decoded, Err):
-            return failure_reply(decoded.err_value)
+            # The same bytes may have had time left when they were first sent.
+            is_late = decoded.err_value.code is Code.DEADLINE_PASSED
+            return failure_reply(decoded.err_value, is_late)
         answer = await router.submit(decoded.ok_value)
         is_done = answer.outcome is Outcome.DONE
         status = 200 if is_done else status_of(answer.code)
--- a/src/bramleyrouter/edges/http.py
+++ b/src/bramleyrouter/edges/http.py
@@ -78,15 +78,21 @@
     return _STATUS_OF_CODE.get(code) or _STATUS_OF_HUNDRED.get(code // 100, 500)
 
 
-def failure_reply(failure: Failure) -> HttpReply:
-    """Return the error response for ``failure``."""
+def failure_reply(failure: Failure, may_have_run_before: bool = False) -> HttpReply:
+    """Return the error response for ``failure``.
+
+    ``may_have_run_before`` marks a submission that was refused before the
+    ledger was asked whether an earlier sending of it ran.
+    """
     code = failure.code
     body = ErrorBody(
         int(code),
         code.name,
         failure.text,
         # Refusals of the request itself come before any dispatch too.
-        not_run=100 <= code < 300 and code is not Code.IDENTITY_REUSED,
+        not_run=100 <= code < 300
+        and code is not Code.IDENTITY_REUSED
+        and not may_have_run_before,
         findings=tuple(str(finding) for finding in failure.findings),
     )
     return HttpReply(status_of(code), msgspec.json.encode(body))
--- a/src/bramleyrouter/routing/messages.py
+++ b/src/bramleyrouter/routing/messages.py
@@ -64,12 +64,7 @@
 
 
 class Submission(msgspec.Struct, frozen=True):
-    """Hold one non-idempotent request. ``deadline`` is loop time in seconds.
-
-    ``is_resend`` says that the caller sent this identity before. Without the
-    ledger such a request is answered as unknown, since the earlier one may
-    have run.
-    """
+    """Hold one non-idempotent request. ``deadline`` is loop time in seconds."""
 
     request_id: RequestId
     tenant: TenantName
@@ -78,7 +73,6 @@
     service: ServiceName
     shard: ShardName
     body: bytes
-    is_resend: bool = False
 
 
 class SubmissionAnswer(msgspec.Struct, frozen=True):
--- a/src/bramleyrouter/routing/submissions.py
+++ b/src/bramleyrouter/routing/submissions.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import hashlib
-from collections import OrderedDict
 from dataclasses import dataclass, field
 
 from absl import logging
@@ -43,8 +42,6 @@
 # Submissions that may be at the ledger at once, for each place that admission
 # has for running and waiting requests.
 CLAIMS_PER_PLACE = 4
-# Identities remembered as dispatched by this daemon.
-REMEMBERED_IDENTITIES = 10_000
 
 Identity = tuple[TenantName, RequestId]
 # Codes of a settlement that can't succeed later either.
@@ -70,7 +67,6 @@
     running: dict[Identity, RunningSubmission] = field(default_factory=dict)
     unsettled: dict[Identity, tuple[bytes, Settle]] = field(default_factory=dict)
     repairs: set[asyncio.Task] = field(default_factory=set)
-    dispatched: OrderedDict[Identity, None] = field(default_factory=OrderedDict)
     attempts: int = 0
 
 
@@ -98,7 +94,7 @@
     places = ctx.cfg.max_running_queries + ctx.cfg.max_waiting_queries
     if len(state.running) >= CLAIMS_PER_PLACE * places:
         text = "Too many submissions run in this daemon."
-        return _refuse_unclaimed(state, req, Code.OVERLOADED, text)
+        return _refuse_unclaimed(req, text)
     coroutine = _run(ctx, state, req, digest)
     task = asyncio.get_running_loop().create_task(coroutine)
     state.running[identity] = RunningSubmission(digest, task)
@@ -191,7 +187,7 @@
         _repair(ctx, state, claim, _settlement(claim, not_run))
     if is_claimed_elsewhere:
         return _answer(req, Outcome.UNKNOWN, Code.OUTCOME_UNKNOWN, text)
-    return _refuse_unclaimed(state, req, Code.LEDGER_UNREACHABLE, text)
+    return _refuse_unclaimed(req, text)
 
 
 async def _pause(ctx: Context, req: Submission, pause_s: float) -> None:
@@ -308,7 +304,6 @@
         shard=req.shard,
         operation=req.body,
     )
-    _remember(state, (req.tenant, req.request_id))
     started = ctx.clock()
     view.load.in_flight += 1
     try:
@@ -331,13 +326,6 @@
     return reply
 
 
-def _remember(state: SubmissionState, identity: Identity) -> None:
-    state.dispatched[identity] = None
-    state.dispatched.move_to_end(identity)
-    if len(state.dispatched) > REMEMBERED_IDENTITIES:
-        state.dispatched.popitem(last=False)
-
-
 async def _settle(
     ctx: Context,
     state: SubmissionState,
@@ -400,14 +388,15 @@
     )
 
 
-def _refuse_unclaimed(
-    state: SubmissionState, req: Submission, code: Code, text: str
-) -> SubmissionAnswer:
-    """Refuse before any claim is known: not run, unless it was sent before."""
-    if req.is_resend or (req.tenant, req.request_id) in state.dispatched:
-        text = f"{text} An earlier run of this request may have succeeded."
-        return _answer(req, Outcome.UNKNOWN, Code.OUTCOME_UNKNOWN, text)
-    return _not_run(req, code, text)
+def _refuse_unclaimed(req: Submission, text: str) -> SubmissionAnswer:
+    """Refuse without the ledger's word.
+
+    This sending did not run, but only the ledger knows of earlier ones: callers
+    and balancers resend the same bytes to other daemons. So the outcome of the
+    identity is unknown.
+    """
+    text = f"{text} This sending did not run; an earlier one may have."
+    return _answer(req, Outcome.UNKNOWN, Code.LEDGER_NOT_CONSULTED, text)
 
 
 def _not_run(req: Submission, code: Code, text: str) -> SubmissionAnswer:
