--- a/tests/edges/callers/test_caller_routes.py
+++ b/tests/edges/callers/test_caller_routes.py
@@ -61,7 +61,7 @@
 
     def post(self, path, body):
         line = RequestStartLine("POST", path, "HTTP/1.1")
-        req = HTTPServerRequest(headers=HTTPHeaders(), start_line=line)
+        req = HTTPServerRequest(headers=HTTPHeaders({"Host": "x"}), start_line=line)
         text = body if isinstance(body, bytes) else msgspec.json.encode(body)
         reply = asyncio.run(self.handlers[path](req, text))
         return reply.status, msgspec.json.decode(reply.body)
