Made member ids independent of the passed-in randomness, locked the folder

A generator seeded alike after a lost disk would have given a member its old id, and with it a second vote. Two processes on one folder would have mixed their entries; the second is now refused with DISK_FAILED.

--- a/src/bramleyrouter/consensus/driver.py
+++ b/src/bramleyrouter/consensus/driver.py
@@ -20,6 +20,7 @@
 )
 from bramleyrouter.consensus.node import Node, keep_task
 from bramleyrouter.consensus.raft_state import (
+    ELECTION_MAX_S,
     Answer,
     Compacted,
     Effect,
@@ -53,6 +54,8 @@
 # Shorter than the shortest election timeout, so that a lost request is sent
 # again before its follower stops hearing the leader.
 REQUEST_TIMEOUT_S = 0.3
+# A vote waits for the voter's disk; afterwards the candidate asks anew.
+VOTE_TIMEOUT_S = ELECTION_MAX_S
 # A follower writes and restores a whole snapshot before its last answer.
 CHUNK_TIMEOUT_S = 5.0
 # A connection whose peer was silent for so long is built anew: after a
@@ -118,6 +121,14 @@
     node.waiters.clear()
 
 
+def fail_barriers(node: Node, failure: Failure) -> None:
+    """Tell all waiting reads that this member can't serve them."""
+    for barrier in node.barriers:
+        if not barrier.fut.done():
+            barrier.fut.set_result(Err(failure))
+    node.barriers.clear()
+
+
 def arm_timer(node: Node) -> None:
     """Wake at the core's next due time; a later due time is found on waking."""
     due = next_wakeup(node.raft)
@@ -178,10 +189,7 @@
     if node.timer is not None:
         node.timer.cancel()
     fail_waiters(node)
-    for barrier in node.barriers:
-        if not barrier.fut.done():
-            barrier.fut.set_result(Err(node.failure))
-    node.barriers.clear()
+    fail_barriers(node, node.failure)
 
 
 def _apply_committed(node: Node) -> None:
@@ -277,9 +285,11 @@
 def _send(node: Node, effect: Send) -> None:
     message = effect.message
     assert isinstance(message, Request)
+    is_vote = isinstance(message, VoteRequest)
+    timeout_s = VOTE_TIMEOUT_S if is_vote else REQUEST_TIMEOUT_S
 
     def start() -> None:
-        keep_task(node, _exchange(node, message, REQUEST_TIMEOUT_S))
+        keep_task(node, _exchange(node, message, timeout_s))
 
     if effect.after_sync:
         when_synced(node, start)
--- a/src/bramleyrouter/consensus/files.py
+++ b/src/bramleyrouter/consensus/files.py
@@ -5,12 +5,18 @@
 """
 
 import asyncio
+import fcntl
 import os
 from collections.abc import Awaitable, Callable
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from result import Err, Ok, Result
+
+from bramleyrouter.codes import Code
+from bramleyrouter.failures import Failure
+
 
 class FileSystem(NamedTuple):
     """Bundle the operations on one flat data folder; paths are file names.
@@ -40,12 +46,31 @@
         view = view[os.write(handle, view) :]
 
 
-def open_folder(folder: Path) -> FileSystem:
-    """Create ``folder`` if needed and return its file system.
+def _lock(folder: Path) -> int:
+    """Create and lock the folder; two processes on it would mix their entries."""
+    folder.mkdir(parents=True, exist_ok=True)
+    handle = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        fcntl.flock(handle, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        os.close(handle)
+        raise
+    return handle
+
+
+def open_folder(folder: Path) -> Result[FileSystem, Failure]:
+    """Create ``folder`` if needed, lock it and return its file system.
 
-    Raises ``OSError`` when the folder can't be created.
+    ``DISK_FAILED`` says that it can't be created or that a process uses it.
     """
-    folder.mkdir(parents=True, exist_ok=True)
+    try:
+        return Ok(_bundle(folder, _lock(folder)))
+    except OSError as exc:
+        text = f'The data folder "{folder}" can\'t be opened: {exc}.'
+        return Err(Failure(Code.DISK_FAILED, text))
+
+
+def _bundle(folder: Path, lock: int) -> FileSystem:
     handles: dict[str, int] = {}
     # One thread keeps the jobs in order; a sync must not block the loop.
     executor = ThreadPoolExecutor(1, thread_name_prefix="consensus-disk")
@@ -74,17 +99,11 @@
         forget(name)
         os.remove(folder / name)
 
-    def sync_folder():
-        handle = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
-        try:
-            os.fsync(handle)
-        finally:
-            os.close(handle)
-
     def close():
         executor.shutdown(wait=True)
         for name in list(handles):
             forget(name)
+        os.close(lock)
 
     return FileSystem(
         list_names=lambda: sorted(os.listdir(folder)),
@@ -95,7 +114,7 @@
         truncate=lambda name, size: os.ftruncate(handle_of(name), size),
         replace=replace,
         remove=remove,
-        sync_folder=sync_folder,
+        sync_folder=lambda: os.fsync(lock),
         run=lambda job: asyncio.get_running_loop().run_in_executor(executor, job),
         close=close,
     )
--- a/src/bramleyrouter/consensus/proposals.py
+++ b/src/bramleyrouter/consensus/proposals.py
@@ -17,6 +17,8 @@
     """Say why nothing was appended."""
     if node.failure is not None:
         return node.failure
+    if node.is_closed:
+        return Failure(Code.STOPPING, "This member stops.")
     if not node.is_leader:
         return not_leader(node)
     if kind is EntryKind.MEMBERS:
--- a/src/bramleyrouter/consensus/reads.py
+++ b/src/bramleyrouter/consensus/reads.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from bramleyrouter.codes import Code
-from bramleyrouter.consensus.driver import dispatch
+from bramleyrouter.consensus.driver import dispatch, fail_barriers
 from bramleyrouter.consensus.node import Barrier, Node, leader_address
 from bramleyrouter.consensus.raft_state import CURRENT_S, BeginRound, Role
 from bramleyrouter.consensus.replication import answered_by_majority, holds_lease
@@ -37,10 +37,7 @@
     if not node.barriers:
         return
     if not node.is_leader:
-        for barrier in node.barriers:
-            if not barrier.fut.done():
-                barrier.fut.set_result(Err(not_leader(node)))
-        node.barriers.clear()
+        fail_barriers(node, not_leader(node))
         return
     for barrier in node.barriers:
         is_proved = 0 <= barrier.sequence and (
@@ -56,10 +53,8 @@
 
 async def read_barrier(node: Node, timeout_s: float) -> Result[None, Failure]:
     """Wait for proof that this member leads and has applied all accepted."""
-    if node.failure is not None:
-        return Err(node.failure)
-    if not node.is_leader:
-        return Err(not_leader(node))
+    if node.failure is not None or node.is_closed or not node.is_leader:
+        return Err(node.failure or not_leader(node))
     loop = asyncio.get_running_loop()
     barrier = Barrier(loop.create_future())
     is_first = not node.barriers
--- a/src/bramleyrouter/consensus/replicated_log.py
+++ b/src/bramleyrouter/consensus/replicated_log.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import secrets
 import time
 from collections.abc import Callable
 
@@ -9,9 +10,15 @@
 from result import Err, Ok, Result
 
 from bramleyrouter.board.sections import Identity
+from bramleyrouter.codes import Code
 from bramleyrouter.consensus.changes import add_member, remove_member
 from bramleyrouter.consensus.core import make_state
-from bramleyrouter.consensus.driver import arm_timer, fail_waiters, write_loop
+from bramleyrouter.consensus.driver import (
+    arm_timer,
+    fail_barriers,
+    fail_waiters,
+    write_loop,
+)
 from bramleyrouter.consensus.files import FileSystem
 from bramleyrouter.consensus.interfaces import LogStatus, ReplicatedLog, StateMachine
 from bramleyrouter.consensus.node import Limits, Node, keep_task, leader_address
@@ -23,6 +30,13 @@
 from bramleyrouter.failures import Failure
 from bramleyrouter.wire.network import Network
 
+_ID_BYTES = 8
+
+
+def make_id() -> str:
+    """Return a text that no other call on any VM returns."""
+    return secrets.token_hex(_ID_BYTES)
+
 
 def _make_node(
     identity: Identity,
@@ -70,7 +84,7 @@
     return LogStatus(
         raft.member_id,
         raft.term,
-        node.is_leader and node.failure is None,
+        node.is_leader and node.failure is None and not node.is_closed,
         leader_address(node),
         raft.commit_index,
         node.applied_index,
@@ -85,6 +99,7 @@
     if node.timer is not None:
         node.timer.cancel()
     fail_waiters(node)
+    fail_barriers(node, Failure(Code.STOPPING, "This member stops."))
     for task in list(node.tasks):
         task.cancel()
     node.storage.fs.close()
@@ -115,19 +130,22 @@
     fs: FileSystem,
     wall_clock: Callable[[], float] = time.time,
     limits: Limits | None = None,
+    new_id: Callable[[], str] = make_id,
 ) -> Result[ReplicatedLog, Failure]:
     """Recover the data folder and start this member on the running loop.
 
     ``members`` are the internal addresses of the first members; a member whose
     own address is not among them, or that finds a cluster formed, waits until
-    it is added. ``fs`` is ``files.open_folder(folder)``. ``rng`` must differ
-    between members: it makes the member id and the election timeouts. Fails
-    with ``LOG_CORRUPT``, ``SNAPSHOT_CORRUPT`` or ``DISK_FAILED``.
+    it is added. ``fs`` is what ``files.open_folder(folder)`` holds; it is closed
+    with the log. ``rng`` spreads the election timeouts. ``new_id`` makes the ids
+    of member and cluster and must never return the same text twice, on any VM.
+    Fails with ``LOG_CORRUPT``, ``SNAPSHOT_CORRUPT`` or ``DISK_FAILED``.
     """
     limits = limits or Limits()
-    opened = open_storage(fs, rng, limits.segment_bytes)
+    opened = open_storage(fs, new_id, limits.segment_bytes)
     if isinstance(opened, Err):
         logging.error("consensus: refused to start: %s", opened.err_value)
+        fs.close()
         return opened
     storage, recovered = opened.ok_value
     node = _make_node(
@@ -147,5 +165,5 @@
     if node.phase.is_active:
         arm_timer(node)
     else:
-        keep_task(node, bootstrap_loop(node))
+        keep_task(node, bootstrap_loop(node, new_id))
     return Ok(_bundle(node))
--- a/src/bramleyrouter/consensus/serving.py
+++ b/src/bramleyrouter/consensus/serving.py
@@ -1,6 +1,7 @@
 """Serve the other members' requests, and the exchange of the first members."""
 
 import asyncio
+from collections.abc import Callable
 
 from absl import logging
 from result import Err, Ok, Result
@@ -32,7 +33,6 @@
 from bramleyrouter.wire.network import Peer
 
 BOOTSTRAP_POLL_S = 0.2
-_CLUSTER_ID_BITS = 64
 
 
 def _refuse(code: Code, text: str) -> Err[Failure]:
@@ -158,7 +158,7 @@
     node.network.serve(Kind.PRESENCE, serve_presence)
 
 
-async def _poll_first_members(node: Node) -> None:
+async def _poll_first_members(node: Node, new_id: Callable[[], str]) -> None:
     others = [item for item in node.first_members if item != node.address]
     outcomes = await asyncio.gather(*(ask_presence(node, item) for item in others))
     heard = {
@@ -166,16 +166,13 @@
         for address, outcome in zip(others, outcomes, strict=True)
         if isinstance(outcome, Ok)
     }
-    cluster_id = f"{node.rng.getrandbits(_CLUSTER_ID_BITS):016x}"
-    phase = next_phase(node.phase, node.address, node.first_members, heard, cluster_id)
+    phase = next_phase(node.phase, node.address, node.first_members, heard, new_id())
     if phase is not None:
         set_phase(node, phase)
 
 
-async def bootstrap_loop(node: Node) -> None:
+async def bootstrap_loop(node: Node, new_id: Callable[[], str]) -> None:
     """Exchange presences until this member is active."""
-    if node.first_members == (node.address,):
-        await _poll_first_members(node)
     while not node.phase.is_active and node.failure is None:
-        await _poll_first_members(node)
+        await _poll_first_members(node, new_id)
         await asyncio.sleep(BOOTSTRAP_POLL_S)
--- a/src/bramleyrouter/consensus/storage.py
+++ b/src/bramleyrouter/consensus/storage.py
@@ -6,7 +6,7 @@
 folder synced. All functions here block; the driver runs them off the loop.
 """
 
-import random
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -35,7 +35,6 @@
 SNAPSHOT_FILE = "snapshot"
 _NEW = ".new"
 _MAGIC = {MEMBER_FILE: b"BRM1", TERM_FILE: b"BRT1", SNAPSHOT_FILE: b"BRS1"}
-_MEMBER_ID_BITS = 64
 
 
 class SaveHardState(NamedTuple):
@@ -130,7 +129,7 @@
     return Err(Failure(Code.SNAPSHOT_CORRUPT, text))
 
 
-def _read_phase(fs: FileSystem, rng: random.Random) -> Result[Phase, Failure]:
+def _read_phase(fs: FileSystem, new_id: Callable[[], str]) -> Result[Phase, Failure]:
     names = fs.list_names()
     if MEMBER_FILE in names:
         return _read_whole(fs, MEMBER_FILE, Phase)
@@ -139,8 +138,7 @@
         # A new id over old entries would let a member vote twice in a term.
         reason = f'the file is missing beside "{kept[0]}"'
         return Err(corrupt(MEMBER_FILE, 0, reason))
-    member_id = MemberId(f"{rng.getrandbits(_MEMBER_ID_BITS):016x}")
-    phase = Phase(member_id)
+    phase = Phase(MemberId(new_id()))
     _replace_file(fs, MEMBER_FILE, _encode_whole(MEMBER_FILE, phase))
     return Ok(phase)
 
@@ -184,9 +182,9 @@
 
 
 def _recover(
-    fs: FileSystem, rng: random.Random
+    fs: FileSystem, new_id: Callable[[], str]
 ) -> Result[tuple[SegmentState, Recovered], Failure]:
-    phase = _read_phase(fs, rng)
+    phase = _read_phase(fs, new_id)
     if isinstance(phase, Err):
         return phase
     snapshot, size = None, 0
@@ -220,15 +218,17 @@
 
 
 def open_storage(
-    fs: FileSystem, rng: random.Random, segment_bytes: int = SEGMENT_BYTES
+    fs: FileSystem, new_id: Callable[[], str], segment_bytes: int = SEGMENT_BYTES
 ) -> Result[tuple[Storage, Recovered], Failure]:
     """Open the data folder, creating the member id with it.
 
+    ``new_id`` must never return the same text twice on any VM: a member that
+    lost its disk would vote again under its old id.
     Fails with ``LOG_CORRUPT`` or ``SNAPSHOT_CORRUPT``, which name the file, or
     with ``DISK_FAILED``.
     """
     try:
-        outcome = _recover(fs, rng)
+        outcome = _recover(fs, new_id)
     except OSError as exc:
         return Err(disk_failure(exc))
     if isinstance(outcome, Err):
--- a/src/bramleyrouter/measure/consensus.py
+++ b/src/bramleyrouter/measure/consensus.py
@@ -23,7 +23,7 @@
 from bramleyrouter.board.sections import Identity
 from bramleyrouter.consensus.files import open_folder
 from bramleyrouter.consensus.interfaces import ReplicatedLog, StateMachine
-from bramleyrouter.consensus.replicated_log import build_replicated_log
+from bramleyrouter.consensus.replicated_log import build_replicated_log, make_id
 from bramleyrouter.consensus.storage import open_storage
 from bramleyrouter.ids import DaemonId, DaemonIncarnation, DataCentre
 from bramleyrouter.wire.network import Network
@@ -114,7 +114,7 @@
         network,
         random.Random(seed),
         _make_machine(),
-        open_folder(folder),
+        open_folder(folder).unwrap(),
     ).unwrap()
     return Running(address, network, log)
 
@@ -213,8 +213,8 @@
     await _stop(running)
     disk = sum(path.stat().st_size for path in folder.iterdir())
     before = time.monotonic()
-    fs = open_folder(folder)
-    open_storage(fs, random.Random(1)).unwrap()
+    fs = open_folder(folder).unwrap()
+    open_storage(fs, make_id).unwrap()
     opened = time.monotonic() - before
     fs.close()
     before = time.monotonic()
@@ -232,7 +232,7 @@
 
 def _measure_sync(folder: Path) -> float:
     """Return the median milliseconds of one small append and sync."""
-    fs = open_folder(folder)
+    fs = open_folder(folder).unwrap()
     times = []
     for _ in range(200):
         before = time.monotonic()
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -1,7 +1,5 @@
 """Tests of the data folder: recovery after crashes, refusal of corruption."""
 
-import random
-
 import pytest
 
 from bramleyrouter.codes import Code
@@ -20,6 +18,10 @@
 SEGMENT = "log-0000000001.seg"
 
 
+def make_id():
+    return "a"
+
+
 def entry(index, term=1, size=9):
     return Entry(term, index, 1000 + index, EntryKind.COMMAND, b"%d" % index * size)
 
@@ -34,7 +36,7 @@
 
 
 def open_disk(disk, segment_bytes=1 << 20):
-    return open_storage(disk.open(), random.Random(1), segment_bytes)
+    return open_storage(disk.open(), make_id, segment_bytes)
 
 
 def recover(disk):
@@ -172,7 +174,7 @@
         done = 0
         try:
             fs = crash_after(disk.open(), budget)
-            storage, _ = open_storage(fs, random.Random(1), 64).unwrap()
+            storage, _ = open_storage(fs, make_id, 64).unwrap()
             for jobs in self.STEPS:
                 write_jobs(storage, jobs)
                 done += 1
@@ -238,8 +240,10 @@
 
     def test_entries_survive(self, tmp_path):
         for last in (3, 6):
-            fs = open_folder(tmp_path / "data")
-            storage, found = open_storage(fs, random.Random(1), 64).unwrap()
+            fs = open_folder(tmp_path / "data").unwrap()
+            refused = open_folder(tmp_path / "data").unwrap_err()
+            assert refused.code is Code.DISK_FAILED, "two processes may write"
+            storage, found = open_storage(fs, make_id, 64).unwrap()
             assert len(found.entries) == last - 3
             write_jobs(storage, [SaveHardState(HardState(last))])
             write_jobs(storage, [entries(last - 2, last)])
--- a/tests/support/log_cluster.py
+++ b/tests/support/log_cluster.py
@@ -73,7 +73,8 @@
             self.commands[number] = []
             machine = make_machine(self.commands[number])
             around = (identity, self.first, network, rng, machine, disk.open())
-            built = build_replicated_log(*around, lambda: 1000.0, self.limits)
+            new_id = functools.partial("{:016x}".format, rng.getrandbits(64))
+            built = build_replicated_log(*around, lambda: 1000.0, self.limits, new_id)
             self.logs[number] = built.unwrap()
 
     async def kill(self, number, torn_bytes=0):
