--- a/src/bramleyrouter/control/interfaces.py
+++ b/src/bramleyrouter/control/interfaces.py
@@ -5,6 +5,7 @@
 
 from result import Result
 
+from bramleyrouter.consensus.interfaces import LogStatus, Member
 from bramleyrouter.control.messages import (
     Claim,
     ClaimResult,
@@ -15,8 +16,9 @@
     SetAvailability,
     Settle,
 )
+from bramleyrouter.dissemination.interfaces import Rollout
 from bramleyrouter.failures import Failure
-from bramleyrouter.ids import Revision
+from bramleyrouter.ids import MemberId, Revision
 
 Operation = Publish | SetAvailability
 
@@ -35,6 +37,22 @@
     read_config: Callable[[float], Awaitable[Result[ConfigState, Failure]]]
 
 
+class ControlAdmin(NamedTuple):
+    """Bundle the operators' access to the control daemons themselves.
+
+    ``status()`` returns the view of each control daemon that is known, by its
+    address, and needs no majority. ``add_member`` and ``remove_member`` take a
+    timeout in seconds and are safe to repeat; a member that is added without an
+    id is the one that answers at its address. ``rollout(timeout_s)`` is the
+    leader's view of the acknowledgements.
+    """
+
+    status: Callable[[], Awaitable[tuple[tuple[str, Result[LogStatus, Failure]], ...]]]
+    add_member: Callable[[Member, float], Awaitable[Result[None, Failure]]]
+    remove_member: Callable[[MemberId, float], Awaitable[Result[None, Failure]]]
+    rollout: Callable[[float], Awaitable[Result[Rollout, Failure]]]
+
+
 class ConfigSource(NamedTuple):
     """Bundle what dissemination reads of a control daemon's state machine.
 
