--- a/tests/routing/test_budgets_and_limits.py
+++ b/tests/routing/test_budgets_and_limits.py
@@ -63,6 +63,15 @@
             record_latency(table, "s", 0.030, rng)
         assert 0.04 < hedge_delay(table, "s") < 0.06
 
+    def test_all_services_together_stand_in_for_one_with_few_samples(self):
+        table, rng = LatencyTable(), random.Random(1)
+        for number in range(MIN_SAMPLES):
+            record_latency(table, f"s{number}", 0.010, rng)
+        assert 0.012 < hedge_delay(table, "s0") < 0.02
+        for _ in range(MIN_SAMPLES):
+            record_latency(table, "slow", 0.100, rng)
+        assert 0.12 < hedge_delay(table, "slow") < 0.2
+
 
 class TestRetries:
     """Guard against amplification of an overload, and against lost coverage."""
@@ -86,6 +95,12 @@
         assert self.allowed(RetryKind.REDIRECT, empty, units=0.0)
         assert not self.allowed(RetryKind.NEVER)
 
+    def test_losses_are_bounded_by_the_daemons_budget_alone(self):
+        assert self.allowed(RetryKind.LOST, units=0.0)
+        assert not self.allowed(RetryKind.LOST, left=0.005)
+        empty = RetryBudget(build_bucket(0.1, DAEMON_BURST))
+        assert not self.allowed(RetryKind.LOST, empty)
+
     def test_debt_of_a_wide_retry_is_paid_before_the_next(self):
         bucket = build_bucket(0.5, 1, is_full=True)
         charge(bucket, 3)
--- a/tests/routing/test_submissions.py
+++ b/tests/routing/test_submissions.py
@@ -83,12 +83,17 @@
         answer = submit_once(homes, ledger)
         assert answer.outcome is Outcome.DONE and sum(homes.runs.values()) == 1
 
+    def test_claim_whose_replies_are_all_lost_is_settled_as_not_run(self):
+        homes, ledger = FakeHomes(), FakeLedger(claim_losses=["reply"] * 99)
+        answer = submit_once(homes, ledger)
+        assert (answer.outcome, homes.runs) == (Outcome.NOT_RUN, {})
+        assert ledger.outcome_of() is Outcome.NOT_RUN
+
     def test_refusal_is_offered_to_another_replica_under_the_same_claim(self):
-        homes, ledger = FakeHomes(submits={"a0": ["refuse"]}), FakeLedger()
+        homes = FakeHomes(submits={"a0": ["refuse"]})
         for seed in range(4):
             homes.runs.clear()
-            ledger.records.clear()
-            answer = submit_once(homes, ledger, seed)
+            answer = submit_once(homes, FakeLedger(), seed)
             assert answer.outcome is Outcome.DONE and sum(homes.runs.values()) == 1
 
     def test_all_replicas_refusing_is_settled_as_not_run(self):
@@ -146,7 +151,7 @@
 class TestClaimants:
     """Guard against waiting for the dead and against running beside the living."""
 
-    def resend(self, claimant, incarnation, state):
+    def resend(self, claimant, incarnation, state, down_at=9.0):
         homes, ledger = FakeHomes(), FakeLedger()
         board = board_of("entry-2")
         put_daemon(board, "entry-1", state=state)
@@ -155,9 +160,11 @@
             router = start_router(board, homes, ledger)
             body_digest = blake2b(make_submission().body, digest_size=16).digest()
             claim = Claim("t", "1-x", body_digest, claimant, incarnation, b"other")
-            ledger.records[("t", "1-x")] = (claim, None)
+            await ledger.claim(claim, 1.0)
+            loop = asyncio.get_running_loop()
+            loop.call_later(down_at, setattr, ledger, "is_down", True)
             answer = await router.submit(make_submission())
-            return answer, asyncio.get_running_loop().time()
+            return answer, loop.time()
 
         answer, ended = run_virtual(main())
         assert not homes.runs
@@ -167,6 +174,10 @@
         answer, ended = self.resend("entry-1", 1, DaemonState.ALIVE)
         assert answer.code is Code.OUTCOME_UNKNOWN and ended > 0.9
 
+    def test_ledger_lost_while_waiting_is_no_proof_of_not_run(self):
+        answer, _ = self.resend("entry-1", 1, DaemonState.ALIVE, down_at=0.3)
+        assert answer.outcome is Outcome.UNKNOWN
+
     @pytest.mark.parametrize(
         ("claimant", "incarnation", "state"),
         [
@@ -209,7 +220,7 @@
             await router.drain()
 
         run_virtual(main())
-        assert ledger.records[("t", "1-x")][1].outcome is Outcome.DONE
+        assert ledger.outcome_of() is Outcome.DONE
 
     def test_refused_admission_after_the_claim_is_settled_as_not_run(self):
         homes, ledger = FakeHomes(), FakeLedger()
@@ -226,5 +237,5 @@
         assert [answer.outcome for answer in answers].count(Outcome.DONE) == 1
         refused = next(a for a in answers if a.outcome is not Outcome.DONE)
         assert (refused.outcome, refused.code) == (Outcome.NOT_RUN, Code.OVERLOADED)
-        settled = ledger.records[("t", refused.request_id)][1]
-        assert settled.outcome is Outcome.NOT_RUN and sum(homes.runs.values()) == 1
+        assert ledger.outcome_of(refused.request_id) is Outcome.NOT_RUN
+        assert sum(homes.runs.values()) == 1
