--- a/src/bramleyrouter/routing/admission.py
+++ b/src/bramleyrouter/routing/admission.py
@@ -53,13 +53,19 @@
 
 @dataclass
 class AdmissionState:
-    """Hold what runs and waits; ``run_s`` is how long runs take, on average."""
+    """Hold what runs and waits; ``run_s`` is how long runs take, on average.
+
+    ``credit`` sums the fractions of the limit, which give an extra place to one
+    start out of several.
+    """
 
     limit: Limit
     max_waiting: int
     running: int = 0
     waiting: int = 0
     run_s: float = 0.0
+    credit: float = 0.0
+    has_extra_place: bool = False
     virtual_time: float = 0.0
     running_by_tenant: Counter = field(default_factory=Counter)
     waiting_by_tenant: Counter = field(default_factory=Counter)
@@ -132,7 +138,7 @@
     """Return whether a request of ``tenant`` may start ahead of nobody."""
     return (
         state.waiting == 0
-        and state.running < int(state.limit.value)
+        and state.running < _running_places(state)
         and state.running_by_tenant[tenant] < _places(state, share)
     )
 
@@ -220,7 +226,7 @@
 
 def pump(state: AdmissionState, cfg: Settings) -> None:
     """Start waiters while there are places."""
-    while state.waiting and state.running < int(state.limit.value):
+    while state.waiting and state.running < _running_places(state):
         waiter = pick_next(state, cfg)
         if waiter is None:
             return
@@ -230,6 +236,10 @@
 def _take_place(state, cfg, clock, tenant: TenantName) -> Release:
     state.running += 1
     state.running_by_tenant[tenant] += 1
+    state.credit += state.limit.value % 1
+    state.has_extra_place = state.credit >= 1
+    if state.has_extra_place:
+        state.credit -= 1
     note_running(state.limit, state.running)
     started = clock()
 
@@ -255,8 +265,17 @@
     return release
 
 
+def _running_places(state: AdmissionState) -> int:
+    """Return the limit, rounded up as often as its fraction says.
+
+    With many daemons over few slots each limit is one to two queries; rounded
+    down, every decrease would halve it.
+    """
+    return int(state.limit.value) + state.has_extra_place
+
+
 def _places(state: AdmissionState, share: float) -> int:
-    return max(1, int(share * state.limit.value))
+    return max(1, int(share * _running_places(state)))
 
 
 def _tenant_share(cfg: Settings, tenant: TenantName) -> float:
--- a/src/bramleyrouter/routing/limits.py
+++ b/src/bramleyrouter/routing/limits.py
@@ -22,7 +22,7 @@
 DELAYED_SHARE_WHEN_LOSSY = 0.25
 # One window lowers the limit by these factors at most and at least, and raises
 # it by the last one (or by one query), when at least BUSY_SHARE of it was used.
-MAX_DECREASE, MIN_DECREASE, INCREASE = 0.5, 0.9, 0.05
+MAX_DECREASE, MIN_DECREASE, INCREASE = 0.5, 0.8, 0.05
 BUSY_SHARE = 0.8
 # Hedges pause for so long after an overloaded window, in seconds.
 OVERLOAD_HOLD_S = 1.0
