--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,12 @@
 
 .PHONY: env local test format lint types unit features measure lock
 
+# Another checkout's environment, named by VENV=, is used as it is.
+ifeq ($(VENV),.venv)
 env: $(VENV)/.installed
+else
+env:
+endif
 
 $(VENV)/.installed: requirements.lock pyproject.toml
 	python3 -m venv $(VENV)
