Refused work only where both sides are stale, and bounded messages of replies

A fresh sender knows what is out, so a stale home may serve it. Replies that end in the same turn are split below the size of a frame, and one server's reply is at most half a frame.

--- a/src/bramleyrouter/edges/servers/formats.py
+++ b/src/bramleyrouter/edges/servers/formats.py
@@ -23,6 +23,8 @@
 # The server is told to end this long, in seconds, before the home stops
 # waiting, so that its reply can still arrive and its slot is free by then.
 REPLY_MARGIN_S = 0.003
+# Largest reply of a server; half of the largest frame between daemons.
+MAX_REPLY_BYTES = 4 * 1024 * 1024
 # Status and code by which a server says that it did not run a request.
 NOT_RUN_STATUS = 503
 NOT_RUN_CODE = "not_run"
--- a/src/bramleyrouter/edges/servers/multi.py
+++ b/src/bramleyrouter/edges/servers/multi.py
@@ -16,8 +16,8 @@
 
 import pycurl
 
-# Larger than any reply to a group of shards that a caller could be sent.
-MAX_REPLY_BYTES = 8 * 1024 * 1024
+from bramleyrouter.edges.servers.formats import MAX_REPLY_BYTES
+
 CONNECT_TIMEOUT_MS = 1000
 
 
--- a/src/bramleyrouter/homes/batches.py
+++ b/src/bramleyrouter/homes/batches.py
@@ -100,7 +100,7 @@
         call,
         group.attempt,
         batch.class_name,
-        sender,
+        batch.is_stale and sender != state.board.identity.data_centre,
         now + batch.remaining_s,
         now,
         on_end,
@@ -168,7 +168,9 @@
         if isinstance(end, SubmitEnd) and not fut.done():
             fut.set_result(SubmitReply(end.outcome, end.code, end.text, end.answer))
 
-    work = _submission_work(request, sender, now, on_end)
+    is_remote = sender != state.board.identity.data_centre
+    is_remote_stale = request.is_stale and is_remote
+    work = _submission_work(request, is_remote_stale, now, on_end)
     offer(state, entry, work)
     try:
         return await fut
@@ -179,7 +181,7 @@
 
 def _submission_work(
     request: SubmitRequest,
-    sender: DataCentre,
+    is_remote_stale: bool,
     now: float,
     on_end: Callable[[Work, WorkEnd], None],
 ) -> Work:
@@ -190,7 +192,7 @@
         call,
         AttemptId(0),
         request.class_name,
-        sender,
+        is_remote_stale,
         now + request.remaining_s,
         now,
         on_end,
--- a/src/bramleyrouter/homes/dispatching.py
+++ b/src/bramleyrouter/homes/dispatching.py
@@ -73,7 +73,7 @@
 def offer(state: HomesState, entry: Entry, work: Work) -> None:
     """Dispatch, queue or refuse a piece of work."""
     now = state.clock()
-    refusal = find_refusal(state, entry, work.sender_data_centre, now)
+    refusal = find_refusal(state, entry, work.is_remote_stale, now)
     if refusal is not None:
         refuse(state, work, refusal)
     elif not entry.queue.size and has_free_slot(entry):
@@ -134,7 +134,7 @@
         if work is None:
             return
         now = state.clock()
-        refusal = find_refusal(state, entry, work.sender_data_centre, now)
+        refusal = find_refusal(state, entry, work.is_remote_stale, now)
         if refusal is not None:
             refuse(state, work, refusal)
         else:
--- a/src/bramleyrouter/homes/entries.py
+++ b/src/bramleyrouter/homes/entries.py
@@ -20,7 +20,7 @@
 from bramleyrouter.homes.queues import FairQueue
 from bramleyrouter.homes.ramps import Ramp
 from bramleyrouter.homes.registrations import Registered
-from bramleyrouter.ids import AttemptId, ClassName, DataCentre, ServerId
+from bramleyrouter.ids import AttemptId, ClassName, ServerId
 from bramleyrouter.wire.network import Network
 
 PublishRows = Callable[[list[ServerRecord], list[ServerId]], None]
@@ -37,7 +37,7 @@
     call: QueryCall | SubmitCall
     attempt: AttemptId
     class_name: ClassName
-    sender_data_centre: DataCentre
+    is_remote_stale: bool
     deadline: float
     queued_at: float
     on_end: "Callable[[Work, WorkEnd], None] | None"
--- a/src/bramleyrouter/homes/handovers.py
+++ b/src/bramleyrouter/homes/handovers.py
@@ -12,6 +12,7 @@
 from absl import logging
 from result import Err, Ok, Result
 
+from bramleyrouter.board.sections import DaemonRecord
 from bramleyrouter.codes import Code
 from bramleyrouter.failures import Failure
 from bramleyrouter.homes.codecs import (
@@ -79,14 +80,7 @@
 async def _give_away(state: HomesState, entry: Entry) -> AnnouncementReply | None:
     """Ask the best other daemons in turn; forget the server on success."""
     announcement = hand_out(entry.registered.announcement)
-    own = state.board.identity
-    others = [
-        record
-        for record in state.board.daemons.records.values()
-        if record.daemon_id != own.daemon_id
-    ]
-    candidates = live_daemons(others, own.data_centre)
-    ranked = rank_homes(candidates, state.board.servers, announcement)
+    ranked = rank_homes(_other_homes(state), state.board.servers, announcement)
     ramp = entry.ramp
     payload = encode_handover(Handover(announcement, ramp.limit, ramp.baseline_s))
     for home in ranked[:MAX_FORWARD_TRIES]:
@@ -107,9 +101,23 @@
 async def hand_over_all(state: HomesState) -> None:
     """Give all servers away as they renew; return when none is left.
 
-    Servers that did not renew in time announce themselves elsewhere.
+    Servers that did not renew in time announce themselves elsewhere. Without
+    another daemon in the data centre only running work is waited for.
     """
     state.is_leaving = True
     until = state.clock() + HANDOVER_TIMEOUT_S
     while state.entries and state.clock() < until:
+        is_idle = not any(entry.running for entry in state.entries.values())
+        if is_idle and not _other_homes(state):
+            return
         await asyncio.sleep(POLL_S)
+
+
+def _other_homes(state: HomesState) -> list[DaemonRecord]:
+    own = state.board.identity
+    others = [
+        record
+        for record in state.board.daemons.records.values()
+        if record.daemon_id != own.daemon_id
+    ]
+    return live_daemons(others, own.data_centre)
--- a/src/bramleyrouter/homes/refusals.py
+++ b/src/bramleyrouter/homes/refusals.py
@@ -5,7 +5,6 @@
 from bramleyrouter.homes.holddowns import is_held
 from bramleyrouter.homes.limits import STALE_AFTER_S
 from bramleyrouter.homes.registrations import has_authority
-from bramleyrouter.ids import DataCentre
 from bramleyrouter.states import ServerState
 
 Refusal = tuple[Code, str]
@@ -26,12 +25,17 @@
 
 
 def find_refusal(
-    state: HomesState, entry: Entry, sender: DataCentre, now: float
+    state: HomesState, entry: Entry, is_remote_stale: bool, now: float
 ) -> Refusal | None:
-    """Return why nothing may be dispatched to the server now, or None."""
-    own = state.board.identity.data_centre
-    if sender != own and is_stale(state, now):
-        return Code.STALE_HOME, "The home's configuration is not confirmed."
+    """Return why nothing may be dispatched to the server now, or None.
+
+    ``is_remote_stale`` says that the sender is in another data centre and its
+    configuration is not confirmed. If the home's is not either, neither side
+    would know that the data centre was taken out.
+    """
+    if is_remote_stale and is_stale(state, now):
+        text = "Neither side's configuration is confirmed."
+        return Code.STALE_HOME, text
     if is_out(state, entry):
         return Code.SERVER_OUT, "The server or its data centre is out of service."
     return find_own_refusal(entry, now)
--- a/src/bramleyrouter/homes/registrations.py
+++ b/src/bramleyrouter/homes/registrations.py
@@ -87,6 +87,9 @@
     ):
         if not least <= value <= MAX_NUMBER:
             return _invalid(place, value, f"{least} to {MAX_NUMBER}")
+    lease = announcement.lease
+    if lease is not None and lease.registration != announcement.registration:
+        return _invalid("lease", lease, "a token of this registration")
     if not announcement.server_id:
         return _invalid("server_id", "", "a name")
     try:
--- a/src/bramleyrouter/homes/serving.py
+++ b/src/bramleyrouter/homes/serving.py
@@ -1,11 +1,12 @@
 """Handlers of the messages that other daemons send to a home."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import msgspec
 from result import Err, Ok, Result
 
+from bramleyrouter.edges.servers.formats import MAX_REPLY_BYTES
 from bramleyrouter.failures import Failure
 from bramleyrouter.homes.announcing import accept
 from bramleyrouter.homes.batches import run_batch, run_submission
@@ -78,6 +79,21 @@
     return msgspec.structs.replace(message, remaining_s=remaining_s)
 
 
+def _split(replies: list[GroupReply]) -> Iterator[list[GroupReply]]:
+    """Split replies that end together, so that each message fits a frame."""
+    part: list[GroupReply] = []
+    size = 0
+    for reply in replies:
+        reply_size = sum(map(len, reply.results.values()))
+        if part and size + reply_size > MAX_REPLY_BYTES:
+            yield part
+            part, size = [], 0
+        part.append(reply)
+        size += reply_size
+    if part:
+        yield part
+
+
 async def _serve_batch(
     state: HomesState,
     peer: Peer,
@@ -90,7 +106,8 @@
     done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     def on_replies(replies: list[GroupReply]) -> None:
-        send_item(encode_replies(replies))
+        for part in _split(replies):
+            send_item(encode_replies(part))
 
     def on_done() -> None:
         if not done.done():
