--- a/src/bramleyrouter/consensus/files.py
+++ b/src/bramleyrouter/consensus/files.py
@@ -12,11 +12,6 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from result import Err, Ok, Result
-
-from bramleyrouter.codes import Code
-from bramleyrouter.failures import Failure
-
 
 class FileSystem(NamedTuple):
     """Bundle the operations on one flat data folder; paths are file names.
@@ -58,19 +53,12 @@
     return handle
 
 
-def open_folder(folder: Path) -> Result[FileSystem, Failure]:
+def open_folder(folder: Path) -> FileSystem:
     """Create ``folder`` if needed, lock it and return its file system.
 
-    ``DISK_FAILED`` says that it can't be created or that a process uses it.
+    Raises ``OSError`` when it can't be created or another process uses it.
     """
-    try:
-        return Ok(_bundle(folder, _lock(folder)))
-    except OSError as exc:
-        text = f'The data folder "{folder}" can\'t be opened: {exc}.'
-        return Err(Failure(Code.DISK_FAILED, text))
-
-
-def _bundle(folder: Path, lock: int) -> FileSystem:
+    lock = _lock(folder)
     handles: dict[str, int] = {}
     # One thread keeps the jobs in order; a sync must not block the loop.
     executor = ThreadPoolExecutor(1, thread_name_prefix="consensus-disk")
--- a/src/bramleyrouter/consensus/replicated_log.py
+++ b/src/bramleyrouter/consensus/replicated_log.py
@@ -136,9 +136,9 @@
 
     ``members`` are the internal addresses of the first members; a member whose
     own address is not among them, or that finds a cluster formed, waits until
-    it is added. ``fs`` is what ``files.open_folder(folder)`` holds; it is closed
-    with the log. ``rng`` spreads the election timeouts. ``new_id`` makes the ids
-    of member and cluster and must never return the same text twice, on any VM.
+    it is added. ``fs`` is ``files.open_folder(folder)``; it is closed with the
+    log. ``rng`` spreads the election timeouts. ``new_id`` makes the ids of
+    member and cluster and must never return the same text twice, on any VM.
     Fails with ``LOG_CORRUPT``, ``SNAPSHOT_CORRUPT`` or ``DISK_FAILED``.
     """
     limits = limits or Limits()
--- a/src/bramleyrouter/measure/consensus.py
+++ b/src/bramleyrouter/measure/consensus.py
@@ -114,7 +114,7 @@
         network,
         random.Random(seed),
         _make_machine(),
-        open_folder(folder).unwrap(),
+        open_folder(folder),
     ).unwrap()
     return Running(address, network, log)
 
@@ -213,7 +213,7 @@
     await _stop(running)
     disk = sum(path.stat().st_size for path in folder.iterdir())
     before = time.monotonic()
-    fs = open_folder(folder).unwrap()
+    fs = open_folder(folder)
     open_storage(fs, make_id).unwrap()
     opened = time.monotonic() - before
     fs.close()
@@ -232,7 +232,7 @@
 
 def _measure_sync(folder: Path) -> float:
     """Return the median milliseconds of one small append and sync."""
-    fs = open_folder(folder).unwrap()
+    fs = open_folder(folder)
     times = []
     for _ in range(200):
         before = time.monotonic()
