--- a/src/bramleyrouter/daemons/wiring.py
+++ b/src/bramleyrouter/daemons/wiring.py
@@ -10,6 +10,7 @@
 
 from bramleyrouter.board.blackboard import Board
 from bramleyrouter.board.sections import Identity
+from bramleyrouter.codes import Code
 from bramleyrouter.conf.settings import Settings
 from bramleyrouter.consensus.files import open_folder
 from bramleyrouter.consensus.replicated_log import build_replicated_log
@@ -119,11 +120,13 @@
     board = Board(identity_of(cfg))
     network, listen = build_tcp_network(board.identity, cfg.cluster_key.encode())
     machine = build_machine()
-    folder = open_folder(Path(cfg.data_folder))
-    if isinstance(folder, Err):
-        return folder
+    try:
+        folder = open_folder(Path(cfg.data_folder))
+    except OSError as exc:
+        text = f'The data folder "{cfg.data_folder}" can\'t be opened: {exc}.'
+        return Err(Failure(Code.DISK_FAILED, text))
     opened = build_replicated_log(
-        board.identity, cfg.members, network, rng, machine.for_log, folder.ok_value
+        board.identity, cfg.members, network, rng, machine.for_log, folder
     )
     if isinstance(opened, Err):
         return opened
