Bounded the labels of the metrics and counted refusals once

Cause: callers may invent tenants, and each had histograms of its own; a refused query was counted twice and entered the coverage histogram as 0.

--- a/src/bramleyrouter/telemetry/observers.py
+++ b/src/bramleyrouter/telemetry/observers.py
@@ -4,9 +4,30 @@
 from collections.abc import Callable
 
 from bramleyrouter.board.blackboard import Board
+from bramleyrouter.codes import Code
 from bramleyrouter.routing.observers import RoutingObserver
 from bramleyrouter.telemetry.metrics import Metrics
 
+# Callers choose tenants and classes where the settings name none; further pairs
+# are counted together, so that callers can't fill this daemon's memory.
+MAX_LABEL_PAIRS = 200
+OTHER = "other"
+
+
+def bound_labels(limit: int = MAX_LABEL_PAIRS) -> Callable[[str, str], dict[str, str]]:
+    """Return a closure from tenant and class to labels of bounded variety."""
+    known: set[tuple[str, str]] = set()
+
+    def labels_of(tenant: str, class_name: str) -> dict[str, str]:
+        pair = (tenant, class_name)
+        if pair not in known and len(known) >= limit:
+            pair = (OTHER, OTHER)
+        else:
+            known.add(pair)
+        return {"tenant": pair[0], "class": pair[1]}
+
+    return labels_of
+
 
 def build_observer(
     metrics: Metrics, board: Board
@@ -15,19 +36,20 @@
     the metrics are rendered.
     """
     events: PlainCounter[str] = PlainCounter()
+    labels_of = bound_labels()
+
+    def finished(kind, tenant, class_name, code, latency_s):
+        labels = labels_of(tenant, class_name)
+        metrics.query_latency.observe({**labels, "kind": kind}, latency_s)
+        metrics.results.inc({**labels, "code": str(int(code))})
 
     def query_finished(tenant, class_name, code, latency_s, coverage):
-        labels = {"tenant": tenant, "class": class_name, "kind": "query"}
-        metrics.query_latency.observe(labels, latency_s)
-        plain = {"tenant": tenant, "class": class_name}
-        metrics.query_coverage.observe(plain, coverage)
-        metrics.results.inc({**plain, "code": str(int(code))})
+        finished("query", tenant, class_name, code, latency_s)
+        if code is Code.OK:
+            metrics.query_coverage.observe(labels_of(tenant, class_name), coverage)
 
     def submission_finished(tenant, class_name, code, latency_s):
-        labels = {"tenant": tenant, "class": class_name, "kind": "submission"}
-        metrics.query_latency.observe(labels, latency_s)
-        labels = {"tenant": tenant, "class": class_name, "code": str(int(code))}
-        metrics.results.inc(labels)
+        finished("submission", tenant, class_name, code, latency_s)
 
     def shard_request_finished(service, latency_s, code):
         events["failed" if code else "answered"] += 1
@@ -39,11 +61,11 @@
         events["retried"] += 1
 
     def refused(tenant, class_name, code):
-        labels = {"tenant": tenant, "class": class_name, "code": str(int(code))}
-        metrics.results.inc(labels)
+        # The request itself is counted with its code when it ends.
+        events["refused"] += 1
 
     def collect():
-        for event in ("answered", "failed", "hedged", "retried"):
+        for event in ("answered", "failed", "hedged", "retried", "refused"):
             metrics.shard_requests.set({"event": event}, events[event])
         for name, value in _board_values(board).items():
             metrics.state.set({"value": name}, value)
