--- a/src/bramleyrouter/consensus/files.py
+++ b/src/bramleyrouter/consensus/files.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import fcntl
 import os
 from collections.abc import Awaitable, Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -40,12 +41,24 @@
         view = view[os.write(handle, view) :]
 
 
+def _lock(folder: Path) -> int:
+    """Create and lock the folder; two processes on it would mix their entries."""
+    folder.mkdir(parents=True, exist_ok=True)
+    handle = os.open(folder, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+    try:
+        fcntl.flock(handle, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        os.close(handle)
+        raise
+    return handle
+
+
 def open_folder(folder: Path) -> FileSystem:
-    """Create ``folder`` if needed and return its file system.
+    """Create ``folder`` if needed, lock it and return its file system.
 
-    Raises ``OSError`` when the folder can't be created.
+    Raises ``OSError`` when it can't be created or another process uses it.
     """
-    folder.mkdir(parents=True, exist_ok=True)
+    lock = _lock(folder)
     handles: dict[str, int] = {}
     # One thread keeps the jobs in order; a sync must not block the loop.
     executor = ThreadPoolExecutor(1, thread_name_prefix="consensus-disk")
@@ -74,17 +87,11 @@
         forget(name)
         os.remove(folder / name)
 
-    def sync_folder():
-        handle = os.open(folder, os.O_RDONLY | os.O_DIRECTORY)
-        try:
-            os.fsync(handle)
-        finally:
-            os.close(handle)
-
     def close():
         executor.shutdown(wait=True)
         for name in list(handles):
             forget(name)
+        os.close(lock)
 
     return FileSystem(
         list_names=lambda: sorted(os.listdir(folder)),
@@ -95,7 +102,7 @@
         truncate=lambda name, size: os.ftruncate(handle_of(name), size),
         replace=replace,
         remove=remove,
-        sync_folder=sync_folder,
+        sync_folder=lambda: os.fsync(lock),
         run=lambda job: asyncio.get_running_loop().run_in_executor(executor, job),
         close=close,
     )
--- a/src/bramleyrouter/control/client.py
+++ b/src/bramleyrouter/control/client.py
@@ -31,7 +31,9 @@
     encode_read_config,
     encode_status_request,
 )
+from bramleyrouter.control.rollouts import decode_rollout, encode_rollout_request
 from bramleyrouter.control.settling import build_settle
+from bramleyrouter.dissemination.interfaces import Rollout
 from bramleyrouter.failures import Failure
 from bramleyrouter.ids import MemberId, Revision
 from bramleyrouter.wire.kinds import Kind
@@ -75,7 +77,12 @@
     ) -> Result[None, Failure]:
         return await _change_members(leaders, RemoveMember(member_id), timeout_s)
 
-    return ControlAdmin(_build_status(leaders), add_member, remove_member)
+    async def rollout(timeout_s: float) -> Result[Rollout, Failure]:
+        payload = encode_rollout_request()
+        reply = await call_leader(leaders, Kind.SHOW_ROLLOUT, payload, timeout_s)
+        return reply if isinstance(reply, Err) else decode_rollout(reply.ok_value)
+
+    return ControlAdmin(_build_status(leaders), add_member, remove_member, rollout)
 
 
 def _build_operate(leaders: Leaders):
@@ -171,10 +178,19 @@
 async def _change_members(
     leaders: Leaders, change: MemberChange, timeout_s: float
 ) -> Result[None, Failure]:
+    """Find a leader that proves itself, and leave it the time for the change."""
     attempts = Attempts(leaders.clock() + timeout_s)
-    payload = encode_member_change(change)
+    proof = encode_status_request(is_proof_asked=True)
+    found = await call_leader(leaders, Kind.CONTROL_STATUS, proof, timeout_s)
+    if isinstance(found, Err):
+        return found
     reply = await call_leader(
-        leaders, Kind.CHANGE_MEMBERS, payload, timeout_s, attempts
+        leaders,
+        Kind.CHANGE_MEMBERS,
+        encode_member_change(change),
+        timeout_s,
+        attempts,
+        first_wait_s=timeout_s,
     )
     if isinstance(reply, Ok):
         return Ok(None)
--- a/src/bramleyrouter/homes/entries.py
+++ b/src/bramleyrouter/homes/entries.py
@@ -20,7 +20,7 @@
 from bramleyrouter.homes.queues import FairQueue
 from bramleyrouter.homes.ramps import Ramp
 from bramleyrouter.homes.registrations import Registered
-from bramleyrouter.ids import AttemptId, ClassName, DataCentre, ServerId
+from bramleyrouter.ids import AttemptId, ClassName, ServerId
 from bramleyrouter.wire.network import Network
 
 PublishRows = Callable[[list[ServerRecord], list[ServerId]], None]
@@ -37,12 +37,14 @@
     call: QueryCall | SubmitCall
     attempt: AttemptId
     class_name: ClassName
-    sender_data_centre: DataCentre
+    is_remote_stale: bool
     deadline: float
     queued_at: float
     on_end: "Callable[[Work, WorkEnd], None] | None"
     started_at: float | None = None
     ended_at: float | None = None
+    # When the server has stopped at the latest, but for the request's transit.
+    until: float = 0.0
     expiry: asyncio.TimerHandle | None = None
 
 
@@ -80,6 +82,11 @@
     order: tuple[int, int, int]
     hold: HoldDown
     until: float
+    is_withdrawn: bool = False
+
+    def is_withdrawn_for(self, incarnation: int) -> bool:
+        """Return whether the server withdrew in this incarnation or a later one."""
+        return self.is_withdrawn and incarnation <= self.order[0]
 
 
 @dataclass
@@ -98,5 +105,7 @@
     changed: set[ServerId] = field(default_factory=set)
     # Ended work by result code, for metrics.
     ended: dict[int, int] = field(default_factory=dict)
+    # How late the event loop ran lately, in seconds.
+    lag_s: float = 0.0
     is_leaving: bool = False
     is_closed: bool = False
--- a/src/bramleyrouter/homes/registrations.py
+++ b/src/bramleyrouter/homes/registrations.py
@@ -87,6 +87,9 @@
     ):
         if not least <= value <= MAX_NUMBER:
             return _invalid(place, value, f"{least} to {MAX_NUMBER}")
+    lease = announcement.lease
+    if lease is not None and lease.registration != announcement.registration:
+        return _invalid("lease", lease, "a token of this registration")
     if not announcement.server_id:
         return _invalid("server_id", "", "a name")
     try:
@@ -168,10 +171,10 @@
 
 
 def take_over(
-    current: Registered | None, announcement: Announcement, now: float
+    known: tuple[int, int, int] | None, announcement: Announcement, now: float
 ) -> Result[Registered, Failure]:
     """Take a server from its home, which has stopped to dispatch for good."""
-    if current is not None and order_of(announcement)[:2] <= current.order[:2]:
+    if known is not None and order_of(announcement)[:2] <= known[:2]:
         return _old(announcement)
     return Ok(Registered(announcement, now))
 
--- a/src/bramleyrouter/routing/limits.py
+++ b/src/bramleyrouter/routing/limits.py
@@ -4,7 +4,7 @@
 
 # The limit before anything was measured, and the least that it falls to.
 INITIAL_LIMIT = 32.0
-MIN_LIMIT = 2.0
+MIN_LIMIT = 1.0
 # A window has at least so many seconds and ended queries.
 MIN_WINDOW_S = 0.05
 MIN_WINDOW_QUERIES = 8
@@ -22,7 +22,7 @@
 DELAYED_SHARE_WHEN_LOSSY = 0.25
 # One window lowers the limit by these factors at most and at least, and raises
 # it by the last one (or by one query), when at least BUSY_SHARE of it was used.
-MAX_DECREASE, MIN_DECREASE, INCREASE = 0.5, 0.9, 0.05
+MAX_DECREASE, MIN_DECREASE, INCREASE = 0.5, 0.8, 0.05
 BUSY_SHARE = 0.8
 # Hedges pause for so long after an overloaded window, in seconds.
 OVERLOAD_HOLD_S = 1.0
--- a/src/bramleyrouter/routing/submissions.py
+++ b/src/bramleyrouter/routing/submissions.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import hashlib
-from collections import OrderedDict
 from dataclasses import dataclass, field
 
 from absl import logging
@@ -37,8 +36,12 @@
 # seconds, with pauses up to the second value.
 SETTLE_REPAIR_S = 60.0
 MAX_SETTLE_PAUSE_S = 2.0
-# Identities remembered as dispatched by this daemon.
-REMEMBERED_IDENTITIES = 10_000
+# A planned stop waits for repeated settlements for so long, in seconds; the
+# homes are handed over after it.
+DRAIN_SETTLE_S = 3.0
+# Submissions that may be at the ledger at once, for each place that admission
+# has for running and waiting requests.
+CLAIMS_PER_PLACE = 4
 
 Identity = tuple[TenantName, RequestId]
 # Codes of a settlement that can't succeed later either.
@@ -64,7 +67,7 @@
     running: dict[Identity, RunningSubmission] = field(default_factory=dict)
     unsettled: dict[Identity, tuple[bytes, Settle]] = field(default_factory=dict)
     repairs: set[asyncio.Task] = field(default_factory=set)
-    dispatched: OrderedDict[Identity, None] = field(default_factory=OrderedDict)
+    attempts: int = 0
 
 
 async def execute_submission(
@@ -88,9 +91,10 @@
         if settle.outcome is not Outcome.NOT_RUN:
             code = Code(settle.code)
             return _answer(req, settle.outcome, code, answer=settle.answer)
-    if len(state.running) >= ctx.cfg.max_running_queries + ctx.cfg.max_waiting_queries:
+    places = ctx.cfg.max_running_queries + ctx.cfg.max_waiting_queries
+    if len(state.running) >= CLAIMS_PER_PLACE * places:
         text = "Too many submissions run in this daemon."
-        return _refuse_unclaimed(state, req, Code.OVERLOADED, text)
+        return _refuse_unclaimed(req, text)
     coroutine = _run(ctx, state, req, digest)
     task = asyncio.get_running_loop().create_task(coroutine)
     state.running[identity] = RunningSubmission(digest, task)
@@ -110,10 +114,11 @@
 
 
 async def drain_submissions(state: SubmissionState) -> None:
-    """Wait for what runs, and for settlements that are being repeated."""
-    while state.running or state.repairs:
-        tasks = [running.task for running in state.running.values()]
-        await asyncio.wait([*tasks, *state.repairs])
+    """Wait for what runs, and for a while for settlements being repeated."""
+    while state.running:
+        await asyncio.wait([running.task for running in state.running.values()])
+    if state.repairs:
+        await asyncio.wait(state.repairs, timeout=DRAIN_SETTLE_S)
 
 
 async def _run(
@@ -126,7 +131,7 @@
         body_digest=digest,
         claimant=identity.daemon_id,
         claimant_incarnation=identity.incarnation,
-        attempt_token=ctx.rng.randbytes(TOKEN_BYTES),
+        attempt_token=_new_token(ctx, state),
     )
     answer = await _claim(ctx, state, req, claim)
     if answer is None:
@@ -135,6 +140,15 @@
     return answer
 
 
+def _new_token(ctx: Context, state: SubmissionState) -> bytes:
+    """Return a token that no other attempt has, whatever seed others use."""
+    identity = ctx.board.identity
+    state.attempts += 1
+    text = f"{identity.daemon_id}/{identity.incarnation}/{state.attempts}"
+    salt = ctx.rng.randbytes(TOKEN_BYTES)
+    return hashlib.blake2b(text.encode(), key=salt, digest_size=TOKEN_BYTES).digest()
+
+
 async def _claim(
     ctx: Context, state: SubmissionState, req: Submission, claim: Claim
 ) -> SubmissionAnswer | None:
@@ -144,20 +158,22 @@
     and not made twice. If the last call's reply is missing, the claim may be
     recorded; nothing was dispatched for it, so it is settled as not run.
     """
-    may_be_recorded = False
+    may_be_recorded = is_claimed_elsewhere = False
     while True:
         left = req.deadline - ANSWER_MARGIN_S - ctx.clock()
         if left <= 0:
             break
         reply = await ctx.control_client.claim(claim, min(left, CLAIM_TRY_S))
-        if reply.is_err():
+        if isinstance(reply, Err):
             may_be_recorded = True
+            if reply.err_value.code is not Code.LEDGER_UNREACHABLE:
+                break
             await _pause(ctx, req, LEDGER_PAUSE_S)
             continue
         result = reply.unwrap()
         if result.is_granted:
             return None
-        may_be_recorded = False
+        may_be_recorded, is_claimed_elsewhere = False, True
         answer = _judge_earlier(ctx, req, claim, result)
         if answer is not None:
             return answer
@@ -169,7 +185,9 @@
     if may_be_recorded:
         not_run = _not_run(req, Code.LEDGER_UNREACHABLE, text)
         _repair(ctx, state, claim, _settlement(claim, not_run))
-    return _refuse_unclaimed(state, req, Code.LEDGER_UNREACHABLE, text)
+    if is_claimed_elsewhere:
+        return _answer(req, Outcome.UNKNOWN, Code.OUTCOME_UNKNOWN, text)
+    return _refuse_unclaimed(req, text)
 
 
 async def _pause(ctx: Context, req: Submission, pause_s: float) -> None:
@@ -255,7 +273,8 @@
             return _answer(req, reply.outcome, reply.code, reply.text, reply.answer)
         view.rest_until = ctx.clock() + REST_S
         refusal = reply
-    return _not_run(req, refusal.code, refusal.text)
+    code = refusal.code if 200 <= refusal.code < 300 else Code.CONNECT_FAILED
+    return _not_run(req, code, refusal.text)
 
 
 def _list_candidates(ctx: Context, req: Submission, versions) -> list[ReplicaView]:
@@ -285,7 +304,6 @@
         shard=req.shard,
         operation=req.body,
     )
-    _remember(state, (req.tenant, req.request_id))
     started = ctx.clock()
     view.load.in_flight += 1
     try:
@@ -308,13 +326,6 @@
     return reply
 
 
-def _remember(state: SubmissionState, identity: Identity) -> None:
-    state.dispatched[identity] = None
-    state.dispatched.move_to_end(identity)
-    if len(state.dispatched) > REMEMBERED_IDENTITIES:
-        state.dispatched.popitem(last=False)
-
-
 async def _settle(
     ctx: Context,
     state: SubmissionState,
@@ -377,14 +388,15 @@
     )
 
 
-def _refuse_unclaimed(
-    state: SubmissionState, req: Submission, code: Code, text: str
-) -> SubmissionAnswer:
-    """Refuse before any claim is known: not run, unless it was sent before."""
-    if req.is_resend or (req.tenant, req.request_id) in state.dispatched:
-        text = f"{text} An earlier run of this request may have succeeded."
-        return _answer(req, Outcome.UNKNOWN, Code.OUTCOME_UNKNOWN, text)
-    return _not_run(req, code, text)
+def _refuse_unclaimed(req: Submission, text: str) -> SubmissionAnswer:
+    """Refuse without the ledger's word.
+
+    This sending did not run, but only the ledger knows of earlier ones: callers
+    and balancers resend the same bytes to other daemons. So the outcome of the
+    identity is unknown.
+    """
+    text = f"{text} This sending did not run; an earlier one may have."
+    return _answer(req, Outcome.UNKNOWN, Code.LEDGER_NOT_CONSULTED, text)
 
 
 def _not_run(req: Submission, code: Code, text: str) -> SubmissionAnswer:
--- a/src/bramleyrouter/wire/kinds.py
+++ b/src/bramleyrouter/wire/kinds.py
@@ -27,6 +27,7 @@
     READ_CONFIG = 53
     CHANGE_MEMBERS = 54
     CONTROL_STATUS = 55
+    SHOW_ROLLOUT = 56
 
     # Dissemination and membership.
     SUBSCRIBE = 70
@@ -36,4 +37,3 @@
     TABLE_DIGEST = 74
     LEAVE = 75
     ROLLOUT = 76
-    ROLLOUT_SUMMARY = 77
--- a/tests/commands/test_bramleyctl.py
+++ b/tests/commands/test_bramleyctl.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import socket
+from pathlib import Path
 
 import pytest
 
@@ -14,6 +15,8 @@
 from tests.control.direct_access import DirectControl
 from tests.edges.operators.test_operator_routes import MANIFEST, TOKEN
 
+PAGE = Path(__file__).parents[2] / "docs" / "reference" / "bramleyctl.md"
+
 
 def free_address():
     with socket.socket() as sock:
@@ -80,9 +83,10 @@
         assert codes == [Exit.UNAUTHORIZED] * 3
 
     def test_help_and_page_list_every_exit_code(self):
-        text = build_parser().format_help()
+        text, page = build_parser().format_help(), PAGE.read_text()
         for code, meaning in MEANINGS.items():
             assert f"  {int(code)}  {meaning}" in text
+            assert f"| {int(code)} | {meaning} |" in page
 
     @pytest.mark.parametrize(
         "arguments",
@@ -91,7 +95,7 @@
             ["out", "--data-centre", "dc1", "--server", "s1"],
             ["status", "--url", "ftp://x"],
             ["status", "--url", "http://127.0.0.1:1", "--token-file", "/no/such"],
-            ["control", "add", "m1"],
+            ["control", "add"],
         ],
     )
     def test_unusable_arguments_are_usage_errors(self, arguments):
@@ -147,16 +151,19 @@
     """Guard against a wait that ends too early or an unseen lack of a leader."""
 
     def test_wait_ends_with_the_rollout(self, token_file, capsys):
-        control = DirectControl(behind=[("e1", "e2"), ("e2",)])
-        assert run(control, token_file, ["status", "--wait"]) == [0]
+        control = DirectControl(behind=[[("e1", 0), ("e2", 0)], [("e2", 0)]])
+        commands = [["out", "--data-centre", "dc1"], ["status", "--wait"]]
+        assert run(control, token_file, *commands) == [0, 0]
         assert "confirmed by all 3 daemons" in capsys.readouterr().out
         assert control.behind == []
 
     def test_wait_that_is_over_names_the_daemons_behind(self, token_file, capsys):
-        control = DirectControl(behind=[("e2",)] * 100)
+        control = DirectControl(behind=[[("e2", 3)]] * 100, silent=("e3",))
         command = ["status", "--wait", "--revision", "4"]
         assert run(control, token_file, command, timeout="0.3") == [Exit.NOT_IN_TIME]
-        assert "by 1 of 3: e2" in capsys.readouterr().out
+        seen = capsys.readouterr().out
+        assert "behind: e2 at revision 3" in seen
+        assert "no acknowledgement from 1: e3" in seen
 
 
 class TestControl:
@@ -164,18 +171,18 @@
 
     def test_replacement_adds_before_it_removes(self, token_file, capsys):
         control = DirectControl()
-        replace = ["control", "replace", "m1", "m2", "127.0.0.1:7300"]
+        replace = ["control", "replace", "m1", "127.0.0.1:7300"]
         assert run(control, token_file, replace, ["control", "status"]) == [0, 0]
         assert control.members == {"m2": "127.0.0.1:7300"}
         lines = capsys.readouterr().out.splitlines()
         assert lines[:2] == [
-            '"m2" at 127.0.0.1:7300 is a member',
+            "the control daemon at 127.0.0.1:7300 is a member",
             '"m1" is no member any more',
         ]
         assert 'member "m2" at 127.0.0.1:7300: voter' in lines
 
     def test_lost_member_stays_when_the_new_one_is_refused(self, token_file):
         control = DirectControl(refusals=[Code.MEMBERSHIP_CHANGE_PENDING])
-        replace = ["control", "replace", "m1", "m2", "127.0.0.1:7300"]
+        replace = ["control", "replace", "m1", "127.0.0.1:7300"]
         assert run(control, token_file, replace) == [Exit.CONFLICT]
         assert control.members == {"m1": "127.0.0.1:7100"}
