Tested that a late loop suspects nobody

The test fails on a copy without the rule. That signs of life reach all of a data centre of 25 could not be made to fail in memory; it was seen only with 75 daemons on one core, so it has no test.

--- a/tests/membership/test_failure_detection.py
+++ b/tests/membership/test_failure_detection.py
@@ -97,6 +97,25 @@
 
         run_cluster(scenario)
 
+    def test_late_loop_suspects_nobody(self):
+        """Guards against an overloaded VM that takes its peers for dead.
+
+        Jumps of the loop's clock stand for a process that could not run.
+        """
+
+        async def scenario(cluster):
+            states = DaemonState.SUSPECT, DaemonState.DEAD
+            seen = watch_for(cluster, "e0dc1", *states)
+            loop = asyncio.get_running_loop()
+            cluster.fabric.delay_s = 0.05
+            for _ in range(100):
+                # Less than a trip, so that requests are under way.
+                await asyncio.sleep(0.03)
+                loop.virtual_now += 0.83
+            assert not seen
+
+        run_cluster(scenario)
+
     def test_planned_stop_is_known_at_once(self):
         """Guards against callers' requests to a daemon that said goodbye."""
 
