--- /dev/null
+++ b/tests/support/whole_system.py
@@ -0,0 +1,553 @@
+"""Whole daemons, backend servers, callers and operators on virtual time.
+
+What callers, operators and servers see is recorded; ``find_faults`` gives the
+records to the checkers of ``bramleyrouter.histories``.
+"""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+import msgspec
+from result import Err, Ok
+
+from bramleyrouter.board import Board
+from bramleyrouter.board.sections import Manifest, ServiceHolding, ServiceSpec
+from bramleyrouter.codes import Code
+from bramleyrouter.consensus.interfaces import Member
+from bramleyrouter.consensus.replicated_log import build_replicated_log
+from bramleyrouter.control.client import build_control_admin, build_control_client
+from bramleyrouter.control.machine import build_machine
+from bramleyrouter.control.messages import Publish, SetAvailability
+from bramleyrouter.control.rollouts import serve_rollout
+from bramleyrouter.control.service import build_control
+from bramleyrouter.dissemination.build import build_dissemination
+from bramleyrouter.failures import Failure
+from bramleyrouter.histories import configurations as conf
+from bramleyrouter.histories import requests as reqs
+from bramleyrouter.histories.linearizations import Operation
+from bramleyrouter.homes.build import build_homes
+from bramleyrouter.membership.build import build_membership
+from bramleyrouter.routing.messages import Query, ServiceTarget, Submission
+from bramleyrouter.routing.router import build_router
+from bramleyrouter.standins.announcers import AnnouncerState, run_announcer
+from bramleyrouter.states import CoverageMode, Outcome, ServerState
+from tests.control.builders import NOW_MS
+from tests.support.identities import make_identity
+from tests.support.memory_disk import MemoryDisk
+from tests.support.memory_network import MemoryFabric
+from tests.support.recording_servers import SERVICE, RecordingServer, make_transport
+from tests.support.routing_fakes import make_settings
+
+CENTRES = ("dc1", "dc2", "dc3")
+SHARDS = ("a", "b", "c")
+# Times of the guarantees: no new work after a closure, and a configuration in
+# force everywhere, in seconds.
+CLOSURE_GRACE_S = 3.0
+IN_FORCE_S = 4.0
+POST_TIMEOUT_S = 0.5
+
+
+@dataclass
+class Process:
+    """Hold one run of a daemon; ``ended`` is set when it is killed or stopped."""
+
+    identity: object
+    board: Board
+    ended: asyncio.Event = field(default_factory=asyncio.Event)
+    parts: dict = field(default_factory=dict)
+
+    @property
+    def is_serving(self):
+        return not self.ended.is_set() and self.board.readiness.is_ready
+
+
+@dataclass
+class System:
+    """Hold the daemons by name, the servers, and what was recorded.
+
+    ``isolated`` names daemons that reach nobody; ``cut_centres`` data centres
+    that reach only themselves.
+    """
+
+    seed: int
+    fabric: MemoryFabric
+    identities: dict = field(default_factory=dict)
+    disks: dict = field(default_factory=dict)
+    running: dict[str, Process] = field(default_factory=dict)
+    servers: dict[str, RecordingServer] = field(default_factory=dict)
+    isolated: set = field(default_factory=set)
+    cut_centres: set = field(default_factory=set)
+    starts: int = 0
+    queries: list = field(default_factory=list)
+    refusals: list = field(default_factory=list)
+    lost_callers: int = 0
+    submissions: list = field(default_factory=list)
+    seen: list = field(default_factory=list)
+    history: list = field(default_factory=list)
+    closures: list = field(default_factory=list)
+    accepted: list = field(default_factory=list)
+    late: list = field(default_factory=list)
+    is_loading: bool = True
+    healed_at: float = 0.0
+
+    @property
+    def control(self):
+        """Return the addresses of the control daemons."""
+        return tuple(self.identities[f"c{n}"].internal_address for n in range(3))
+
+    def rng(self, name):
+        """Return a generator that depends on the seed and ``name`` alone."""
+        return random.Random(f"{self.seed}-{name}-{self.starts}")
+
+    def entries(self):
+        """Return the entry daemons that serve callers."""
+        return [p for n, p in self.running.items() if n[0] == "e" and p.is_serving]
+
+
+def make_system(seed=1):
+    """Return a system of two entry daemons per data centre, not yet started."""
+    system = System(seed, MemoryFabric(rng=random.Random(seed)))
+    names = [(f"c{n}", CENTRES[n]) for n in range(3)]
+    names += [(f"e{n}", CENTRES[n // 2]) for n in range(6)]
+    for number, (name, centre) in enumerate(names):
+        system.identities[name] = make_identity(name, centre, 7000 + 10 * number)
+        system.disks[name] = MemoryDisk()
+    return system
+
+
+def _network_of(system, process):
+    """Return a network that ends with its process, whatever runs on in it."""
+    network = system.fabric.build_network(process.identity)
+    gone = Err(Failure(Code.PEER_UNREACHABLE, "This process has ended."))
+
+    async def call(*args):
+        return gone if process.ended.is_set() else await network.call(*args)
+
+    def send(*args):
+        return None if process.ended.is_set() else network.send(*args)
+
+    def stream(*args):
+        if not process.ended.is_set():
+            return network.stream(*args)
+        asyncio.get_running_loop().call_soon(args[4], gone)
+        return lambda: None
+
+    return network._replace(call=call, send=send, stream=stream)
+
+
+def start(system, name):
+    """Start a daemon, or start it again with a larger incarnation."""
+    system.starts += 1
+    base = system.identities[name]
+    identity = msgspec.structs.replace(base, incarnation=system.starts)
+    process = Process(identity, Board(identity))
+    network, rng = _network_of(system, process), system.rng(name)
+    clock = asyncio.get_running_loop().time
+    parts, board = process.parts, process.board
+    source = None
+    if name[0] == "c":
+        source = _build_control(system, name, process, network, rng)
+    membership = build_membership(
+        board, network, system.control, rng, clock, is_control=name[0] == "c"
+    )
+    dissemination = build_dissemination(
+        board, network, system.control, rng, clock, membership.relays, source
+    )
+    parts.update(membership=membership, dissemination=dissemination)
+    if name[0] == "c":
+        serve_rollout(network, parts["log"].status, dissemination.rollout)
+    else:
+        _build_entry(system, process, network, membership, rng)
+    membership.start()
+    dissemination.start()
+    board.readiness.reasons.discard("starting")
+    system.running[name] = process
+    return process
+
+
+def _build_control(system, name, process, network, rng):
+    loop, machine = asyncio.get_running_loop(), build_machine()
+    log = build_replicated_log(
+        process.identity,
+        system.control,
+        network,
+        rng,
+        machine.for_log,
+        system.disks[name].open(),
+        wall_clock=lambda: NOW_MS / 1000 + loop.time(),
+    ).unwrap()
+    control = build_control(network, log, machine, loop.time)
+    process.parts.update(log=log, control=control)
+    return control.source
+
+
+def _build_entry(system, process, network, membership, rng):
+    board, clock = process.board, asyncio.get_running_loop().time
+    transport = make_transport(
+        system.servers, lambda server: _reaches(system, process, server)
+    )
+    homes = build_homes(
+        board, network, transport, membership.publish_rows, rng, clock=clock
+    )
+    client = build_control_client(network, system.control, clock, rng)
+    cfg = make_settings(
+        daemon_id=process.identity.daemon_id, data_centre=process.identity.data_centre
+    )
+    router = build_router(board, homes.client, client, cfg, clock, rng)
+    process.parts.update(homes=homes, router=router)
+
+
+def _reaches(system, process, server):
+    if process.ended.is_set() or process.identity.daemon_id in system.isolated:
+        return False
+    centres = {process.identity.data_centre, server.announcer.data_centre}
+    return len(centres) == 1 or not centres & system.cut_centres
+
+
+async def kill(system, name):
+    """End a daemon as kill -9 or a power cut does."""
+    process = system.running.pop(name)
+    process.ended.set()
+    system.fabric.kill(process.identity.internal_address)
+    for part in ("membership", "dissemination"):
+        process.parts[part].stop()
+    if "homes" in process.parts:
+        process.parts["homes"].close()
+    if "log" in process.parts:
+        system.disks[name].crash()
+        await process.parts["control"].close()
+        await process.parts["log"].close()
+
+
+async def stop(system, name):
+    """Stop an entry daemon as SIGTERM does (``daemons.lifecycles``)."""
+    process = system.running[name]
+    process.board.readiness.reasons.add("stopping")
+    await asyncio.sleep(1.0)
+    process.parts["membership"].announce_leaving()
+    await process.parts["router"].drain()
+    await process.parts["homes"].hand_over()
+    await process.parts["membership"].leave()
+    await kill(system, name)
+
+
+def isolate(system, name):
+    """Cut a daemon off from daemons and servers; frames vanish silently."""
+    own = system.identities[name].internal_address
+    others = [one.internal_address for one in system.identities.values()]
+    system.fabric.cut_groups([own], [one for one in others if one != own])
+    system.isolated.add(name)
+
+
+def cut_centre(system, centre):
+    """Cut a data centre off from all others."""
+    inside, outside = [], []
+    for one in system.identities.values():
+        group = inside if one.data_centre == centre else outside
+        group.append(one.internal_address)
+    system.fabric.cut_groups(inside, outside)
+    system.cut_centres.add(centre)
+
+
+def heal(system):
+    """End all cuts."""
+    system.fabric.heal()
+    system.healed_at = asyncio.get_running_loop().time()
+    system.isolated.clear()
+    system.cut_centres.clear()
+
+
+def leader(system):
+    """Return the name of the control daemon that leads with a valid lease."""
+    for name, process in system.running.items():
+        log = process.parts.get("log")
+        if log and log.status().is_leader and log.is_current():
+            return name
+    return None
+
+
+def add_server(system, name, centre, shard, versions=("v1",), **changes):
+    """Start a server that announces itself to any daemon that it reaches."""
+    old = system.servers.get(name)
+    daemons = [i.http_address for n, i in system.identities.items() if n[0] == "e"]
+    holding = ServiceHolding(SERVICE, {shard: tuple(versions)})
+    incarnation = old.announcer.incarnation + 1 if old else 1
+    state = AnnouncerState(
+        name, incarnation, centre, "127.0.0.1:9", daemons, 3, 25, (holding,)
+    )
+    server = RecordingServer(state, system.rng(name), **changes)
+    if old:
+        server.dispatches, server.runs = old.dispatches, old.runs
+        server.samples = old.samples
+    system.servers[name] = server
+
+    async def post(address, announcement):
+        for process in list(system.running.values()):
+            if process.identity.http_address == address:
+                return await _announce(system, process, server, announcement)
+        await asyncio.sleep(0.002)
+        return None
+
+    announcing = run_announcer(state, post, server.rng)
+    server.task = asyncio.get_running_loop().create_task(announcing)
+    return server
+
+
+async def _announce(system, process, server, announcement):
+    if not _reaches(system, process, server):
+        await asyncio.sleep(POST_TIMEOUT_S)
+        return None
+    await asyncio.sleep(0.001)
+    reply = await process.parts["homes"].announce(announcement)
+    await asyncio.sleep(0.001)
+    if not _reaches(system, process, server):
+        return None
+    return reply.ok_value if isinstance(reply, Ok) else reply.err_value.code
+
+
+async def start_system(system, versions=("v1",), settle_s=2.5):
+    """Start all daemons and servers, publish a manifest, and let them warm up.
+
+    Each shard has two replicas in different data centres.
+    """
+    for name in system.identities:
+        start(system, name)
+    system.observer = asyncio.get_running_loop().create_task(_observe(system))
+    await asyncio.sleep(1.5)
+    await publish(system, "first", 1, versions)
+    for number, shard in enumerate(SHARDS):
+        for replica in range(2):
+            centre = CENTRES[(number + replica) % 3]
+            add_server(system, f"{shard}{replica}", centre, shard, versions)
+    await asyncio.sleep(settle_s)
+
+
+async def _observe(system):
+    """Note every 100 ms which revision serving daemons have in force."""
+    now = asyncio.get_running_loop().time
+    while True:
+        for name, process in system.running.items():
+            if process.is_serving:
+                revision = process.board.config.revision
+                system.seen.append(conf.Observation(name, now(), revision))
+        for at, revision in system.accepted:
+            due = max(at, system.healed_at) + IN_FORCE_S
+            if now() > due and not system.isolated | system.cut_centres:
+                system.late += [
+                    f"{name} has no revision {revision} {IN_FORCE_S} s after it."
+                    for name, process in system.running.items()
+                    if process.is_serving and process.board.config.revision < revision
+                ]
+        await asyncio.sleep(0.1)
+
+
+def operators_network(system, build=build_control_client, name="operator"):
+    """Return a client of control that runs beside the daemons."""
+    port = 9900 + sum(name.encode()) % 90
+    network = system.fabric.build_network(make_identity(name, port=port))
+    clock = asyncio.get_running_loop().time
+    return build(network, system.control, clock, random.Random(name))
+
+
+async def operate(system, operation, request, timeout_s=5.0):
+    """Send an operator's change and record what its sender saw."""
+    loop = asyncio.get_running_loop()
+    name = f"op-{len(system.history)}"
+    client, called_at = operators_network(system, name=name), loop.time()
+    answered = await client.operate(operation, timeout_s)
+    if isinstance(answered, Err):
+        system.history.append(Operation(name, request, called_at))
+        return answered
+    result = answered.ok_value
+    if result.failure is None:
+        shown = conf.Accepted(result.revision)
+        if not any(revision == result.revision for _, revision in system.accepted):
+            system.accepted.append((loop.time(), result.revision))
+    else:
+        shown = conf.Conflict(result.failure.text.split('"')[5])
+    system.history.append(Operation(name, request, called_at, loop.time(), shown))
+    return answered
+
+
+async def publish(system, request_id, generation, versions=("v1",), **limits):
+    """Publish a manifest whose answers may be of ``versions``."""
+    spec = ServiceSpec(SERVICE, SHARDS, tuple(versions))
+    manifest = Manifest(generation, (spec,))
+    operation = Publish(request_id, "op", manifest)
+    request = conf.PublishOp(request_id, generation, "")
+    return await operate(system, operation, request, **limits)
+
+
+async def set_out(system, request_id, is_out, centre=None, server=None, **limits):
+    """Take a data centre or a server out, or back in; record the closure."""
+    operation = SetAvailability(request_id, "op", is_out, centre, server)
+    request = conf.AvailabilityOp(request_id, centre or server, is_out)
+    now = asyncio.get_running_loop().time
+    names = [
+        one.name
+        for one in system.servers.values()
+        if server in (None, one.name) and centre in (None, one.announcer.data_centre)
+    ]
+    if not is_out:
+        system.closures = [
+            one._replace(until_s=min(one.until_s, now())) if one[0] in names else one
+            for one in system.closures
+        ]
+    answered = await operate(system, operation, request, **limits)
+    if is_out and answered.is_ok():
+        close(system, *names)
+    return answered
+
+
+def close(system, *names):
+    """Record that servers are to get no new work from now on."""
+    now = asyncio.get_running_loop().time()
+    system.closures += [reqs.Closure(one, now, float("inf")) for one in names]
+
+
+def drain_server(system, name):
+    """Let a server announce that it drains."""
+    server = system.servers[name]
+    server.announcer.server_state = ServerState.DRAINING
+    server.announcer.wake.set()
+    close(system, name)
+
+
+async def replace_member(system, name):
+    """Lose a control daemon's disk, and repair its membership of the log."""
+    admin = operators_network(system, build_control_admin, "admin")
+    old = system.running[name].parts["log"].status().member_id
+    await kill(system, name)
+    system.disks[name] = MemoryDisk()
+    start(system, name)
+    address = system.identities[name].internal_address
+    added = await admin.add_member(Member("", address), 10.0)
+    return added, await admin.remove_member(old, 10.0)
+
+
+async def _await_unless_ended(system, process, coroutine):
+    """Return a daemon's answer, or None when its process ends before."""
+    task = asyncio.ensure_future(coroutine)
+    ended = asyncio.ensure_future(process.ended.wait())
+    await asyncio.wait({task, ended}, return_when=asyncio.FIRST_COMPLETED)
+    ended.cancel()
+    if task.done():
+        return task.result()
+    task.cancel()
+    system.lost_callers += 1
+    return None
+
+
+def _versions_of(process):
+    spec = process.board.config.services.get(SERVICE)
+    return frozenset(spec.versions if spec else ())
+
+
+async def query(system, process, nonce, deadline_s=1.0, mode=CoverageMode.BEST):
+    """Send one query and record the answer as its caller sees it."""
+    now, permitted = asyncio.get_running_loop().time, _versions_of(process)
+    body = msgspec.json.encode({"nonce": nonce})
+    target = (ServiceTarget(SERVICE),)
+    sent = Query(nonce, "t", "default", now() + deadline_s, target, mode, body)
+    answered = await _await_unless_ended(
+        system, process, process.parts["router"].query(sent)
+    )
+    requested = frozenset((SERVICE, shard) for shard in SHARDS)
+    permitted |= _versions_of(process)
+    record = reqs.QueryRecord(nonce, requested, permitted, False)
+    if isinstance(answered, Err):
+        system.refusals.append((now(), answered.err_value.code))
+    elif answered is not None:
+        answer, results = answered.ok_value, {}
+        for key, raw in answer.results.items():
+            one = msgspec.json.decode(raw)
+            shown = (SERVICE, one["shard"])
+            found = reqs.ShardResult(one["version"], one["nonce"], shown)
+            results[(key.service, key.shard)] = found
+        record = record._replace(
+            answered=True,
+            version=answer.version,
+            included=frozenset((one.service, one.shard) for one in answer.included),
+            missing=frozenset((one.service, one.shard) for one in answer.missing),
+            results=results,
+        )
+    system.queries.append((now(), record))
+    return record
+
+
+async def submit(system, identity, process, is_resend=False, deadline_s=1.0):
+    """Send a submission once and record the outcome that its caller sees."""
+    now = asyncio.get_running_loop().time
+    shard = SHARDS[sum(identity.encode()) % len(SHARDS)]
+    body = msgspec.json.encode({"identity": identity})
+    deadline = now() + deadline_s
+    sent = Submission(
+        identity, "t", "default", deadline, SERVICE, shard, body, is_resend
+    )
+    answered = await _await_unless_ended(
+        system, process, process.parts["router"].submit(sent)
+    )
+    record = reqs.SubmissionRecord(identity, "")
+    if answered is not None:
+        outcome = answered.outcome.value
+        record = reqs.SubmissionRecord(identity, outcome, answered.answer.decode())
+    system.submissions.append(record)
+    return record
+
+
+async def run_callers(system, rate=8.0, submission_share=0.25):
+    """Send queries and submissions at random times; resend what is not done.
+
+    Ends once ``is_loading`` is false and all answers have come.
+    """
+    loop, rng, tasks = asyncio.get_running_loop(), system.rng("callers"), []
+    number = 0
+
+    async def send_submission(identity):
+        for sending in range(3):
+            ready = system.entries()
+            if ready:
+                process = rng.choice(ready)
+                record = await submit(system, identity, process, sending > 0)
+                if record.outcome == Outcome.DONE.value:
+                    return
+            await asyncio.sleep(rng.uniform(0.01, 0.8))
+
+    while system.is_loading:
+        await asyncio.sleep(rng.expovariate(rate))
+        ready, number = system.entries(), number + 1
+        nonce = f"{NOW_MS + int(loop.time() * 1000)}-{number}"
+        if rng.random() < submission_share:
+            tasks.append(loop.create_task(send_submission(nonce)))
+        elif ready:
+            tasks.append(loop.create_task(query(system, rng.choice(ready), nonce)))
+    if tasks:
+        await asyncio.wait(tasks)
+    for task in tasks:
+        task.result()
+
+
+def coverage_since(system, at_s):
+    """Return the share of shards in all answers, refusals counted as none."""
+    shares = [
+        len(one.included) / len(one.requested)
+        for ended_at, one in system.queries
+        if ended_at >= at_s
+    ]
+    return sum(shares) / len(shares) if shares else 0.0
+
+
+def find_faults(system):
+    """Return what the checkers found against the guarantees."""
+    servers = system.servers.values()
+    runs = [run for server in servers for run in server.runs]
+    work = [one for server in servers for one in server.dispatches]
+    samples = [one for server in servers for one in server.samples]
+    found = [reqs.check_query(record) for _, record in system.queries]
+    found.append(reqs.check_submissions(system.submissions, runs))
+    found.append(reqs.check_limits(samples))
+    found.append(reqs.check_closures(work, system.closures, CLOSURE_GRACE_S))
+    found.append(conf.check_growth(system.seen))
+    found.append(conf.check_configuration(system.history))
+    return [one for one in found if one] + system.late[:3]
