Judged each raise of the cold-start ramp by its first latencies

Cause: in the experiment 'cold' the limit was raised after 8 successes; a server that needs 50 for a second request was overloaded until its moving average showed it, which cost it more warmth than it had gained, over and over. Ruled out: probes as extra load (they take no slot of the stand-in's warmth).

--- a/src/bramleyrouter/homes/ramps.py
+++ b/src/bramleyrouter/homes/ramps.py
@@ -31,6 +31,14 @@
 # Latencies below this, in seconds, are never taken for a sign of cold: at
 # this scale the network and the event loop dominate.
 NOISE_FLOOR_S = 0.005
+# After a raise, so many samples are a trial of the new limit; so many of them
+# above the cold factor take the raise back.
+TRIAL_SAMPLES = 8
+TRIAL_SLOW = 2
+# Each raise that failed doubles the successes needed for the next one, up to
+# this factor. A server that warms up slowly would otherwise be overloaded by
+# each raise and lose more warmth than it gained between two of them.
+MAX_PATIENCE = 32
 # Refusals or errors in a row that mean cold.
 FAILURES_TO_CUT = 3
 # A cut is followed by no other for this time, in seconds: what is still in
@@ -53,6 +61,9 @@
     samples: int = 0
     fast_s: float = 0.0
     baseline_s: float = 0.0
+    patience: int = 1
+    trial_left: int = 0
+    trial_slow: int = 0
     last_step_at: float = float("-inf")
     last_cut_at: float = float("-inf")
     cuts: int = 0
@@ -69,6 +80,8 @@
     ramp.successes = 0
     ramp.failures_in_row = 0
     ramp.fast_s = 0.0
+    ramp.patience = 1
+    ramp.trial_left = 0
     ramp.last_step_at = now
 
 
@@ -79,14 +92,42 @@
         return True
     if ramp.limit < ramp.slots and not _is_above(ramp, HEALTHY_FACTOR):
         ramp.successes += 1
-        enough = ramp.successes >= SUCCESSES_PER_STEP * ramp.limit
-        if enough and now - ramp.last_step_at >= MIN_STEP_S:
-            ramp.limit += 1
-            ramp.successes = 0
-            ramp.last_step_at = now
+        needed = SUCCESSES_PER_STEP * ramp.limit * ramp.patience
+        # Without a baseline from one request in flight, the latency of an
+        # overloaded server would pass for its usual one.
+        has_baseline = ramp.samples >= BASELINE_SAMPLES
+        is_time = now - ramp.last_step_at >= MIN_STEP_S
+        if has_baseline and is_time and ramp.successes >= needed:
+            _raise(ramp, now)
     return False
 
 
+def _raise(ramp: Ramp, now: float) -> None:
+    ramp.limit += 1
+    ramp.patience = (
+        max(1, ramp.patience // 2) if ramp.limit == ramp.slots else ramp.patience
+    )
+    ramp.successes = 0
+    ramp.trial_left = TRIAL_SAMPLES
+    ramp.trial_slow = 0
+    ramp.last_step_at = now
+
+
+def _note_trial(ramp: Ramp, latency_s: float, now: float) -> None:
+    """Judge the last raise by the first latencies that follow it."""
+    ramp.trial_left -= 1
+    if latency_s > max(NOISE_FLOOR_S, COLD_FACTOR * ramp.baseline_s):
+        ramp.trial_slow += 1
+    if ramp.trial_slow < TRIAL_SLOW:
+        return
+    ramp.trial_left = 0
+    ramp.limit = max(1, ramp.limit - 1)
+    ramp.successes = 0
+    ramp.fast_s = 0.0
+    ramp.patience = min(2 * ramp.patience, MAX_PATIENCE)
+    ramp.last_step_at = now
+
+
 def note_cancelled(ramp: Ramp, elapsed_s: float, now: float) -> bool:
     """Take an attempt that was cancelled after ``elapsed_s``.
 
@@ -100,6 +141,8 @@
 
 def _note_latency(ramp: Ramp, latency_s: float, now: float) -> bool:
     ramp.samples += 1
+    if ramp.trial_left and ramp.samples >= BASELINE_SAMPLES:
+        _note_trial(ramp, latency_s, now)
     if not ramp.baseline_s:
         ramp.baseline_s = latency_s
     if ramp.fast_s:
@@ -133,7 +176,10 @@
     if now - ramp.last_cut_at < CUT_PAUSE_S:
         return False
     was_above_one = ramp.limit > 1
+    if was_above_one:
+        ramp.patience = min(2 * ramp.patience, MAX_PATIENCE)
     ramp.limit = 1
+    ramp.trial_left = 0
     ramp.fast_s = 0.0
     ramp.last_cut_at = ramp.last_step_at = now
     ramp.failures_in_row = 0
--- a/src/bramleyrouter/measure/experiments.py
+++ b/src/bramleyrouter/measure/experiments.py
@@ -25,6 +25,8 @@
 # Time to let the cold-start ramps of all servers end before a measurement.
 WARM_UP_S = 6.0
 
+# Load that warms all stand-ins up before some of them restart cold.
+COLD_WARM_UP_S = 20.0
 # The servers take long against what this machine's processors spend on a
 # request, so that the figures show the decisions.
 TERRE_SURE = Size("terre-sure", 50, 2, 25, 0.030, 0.010)
@@ -201,6 +203,7 @@
     """Measure while one server of each service restarts cold under load."""
     found: Figures = {}
     cold = tuple(f"{name}-1" for name in deployment.services)
+    await run_load(deployment, deployment.entries, rate, COLD_WARM_UP_S, seed=29)
     for name, addresses in (
         ("bramleyrouter", deployment.entries),
         ("baseline", deployment.baselines),
--- a/tests/homes/test_ramps.py
+++ b/tests/homes/test_ramps.py
@@ -11,6 +11,7 @@
     note_hint,
     note_success,
 )
+from bramleyrouter.standins.behaviours import Warmth
 
 
 def feed(ramp, latency_s, count, now, step_s=0.02):
@@ -42,6 +43,26 @@
         feed(ramp, 0.01, 100, now)
         assert (ramp.limit, ramp.cuts) == (4, 1)
 
+    def run_against_warmth(self, slots, warm_after, requests):
+        """Keep the limit's number in flight at a server that warms up slowly.
+
+        Return the ramp, the warmth and how many requests overloaded it.
+        """
+        ramp, warmth, now, overloads = Ramp(slots), Warmth(warm_after), 0.0, 0
+        for _ in range(requests // slots):
+            in_flight = ramp.limit
+            for _ in range(in_flight):
+                factor = warmth.factor(in_flight, slots)
+                overloads += factor > 1
+                note_success(ramp, 0.025 * factor, now)
+            now += 0.025
+        return ramp, warmth, overloads
+
+    def test_slow_warming_server_is_not_overloaded_again_and_again(self):
+        ramp, warmth, overloads = self.run_against_warmth(3, 200, 3000)
+        assert (ramp.limit, warmth.share) == (3, 1.0)
+        assert overloads <= 30
+
     def test_one_percent_stragglers_at_ten_times_cut_nothing(self):
         ramp, rng = Ramp(4), random.Random(5)
         now = 0.0
