--- a/features/steps/outcomes.py
+++ b/features/steps/outcomes.py
@@ -129,7 +129,7 @@
 def check_resent(context):
     last = context.system.submissions[-1]
     process = context.system.entries()[-1]
-    sent = ws.submit(context.system, context.identity, process, is_resend=True)
+    sent = ws.submit(context.system, context.identity, process)
     assert context.run(sent) == last
 
 
--- a/tests/support/routing_fakes.py
+++ b/tests/support/routing_fakes.py
@@ -5,6 +5,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
+import msgspec
 from msgspec.structs import replace
 from result import Err, Ok
 
@@ -34,7 +35,8 @@
 
 def make_settings(**changes) -> Settings:
     """Return settings with defaults for all that routing reads."""
-    return Settings("entry-1", "dc1", "a:1", "a:2", "", "", ("a:3",), **changes)
+    cfg = Settings("entry-1", "dc1", "a:1", "a:2", "", "", ("a:3",))
+    return msgspec.structs.replace(cfg, **changes)
 
 
 def make_record(
--- a/tests/support/whole_system.py
+++ b/tests/support/whole_system.py
@@ -476,15 +476,13 @@
     return record
 
 
-async def submit(system, identity, process, is_resend=False, deadline_s=1.0):
+async def submit(system, identity, process, deadline_s=1.0):
     """Send a submission once and record the outcome that its caller sees."""
     now = asyncio.get_running_loop().time
     shard = SHARDS[sum(identity.encode()) % len(SHARDS)]
     body = msgspec.json.encode({"identity": identity})
     deadline = now() + deadline_s
-    sent = Submission(
-        identity, "t", "default", deadline, SERVICE, shard, body, is_resend
-    )
+    sent = Submission(identity, "t", "default", deadline, SERVICE, shard, body)
     answered = await _await_unless_ended(
         system, process, process.parts["router"].submit(sent)
     )
@@ -505,11 +503,11 @@
     number = 0
 
     async def send_submission(identity):
-        for sending in range(3):
+        for _ in range(3):
             ready = system.entries()
             if ready:
                 process = rng.choice(ready)
-                record = await submit(system, identity, process, sending > 0)
+                record = await submit(system, identity, process)
                 if record.outcome == Outcome.DONE.value:
                     return
             await asyncio.sleep(rng.uniform(0.01, 0.8))
