--- a/tests/consensus/test_core.py
+++ b/tests/consensus/test_core.py
@@ -6,7 +6,7 @@
 from collections import Counter
 from unittest import mock
 
-from hypothesis import HealthCheck, given, settings
+from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
 from bramleyrouter.consensus import core
@@ -85,15 +85,16 @@
         deadline=None,
         database=None,
         suppress_health_check=list(HealthCheck),
+        # Shrinking so long a schedule takes minutes; the same one comes again.
+        phases=[Phase.generate],
     )
-    @given(st.binary(max_size=1500))
-    def test_any_schedule(self, schedule):
+    @given(st.binary(min_size=4000, max_size=6000))
+    def check_schedules(self, schedule):
         run_schedule(schedule)
 
-    def test_long_schedules(self):
+    def test_any_schedule(self):
         totals.clear()
-        for seed in range(120):
-            run_schedule(random.Random(seed).randbytes(6000))
+        self.check_schedules()
         # The schedules must reach what they are meant to test.
         for what in ("installed", "crashed", "compacted", "changed", "lost"):
             assert totals[what] >= 10, totals
