Let scenarios fail when their observer ends, and count all cold overloads

An error in the observer would have passed unseen, and a second restart of a server dropped what its first run had counted.

--- a/tests/support/whole_system.py
+++ b/tests/support/whole_system.py
@@ -90,6 +90,7 @@
     late: list = field(default_factory=list)
     is_loading: bool = True
     healed_at: float = 0.0
+    observer: asyncio.Task | None = None
 
     @property
     def control(self):
@@ -279,7 +280,7 @@
     server = RecordingServer(state, system.rng(name), **changes)
     if old:
         server.dispatches, server.runs = old.dispatches, old.runs
-        server.samples = old.samples
+        server.samples, server.cold_overloads = old.samples, old.cold_overloads
     system.servers[name] = server
 
     async def post(address, announcement):
@@ -550,4 +551,5 @@
     found.append(reqs.check_closures(work, system.closures, CLOSURE_GRACE_S))
     found.append(conf.check_growth(system.seen))
     found.append(conf.check_configuration(system.history))
+    found.append("The observer has ended." if system.observer.done() else None)
     return [one for one in found if one] + system.late[:3]
