--- a/features/guarantees/not_run.feature
+++ b/features/guarantees/not_run.feature
@@ -15,8 +15,8 @@
     And callers who send queries and submissions
     When the majority of control daemons is killed
     And 2 seconds pass
-    Then a submission is told "not_run"
-    And submissions were told "not_run"
+    Then a submission is told "unknown"
+    And submissions were told "unknown"
     And no guarantee is broken
 
   Scenario: Servers crash and start again while submissions run
--- a/features/steps/faults.py
+++ b/features/steps/faults.py
@@ -14,9 +14,22 @@
     return process.board.servers.records[server].home
 
 
+# A leader is elected within about a second (design, section 9); a start of the
+# member killed before may fall into it.
+ELECTION_BOUND_S = 2.0
+
+
+async def await_leader(system):
+    """Return the leader; fail when none is elected within the bound."""
+    async with asyncio.timeout(ELECTION_BOUND_S):
+        while ws.leader(system) is None:
+            await asyncio.sleep(0.05)
+    return ws.leader(system)
+
+
 @when("the control leader is killed")
 def kill_leader(context):
-    context.down = context.call(ws.leader, context.system)
+    context.down = context.run(await_leader(context.system))
     context.run(ws.kill(context.system, context.down))
 
 
@@ -29,7 +42,7 @@
 
 @when("the control leader is cut off silently")
 def isolate_leader(context):
-    ws.isolate(context.system, context.call(ws.leader, context.system))
+    ws.isolate(context.system, context.run(await_leader(context.system)))
 
 
 @when("a control daemon that does not lead is cut off silently")
--- a/tests/support/whole_system.py
+++ b/tests/support/whole_system.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import random
 from dataclasses import dataclass, field
 
@@ -177,6 +178,8 @@
         machine.for_log,
         system.disks[name].open(),
         wall_clock=lambda: NOW_MS / 1000 + loop.time(),
+        # Random ids would make each run another one.
+        new_id=functools.partial("{:016x}".format, rng.getrandbits(64)),
     ).unwrap()
     control = build_control(network, log, machine, loop.time)
     process.parts.update(log=log, control=control)
