Counted cancelled requests as extra load in the measurements

Cause: the stand-ins count what they served; the losers of hedges are cancelled and were left out, so extra load read 0.000 with 141 hedges.

--- a/src/bramleyrouter/measure/experiments.py
+++ b/src/bramleyrouter/measure/experiments.py
@@ -48,7 +48,8 @@
 ) -> Figures:
     """Join what callers saw to what the stand-ins counted."""
     found: Figures = load.figures()
-    served = sum(server.served for server in servers)
+    # What was cancelled had been started, and was load as well.
+    served = sum(server.served + server.cancelled for server in servers)
     wanted = found["answered"] * load.shards
     found["extra_load"] = served / wanted - 1 if wanted else 0.0
     found["refused_by_servers"] = sum(server.refused for server in servers)
