--- a/src/bramleyrouter/edges/callers/formats.py
+++ b/src/bramleyrouter/edges/callers/formats.py
@@ -136,7 +136,22 @@
     return Ok(now + min(seconds, cfg.max_deadline_s))
 
 
-def _names(body: QueryBody | SubmitBody, cfg: Defaults) -> Result[tuple, Failure]:
+def _common_of(
+    body: QueryBody | SubmitBody, now: float, cfg: Defaults
+) -> Result[tuple[TenantName, ClassName, float], Failure]:
+    """Return tenant, class and deadline, which both bodies have."""
+    names = _names(body, cfg)
+    if isinstance(names, Err):
+        return names
+    tenant, class_name = names.ok_value
+    return _deadline(body, now, cfg).map(
+        lambda deadline: (tenant, class_name, deadline)
+    )
+
+
+def _names(
+    body: QueryBody | SubmitBody, cfg: Defaults
+) -> Result[tuple[TenantName, ClassName], Failure]:
     tenant = body.tenant or cfg.tenant
     class_name = body.class_name or cfg.class_name
     for what, name in (
@@ -170,15 +185,12 @@
         body = _query_decoder.decode(text)
     except (msgspec.MsgspecError, RecursionError) as exc:
         return _malformed(f"The body can't be decoded: {exc}.")
-    names = _names(body, cfg)
-    if isinstance(names, Err):
-        return names
-    deadline = _deadline(body, now, cfg)
-    if isinstance(deadline, Err):
-        return deadline
+    common = _common_of(body, now, cfg)
+    if isinstance(common, Err):
+        return common
     if not 0 < len(body.targets) <= MAX_TARGETS:
         return _malformed(f"Between 1 and {MAX_TARGETS} targets were expected.")
-    tenant, class_name = names.ok_value
+    tenant, class_name, deadline = common.ok_value
     coverage = body.coverage
     if coverage is None:
         is_latency_first = cfg.classes.get(class_name, False)
@@ -187,7 +199,7 @@
         run_id,
         tenant,
         class_name,
-        deadline.ok_value,
+        deadline,
         body.targets,
         coverage,
         bytes(body.query),
@@ -203,20 +215,17 @@
         body = _submit_decoder.decode(text)
     except (msgspec.MsgspecError, RecursionError) as exc:
         return _malformed(f"The body can't be decoded: {exc}.")
-    names = _names(body, cfg)
-    if isinstance(names, Err):
-        return names
-    deadline = _deadline(body, now, cfg)
-    if isinstance(deadline, Err):
-        return deadline
+    common = _common_of(body, now, cfg)
+    if isinstance(common, Err):
+        return common
     if not body.request_id:
         return Err(Failure(Code.INVALID_IDENTITY, "request_id is missing."))
-    tenant, class_name = names.ok_value
+    tenant, class_name, deadline = common.ok_value
     submission = Submission(
         RequestId(body.request_id),
         tenant,
         class_name,
-        deadline.ok_value,
+        deadline,
         body.service,
         body.shard,
         bytes(body.operation),
--- a/src/bramleyrouter/wire/tcp.py
+++ b/src/bramleyrouter/wire/tcp.py
@@ -43,6 +43,7 @@
     key: bytes
     handlers: HandlerTable = field(default_factory=HandlerTable)
     links: dict[str, Link] = field(default_factory=dict)
+    outgoing: dict[str, IOStream] = field(default_factory=dict)
     connecting: dict[str, asyncio.Future] = field(default_factory=dict)
     streams: set[IOStream] = field(default_factory=set)
     tasks: set[asyncio.Task] = field(default_factory=set)
@@ -171,6 +172,7 @@
         state.handlers,
     )
     state.links[address] = link
+    state.outgoing[address] = stream
     task = asyncio.get_running_loop().create_task(_read_frames(state, stream, link))
     state.tasks.add(task)
     task.add_done_callback(state.tasks.discard)
@@ -250,6 +252,8 @@
     def close_peer(address):
         if link := state.links.pop(address, None):
             link.close()
+        if stream := state.outgoing.pop(address, None):
+            stream.close()
 
     async def close():
         server.stop()
