Stopped unexpected HTTP errors from saying that a request did not run

Cause: an exception in a handler was written as code 100, whose errors carry not_run, although the request may have been sent to a server before. Before: status 500 with not_run true. Found by reading.

--- a/src/bramleyrouter/edges/http.py
+++ b/src/bramleyrouter/edges/http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from typing import NamedTuple
 
 import msgspec
@@ -177,7 +178,16 @@
             self._task.cancel()
 
     def write_error(self, status_code, **kwargs):
-        """Write unexpected errors in the same format."""
-        failure = Failure(Code.MALFORMED_REQUEST, "The request can't be served.")
+        """Write unexpected errors in the same format.
+
+        A failure of this daemon may come after the request was sent on, so it
+        never says that the request did not run.
+        """
+        if status_code >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            text = "The daemon failed while it served the request."
+            failure = Failure(Code.OUTCOME_UNKNOWN, text)
+        else:
+            text = "The request can't be served."
+            failure = Failure(Code.MALFORMED_REQUEST, text)
         self.set_header("Content-Type", JSON_TYPE)
         self.finish(failure_reply(failure).body)
