--- a/src/bramleyrouter/measure/deployments.py
+++ b/src/bramleyrouter/measure/deployments.py
@@ -1,7 +1,6 @@
 """Clusters of processes on loopback in the sizes of the measurements."""
 
 import asyncio
-import json
 import socket
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -308,8 +307,3 @@
         await deployment.processes.stop_all()
         raise
     return deployment
-
-
-def describe(deployment: Deployment) -> str:
-    """Return the size in JSON for reports."""
-    return json.dumps(deployment.size._asdict())
