--- a/src/bramleyrouter/consensus/reads.py
+++ b/src/bramleyrouter/consensus/reads.py
@@ -14,6 +14,7 @@
 from bramleyrouter.consensus.raft_state import CURRENT_S, BeginRound, Role
 from bramleyrouter.consensus.replication import answered_by_majority, holds_lease
 from bramleyrouter.failures import Failure
+from bramleyrouter.ids import MemberId
 
 
 def not_leader(node: Node) -> Failure:
@@ -78,3 +79,13 @@
     if raft.role is Role.LEADER:
         return holds_lease(raft, now)
     return bool(raft.leader_id) and now - raft.caught_up_at < CURRENT_S
+
+
+def silence_of(node: Node, member_id: MemberId) -> float:
+    """Return the seconds since a member answered this leader, or 0."""
+    raft, now = node.raft, asyncio.get_running_loop().time()
+    progress = raft.progress.get(member_id)
+    if raft.role is not Role.LEADER or progress is None:
+        return 0.0
+    # Silence from before this member led says nothing.
+    return now - max(progress.answered_sent_at, raft.elected_at)
--- a/src/bramleyrouter/consensus/replicated_log.py
+++ b/src/bramleyrouter/consensus/replicated_log.py
@@ -24,7 +24,7 @@
 from bramleyrouter.consensus.node import Limits, Node, keep_task, leader_address
 from bramleyrouter.consensus.proposals import propose
 from bramleyrouter.consensus.raft_state import members_of
-from bramleyrouter.consensus.reads import is_current, read_barrier, resolve
+from bramleyrouter.consensus.reads import is_current, read_barrier, resolve, silence_of
 from bramleyrouter.consensus.serving import bootstrap_loop, serve_members
 from bramleyrouter.consensus.storage import Recovered, Storage, open_storage
 from bramleyrouter.failures import Failure
@@ -118,6 +118,7 @@
         watch_applied=node.watchers.append,
         close=lambda: _close(node),
         is_current=lambda: is_current(node),
+        silence_of=lambda member_id: silence_of(node, member_id),
     )
 
 
--- a/src/bramleyrouter/control/client.py
+++ b/src/bramleyrouter/control/client.py
@@ -8,7 +8,7 @@
 
 from bramleyrouter.codes import Code
 from bramleyrouter.consensus.interfaces import LogStatus, Member
-from bramleyrouter.control.codecs import try_encode_command
+from bramleyrouter.control.codecs import decode_command, try_encode_command
 from bramleyrouter.control.interfaces import ControlAdmin, ControlClient, Operation
 from bramleyrouter.control.leaders import Attempts, Leaders, call_leader, learn_address
 from bramleyrouter.control.ledger import invalid_identity, parse_created_ms
@@ -18,6 +18,7 @@
     ClaimResult,
     ConfigState,
     OperatorResult,
+    PublishRoutes,
 )
 from bramleyrouter.control.replies import (
     MemberChange,
@@ -53,7 +54,7 @@
     """Return the client of the control daemons at ``addresses`` ("ip:port")."""
     leaders = Leaders(network, list(addresses), clock, rng)
     return ControlClient(
-        operate=_build_operate(leaders),
+        operate=build_operate(leaders),
         claim=_build_claim(leaders),
         settle=build_settle(leaders),
         read_config=_build_read_config(leaders),
@@ -85,7 +86,9 @@
     return ControlAdmin(_build_status(leaders), add_member, remove_member, rollout)
 
 
-def _build_operate(leaders: Leaders):
+def build_operate(leaders: Leaders):
+    """Return the closure that sends an operator's request to the leader."""
+
     async def operate(
         operation: Operation, timeout_s: float
     ) -> Result[OperatorResult, Failure]:
@@ -126,6 +129,25 @@
     return Failure(Code.LEDGER_UNREACHABLE, text)
 
 
+def build_read_routes(leaders: Leaders):
+    """Return the closure that reads the route table in force from the leader.
+
+    It fails unless a leader proved that nothing newer was accepted.
+    """
+
+    async def read_routes(timeout_s: float) -> Result[PublishRoutes, Failure]:
+        reply = await call_leader(leaders, Kind.READ_ROUTES, b"", timeout_s)
+        if isinstance(reply, Err):
+            return reply
+        decoded = decode_command(reply.ok_value)
+        if isinstance(decoded, Ok) and isinstance(decoded.ok_value, PublishRoutes):
+            return Ok(decoded.ok_value)
+        text = "The reply holds no route table."
+        return Err(Failure(Code.WIRE_MALFORMED, text))
+
+    return read_routes
+
+
 def _build_read_config(leaders: Leaders):
     held: list[ConfigState] = []
 
--- a/src/bramleyrouter/control/codecs.py
+++ b/src/bramleyrouter/control/codecs.py
@@ -1,5 +1,6 @@
 """Encode and decode the commands, as sent and as kept in the log."""
 
+import zlib
 from typing import Any
 
 import capnp
@@ -17,7 +18,13 @@
     MAX_SETTLES,
     MAX_TOKEN_BYTES,
 )
-from bramleyrouter.control.messages import Claim, Publish, SetAvailability, Settle
+from bramleyrouter.control.messages import (
+    Claim,
+    Publish,
+    PublishRoutes,
+    SetAvailability,
+    Settle,
+)
 from bramleyrouter.failures import Failure
 from bramleyrouter.ids import (
     DaemonId,
@@ -26,12 +33,13 @@
     OperatorRequestId,
     RequestId,
     ServerId,
+    TableVersion,
     TenantName,
 )
 from bramleyrouter.states import Outcome
 
 # A command of the log; settlements are logged in batches.
-LogCommand = Publish | SetAvailability | Claim | tuple[Settle, ...]
+LogCommand = Publish | PublishRoutes | SetAvailability | Claim | tuple[Settle, ...]
 
 # Room for the ids around a manifest, and for a manifest somewhat above its
 # limit, which the state machine then refuses with the reason.
@@ -39,6 +47,11 @@
 # What one settlement of a batch takes besides its response, in bytes.
 SETTLE_OVERHEAD_BYTES = 1024
 
+# Largest route table, in bytes; operators' bodies are bounded well below it.
+MAX_ROUTES_BYTES = 4 * 1024 * 1024
+# The fastest level of zlib; tables repeat their names and shrink about tenfold.
+ROUTES_COMPRESSION = 1
+
 OUTCOME_NAMES = {
     None: "none",
     Outcome.DONE: "done",
@@ -53,6 +66,8 @@
     message = new_message(SCHEMA.Command)
     if isinstance(command, Publish):
         _fill_publish(message.init("publish"), command)
+    elif isinstance(command, PublishRoutes):
+        _fill_routes(message.init("routes"), command)
     elif isinstance(command, SetAvailability):
         _fill_availability(message.init("availability"), command)
     elif isinstance(command, Claim):
@@ -92,6 +107,8 @@
     which = str(message.which())
     if which == "publish":
         return _convert_publish(message.publish)
+    if which == "routes":
+        return _convert_routes(message.routes)
     if which == "availability":
         return _convert_availability(message.availability)
     if which == "claim":
@@ -125,6 +142,22 @@
     )
 
 
+def _fill_routes(part: Any, command: PublishRoutes) -> None:
+    part.version = command.version
+    part.document = zlib.compress(command.document, ROUTES_COMPRESSION)
+
+
+def _convert_routes(part: Any) -> PublishRoutes:
+    unpacker = zlib.decompressobj()
+    try:
+        document = unpacker.decompress(part.document, MAX_ROUTES_BYTES)
+    except zlib.error as exc:
+        raise ValueError(f"the route table can't be unpacked: {exc}") from exc
+    if unpacker.unconsumed_tail or not unpacker.eof:
+        raise ValueError("the route table is cut off or too large")
+    return PublishRoutes(TableVersion(part.version), document)
+
+
 def _fill_availability(part: Any, command: SetAvailability) -> None:
     part.requestId = command.request_id
     part.operator = command.operator
--- a/src/bramleyrouter/control/control.capnp
+++ b/src/bramleyrouter/control/control.capnp
@@ -10,6 +10,7 @@
     availability @2 :Availability;
     claim @3 :Claim;
     settles @4 :List(Settle);
+    routes @5 :Routes;
   }
 }
 
@@ -19,6 +20,11 @@
   manifest @2 :Data;        # MessagePack of board.sections.Manifest.
 }
 
+struct Routes {
+  version @0 :UInt64;
+  document @1 :Data;        # zlib of the table as the operator sent it.
+}
+
 struct Availability {
   requestId @0 :Text;
   operator @1 :Text;
--- a/src/bramleyrouter/control/interfaces.py
+++ b/src/bramleyrouter/control/interfaces.py
@@ -13,6 +13,7 @@
     ConfigState,
     OperatorResult,
     Publish,
+    PublishRoutes,
     SetAvailability,
     Settle,
 )
@@ -20,7 +21,7 @@
 from bramleyrouter.failures import Failure
 from bramleyrouter.ids import MemberId, Revision
 
-Operation = Publish | SetAvailability
+Operation = Publish | PublishRoutes | SetAvailability
 
 
 class ControlClient(NamedTuple):
--- a/src/bramleyrouter/control/leaders.py
+++ b/src/bramleyrouter/control/leaders.py
@@ -114,10 +114,14 @@
     """Bound the connecting, too, which the network does by itself alone."""
     try:
         async with asyncio.timeout(wait_s + FIRST_BACKOFF_S):
-            return await network.call(target, kind, payload, wait_s)
+            reply = await network.call(target, kind, payload, wait_s)
     except TimeoutError:
         text = f'"{target}" sent no reply within {wait_s:.3f} s.'
-        return Err(Failure(Code.PEER_TIMEOUT, text))
+        reply = Err(Failure(Code.PEER_TIMEOUT, text))
+    if isinstance(reply, Err) and reply.err_value.code is Code.PEER_TIMEOUT:
+        # A connection can go silent for good while new ones work.
+        network.close_peer(target)
+    return reply
 
 
 async def _next_target(
--- a/src/bramleyrouter/control/machine.py
+++ b/src/bramleyrouter/control/machine.py
@@ -13,26 +13,36 @@
     Claim,
     ConfigDelta,
     ConfigState,
+    OperatorResult,
     Publish,
+    PublishRoutes,
     SetAvailability,
 )
 from bramleyrouter.control.operator_requests import find_result, keep_result
 from bramleyrouter.control.replies import encode_claim_result, encode_operator_result
+from bramleyrouter.control.route_tables import RouteTables, publish_routes
 from bramleyrouter.control.snapshots import decode_snapshot, encode_snapshot
 from bramleyrouter.control.state import ControlState
-from bramleyrouter.ids import LogIndex, RequestId, Revision, TenantName
+from bramleyrouter.ids import (
+    Generation,
+    LogIndex,
+    RequestId,
+    Revision,
+    TenantName,
+)
 
 
 class Machine(NamedTuple):
     """Bundle the state machine for the log and the reads of its state.
 
     ``watch(callback)`` calls after each change of the configuration's
-    revision. ``is_ledger_full_for(tenant, request_id)`` says whether a claim
+    revision or of the route table. ``is_ledger_full_for(tenant, request_id)`` says whether a claim
     of this identity would be refused for lack of room.
     """
 
     for_log: StateMachine
     config: Callable[[], ConfigState]
+    routes: Callable[[], RouteTables]
     deltas_since: Callable[[Revision], tuple[ConfigDelta, ...] | None]
     watch: Callable[[Callable[[], None]], None]
     is_ledger_full_for: Callable[[TenantName, RequestId], bool]
@@ -44,6 +54,13 @@
     ledger.expire_records(state.ledger, state.now_ms)
     if isinstance(command, Publish | SetAvailability):
         return encode_operator_result(_operate(state, command))
+    if isinstance(command, PublishRoutes):
+        publish_routes(state.routes, command)
+        return encode_operator_result(
+            OperatorResult(
+                state.config.state.revision, Generation(state.routes.version)
+            )
+        )
     if isinstance(command, Claim):
         return encode_claim_result(ledger.claim(state.ledger, command, state.now_ms))
     for settlement in command:
@@ -68,8 +85,11 @@
     state = ControlState()
     callbacks: list[Callable[[], None]] = []
 
-    def notify_from(revision: Revision) -> None:
-        if state.config.state.revision == revision:
+    def versions() -> tuple[int, int]:
+        return state.config.state.revision, state.routes.version
+
+    def notify_from(before: tuple[int, int]) -> None:
+        if versions() == before:
             return
         for callback in callbacks:
             try:
@@ -84,19 +104,20 @@
             # Commands are checked before they are proposed.
             logging.error("control: entry %d: %s", index, decoded.err_value)
             return b""
-        revision = state.config.state.revision
+        before = versions()
         reply = apply_command(state, stamp_ms, decoded.ok_value)
-        notify_from(revision)
+        notify_from(before)
         return reply
 
     def restore(snapshot: bytes) -> None:
-        revision = state.config.state.revision
+        before = versions()
         restored = decode_snapshot(snapshot)
         state.now_ms = restored.now_ms
         state.config = restored.config
         state.requests = restored.requests
+        state.routes = restored.routes
         state.ledger = restored.ledger
-        notify_from(revision)
+        notify_from(before)
 
     def is_ledger_full_for(tenant: TenantName, request_id: RequestId) -> bool:
         is_known = (tenant, request_id) in state.ledger.records
@@ -105,6 +126,7 @@
     return Machine(
         for_log=StateMachine(apply, lambda: encode_snapshot(state), restore),
         config=lambda: state.config.state,
+        routes=lambda: state.routes,
         deltas_since=lambda revision: configuration.deltas_since(
             state.config, revision
         ),
--- a/src/bramleyrouter/control/messages.py
+++ b/src/bramleyrouter/control/messages.py
@@ -13,6 +13,7 @@
     RequestId,
     Revision,
     ServerId,
+    TableVersion,
     TenantName,
 )
 from bramleyrouter.states import Outcome
@@ -26,6 +27,18 @@
     manifest: Manifest
 
 
+class PublishRoutes(msgspec.Struct, frozen=True, tag="routes"):
+    """Publish a route table; the highest version takes effect.
+
+    Unlike a manifest, a table whose version is not higher than the one in
+    force is accepted and changes nothing, so a resend after a lost reply never
+    fails. ``document`` is the table as the operator sent it.
+    """
+
+    version: TableVersion
+    document: bytes
+
+
 class SetAvailability(msgspec.Struct, frozen=True, tag="availability"):
     """Take a data centre or a backend server out of service, or back in.
 
@@ -65,7 +78,7 @@
     answer: bytes = b""
 
 
-Command = Publish | SetAvailability | Claim | Settle
+Command = Publish | PublishRoutes | SetAvailability | Claim | Settle
 
 
 class OperatorResult(msgspec.Struct, frozen=True):
--- a/src/bramleyrouter/control/service.py
+++ b/src/bramleyrouter/control/service.py
@@ -8,8 +8,9 @@
 from result import Err, Ok, Result
 
 from bramleyrouter.codes import Code
+from bramleyrouter.consensus.entries import NO_MEMBER
 from bramleyrouter.consensus.interfaces import LogStatus, Member, ReplicatedLog
-from bramleyrouter.control.codecs import LogCommand, decode_command
+from bramleyrouter.control.codecs import LogCommand, decode_command, encode_command
 from bramleyrouter.control.currency import Currency, is_current, keep_confirming
 from bramleyrouter.control.interfaces import ConfigSource
 from bramleyrouter.control.ledger import ledger_full
@@ -18,6 +19,7 @@
     Claim,
     ClaimResult,
     Publish,
+    PublishRoutes,
     SetAvailability,
 )
 from bramleyrouter.control.replies import (
@@ -71,10 +73,13 @@
     ``NOT_LEADER``, whose text is the leader's address or empty.
     """
     currency = Currency()
-    network.serve(Kind.OPERATE, _serve_commands(log, (Publish, SetAvailability)))
+    network.serve(
+        Kind.OPERATE, _serve_commands(log, (Publish, PublishRoutes, SetAvailability))
+    )
     network.serve(Kind.CLAIM, _serve_claims(log, machine))
     network.serve(Kind.SETTLE, _serve_commands(log, (tuple,)))
     network.serve(Kind.READ_CONFIG, _serve_config(log, machine))
+    network.serve(Kind.READ_ROUTES, _serve_routes(log, machine))
     network.serve(Kind.CONTROL_STATUS, _serve_status(log))
     network.serve(Kind.CHANGE_MEMBERS, _serve_member_changes(log))
     confirming = asyncio.get_running_loop().create_task(
@@ -144,6 +149,17 @@
     return serve
 
 
+def _serve_routes(log: ReplicatedLog, machine: Machine) -> Handler:
+    async def serve(peer: Peer, payload: bytes) -> Result[bytes, Failure]:
+        proved = await log.read_barrier(BARRIER_TIMEOUT_S)
+        if isinstance(proved, Err):
+            return proved
+        routes = machine.routes()
+        return Ok(encode_command(PublishRoutes(routes.version, routes.document)))
+
+    return serve
+
+
 def _serve_status(log: ReplicatedLog) -> Handler:
     async def serve(peer: Peer, payload: bytes) -> Result[bytes, Failure]:
         decoded = decode_status_request(payload)
@@ -169,6 +185,25 @@
     return serve
 
 
+async def _remove_former(log: ReplicatedLog, joining: Member) -> Result[None, Failure]:
+    """Remove the member whose data folder was lost at the joining one's address.
+
+    It counts for the majority otherwise, though it can never answer again.
+    """
+    if joining.member_id == NO_MEMBER:
+        return Ok(None)
+    for member in log.status().members:
+        if member.address != joining.address:
+            continue
+        if member.member_id != joining.member_id:
+            removed = await log.remove_member(
+                member.member_id, CHANGE_MEMBERS_TIMEOUT_S
+            )
+            if isinstance(removed, Err):
+                return removed
+    return Ok(None)
+
+
 async def _change_members(
     log: ReplicatedLog, change: MemberChange
 ) -> Result[None, Failure]:
@@ -179,6 +214,9 @@
     if isinstance(change, Member):
         if change in log.status().members:
             return Ok(None)
+        replaced = await _remove_former(log, change)
+        if isinstance(replaced, Err):
+            return replaced
         added = await log.add_member(change, CHANGE_MEMBERS_TIMEOUT_S)
         if isinstance(added, Err) and added.err_value.code in PEER_FAILURES:
             # Not to be taken for a failure to reach this control daemon.
--- a/src/bramleyrouter/control/snapshots.py
+++ b/src/bramleyrouter/control/snapshots.py
@@ -18,8 +18,9 @@
     OperatorRequests,
     RequestKey,
 )
+from bramleyrouter.control.route_tables import RouteTables
 from bramleyrouter.control.state import ControlState
-from bramleyrouter.ids import Revision
+from bramleyrouter.ids import Revision, TableVersion
 
 SNAPSHOT_VERSION = 1
 
@@ -36,6 +37,8 @@
     publisher: Publisher | None
     results: dict[RequestKey, KeptResult]
     records: dict[RecordKey, Record]
+    routes_version: int = 0
+    routes_document: bytes = b""
 
 
 def encode_snapshot(state: ControlState) -> bytes:
@@ -51,6 +54,8 @@
         state.config.publisher,
         state.requests.results,
         state.ledger.records,
+        state.routes.version,
+        state.routes.document,
     )
     return msgspec.msgpack.encode(snapshot)
 
@@ -68,6 +73,7 @@
         snapshot.now_ms,
         _restore_config(snapshot),
         _restore_requests(snapshot),
+        RouteTables(TableVersion(snapshot.routes_version), snapshot.routes_document),
         _restore_ledger(snapshot),
     )
 
--- a/src/bramleyrouter/control/state.py
+++ b/src/bramleyrouter/control/state.py
@@ -5,6 +5,7 @@
 from bramleyrouter.control.configuration import Configuration
 from bramleyrouter.control.ledger import Ledger
 from bramleyrouter.control.operator_requests import OperatorRequests
+from bramleyrouter.control.route_tables import RouteTables
 
 
 @dataclass
@@ -14,4 +15,5 @@
     now_ms: int = 0
     config: Configuration = field(default_factory=Configuration)
     requests: OperatorRequests = field(default_factory=OperatorRequests)
+    routes: RouteTables = field(default_factory=RouteTables)
     ledger: Ledger = field(default_factory=Ledger)
--- /dev/null
+++ b/src/bramleyrouter/daemons/fleet.py
@@ -0,0 +1,225 @@
+"""Composition of the daemons that serve by route table.
+
+The adapter of a platform hands in how callers, operators and servers speak;
+everything that decides is wired here.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from pathlib import Path
+from typing import NamedTuple
+
+from result import Err, Result
+
+from bramleyrouter.board.blackboard import Board
+from bramleyrouter.board.sections import Identity
+from bramleyrouter.codes import Code
+from bramleyrouter.conf.fleet import FleetSettings
+from bramleyrouter.consensus.files import open_folder
+from bramleyrouter.consensus.replicated_log import build_replicated_log
+from bramleyrouter.control.client import build_operate, build_read_routes
+from bramleyrouter.control.joining import JoinPolicy, keep_joined
+from bramleyrouter.control.leaders import Leaders
+from bramleyrouter.control.machine import build_machine
+from bramleyrouter.control.service import build_control
+from bramleyrouter.failures import Failure
+from bramleyrouter.fleet.publishing import start_publishing
+from bramleyrouter.fleet.registry import Registry
+from bramleyrouter.fleet.watching import Watching, start_watching
+from bramleyrouter.gateway.budgets import ExtraLimits
+from bramleyrouter.gateway.build import GatewayHandle, build_gateway
+from bramleyrouter.gateway.exchanges import ServerTransport
+from bramleyrouter.gateway.gateways import GatewayLimits
+from bramleyrouter.gateway.tables import RouteTable
+from bramleyrouter.ids import DaemonIncarnation, ServiceName, TableVersion
+from bramleyrouter.telemetry.events import EventLog, record, record_ordinary
+from bramleyrouter.utils.tasks import TaskGroup, cancel_all, spawn
+from bramleyrouter.wire.tcp import build_tcp_network
+
+# The deployment gives its processes no secret; the key keeps strangers' bytes
+# out of the internal protocol and proves nothing more.
+CLUSTER_KEY = b"bramleyrouter-internal"
+# Part of the time in which a VM must count again after it came back that a
+# silent voter is still waited for.
+SILENT_SHARE = 0.6
+
+
+class EntryParts(NamedTuple):
+    """Bundle the wired parts of an entry daemon."""
+
+    board: Board
+    gateway: GatewayHandle
+    watching: Watching
+    listen: Callable[[], None]
+    close: Callable
+
+
+class ControlParts(NamedTuple):
+    """Bundle the wired parts of a control daemon."""
+
+    board: Board
+    registry: Registry
+    operate: Callable
+    read_routes: Callable
+    listen: Callable[[], None]
+    close: Callable
+
+
+def _board_of(cfg: FleetSettings) -> Board:
+    # No part of these daemons compares incarnations: a later stream or member
+    # replaces the former one.
+    incarnation = DaemonIncarnation(1)
+    http_address = cfg.caller_address or cfg.control_address
+    return Board(
+        Identity(
+            cfg.daemon_id,
+            incarnation,
+            cfg.data_centre,
+            cfg.internal_address,
+            http_address,
+        )
+    )
+
+
+def build_entry_parts(
+    cfg: FleetSettings,
+    log: EventLog,
+    transport: ServerTransport,
+    decode_table: Callable[[bytes], Result[RouteTable, Failure]],
+    on_table: Callable[[RouteTable], None],
+) -> EntryParts:
+    """Wire an entry daemon; needs a running event loop."""
+    loop = asyncio.get_running_loop()
+    board = _board_of(cfg)
+    network, listen = build_tcp_network(board.identity, CLUSTER_KEY)
+    parts: list[EntryParts] = []
+
+    def note(part: str, event: str, **fields) -> None:
+        record(log, part, event, **fields)
+
+    def note_ordinary(part: str, event: str, **fields) -> None:
+        record_ordinary(log, part, event, **fields)
+
+    def take_table(version: TableVersion, document: bytes) -> None:
+        decoded = decode_table(document)
+        if isinstance(decoded, Err):
+            # Control daemons accept only what they could decode.
+            note("fleet", "bad_table", version=version, reason=str(decoded.err_value))
+            return
+        parts[0].gateway.set_table(decoded.ok_value)
+        on_table(decoded.ok_value)
+        board.readiness.reasons.discard("starting")
+
+    def take_servers(services: set[ServiceName]) -> None:
+        for service in services:
+            rows = watching.watch.view.by_service.get(service, {})
+            parts[0].gateway.set_servers(service, rows.values())
+
+    watching = start_watching(
+        network, note, cfg.data_centre, loop.time, take_table, take_servers
+    )
+    bounds = cfg.bounds
+    gateway = build_gateway(
+        GatewayLimits(cfg.data_centre, bounds.cold_factor, bounds.cold_slack),
+        ExtraLimits(bounds.extra_ratio, bounds.extra_slack, bounds.extra_window_s),
+        transport,
+        random.Random(),
+        note,
+        note_ordinary,
+        lambda: watching.watch.data_centres_out,
+        watching.entry_daemons,
+    )
+
+    async def close() -> None:
+        watching.close()
+        await network.close()
+
+    parts.append(EntryParts(board, gateway, watching, listen, close))
+    watching.set_seeds(cfg.seeds)
+    return parts[0]
+
+
+def build_control_parts(
+    cfg: FleetSettings, log: EventLog, seeds: Callable[[], tuple[str, ...]]
+) -> Result[ControlParts, Failure]:
+    """Wire a control daemon; needs a running event loop.
+
+    Fails with the codes of the log's recovery.
+    """
+    loop = asyncio.get_running_loop()
+    clock, rng = loop.time, random.Random()
+    board = _board_of(cfg)
+    network, listen = build_tcp_network(board.identity, CLUSTER_KEY)
+    machine = build_machine()
+    try:
+        folder = open_folder(Path(cfg.data_folder))
+    except OSError as exc:
+        text = f'The data folder "{cfg.data_folder}" can\'t be opened: {exc}.'
+        return Err(Failure(Code.DISK_FAILED, text))
+    first_members = cfg.seeds if cfg.is_first_start else ()
+    opened = build_replicated_log(
+        board.identity, first_members, network, rng, machine.for_log, folder
+    )
+    return opened.map(
+        lambda members: _control_parts(
+            cfg, log, seeds, board, network, listen, machine, members, clock, rng
+        )
+    )
+
+
+def _control_parts(
+    cfg, log, seeds, board, network, listen, machine, members, clock, rng
+) -> ControlParts:
+    group = TaskGroup("control")
+    control = build_control(network, members, machine, clock)
+    registry = Registry(cfg.heartbeat_s)
+    publishing = start_publishing(
+        network, registry, machine, members, clock, cfg.data_centre
+    )
+    leaders = Leaders(network, list(cfg.seeds), clock, rng)
+    policy = JoinPolicy(
+        cfg.internal_address,
+        cfg.is_first_start,
+        2 * cfg.tolerated_losses + 1,
+        SILENT_SHARE * cfg.bounds.catch_up_s,
+    )
+    spawn(group, keep_joined(leaders, members, policy, seeds))
+    watch_leader(log, members)
+
+    async def close() -> None:
+        cancel_all(group)
+        publishing.close()
+        await control.close()
+        await members.close()
+        await network.close()
+
+    return ControlParts(
+        board,
+        registry,
+        build_operate(leaders),
+        build_read_routes(leaders),
+        listen,
+        close,
+    )
+
+
+def watch_leader(log: EventLog, members) -> None:
+    """Record each change of the leader that this member sees."""
+    last: list = [None]
+
+    def look() -> None:
+        status = members.status()
+        seen = (status.term, status.leader_address)
+        if seen != last[0]:
+            last[0] = seen
+            record(
+                log,
+                "consensus",
+                "leader",
+                term=status.term,
+                leader=status.leader_address,
+                members=len(status.members),
+            )
+
+    members.watch_applied(look)
--- a/src/bramleyrouter/daemons/wiring.py
+++ b/src/bramleyrouter/daemons/wiring.py
@@ -24,7 +24,7 @@
 from bramleyrouter.dissemination.build import build_dissemination
 from bramleyrouter.edges.callers.handlers import caller_routes
 from bramleyrouter.edges.listeners import listen_http
-from bramleyrouter.edges.platform.handlers import platform_routes
+from bramleyrouter.edges.probes.handlers import probe_routes
 from bramleyrouter.edges.servers.client import build_curl_transport
 from bramleyrouter.edges.servers.handlers import server_routes
 from bramleyrouter.failures import Failure
@@ -82,7 +82,7 @@
     )
     specs = [
         *caller_routes(board, router, cfg, clock),
-        *platform_routes(board, metrics.registry, collect),
+        *probe_routes(board, metrics.registry, collect),
         *build_operator_routes(cfg, board, network, control_client, clock, rng),
     ]
     stop_http: list[Callable] = []
@@ -151,7 +151,7 @@
     _, collect = build_observer(metrics, board)
     serve_rollout(network, log.status, dissemination.rollout)
     specs = [
-        *platform_routes(board, metrics.registry, collect),
+        *probe_routes(board, metrics.registry, collect),
         *build_operator_routes(cfg, board, network, control_client, clock, rng),
     ]
     stop_http: list[Callable] = []
--- a/src/bramleyrouter/edges/platform/handlers.py
+++ b/src/bramleyrouter/edges/probes/handlers.py
@@ -11,7 +11,7 @@
 from bramleyrouter.edges.http import HttpReply, RouteSpec
 
 
-def platform_routes(
+def probe_routes(
     board: Board, registry: Registry, collect: Callable[[], None]
 ) -> list[RouteSpec]:
     """Return ``/livez``, ``/readyz`` (for the balancer) and ``/metrics``.
--- a/src/bramleyrouter/edges/servers/multi.py
+++ b/src/bramleyrouter/edges/servers/multi.py
@@ -32,6 +32,22 @@
     status: int
     body: bytes
     may_have_run: bool
+    head: tuple[bytes, ...] = ()
+
+
+class HttpCall(NamedTuple):
+    """Describe a request that is passed on as it came.
+
+    ``headers`` are whole lines. ``accepts_line`` looks at each line of the
+    reply's head; where it says no, the reply belongs to another request and
+    the connection is closed.
+    """
+
+    method: str
+    path: str
+    headers: list[str]
+    body: bytes | None
+    accepts_line: Callable[[bytes], bool]
 
 
 OnEnd = Callable[[HttpEnd], None]
@@ -49,6 +65,9 @@
     is_repeatable: bool = True
     # Loop time after which the request must not be sent any more.
     until: float = 0.0
+    head: list[bytes] = field(default_factory=list)
+    accepts_line: Callable[[bytes], bool] | None = None
+    is_passed_on: bool = False
 
 
 @dataclass(eq=False)
@@ -59,6 +78,8 @@
     address: str
     loop: asyncio.AbstractEventLoop
     idle: list[Exchange] = field(default_factory=list)
+    # Handles whose options are those of requests that are passed on.
+    idle_passed_on: list[Exchange] = field(default_factory=list)
     active: dict[pycurl.Curl, Exchange] = field(default_factory=dict)
     watched: dict[int, int] = field(default_factory=dict)
     # Upper bound of the open connections; curl does not tell of each closing.
@@ -171,10 +192,20 @@
     opened = state.connections + curl.getinfo(pycurl.NUM_CONNECTS)
     state.connections = min(opened, state.max_connections)
     status = 0 if error else curl.getinfo(pycurl.RESPONSE_CODE)
-    end = HttpEnd(error, text, status, exchange.body.getvalue(), exchange.sent > 0)
+    end = HttpEnd(
+        error,
+        text,
+        status,
+        exchange.body.getvalue(),
+        exchange.sent > 0,
+        tuple(exchange.head),
+    )
     on_end = exchange.on_end
     exchange.on_end = None
-    state.idle.append(exchange)
+    if not exchange.is_passed_on:
+        state.idle.append(exchange)
+    else:
+        state.idle_passed_on.append(exchange)
     if on_end is not None:
         on_end(end)
 
@@ -231,6 +262,87 @@
     state.multi.add_handle(curl)
 
 
+def _read_head_line(exchange: Exchange, line: bytes) -> int | None:
+    """Collect a line of the reply's head; return -1 to close the connection."""
+    if line.startswith(b"HTTP/"):
+        # An interim reply came before; its lines do not count.
+        exchange.head.clear()
+    exchange.head.append(line)
+    if exchange.accepts_line is not None and not exchange.accepts_line(line):
+        return -1
+    return None
+
+
+def _new_passed_on(state: ServerMulti) -> Exchange:
+    exchange = _new_exchange(state)
+    exchange.is_passed_on = True
+    curl = exchange.curl
+    curl.setopt(pycurl.PATH_AS_IS, 1)
+    curl.setopt(pycurl.HEADERFUNCTION, lambda line: _read_head_line(exchange, line))
+    return exchange
+
+
+def start_call(
+    state: ServerMulti,
+    call: HttpCall,
+    timeout_s: float,
+    on_end: OnEnd,
+    is_fresh: bool = False,
+) -> Exchange:
+    """Pass a request on, at most once; call ``on_end`` once unless cancelled.
+
+    curl would repeat a request on a new connection when a reused one turns out
+    dead. The guard refuses that: whether to send again is the caller's
+    decision. ``is_fresh`` asks for a new connection.
+    """
+    idle = state.idle_passed_on
+    exchange = idle.pop() if idle else _new_passed_on(state)
+    exchange.on_end = on_end
+    exchange.sent = 0
+    exchange.is_repeatable = False
+    exchange.until = state.loop.time() + timeout_s
+    exchange.body.seek(0)
+    exchange.body.truncate()
+    exchange.head.clear()
+    exchange.accepts_line = call.accepts_line
+    curl = exchange.curl
+    if call.path != exchange.path:
+        exchange.path = call.path
+        curl.setopt(pycurl.URL, f"http://{state.address}{call.path}")
+    curl.setopt(pycurl.HTTPHEADER, call.headers)
+    curl.setopt(pycurl.FRESH_CONNECT, 1 if is_fresh else 0)
+    curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
+    if call.body is None:
+        curl.setopt(pycurl.HTTPGET, 1)
+    else:
+        curl.setopt(pycurl.POSTFIELDS, call.body)
+    curl.setopt(pycurl.NOBODY, 1 if call.method == "HEAD" else 0)
+    curl.setopt(pycurl.CUSTOMREQUEST, call.method)
+    state.active[curl] = exchange
+    state.multi.add_handle(curl)
+    return exchange
+
+
+def cancel_exchange(state: ServerMulti, exchange: Exchange) -> None:
+    """End an exchange without a word to who waits; its connection closes."""
+    if state.is_closed or state.active.pop(exchange.curl, None) is None:
+        return
+    exchange.on_end = None
+    state.multi.remove_handle(exchange.curl)
+    if exchange.is_passed_on:
+        state.idle_passed_on.append(exchange)
+    else:
+        state.idle.append(exchange)
+
+
+def limit_connections(state: ServerMulti, max_connections: int) -> None:
+    """Change the bound of the open connections."""
+    if max_connections != state.max_connections:
+        state.max_connections = max_connections
+        state.multi.setopt(pycurl.M_MAX_HOST_CONNECTIONS, max_connections)
+        state.multi.setopt(pycurl.M_MAXCONNECTS, max_connections)
+
+
 def _guard(exchange: Exchange, loop: asyncio.AbstractEventLoop) -> int:
     """Decide, right before curl sends a request, whether it may."""
     if loop.time() >= exchange.until:
@@ -256,10 +368,11 @@
     for fd in list(state.watched):
         _unwatch(state, fd)
     _close_handle(state.multi)
-    for exchange in [*state.active.values(), *state.idle]:
+    for exchange in [*state.active.values(), *state.idle, *state.idle_passed_on]:
         exchange.curl.close()
     state.active.clear()
     state.idle.clear()
+    state.idle_passed_on.clear()
     state.connections = 0
 
 
--- /dev/null
+++ b/src/bramleyrouter/fleet/publishing.py
@@ -0,0 +1,163 @@
+"""Stream what a control daemon knows to the entry daemons that ask."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from result import Ok, Result
+
+from bramleyrouter.consensus.interfaces import ReplicatedLog
+from bramleyrouter.control.codecs import encode_command
+from bramleyrouter.control.machine import Machine
+from bramleyrouter.control.messages import PublishRoutes
+from bramleyrouter.failures import Failure
+from bramleyrouter.fleet.messages import Update, encode_update
+from bramleyrouter.fleet.records import ServerRow
+from bramleyrouter.fleet.registry import Registry, rows_of, sweep
+from bramleyrouter.ids import DaemonId, DataCentre
+from bramleyrouter.utils.tasks import TaskGroup, cancel_all, repeat, spawn
+from bramleyrouter.wire.kinds import Kind
+from bramleyrouter.wire.network import Network, Peer
+
+# Time between two signs of life on a stream, in seconds; an entry daemon takes
+# a stream for dead after three.
+LIFE_SIGN_S = 0.7
+# Rows that change within this time travel together, in seconds.
+GATHER_ROWS_S = 0.02
+# Time between two looks for silent servers, in seconds.
+SWEEP_S = 0.3
+# Entry daemons that left are counted for so long, in seconds: their share of
+# what all share is given to the others only when it can't be in use any more.
+COUNT_ENTRY_S = 20.0
+
+
+@dataclass(eq=False)
+class Subscriber:
+    """Hold one stream and what it was last told."""
+
+    daemon_id: DaemonId
+    send: Callable[[bytes], None]
+    told_version: int = -1
+    told_revision: int = -1
+    told_members: tuple[str, ...] = ()
+    told_entries: int = -1
+
+
+@dataclass
+class Publisher:
+    """Hold the streams of one control daemon."""
+
+    registry: Registry
+    machine: Machine
+    log: ReplicatedLog
+    clock: Callable[[], float]
+    subscribers: dict[DaemonId, Subscriber] = field(default_factory=dict)
+    last_seen: dict[DaemonId, float] = field(default_factory=dict)
+    waiting_rows: dict[str, ServerRow] = field(default_factory=dict)
+    timer: asyncio.TimerHandle | None = None
+
+
+class Publishing(NamedTuple):
+    """Bundle what ``start_publishing`` returns."""
+
+    subscribers: Callable[[], int]
+    close: Callable[[], None]
+
+
+def _entry_daemons(publisher: Publisher) -> int:
+    oldest = publisher.clock() - COUNT_ENTRY_S
+    seen = publisher.last_seen
+    for daemon_id in publisher.subscribers:
+        seen[daemon_id] = publisher.clock()
+    for daemon_id in [key for key, at in seen.items() if at < oldest]:
+        del seen[daemon_id]
+    return len(seen)
+
+
+def _state_fields(publisher: Publisher, subscriber: Subscriber) -> dict:
+    """Return the fields of the next update that this subscriber lacks."""
+    fields: dict = {}
+    routes = publisher.machine.routes()
+    if routes.document and subscriber.told_version != routes.version:
+        subscriber.told_version = routes.version
+        fields["table_version"] = routes.version
+    config = publisher.machine.config()
+    if subscriber.told_revision != config.revision:
+        subscriber.told_revision = config.revision
+        fields["revision"] = config.revision
+        fields["data_centres_out"] = config.data_centres_out
+    status = publisher.log.status()
+    members = tuple(sorted(member.address for member in status.members))
+    if members and subscriber.told_members != members:
+        subscriber.told_members = members
+        fields["members_index"] = status.commit_index
+        fields["members"] = members
+    entries = _entry_daemons(publisher)
+    if subscriber.told_entries != entries:
+        subscriber.told_entries = entries
+        fields["entry_daemons"] = entries
+    return fields
+
+
+def _tell(publisher: Publisher, is_life_sign: bool = False) -> None:
+    """Send each subscriber what it lacks, with the rows that wait."""
+    rows = tuple(publisher.waiting_rows.values())
+    publisher.waiting_rows.clear()
+    publisher.timer = None
+    for subscriber in list(publisher.subscribers.values()):
+        fields = _state_fields(publisher, subscriber)
+        if rows or fields or is_life_sign:
+            subscriber.send(encode_update(Update(rows=rows, **fields)))
+
+
+def _note_row(publisher: Publisher, row: ServerRow) -> None:
+    publisher.waiting_rows[row.server_id] = row
+    if publisher.timer is None:
+        loop = asyncio.get_running_loop()
+        publisher.timer = loop.call_later(GATHER_ROWS_S, _tell, publisher)
+
+
+def start_publishing(
+    network: Network,
+    registry: Registry,
+    machine: Machine,
+    log: ReplicatedLog,
+    clock: Callable[[], float],
+    data_centre: DataCentre,
+) -> Publishing:
+    """Serve the fleet stream and the fetching of route tables."""
+    publisher = Publisher(registry, machine, log, clock)
+    group = TaskGroup("fleet")
+
+    async def watch(
+        peer: Peer, payload: bytes, send: Callable[[bytes], None]
+    ) -> Result[None, Failure]:
+        subscriber = Subscriber(peer.daemon_id, send)
+        # A daemon that reconnects replaces its former stream, which may hang.
+        publisher.subscribers[peer.daemon_id] = subscriber
+        rows = tuple(rows_of(registry, clock()))
+        fields = _state_fields(publisher, subscriber)
+        fields["data_centre"] = data_centre
+        send(encode_update(Update(rows=rows, is_full=True, **fields)))
+        try:
+            await asyncio.get_running_loop().create_future()
+        finally:
+            if publisher.subscribers.get(peer.daemon_id) is subscriber:
+                del publisher.subscribers[peer.daemon_id]
+        return Ok(None)
+
+    async def fetch(peer: Peer, payload: bytes) -> Result[bytes, Failure]:
+        routes = machine.routes()
+        return Ok(encode_command(PublishRoutes(routes.version, routes.document)))
+
+    network.serve_stream(Kind.WATCH_FLEET, watch)
+    network.serve(Kind.FETCH_ROUTES, fetch)
+    registry.on_change.append(lambda row: _note_row(publisher, row))
+    machine.watch(lambda: _tell(publisher))
+    spawn(group, repeat(LIFE_SIGN_S, lambda: _tell(publisher, True), LIFE_SIGN_S))
+    spawn(group, repeat(SWEEP_S, lambda: sweep(registry, clock()), SWEEP_S))
+    return Publishing(
+        subscribers=lambda: len(publisher.subscribers),
+        close=lambda: cancel_all(group),
+    )
--- /dev/null
+++ b/src/bramleyrouter/fleet/watching.py
@@ -0,0 +1,248 @@
+"""Follow the streams of all control daemons and keep the newest of all.
+
+An entry daemon listens to every control daemon at once. So it needs no
+failover: any one of them that can be reached is enough, and a frozen, cut off
+or restarted one delays nothing.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from result import Err, Ok
+
+from bramleyrouter.control.codecs import decode_command
+from bramleyrouter.control.messages import PublishRoutes
+from bramleyrouter.fleet.messages import Update, decode_update
+from bramleyrouter.fleet.views import FleetView, apply_rows, drop_source
+from bramleyrouter.ids import DataCentre, ServiceName, TableVersion
+from bramleyrouter.telemetry.events import Record
+from bramleyrouter.utils.calls import bounded_call
+from bramleyrouter.utils.tasks import TaskGroup, cancel_all, spawn
+from bramleyrouter.wire.kinds import Kind
+from bramleyrouter.wire.network import Network
+
+# A stream without an update for so long is taken for dead, in seconds: three
+# signs of life were missed.
+SILENT_STREAM_S = 2.0
+# Pauses between two attempts at one control daemon, in seconds.
+FIRST_PAUSE_S = 0.1
+MAX_PAUSE_S = 1.0
+# How long the table of a version that another control daemon named may take
+# on the stream of the own data centre before it is fetched, in seconds.
+TABLE_GRACE_S = 0.25
+FETCH_TIMEOUT_S = 0.5
+
+
+@dataclass
+class Watch:
+    """Hold what one entry daemon learnt and from whom."""
+
+    network: Network
+    record: Record
+    own_data_centre: DataCentre
+    clock: Callable[[], float]
+    on_table: Callable[[TableVersion, bytes], None]
+    on_servers: Callable[[set[ServiceName]], None]
+    view: FleetView = field(default_factory=FleetView)
+    near: set[str] = field(default_factory=set)
+    seeds: frozenset[str] = frozenset()
+    members: frozenset[str] = frozenset()
+    members_index: int = -1
+    heard_at: dict[str, float] = field(default_factory=dict)
+    table_version: TableVersion = TableVersion(-1)
+    # The version that is being fetched from a control daemon.
+    fetching: dict[str, TableVersion] = field(default_factory=dict)
+    revision: int = -1
+    data_centres_out: frozenset[DataCentre] = frozenset()
+    entry_daemons: dict[str, int] = field(default_factory=dict)
+    streams: dict[str, asyncio.Task] = field(default_factory=dict)
+    group: TaskGroup = field(default_factory=lambda: TaskGroup("fleet"))
+
+
+class Watching(NamedTuple):
+    """Bundle what ``start_watching`` returns.
+
+    ``entry_daemons()`` is the number of entry daemons, at least 1.
+    ``silence_s()`` is the time since any control daemon was last heard.
+    """
+
+    watch: Watch
+    set_seeds: Callable[[tuple[str, ...]], None]
+    entry_daemons: Callable[[], int]
+    silence_s: Callable[[], float]
+    close: Callable[[], None]
+
+
+def take_update(watch: Watch, source: str, update: Update) -> None:
+    """Apply one update of the control daemon at ``source``."""
+    watch.heard_at[source] = watch.clock()
+    if update.data_centre == watch.own_data_centre:
+        watch.near.add(source)
+    if update.rows or update.is_full:
+        changed = apply_rows(watch.view, source, update.rows, update.is_full)
+        if changed:
+            watch.on_servers(changed)
+    if update.revision is not None and update.revision > watch.revision:
+        watch.revision = update.revision
+        watch.data_centres_out = frozenset(update.data_centres_out)
+        watch.record(
+            "fleet",
+            "availability",
+            revision=update.revision,
+            data_centres_out=sorted(update.data_centres_out),
+            source=source,
+        )
+    if update.entry_daemons is not None:
+        watch.entry_daemons[source] = update.entry_daemons
+    if update.members_index is not None and update.members_index > watch.members_index:
+        watch.members_index = update.members_index
+        watch.members = frozenset(update.members)
+        _follow(watch)
+    if update.table_version is not None:
+        _take_version(watch, source, update.table_version)
+
+
+def _take_version(watch: Watch, source: str, version: TableVersion) -> None:
+    """Fetch a newer table: at once inside the data centre, else a little later.
+
+    Nearly always the control daemon of the own data centre names the version
+    within that time, which keeps tables off the links between data centres.
+    """
+    if version <= watch.table_version:
+        return
+    is_waited_for = source not in watch.near and watch.near & set(watch.heard_at)
+    delay_s = TABLE_GRACE_S if is_waited_for else 0.0
+    spawn(watch.group, _fetch(watch, source, version, delay_s))
+
+
+def take_table(
+    watch: Watch, source: str, version: TableVersion, document: bytes
+) -> None:
+    """Put a newer route table in force; an older one changes nothing."""
+    if version <= watch.table_version or not document:
+        return
+    watch.table_version = version
+    watch.record("fleet", "table", version=version, source=source)
+    watch.on_table(version, document)
+
+
+async def _fetch(
+    watch: Watch, source: str, version: TableVersion, delay_s: float
+) -> None:
+    """Fetch the table of ``source`` unless another one brought it meanwhile."""
+    await asyncio.sleep(delay_s)
+    while watch.table_version < version and source in watch.heard_at:
+        if watch.fetching.get(source, -1) >= version:
+            return
+        watch.fetching[source] = version
+        reply = await bounded_call(
+            watch.network, source, Kind.FETCH_ROUTES, b"", FETCH_TIMEOUT_S
+        )
+        watch.fetching.pop(source, None)
+        if isinstance(reply, Ok):
+            _take_reply(watch, source, reply.ok_value)
+        else:
+            watch.record("fleet", "fetch_failed", source=source, version=version)
+            await asyncio.sleep(FIRST_PAUSE_S)
+
+
+def _take_reply(watch: Watch, source: str, payload: bytes) -> None:
+    decoded = decode_command(payload)
+    if isinstance(decoded, Ok) and isinstance(decoded.ok_value, PublishRoutes):
+        table = decoded.ok_value
+        take_table(watch, source, table.version, table.document)
+        return
+    watch.record("fleet", "bad_table", source=source)
+
+
+def _follow(watch: Watch) -> None:
+    """Keep one stream to each control daemon, and none to former ones."""
+    wanted = watch.seeds | watch.members
+    for address in wanted - set(watch.streams):
+        watch.streams[address] = spawn(watch.group, _keep_stream(watch, address))
+    for address in set(watch.streams) - wanted:
+        watch.streams.pop(address).cancel()
+        watch.heard_at.pop(address, None)
+        watch.entry_daemons.pop(address, None)
+        watch.network.close_peer(address)
+        changed = drop_source(watch.view, address)
+        if changed:
+            watch.on_servers(changed)
+
+
+async def _keep_stream(watch: Watch, address: str) -> None:
+    pause_s = FIRST_PAUSE_S
+    while True:
+        is_heard = await _run_stream(watch, address)
+        if is_heard:
+            pause_s = FIRST_PAUSE_S
+        await asyncio.sleep(pause_s)
+        pause_s = min(2 * pause_s, MAX_PAUSE_S)
+
+
+async def _run_stream(watch: Watch, address: str) -> bool:
+    """Follow one stream until it ends or falls silent; say whether it spoke."""
+    loop = asyncio.get_running_loop()
+    ended = loop.create_future()
+    heard: list[float] = []
+
+    def on_item(payload: bytes) -> None:
+        decoded = decode_update(payload)
+        if isinstance(decoded, Err):
+            watch.record("fleet", "bad_update", source=address)
+            return
+        if not heard:
+            watch.record("fleet", "control_heard", source=address)
+        heard[:] = [loop.time()]
+        take_update(watch, address, decoded.ok_value)
+
+    def on_end(outcome) -> None:
+        if not ended.done():
+            ended.set_result(outcome)
+
+    cancel = watch.network.stream(address, Kind.WATCH_FLEET, b"", on_item, on_end)
+    started = loop.time()
+    try:
+        while not ended.done():
+            last = heard[0] if heard else started
+            left_s = last + SILENT_STREAM_S - loop.time()
+            if left_s <= 0:
+                break
+            await asyncio.wait([ended], timeout=left_s)
+    finally:
+        cancel()
+        watch.network.close_peer(address)
+    if heard:
+        watch.heard_at.pop(address, None)
+        watch.record("fleet", "control_lost", source=address)
+    return bool(heard)
+
+
+def start_watching(
+    network: Network,
+    record: Record,
+    own_data_centre: DataCentre,
+    clock: Callable[[], float],
+    on_table: Callable[[TableVersion, bytes], None],
+    on_servers: Callable[[set[ServiceName]], None],
+) -> Watching:
+    """Follow the control daemons; ``set_seeds`` names the first of them."""
+    watch = Watch(network, record, own_data_centre, clock, on_table, on_servers)
+    started = clock()
+
+    def set_seeds(addresses: tuple[str, ...]) -> None:
+        watch.seeds = frozenset(addresses)
+        _follow(watch)
+
+    def silence_s() -> float:
+        return clock() - max(watch.heard_at.values(), default=started)
+
+    return Watching(
+        watch=watch,
+        set_seeds=set_seeds,
+        entry_daemons=lambda: max(watch.entry_daemons.values(), default=1) or 1,
+        silence_s=silence_s,
+        close=lambda: cancel_all(watch.group),
+    )
--- /dev/null
+++ b/src/bramleyrouter/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding by route table: requests to one server, and gathers over shards."""
--- /dev/null
+++ b/src/bramleyrouter/gateway/budgets.py
@@ -0,0 +1,94 @@
+"""How many sends beyond the first an entry daemon may make to a service.
+
+All entry daemons together keep within a share of a service's requests plus a
+constant in any window. Each takes that share of its own requests and an equal
+part of the constant, so that the sum holds while they can't hear each other.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from bramleyrouter.ids import ServiceName
+
+# Buckets in a window. Extra sends are counted over one bucket more than the
+# window has, requests over one less, so that the bound holds at any position.
+BUCKETS = 20
+# Part of the constant that is used, since the number of entry daemons that
+# each of them knows lags behind.
+SLACK_USED = 0.85
+# Part of the allowance that hedges may take; the rest stays for retries.
+HEDGE_SHARE = 0.75
+
+
+class ExtraLimits(NamedTuple):
+    """Bound the extra sends: share of requests, constant, window in seconds."""
+
+    ratio: float
+    slack: float
+    window_s: float
+
+
+@dataclass
+class _Counts:
+    """Count the requests and extra sends of a service by bucket number."""
+
+    requests: dict[int, int] = field(default_factory=dict)
+    extras: dict[int, int] = field(default_factory=dict)
+
+
+@dataclass
+class ExtraBudget:
+    """Hold the counts of one entry daemon."""
+
+    limits: ExtraLimits
+    clock: Callable[[], float]
+    entry_daemons: Callable[[], int]
+    services: dict[ServiceName, _Counts] = field(default_factory=dict)
+
+
+def _bucket(budget: ExtraBudget) -> int:
+    return int(budget.clock() * BUCKETS / budget.limits.window_s)
+
+
+def _counts(budget: ExtraBudget, service: ServiceName) -> _Counts:
+    counts = budget.services.get(service)
+    if counts is None:
+        counts = budget.services[service] = _Counts()
+    return counts
+
+
+def _add(counts: dict[int, int], now: int) -> None:
+    counts[now] = counts.get(now, 0) + 1
+    if len(counts) > 2 * BUCKETS:
+        for old in [number for number in counts if number < now - BUCKETS]:
+            del counts[old]
+
+
+def count_request(budget: ExtraBudget, service: ServiceName) -> None:
+    """Count the first send of a request to a service."""
+    _add(_counts(budget, service).requests, _bucket(budget))
+
+
+def allowance_left(budget: ExtraBudget, service: ServiceName) -> float:
+    """Return how many more extra sends fit into the window now."""
+    counts, now, limits = _counts(budget, service), _bucket(budget), budget.limits
+    requests = sum(n for at, n in counts.requests.items() if at > now - BUCKETS + 1)
+    extras = sum(n for at, n in counts.extras.items() if at >= now - BUCKETS)
+    slack = limits.slack * SLACK_USED / max(1, budget.entry_daemons())
+    return limits.ratio * requests + slack - extras
+
+
+def take_extra(
+    budget: ExtraBudget, service: ServiceName, is_hedge: bool = False
+) -> bool:
+    """Count an extra send if one is allowed; hedges leave room for retries."""
+    counts, now, limits = _counts(budget, service), _bucket(budget), budget.limits
+    left = allowance_left(budget, service)
+    if is_hedge:
+        used = sum(n for at, n in counts.extras.items() if at >= now - BUCKETS)
+        left -= (1.0 - HEDGE_SHARE) * (left + used)
+    if left < 1.0 or limits.window_s <= 0:
+        return False
+    _add(counts.extras, now)
+    return True
--- /dev/null
+++ b/src/bramleyrouter/gateway/build.py
@@ -0,0 +1,135 @@
+"""Build the gateway of an entry daemon."""
+
+import asyncio
+import random
+from collections.abc import Callable, Collection
+from typing import NamedTuple
+
+from bramleyrouter.fleet.records import ServerRow
+from bramleyrouter.gateway.budgets import ExtraBudget, ExtraLimits
+from bramleyrouter.gateway.exchanges import (
+    CallerRequest,
+    GatewayReply,
+    ReplyKind,
+    ServerTransport,
+)
+from bramleyrouter.gateway.gateways import (
+    Cancel,
+    Gateway,
+    GatewayLimits,
+    OnGatewayReply,
+    is_overloaded,
+    refuse,
+)
+from bramleyrouter.gateway.gathers import start_gather
+from bramleyrouter.gateway.servers import set_servers
+from bramleyrouter.gateway.singles import start_single
+from bramleyrouter.gateway.tables import RouteTable, build_index, match_route
+from bramleyrouter.ids import DataCentre, ServiceName
+from bramleyrouter.telemetry.events import Record
+
+# A caller that comes before this daemon knows its routes waits so long, seconds.
+UNREADY_RETRY_S = 0.5
+
+
+class GatewayHandle(NamedTuple):
+    """Bundle what ``build_gateway`` returns.
+
+    ``handle(request, on_reply)`` returns the closure that cancels the work
+    when the caller leaves.
+    """
+
+    handle: Callable[[CallerRequest, OnGatewayReply], Cancel]
+    set_table: Callable[[RouteTable], None]
+    set_servers: Callable[[ServiceName, Collection[ServerRow]], None]
+    in_flight: Callable[[], int]
+    has_table: Callable[[], bool]
+
+
+def build_gateway(
+    limits: GatewayLimits,
+    extra_limits: ExtraLimits,
+    transport: ServerTransport,
+    rng: random.Random,
+    record: Record,
+    record_ordinary: Record,
+    data_centres_out: Callable[[], Collection[DataCentre]],
+    entry_daemons: Callable[[], int],
+) -> GatewayHandle:
+    """Return the gateway on the running loop."""
+    loop = asyncio.get_running_loop()
+    gateway = Gateway(
+        limits,
+        loop,
+        rng,
+        transport,
+        ExtraBudget(extra_limits, loop.time, entry_daemons),
+        record,
+        record_ordinary,
+        data_centres_out,
+        entry_daemons,
+    )
+
+    def set_table(table: RouteTable) -> None:
+        gateway.index = build_index(table)
+        names = {route.name for route in table.routes}
+        for gone in set(gateway.windows) - names:
+            del gateway.windows[gone]
+
+    def update_servers(service: ServiceName, rows: Collection[ServerRow]) -> None:
+        set_servers(gateway.servers, service, rows, loop.time())
+
+    return GatewayHandle(
+        handle=lambda request, on_reply: _handle(gateway, request, on_reply),
+        set_table=set_table,
+        set_servers=update_servers,
+        in_flight=lambda: gateway.in_flight,
+        has_table=lambda: gateway.index is not None,
+    )
+
+
+def _handle(
+    gateway: Gateway, request: CallerRequest, on_reply: OnGatewayReply
+) -> Cancel:
+    def answer_now(reply: GatewayReply) -> Cancel:
+        gateway.record(
+            "gateway",
+            "not_forwarded",
+            id=request.request_id,
+            outcome=reply.kind.value,
+            reason=reply.reason,
+        )
+        on_reply(reply)
+        return lambda: None
+
+    if gateway.index is None:
+        return answer_now(refuse(gateway, "no route table yet", UNREADY_RETRY_S))
+    route = match_route(gateway.index, request.host, request.path)
+    if route is None:
+        version = gateway.index.table.version
+        reason = f'no route of version {version} for "{request.host}{request.path}"'
+        return answer_now(GatewayReply(ReplyKind.NO_ROUTE, reason))
+    if is_overloaded(gateway, route):
+        reason = f"{gateway.in_flight} requests are under way"
+        return answer_now(refuse(gateway, reason, route.timeout_s / 3))
+    gateway.in_flight += 1
+    is_open = True
+
+    def leave() -> None:
+        nonlocal is_open
+        if is_open:
+            is_open = False
+            gateway.in_flight -= 1
+
+    def finish(reply: GatewayReply) -> None:
+        leave()
+        on_reply(reply)
+
+    start = start_gather if route.shards else start_single
+    cancel = start(gateway, route, request, finish)
+
+    def cancel_request() -> None:
+        leave()
+        cancel()
+
+    return cancel_request
--- /dev/null
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -0,0 +1,177 @@
+"""The state of one entry daemon's gateway, and what all requests share."""
+
+import asyncio
+import random
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from bramleyrouter.gateway.budgets import ExtraBudget
+from bramleyrouter.gateway.exchanges import (
+    CallerRequest,
+    GatewayReply,
+    OnReply,
+    ReplyKind,
+    ServerReply,
+    ServerTransport,
+)
+from bramleyrouter.gateway.latencies import LatencyWindow
+from bramleyrouter.gateway.servers import (
+    ChoiceContext,
+    ServerState,
+    ServerTable,
+    cold_gap,
+    note_reply,
+    note_sent,
+)
+from bramleyrouter.gateway.tables import Route, RouteIndex
+from bramleyrouter.ids import DataCentre, ServiceName
+from bramleyrouter.telemetry.events import Record
+
+# What remains for the last send to a server must be worth the send, seconds.
+MIN_SEND_S = 0.004
+# Time before the deadline at which a request gets its last word, in seconds,
+# so that it arrives before the caller gives up.
+DEADLINE_MARGIN_S = 0.015
+# Shortest and longest time that a refused caller is told to stay away, in
+# seconds. The share above the shortest is drawn at random, so that callers who
+# were refused together don't return together.
+MIN_RETRY_AFTER_S = 0.05
+MAX_RETRY_AFTER_S = 1.0
+# Requests that may be under way at once in one entry daemon, by priority; the
+# least urgent are refused first when servers stop answering.
+MAX_IN_FLIGHT = 400
+IN_FLIGHT_STEP = 60
+
+
+# Part of a server's connections that all entry daemons hold together; a new one
+# may open before the server has seen the former one close.
+CONNECTIONS_USED = 0.95
+
+
+class GatewayLimits(NamedTuple):
+    """Hold the bounds of the deployment that the gateway keeps."""
+
+    own_data_centre: DataCentre
+    cold_factor: float
+    cold_slack: float
+
+
+@dataclass
+class Gateway:
+    """Hold the routes in force, the servers, and what was measured."""
+
+    limits: GatewayLimits
+    loop: asyncio.AbstractEventLoop
+    rng: random.Random
+    transport: ServerTransport
+    budget: ExtraBudget
+    record: Record
+    record_ordinary: Record
+    data_centres_out: Callable[[], Collection[DataCentre]]
+    entry_daemons: Callable[[], int]
+    index: RouteIndex | None = None
+    servers: ServerTable = field(default_factory=ServerTable)
+    windows: dict[str, LatencyWindow] = field(default_factory=dict)
+    split_credit: dict[str, dict[ServiceName, float]] = field(default_factory=dict)
+    in_flight: int = 0
+
+
+@dataclass(eq=False)
+class Sending:
+    """Hold one exchange that is under way."""
+
+    state: ServerState
+    sent_at: float
+    cancel: Callable[[], None] = lambda: None
+    is_ended: bool = False
+
+
+OnGatewayReply = Callable[[GatewayReply], None]
+Cancel = Callable[[], None]
+
+
+def context_for(gateway: Gateway, service: ServiceName) -> ChoiceContext:
+    """Return what a choice among the servers of ``service`` depends on now."""
+    known = gateway.index.services.get(service) if gateway.index else None
+    rate = known.cold_rate if known else 0.0
+    limits = gateway.limits
+    gap_s = cold_gap(
+        rate, limits.cold_factor, limits.cold_slack, gateway.entry_daemons()
+    )
+    return ChoiceContext(
+        gateway.loop.time(),
+        limits.own_data_centre,
+        gateway.data_centres_out(),
+        gap_s,
+    )
+
+
+def states_of(gateway: Gateway, service: ServiceName) -> Collection[ServerState]:
+    """Return the servers of a service as they are known now."""
+    return gateway.servers.by_service.get(service, {}).values()
+
+
+def window_of(gateway: Gateway, route: Route) -> LatencyWindow:
+    """Return the latencies of a route's servers."""
+    window = gateway.windows.get(route.name)
+    if window is None:
+        window = gateway.windows[route.name] = LatencyWindow()
+    return window
+
+
+def connection_share(declared: int, entry_daemons: int) -> int:
+    """Return how many connections this daemon may hold to one server."""
+    return max(1, int(CONNECTIONS_USED * declared / max(1, entry_daemons)))
+
+
+def send(
+    gateway: Gateway,
+    state: ServerState,
+    context: ChoiceContext,
+    request: CallerRequest,
+    timeout_s: float,
+    on_reply: OnReply,
+) -> Sending:
+    """Send a request to a server and learn from how it ends."""
+    sending = Sending(state, context.now)
+    note_sent(state, context)
+    known = gateway.index.services.get(state.row.service) if gateway.index else None
+    declared = known.max_connections if known else state.row.slots + 1
+    max_connections = connection_share(declared, gateway.entry_daemons())
+
+    def end(reply: ServerReply) -> None:
+        sending.is_ended = True
+        now = gateway.loop.time()
+        note_reply(state, reply, now - sending.sent_at, now)
+        on_reply(reply)
+
+    sending.cancel = gateway.transport(
+        state.row, request, timeout_s, max_connections, end
+    )
+    return sending
+
+
+def retry_after(gateway: Gateway, longest_s: float = MAX_RETRY_AFTER_S) -> float:
+    """Return when a refused caller should come back, in seconds."""
+    longest = max(MIN_RETRY_AFTER_S, min(longest_s, MAX_RETRY_AFTER_S))
+    return gateway.rng.uniform(MIN_RETRY_AFTER_S, longest)
+
+
+def refuse(gateway: Gateway, reason: str, longest_s: float) -> GatewayReply:
+    """Return a refusal: nothing ran, and nothing will."""
+    after_s = retry_after(gateway, longest_s)
+    return GatewayReply(ReplyKind.REFUSED, reason, retry_after_s=after_s)
+
+
+def is_overloaded(gateway: Gateway, route: Route) -> bool:
+    """Return whether a request of this route is refused for lack of room."""
+    limit = MAX_IN_FLIGHT - IN_FLIGHT_STEP * min(route.priority, 4)
+    return gateway.in_flight >= limit
+
+
+def deadline_of(route: Route, request: CallerRequest) -> float:
+    """Return how long the request may take from its arrival, in seconds."""
+    if request.deadline_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, request.deadline_s)
--- /dev/null
+++ b/src/bramleyrouter/gateway/gathers.py
@@ -0,0 +1,330 @@
+"""Queries over many shards: one server of each, merged into one response."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from bramleyrouter.gateway.budgets import count_request, take_extra
+from bramleyrouter.gateway.exchanges import (
+    CallerRequest,
+    ExchangeEnd,
+    GatewayReply,
+    ReplyKind,
+    ServerReply,
+)
+from bramleyrouter.gateway.gateways import (
+    DEADLINE_MARGIN_S,
+    MIN_SEND_S,
+    Cancel,
+    Gateway,
+    OnGatewayReply,
+    Sending,
+    context_for,
+    deadline_of,
+    refuse,
+    send,
+    states_of,
+    window_of,
+)
+from bramleyrouter.gateway.latencies import add_sample, hedge_delay
+from bramleyrouter.gateway.merging import merge_greatest
+from bramleyrouter.gateway.servers import choose_server, note_cancelled, note_late
+from bramleyrouter.gateway.tables import Route
+from bramleyrouter.gateway.waiting import (
+    LATE_PATIENCE,
+    TRIP_S,
+    GatherProgress,
+    reaches,
+    should_answer,
+)
+from bramleyrouter.ids import ServerId, ServiceName
+
+# Sends of one shard in all, those that were refused without running included.
+MAX_SENDS = 4
+# Looks for stragglers in one request; the second catches those for which the
+# first had no budget or no server.
+HEDGE_LOOKS = 3
+
+
+@dataclass(eq=False)
+class ShardRun:
+    """Hold the state of one shard of a gather.
+
+    ``ran`` counts the sends that may have run, ``sends`` all of them.
+    """
+
+    service: ServiceName
+    tried: set[ServerId] = field(default_factory=set)
+    pending: list[Sending] = field(default_factory=list)
+    reply: ServerReply | None = None
+    is_missing: bool = False
+    sends: int = 0
+    ran: int = 0
+    last_end: ExchangeEnd | None = None
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the shard may still answer."""
+        return self.reply is None and not self.is_missing
+
+
+@dataclass(eq=False)
+class GatherRun:
+    """Hold one query while it runs."""
+
+    gateway: Gateway
+    route: Route
+    request: CallerRequest
+    arrived: float
+    deadline_at: float
+    on_reply: OnGatewayReply
+    shards: list[ShardRun] = field(default_factory=list)
+    timer: asyncio.TimerHandle | None = None
+    looks: int = 0
+    hedges: int = 0
+    is_finished: bool = False
+    is_started: bool = False
+
+
+def progress_of(run: GatherRun) -> GatherProgress:
+    """Count the shards by their state."""
+    included = sum(shard.reply is not None for shard in run.shards)
+    still_open = sum(shard.is_open for shard in run.shards)
+    return GatherProgress(included, still_open, len(run.shards))
+
+
+def start_gather(
+    gateway: Gateway,
+    route: Route,
+    request: CallerRequest,
+    on_reply: OnGatewayReply,
+) -> Cancel:
+    """Run a query; call ``on_reply`` once unless the returned closure is called."""
+    now = gateway.loop.time()
+    deadline_s = deadline_of(route, request)
+    run = GatherRun(gateway, route, request, now, now + deadline_s, on_reply)
+    run.shards = [ShardRun(service) for service in route.shards]
+    reachable = sum(_choose(run, shard) is not None for shard in run.shards)
+    if not reaches(reachable, len(run.shards), route.min_coverage):
+        reason = f"{reachable} of {len(run.shards)} shards have a server"
+        _finish(run, refuse(gateway, reason, deadline_s / 3))
+        return lambda: None
+    for shard in run.shards:
+        count_request(gateway.budget, shard.service)
+        if not _send(run, shard):
+            shard.is_missing = True
+    run.is_started = True
+    _check(run)
+    if not run.is_finished:
+        _arm(run)
+    return lambda: _cancel(run)
+
+
+def _choose(run: GatherRun, shard: ShardRun):
+    context = context_for(run.gateway, shard.service)
+    states = states_of(run.gateway, shard.service)
+    return choose_server(states, context, shard.tried)
+
+
+def _send(run: GatherRun, shard: ShardRun) -> bool:
+    """Send the shard's request to the best server left; say whether one was."""
+    gateway = run.gateway
+    timeout_s = run.deadline_at - gateway.loop.time()
+    state = _choose(run, shard)
+    if state is None or timeout_s < MIN_SEND_S:
+        return False
+    shard.tried.add(state.row.server_id)
+    shard.sends += 1
+    shard.ran += 1
+    context = context_for(gateway, shard.service)
+    holder: list[Sending] = []
+    sending = send(
+        gateway,
+        state,
+        context,
+        run.request,
+        timeout_s,
+        lambda reply: _take(run, shard, holder[0], reply),
+    )
+    holder.append(sending)
+    shard.pending.append(sending)
+    return True
+
+
+def _take(
+    run: GatherRun, shard: ShardRun, sending: Sending, reply: ServerReply
+) -> None:
+    shard.pending.remove(sending)
+    now = run.gateway.loop.time()
+    if reply.is_success:
+        add_sample(window_of(run.gateway, run.route), now - sending.sent_at)
+    if run.is_finished or not shard.is_open:
+        return
+    shard.last_end = reply.end
+    if reply.is_success:
+        shard.reply = reply
+        for other in shard.pending:
+            note_late(other.state, now - other.sent_at, now)
+    else:
+        _after_failure(run, shard, sending, reply)
+    if run.is_started:
+        _check(run)
+
+
+def _after_failure(
+    run: GatherRun, shard: ShardRun, sending: Sending, reply: ServerReply
+) -> None:
+    """Ask another server, or give the shard up where none is left."""
+    run.gateway.record(
+        "gateway",
+        "shard_failed",
+        id=run.request.request_id,
+        shard=shard.service,
+        server=sending.state.row.server_id,
+        end=reply.end.value,
+        status=reply.status,
+        text=reply.text,
+        waited_ms=round(1000 * (run.gateway.loop.time() - run.arrived)),
+    )
+    has_arrived = reply.end not in (ExchangeEnd.UNREACHED, ExchangeEnd.MISDIRECTED)
+    if reply.end in (
+        ExchangeEnd.UNREACHED,
+        ExchangeEnd.MISDIRECTED,
+        ExchangeEnd.REFUSED,
+    ):
+        shard.ran -= 1
+    if shard.pending:
+        return
+    if reply.end is ExchangeEnd.REFUSED and _choose(run, shard) is None:
+        # All are full for the moment; the one that refused first may have room.
+        shard.tried.clear()
+        shard.tried.add(sending.state.row.server_id)
+    can_send = shard.ran < run.route.attempts and shard.sends < MAX_SENDS
+    if can_send and has_arrived:
+        can_send = take_extra(run.gateway.budget, shard.service)
+    if not can_send or not _send(run, shard):
+        shard.is_missing = True
+
+
+def _hedge(run: GatherRun) -> None:
+    """Ask a second server for each shard that is still waited for."""
+    gateway = run.gateway
+    for shard in run.shards:
+        is_straggler = shard.is_open and len(shard.pending) == 1
+        if not is_straggler or shard.ran >= run.route.attempts:
+            continue
+        if _choose(run, shard) is None:
+            continue
+        if take_extra(gateway.budget, shard.service, is_hedge=True):
+            run.hedges += 1
+            _send(run, shard)
+
+
+def _arm(run: GatherRun) -> None:
+    """Wake at the next hedge, at the objective, or at the deadline."""
+    now = run.gateway.loop.time()
+    route = run.route
+    times = [run.deadline_at - DEADLINE_MARGIN_S]
+    if run.looks < HEDGE_LOOKS:
+        delay_s = hedge_delay(window_of(run.gateway, route), route.objective_s)
+        times.append(run.arrived + delay_s * (run.looks + 1))
+    objective_at = run.arrived + route.objective_s - TRIP_S
+    late_at = run.arrived + LATE_PATIENCE * route.objective_s
+    times += [at for at in (objective_at, late_at) if at > now]
+    run.timer = run.gateway.loop.call_at(min(times), _on_timer, run)
+
+
+def _on_timer(run: GatherRun) -> None:
+    run.timer = None
+    if run.is_finished:
+        return
+    now = run.gateway.loop.time()
+    delay_s = hedge_delay(window_of(run.gateway, run.route), run.route.objective_s)
+    if run.looks < HEDGE_LOOKS and now >= run.arrived + delay_s * (run.looks + 1):
+        run.looks += 1
+        _hedge(run)
+    _check(run)
+    if not run.is_finished:
+        _arm(run)
+
+
+def _check(run: GatherRun) -> None:
+    """Answer if it is time to."""
+    if run.is_finished:
+        return
+    progress = progress_of(run)
+    route, now = run.route, run.gateway.loop.time()
+    waited_s = now - run.arrived
+    is_enough = reaches(progress.included, progress.total, route.min_coverage)
+    is_last_call = now >= run.deadline_at - DEADLINE_MARGIN_S
+    if is_enough and (
+        is_last_call
+        or should_answer(progress, route.min_coverage, waited_s, route.objective_s)
+    ):
+        _finish(run, _gathered(run, progress))
+    elif not reaches(
+        progress.included + progress.open, progress.total, route.min_coverage
+    ):
+        _finish(run, _failed(run, progress))
+    elif is_last_call:
+        text = f"{progress.included} of {progress.total} shards by the deadline"
+        _finish(run, GatewayReply(ReplyKind.DEADLINE, text))
+
+
+def _gathered(run: GatherRun, progress: GatherProgress) -> GatewayReply:
+    replies = [shard.reply for shard in run.shards if shard.reply is not None]
+    return GatewayReply(
+        ReplyKind.GATHERED,
+        body=merge_greatest((reply.body for reply in replies), run.route.top_records),
+        signatures=tuple(reply.signature for reply in replies),
+        missing=progress.total - progress.included,
+    )
+
+
+def _failed(run: GatherRun, progress: GatherProgress) -> GatewayReply:
+    """Return a refusal where no server ran anything, else a plain failure."""
+    missing = [shard.service for shard in run.shards if shard.is_missing]
+    reason = f"{len(missing)} of {progress.total} shards are lost: {missing[:5]}"
+    if any(shard.ran > 0 for shard in run.shards):
+        return GatewayReply(ReplyKind.FAILED, reason)
+    return refuse(run.gateway, reason, (run.deadline_at - run.arrived) / 3)
+
+
+def _finish(run: GatherRun, reply: GatewayReply) -> None:
+    run.is_finished = True
+    if run.timer is not None:
+        run.timer.cancel()
+    _log(run, reply)
+    run.on_reply(reply)
+
+
+def _log(run: GatherRun, reply: GatewayReply) -> None:
+    index = run.gateway.index
+    is_whole = reply.kind is ReplyKind.GATHERED and not reply.missing
+    record = run.gateway.record_ordinary if is_whole else run.gateway.record
+    record(
+        "gateway",
+        "gather_ended",
+        id=run.request.request_id,
+        route=run.route.name,
+        version=index.table.version if index else None,
+        outcome=reply.kind.value,
+        included=len(reply.signatures),
+        shards=len(run.shards),
+        hedges=run.hedges,
+        waited_ms=round(1000 * (run.gateway.loop.time() - run.arrived)),
+        objective_ms=round(1000 * run.route.objective_s),
+        missing=[s.service for s in run.shards if s.reply is None][:5],
+        reason=reply.reason,
+    )
+
+
+def _cancel(run: GatherRun) -> None:
+    """Stop all work: the caller has left."""
+    run.is_finished = True
+    if run.timer is not None:
+        run.timer.cancel()
+    for shard in run.shards:
+        for sending in shard.pending:
+            sending.cancel()
+            note_cancelled(sending.state)
+        shard.pending.clear()
--- /dev/null
+++ b/src/bramleyrouter/gateway/merging.py
@@ -0,0 +1,23 @@
+"""Merge the records of the shards into the greatest ones."""
+
+import heapq
+from collections.abc import Iterable
+
+# Length of one record, in bytes.
+RECORD_BYTES = 16
+
+
+def split_records(part: bytes) -> list[bytes]:
+    """Return the records of one part; a shorter remainder is no record."""
+    end = len(part) - len(part) % RECORD_BYTES
+    return [part[at : at + RECORD_BYTES] for at in range(0, end, RECORD_BYTES)]
+
+
+def merge_greatest(parts: Iterable[bytes], count: int) -> bytes:
+    """Return the ``count`` greatest records of all parts, greatest first.
+
+    Equal records all count. For example ``merge_greatest([b"a" * 16 + b"b" *
+    16], 1)`` is ``b"b" * 16``.
+    """
+    records = (record for part in parts for record in split_records(part))
+    return b"".join(heapq.nlargest(count, records))
--- /dev/null
+++ b/src/bramleyrouter/gateway/servers.py
@@ -0,0 +1,231 @@
+"""What an entry daemon measured of each server, and which one to ask.
+
+All here is pure but for the state that it updates: time is passed in, and a
+choice depends on nothing else.
+"""
+
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from bramleyrouter.fleet.records import Phase, ServerRow
+from bramleyrouter.gateway.exchanges import ExchangeEnd, ServerReply
+from bramleyrouter.ids import DataCentre, ServerId, ServiceName
+
+# Weight of a new latency in the moving average.
+LATENCY_WEIGHT = 0.25
+# An average that is not renewed falls by half in this time, in seconds, so
+# that a server which was slow is tried again.
+LATENCY_HALF_LIFE_S = 4.0
+# Failures in a row after which a server is suspected, and for how long, in
+# seconds; the time doubles with each further failure. A pause of a healthy
+# server costs one failure at most.
+STRIKES_TO_SUSPECT = 2
+SUSPECT_S = 0.5
+MAX_SUSPECT_S = 4.0
+# A server that refused for lack of room is left alone for so long, in seconds.
+FULL_S = 0.05
+# What a server in another data centre costs beside its latency, in seconds:
+# the links between data centres are dear, and a slow server may be worth them.
+REMOTE_PENALTY_S = 0.015
+# Part of the rate that cold servers bear which all entry daemons use together.
+COLD_RATE_USED = 0.5
+# Factor and constant above the declared rate that a cold server still bears;
+# the platform's settings may name others.
+DEFAULT_COLD_FACTOR, DEFAULT_COLD_SLACK = 1.5, 5.0
+
+
+@dataclass(eq=False)
+class ServerState:
+    """Hold what is known of one server.
+
+    ``latency_s`` is a moving average. ``failed_share`` is the moving share of
+    failures. Times are of the loop's clock, in seconds.
+    """
+
+    row: ServerRow
+    latency_s: float = 0.0
+    latency_at: float = 0.0
+    failed_share: float = 0.0
+    in_flight: int = 0
+    strikes: int = 0
+    suspect_until: float = 0.0
+    full_until: float = 0.0
+    cold_until: float = 0.0
+    cold_next_at: float = 0.0
+
+
+class ChoiceContext(NamedTuple):
+    """Hold what a choice depends on besides the servers.
+
+    ``cold_gap_s`` is the time between two requests of this entry daemon to a
+    cold server; infinite when cold servers get none.
+    """
+
+    now: float
+    own_data_centre: DataCentre
+    data_centres_out: Collection[DataCentre]
+    cold_gap_s: float
+
+
+@dataclass
+class ServerTable:
+    """Hold the states of all servers by service."""
+
+    by_service: dict[ServiceName, dict[ServerId, ServerState]] = field(
+        default_factory=dict
+    )
+
+
+def set_servers(
+    table: ServerTable,
+    service: ServiceName,
+    rows: Iterable[ServerRow],
+    now: float,
+) -> None:
+    """Bring the states of a service in line with what was announced.
+
+    A server keeps its measurements while it is the same incarnation at the
+    same address.
+    """
+    before = table.by_service.get(service, {})
+    states: dict[ServerId, ServerState] = {}
+    for row in rows:
+        state = before.get(row.server_id)
+        is_same = state is not None and (
+            state.row.incarnation == row.incarnation
+            and state.row.address == row.address
+        )
+        if state is None or not is_same:
+            state = ServerState(row)
+        state.row = row
+        if row.cold_s:
+            state.cold_until = max(state.cold_until, now + row.cold_s)
+        states[row.server_id] = state
+    table.by_service[service] = states
+
+
+def cold_gap(rate: float, factor: float, slack: float, entry_daemons: int) -> float:
+    """Return the seconds between two requests of one daemon to a cold server.
+
+    All entry daemons together stay below ``rate * factor + slack`` per second.
+    """
+    allowed = COLD_RATE_USED * (rate * factor + slack) / max(1, entry_daemons)
+    return 1.0 / allowed if allowed > 0 else float("inf")
+
+
+def expected_latency(state: ServerState, now: float) -> float:
+    """Return the moving average, discounted by its age."""
+    age = max(0.0, now - state.latency_at)
+    return state.latency_s * 0.5 ** (age / LATENCY_HALF_LIFE_S)
+
+
+def _cost(state: ServerState, context: ChoiceContext) -> float:
+    latency = expected_latency(state, context.now)
+    queue = 1.0 + state.in_flight / max(1, state.row.slots)
+    cost = latency * queue * (1.0 + 4.0 * state.failed_share)
+    if state.row.data_centre != context.own_data_centre:
+        cost += REMOTE_PENALTY_S
+    return cost
+
+
+def _rank(state: ServerState, context: ChoiceContext) -> int | None:
+    """Return 0 for a good server, more for a doubtful one, none for no use."""
+    now, row = context.now, state.row
+    if row.phase is not Phase.READY or row.data_centre in context.data_centres_out:
+        return None
+    if state.cold_until > now:
+        return 3 if state.cold_next_at <= now else None
+    if state.suspect_until > now:
+        return 2
+    if row.is_silent or state.full_until > now:
+        return 1
+    return 0
+
+
+def choose_server(
+    states: Iterable[ServerState],
+    context: ChoiceContext,
+    tried: Collection[ServerId] = (),
+    max_rank: int = 3,
+) -> ServerState | None:
+    """Return the best server that was not tried yet, or none."""
+    best: ServerState | None = None
+    best_key: tuple[int, float] | None = None
+    for state in states:
+        if state.row.server_id in tried:
+            continue
+        rank = _rank(state, context)
+        if rank is None or rank > max_rank:
+            continue
+        key = (rank, _cost(state, context))
+        if best_key is None or key < best_key:
+            best, best_key = state, key
+    return best
+
+
+def note_sent(state: ServerState, context: ChoiceContext) -> None:
+    """Count a request that is on its way."""
+    state.in_flight += 1
+    if state.cold_until > context.now:
+        state.cold_next_at = context.now + context.cold_gap_s
+
+
+def _strike(state: ServerState, now: float) -> None:
+    state.strikes += 1
+    over = state.strikes - STRIKES_TO_SUSPECT
+    if over >= 0:
+        state.suspect_until = now + min(MAX_SUSPECT_S, SUSPECT_S * 2 ** min(over, 6))
+
+
+def _average_failures(state: ServerState, is_failed: bool) -> None:
+    state.failed_share += LATENCY_WEIGHT * (float(is_failed) - state.failed_share)
+
+
+def note_late(state: ServerState, waited_s: float, now: float) -> None:
+    """Note that another server answered first; this one is not heard of yet.
+
+    What it has taken so far is a lower bound of its latency.
+    """
+    if waited_s > expected_latency(state, now):
+        _average_latency(state, waited_s, now)
+    _strike(state, now)
+
+
+def _average_latency(state: ServerState, latency_s: float, now: float) -> None:
+    expected = expected_latency(state, now)
+    if state.latency_at == 0.0:
+        state.latency_s = latency_s
+    else:
+        state.latency_s = expected + LATENCY_WEIGHT * (latency_s - expected)
+    state.latency_at = now
+
+
+def note_reply(
+    state: ServerState, reply: ServerReply, latency_s: float, now: float
+) -> None:
+    """Learn from the end of an exchange; it is on its way no more."""
+    state.in_flight = max(0, state.in_flight - 1)
+    if reply.cold_s:
+        state.cold_until = max(state.cold_until, now + reply.cold_s)
+    if reply.end is ExchangeEnd.REFUSED:
+        state.full_until = now + FULL_S
+        _average_failures(state, True)
+        return
+    is_failed = reply.end is not ExchangeEnd.ANSWERED or reply.status >= 500
+    _average_failures(state, is_failed)
+    if reply.end is ExchangeEnd.MISDIRECTED:
+        # Another server has the address: this one is gone.
+        state.strikes = STRIKES_TO_SUSPECT + 3
+        _strike(state, now)
+    elif is_failed:
+        _strike(state, now)
+    else:
+        state.strikes = 0
+        state.suspect_until = 0.0
+        _average_latency(state, latency_s, now)
+
+
+def note_cancelled(state: ServerState) -> None:
+    """Note that nobody waits for an exchange any more."""
+    state.in_flight = max(0, state.in_flight - 1)
--- /dev/null
+++ b/src/bramleyrouter/gateway/singles.py
@@ -0,0 +1,267 @@
+"""Requests to one server of a service, with retries where they are allowed."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from bramleyrouter.gateway.budgets import count_request, take_extra
+from bramleyrouter.gateway.exchanges import (
+    NOT_RUN,
+    CallerRequest,
+    ExchangeEnd,
+    GatewayReply,
+    ReplyKind,
+    ServerReply,
+)
+from bramleyrouter.gateway.gateways import (
+    DEADLINE_MARGIN_S,
+    MIN_SEND_S,
+    Cancel,
+    Gateway,
+    OnGatewayReply,
+    Sending,
+    context_for,
+    deadline_of,
+    refuse,
+    send,
+    states_of,
+    window_of,
+)
+from bramleyrouter.gateway.latencies import add_sample, hedge_delay
+from bramleyrouter.gateway.servers import choose_server, note_cancelled, note_late
+from bramleyrouter.gateway.tables import RequestKind, Route
+from bramleyrouter.ids import ServerId, ServiceName
+
+# Sends in all, those that were refused or did not arrive included.
+MAX_SENDS = 5
+
+
+@dataclass(eq=False)
+class SingleRun:
+    """Hold one request while it runs; ``ran`` counts sends that may have run."""
+
+    gateway: Gateway
+    route: Route
+    request: CallerRequest
+    service: ServiceName
+    arrived: float
+    deadline_at: float
+    on_reply: OnGatewayReply
+    tried: set[ServerId] = field(default_factory=set)
+    pending: list[Sending] = field(default_factory=list)
+    last_answer: ServerReply | None = None
+    sends: int = 0
+    ran: int = 0
+    timer: asyncio.TimerHandle | None = None
+    is_finished: bool = False
+
+    @property
+    def is_idempotent(self) -> bool:
+        """Return whether the request may run more than once."""
+        return self.route.kind is RequestKind.IDEMPOTENT
+
+
+def choose_service(gateway: Gateway, route: Route) -> ServiceName:
+    """Return the next service of a split, in proportion to the weights.
+
+    The service that is furthest behind its share goes next (smooth weighted
+    round robin), so that short runs keep the proportions too.
+    """
+    if len(route.targets) == 1:
+        return route.targets[0].service
+    credit = gateway.split_credit.setdefault(route.name, {})
+    for target in route.targets:
+        credit[target.service] = credit.get(target.service, 0.0) + target.weight
+    # Targets of weight 0 get nothing, and those of an older table are left out.
+    best = max(
+        (target for target in route.targets if target.weight > 0),
+        key=lambda target: credit[target.service],
+    )
+    credit[best.service] -= sum(target.weight for target in route.targets)
+    return best.service
+
+
+def start_single(
+    gateway: Gateway,
+    route: Route,
+    request: CallerRequest,
+    on_reply: OnGatewayReply,
+) -> Cancel:
+    """Run a request; call ``on_reply`` once unless the closure is called."""
+    now = gateway.loop.time()
+    deadline_s = deadline_of(route, request)
+    service = choose_service(gateway, route)
+    run = SingleRun(gateway, route, request, service, now, now + deadline_s, on_reply)
+    count_request(gateway.budget, service)
+    if not _send(run):
+        reason = f'service "{service}" has no server that may be asked'
+        _finish(run, refuse(gateway, reason, deadline_s / 3))
+        return lambda: None
+    _arm(run)
+    return lambda: _cancel(run)
+
+
+def _choose(run: SingleRun):
+    context = context_for(run.gateway, run.service)
+    return choose_server(states_of(run.gateway, run.service), context, run.tried)
+
+
+def _send(run: SingleRun) -> bool:
+    gateway = run.gateway
+    timeout_s = run.deadline_at - gateway.loop.time()
+    state = _choose(run)
+    if state is None or timeout_s < MIN_SEND_S:
+        return False
+    run.tried.add(state.row.server_id)
+    run.sends += 1
+    run.ran += 1
+    context = context_for(gateway, run.service)
+    holder: list[Sending] = []
+    sending = send(
+        gateway,
+        state,
+        context,
+        run.request,
+        timeout_s,
+        lambda reply: _take(run, holder[0], reply),
+    )
+    holder.append(sending)
+    run.pending.append(sending)
+    return True
+
+
+def _take(run: SingleRun, sending: Sending, reply: ServerReply) -> None:
+    run.pending.remove(sending)
+    gateway = run.gateway
+    now = gateway.loop.time()
+    if reply.is_success:
+        add_sample(window_of(gateway, run.route), now - sending.sent_at)
+    if run.is_finished:
+        return
+    is_final = reply.end is ExchangeEnd.ANSWERED and (
+        reply.status < 500 or not run.is_idempotent
+    )
+    if is_final:
+        for other in run.pending:
+            note_late(other.state, now - other.sent_at, now)
+        _finish(run, GatewayReply(ReplyKind.SERVER, server=reply))
+        return
+    _after_failure(run, sending, reply)
+
+
+def _after_failure(run: SingleRun, sending: Sending, reply: ServerReply) -> None:
+    gateway = run.gateway
+    gateway.record(
+        "gateway",
+        "send_failed",
+        id=run.request.request_id,
+        service=run.service,
+        server=sending.state.row.server_id,
+        end=reply.end.value,
+        status=reply.status,
+        text=reply.text,
+        waited_ms=round(1000 * (gateway.loop.time() - run.arrived)),
+    )
+    if reply.end is ExchangeEnd.ANSWERED:
+        run.last_answer = reply
+    if reply.end in NOT_RUN:
+        run.ran -= 1
+    if run.pending:
+        return
+    if _may_send_again(run, reply) and _send(run):
+        return
+    _finish(run, _last_word(run, reply))
+
+
+def _may_send_again(run: SingleRun, reply: ServerReply) -> bool:
+    if run.sends >= MAX_SENDS or run.ran >= run.route.attempts:
+        return False
+    if run.ran > 0 and not run.is_idempotent:
+        return False
+    if _choose(run) is None:
+        return False
+    # A send that did not reach the service is no extra one there.
+    did_arrive = reply.end not in (ExchangeEnd.UNREACHED, ExchangeEnd.MISDIRECTED)
+    return not did_arrive or take_extra(run.gateway.budget, run.service)
+
+
+def _last_word(run: SingleRun, reply: ServerReply) -> GatewayReply:
+    """Return the reply when no further server is asked."""
+    if run.last_answer is not None:
+        return GatewayReply(ReplyKind.SERVER, server=run.last_answer)
+    if run.ran <= 0:
+        longest_s = (run.deadline_at - run.gateway.loop.time()) / 3
+        return refuse(run.gateway, f"last send: {reply.end.value}", longest_s)
+    if reply.end is ExchangeEnd.TIMED_OUT:
+        return GatewayReply(ReplyKind.DEADLINE, "the server did not answer in time")
+    return GatewayReply(ReplyKind.FAILED, f"last send: {reply.end.value}")
+
+
+def _arm(run: SingleRun) -> None:
+    if run.is_finished:
+        return
+    at = run.deadline_at - DEADLINE_MARGIN_S
+    if _may_hedge(run):
+        window = window_of(run.gateway, run.route)
+        at = min(at, run.arrived + hedge_delay(window, run.route.objective_s))
+    run.timer = run.gateway.loop.call_at(at, _on_timer, run)
+
+
+def _may_hedge(run: SingleRun) -> bool:
+    return run.is_idempotent and run.sends == 1 and run.route.attempts > 1
+
+
+def _on_timer(run: SingleRun) -> None:
+    run.timer = None
+    if run.is_finished:
+        return
+    now = run.gateway.loop.time()
+    if now >= run.deadline_at - DEADLINE_MARGIN_S:
+        _finish(run, GatewayReply(ReplyKind.DEADLINE, "no server answered in time"))
+        return
+    if _may_hedge(run) and _choose(run) is not None:
+        if take_extra(run.gateway.budget, run.service, is_hedge=True):
+            _send(run)
+    run.timer = run.gateway.loop.call_at(
+        run.deadline_at - DEADLINE_MARGIN_S, _on_timer, run
+    )
+
+
+def _finish(run: SingleRun, reply: GatewayReply) -> None:
+    run.is_finished = True
+    if run.timer is not None:
+        run.timer.cancel()
+    if reply.kind is not ReplyKind.SERVER:
+        # The caller is told that this is over; a server that still works on
+        # it would work for nobody.
+        _stop(run)
+    is_good = reply.server is not None and reply.server.status < 500
+    record = run.gateway.record_ordinary if is_good else run.gateway.record
+    record(
+        "gateway",
+        "request_ended",
+        id=run.request.request_id,
+        route=run.route.name,
+        service=run.service,
+        outcome=reply.kind.value,
+        status=reply.server.status if reply.server else None,
+        sends=run.sends,
+        ran=run.ran,
+        waited_ms=round(1000 * (run.gateway.loop.time() - run.arrived)),
+        reason=reply.reason,
+    )
+    run.on_reply(reply)
+
+
+def _stop(run: SingleRun) -> None:
+    for sending in run.pending:
+        sending.cancel()
+        note_cancelled(sending.state)
+    run.pending.clear()
+
+
+def _cancel(run: SingleRun) -> None:
+    """Stop all work: the caller has left."""
+    run.is_finished = True
+    if run.timer is not None:
+        run.timer.cancel()
+    _stop(run)
--- /dev/null
+++ b/src/bramleyrouter/gateway/waiting.py
@@ -0,0 +1,49 @@
+"""When a gather stops waiting for its last shards.
+
+A response is worth the square of its coverage while it is within the
+objective, and little once it is late. So nothing is gained by answering before
+the objective, and at the objective what has arrived is worth more than the
+rest would be later.
+"""
+
+from typing import NamedTuple
+
+# Time between this daemon's decision and the caller's receipt, and between the
+# caller's start and the arrival here, together, in seconds: about 3 ms each
+# way, a connection that may have to be opened, and the merging.
+TRIP_S = 0.014
+# A late response waits for more coverage up to this multiple of the objective.
+LATE_PATIENCE = 1.6
+
+
+class GatherProgress(NamedTuple):
+    """Count the shards of a gather: answered, still open, and all."""
+
+    included: int
+    open: int
+    total: int
+
+
+def reaches(included: int, total: int, min_coverage: float) -> bool:
+    """Return whether ``included`` of ``total`` shards are enough."""
+    # The epsilon undoes the rounding of, say, 0.89 * 100.
+    return included > 0 and included >= min_coverage * total - 1e-9
+
+
+def should_answer(
+    progress: GatherProgress, min_coverage: float, waited_s: float, objective_s: float
+) -> bool:
+    """Return whether the gather ends with what has arrived.
+
+    For example, 19 of 20 shards at a minimum of 0.89 are waited with until the
+    objective is nearly reached, and then sent.
+    """
+    if not progress.open:
+        return True
+    if not reaches(progress.included, progress.total, min_coverage):
+        return False
+    at_objective = objective_s - TRIP_S
+    if waited_s < at_objective:
+        return False
+    was_decided_in_time = waited_s < objective_s
+    return was_decided_in_time or waited_s >= LATE_PATIENCE * objective_s
--- a/src/bramleyrouter/ids.py
+++ b/src/bramleyrouter/ids.py
@@ -27,6 +27,8 @@
 Revision = NewType("Revision", int)
 # Number of a manifest, given by the operators' pipeline.
 Generation = NewType("Generation", int)
+# Number of a route table, given by the operators; the highest one takes effect.
+TableVersion = NewType("TableVersion", int)
 MemberId = NewType("MemberId", str)
 Term = NewType("Term", int)
 LogIndex = NewType("LogIndex", int)
--- /dev/null
+++ b/src/bramleyrouter/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform; decides nothing."""
--- /dev/null
+++ b/src/bramleyrouter/platform/documents.py
@@ -0,0 +1,123 @@
+"""Decode the operators' documents into route tables."""
+
+import msgspec
+from result import Err, Ok, Result
+
+from bramleyrouter.codes import Code
+from bramleyrouter.failures import Failure
+from bramleyrouter.gateway.tables import (
+    CallerLimits,
+    RequestKind,
+    Route,
+    RouteTable,
+    Service,
+    Target,
+)
+from bramleyrouter.ids import ServiceName, TableVersion
+
+MILLISECONDS = 1000.0
+
+
+class _Part(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    host: str
+    path_prefix: str
+    # Whether a request may run more than once.
+    type: str
+    timeout_ms: float
+    name: str = ""
+    # The latency objective.
+    slo_ms: float = 0
+    priority: int = 0
+    attempts: int = 1
+    service: str | None = None
+    traffic_split: list[_Part] | None = None
+    # The services that hold the shards.
+    gather: list[str] | None = None
+    # Number of records in a response.
+    top_k: int = 0
+    min_coverage: float = 1.0
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    # Connections of all callers together to one server.
+    max_conns: int = 16
+    warmup_s: float = 0.0
+    # Requests per second that one cold server bears.
+    warmup_per_s: float = 0.0
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 1024 * 1024
+    header_timeout_ms: float = 5000
+    idle_timeout_ms: float = 60000
+
+
+class _Document(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+_DECODER = msgspec.json.Decoder(_Document)
+
+
+def decode_document(body: bytes) -> Result[RouteTable, Failure]:
+    """Decode a document; fail with ``INVALID_MANIFEST``."""
+    try:
+        document = _DECODER.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+        text = f"The route table can't be read: {exc}."
+        return Err(Failure(Code.INVALID_MANIFEST, text))
+    return Ok(
+        RouteTable(
+            TableVersion(document.version),
+            tuple(_route(item) for item in document.routes),
+            tuple(_service(item) for item in document.services),
+            _limits(document.limits),
+        )
+    )
+
+
+def _route(item: _Route) -> Route:
+    targets = [Target(ServiceName(item.service))] if item.service else []
+    for part in item.traffic_split or ():
+        targets.append(Target(ServiceName(part.service), part.weight))
+    is_idempotent = item.type == RequestKind.IDEMPOTENT.value
+    return Route(
+        name=item.name,
+        host=item.host,
+        prefix=item.path_prefix,
+        # A kind that is not known must not run twice.
+        kind=RequestKind.IDEMPOTENT if is_idempotent else RequestKind.NON_IDEMPOTENT,
+        timeout_s=item.timeout_ms / MILLISECONDS,
+        objective_s=(item.slo_ms or item.timeout_ms) / MILLISECONDS,
+        priority=item.priority,
+        attempts=max(1, item.attempts),
+        targets=tuple(targets),
+        shards=tuple(ServiceName(name) for name in item.gather or ()),
+        top_records=item.top_k,
+        min_coverage=item.min_coverage,
+    )
+
+
+def _service(item: _Service) -> Service:
+    return Service(
+        ServiceName(item.name), item.max_conns, item.warmup_s, item.warmup_per_s
+    )
+
+
+def _limits(item: _Limits) -> CallerLimits:
+    return CallerLimits(
+        item.max_header_bytes,
+        item.max_body_bytes,
+        item.header_timeout_ms / MILLISECONDS,
+        item.idle_timeout_ms / MILLISECONDS,
+    )
--- /dev/null
+++ b/src/bramleyrouter/platform/names.py
@@ -0,0 +1,35 @@
+"""Names of the platform on the wire."""
+
+REQUEST_ID = "Bramleyrouter-Request-Id"
+DEADLINE_MS = "Bramleyrouter-Deadline-Ms"
+TARGET_INSTANCE = "Bramleyrouter-Target-Instance"
+# The server's signature of one reply; "seal" on the wire.
+SERVER_SEAL = "Bramleyrouter-Server-Seal"
+NOT_EXECUTED = "Bramleyrouter-Not-Executed"
+# Milliseconds for which a server stays cold.
+WARMUP_MS = "Bramleyrouter-Warmup-Ms"
+PART_SEALS = "Bramleyrouter-Part-Seals"
+MISSING_PARTS = "Bramleyrouter-Missing-Parts"
+
+READY_PATH = "/v1/ready"
+CONFIG_PATH = "/v1/config"
+REPLICAS_PREFIX = "/v1/replicas/"
+EVACUATE_PREFIX = "/v1/evacuate/"
+
+SETTINGS_VARIABLE = "BRAMLEYROUTER_CONFIG"
+
+# Headers that concern one connection only.
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    }
+)
--- /dev/null
+++ b/src/bramleyrouter/platform/operators.py
@@ -0,0 +1,209 @@
+"""Serve operators and backend servers on a control daemon."""
+
+import asyncio
+import secrets
+from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from typing import NamedTuple
+
+import msgspec
+from result import Err, Result
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+
+from bramleyrouter.control.messages import (
+    OperatorResult,
+    PublishRoutes,
+    SetAvailability,
+)
+from bramleyrouter.failures import Failure
+from bramleyrouter.fleet.records import ServerRow
+from bramleyrouter.gateway.checks import check_table
+from bramleyrouter.ids import (
+    DataCentre,
+    OperatorRequestId,
+    ServerId,
+    ServerIncarnation,
+)
+from bramleyrouter.platform import names
+from bramleyrouter.platform.announcements import decode_heartbeat, decode_leave
+from bramleyrouter.platform.documents import decode_document
+from bramleyrouter.telemetry.events import Record
+from bramleyrouter.utils.addresses import split_address
+
+JSON_TYPE = "application/json"
+# Callers of control daemons wait one second for a reply; later the reply is
+# lost and the same order comes again.
+ORDER_TIMEOUT_S = 0.9
+OPERATOR = "platform"
+_ID_BYTES = 8
+_PUT, _DELETE, _POST, _GET = "PUT", "DELETE", "POST", "GET"
+
+
+class ControlCalls(NamedTuple):
+    """Bundle what the product does with the calls."""
+
+    publish: Callable[
+        [PublishRoutes, float], Awaitable[Result[OperatorResult, Failure]]
+    ]
+    set_out: Callable[
+        [SetAvailability, float], Awaitable[Result[OperatorResult, Failure]]
+    ]
+    read: Callable[[float], Awaitable[Result[PublishRoutes, Failure]]]
+    announce: Callable[[ServerRow], bool]
+    withdraw: Callable[[ServerId, ServerIncarnation | None], None]
+    data_centres: tuple[DataCentre, ...]
+    record: Record
+
+
+class Answer(NamedTuple):
+    """Hold one reply."""
+
+    status: int
+    body: bytes = b"{}"
+
+
+def _refusal(status: int, failure: Failure) -> Answer:
+    findings = [str(finding) for finding in failure.findings]
+    body = {"code": int(failure.code), "text": failure.text, "findings": findings}
+    return Answer(status, msgspec.json.encode(body))
+
+
+async def answer_call(
+    calls: ControlCalls, method: str, path: str, body: bytes
+) -> Answer:
+    """Carry one call out and return its reply."""
+    if path.startswith(names.REPLICAS_PREFIX):
+        server_id = path[len(names.REPLICAS_PREFIX) :]
+        if method == _PUT:
+            return _heartbeat(calls, server_id, body)
+        if method == _DELETE:
+            calls.withdraw(ServerId(server_id), decode_leave(body))
+            return Answer(200)
+    if path == names.CONFIG_PATH and method == _PUT:
+        return await _publish(calls, body)
+    if path == names.CONFIG_PATH and method == _GET:
+        return await _read(calls)
+    if path.startswith(names.EVACUATE_PREFIX) and method in (_POST, _DELETE):
+        name = path[len(names.EVACUATE_PREFIX) :]
+        return await _evacuate(calls, DataCentre(name), method == _POST)
+    return Answer(404)
+
+
+def _heartbeat(calls: ControlCalls, server_id: str, body: bytes) -> Answer:
+    decoded = decode_heartbeat(server_id, body, calls.data_centres)
+    if isinstance(decoded, Err):
+        calls.record("registry", "bad_heartbeat", server=server_id)
+        return _refusal(400, decoded.err_value)
+    calls.announce(decoded.ok_value)
+    return Answer(200)
+
+
+async def _publish(calls: ControlCalls, body: bytes) -> Answer:
+    decoded = decode_document(body)
+    if isinstance(decoded, Err):
+        calls.record("control", "table_refused", reason=decoded.err_value.text)
+        return _refusal(400, decoded.err_value)
+    table = decoded.ok_value
+    findings = check_table(table)
+    if findings:
+        text = "The route table has errors and was refused whole."
+        calls.record(
+            "control",
+            "table_refused",
+            version=table.version,
+            reason=str(findings[0]),
+        )
+        return Answer(400, msgspec.json.encode({"text": text, "findings": findings}))
+    outcome = await calls.publish(PublishRoutes(table.version, body), ORDER_TIMEOUT_S)
+    return _order_answer(calls, "publish", {"version": table.version}, outcome)
+
+
+async def _evacuate(calls: ControlCalls, name: DataCentre, is_out: bool) -> Answer:
+    if name not in calls.data_centres:
+        return Answer(404)
+    # Each call gets an id of its own: setting what already holds is harmless.
+    request_id = OperatorRequestId(secrets.token_hex(_ID_BYTES))
+    order = SetAvailability(request_id, OPERATOR, is_out, data_centre=name)
+    outcome = await calls.set_out(order, ORDER_TIMEOUT_S)
+    fields = {"data_centre": name, "is_out": is_out}
+    return _order_answer(calls, "availability", fields, outcome)
+
+
+def _order_answer(
+    calls: ControlCalls,
+    order: str,
+    fields: dict,
+    outcome: Result[OperatorResult, Failure],
+) -> Answer:
+    if isinstance(outcome, Err):
+        # Nobody knows yet whether it was accepted; the same order may be sent
+        # again.
+        text = outcome.err_value.text
+        calls.record("control", "order_open", order=order, reason=text, **fields)
+        return _refusal(503, outcome.err_value)
+    result = outcome.ok_value
+    if result.failure is not None:
+        text = result.failure.text
+        calls.record("control", "order_refused", order=order, reason=text, **fields)
+        return _refusal(400, result.failure)
+    calls.record(
+        "control", "order_accepted", order=order, revision=result.revision, **fields
+    )
+    return Answer(200)
+
+
+async def _read(calls: ControlCalls) -> Answer:
+    outcome = await calls.read(ORDER_TIMEOUT_S)
+    if isinstance(outcome, Err):
+        calls.record("control", "read_failed", reason=outcome.err_value.text)
+        return _refusal(503, outcome.err_value)
+    if not outcome.ok_value.document:
+        return Answer(503)
+    return Answer(200, outcome.ok_value.document)
+
+
+def write_answer(req: HTTPServerRequest, answer: Answer) -> None:
+    """Write a reply; one whose caller has left is dropped."""
+    conn = req.connection
+    if conn is None or conn.stream.closed():  # type: ignore[attr-defined]
+        return
+    headers = HTTPHeaders({"Content-Type": JSON_TYPE})
+    headers["Content-Length"] = str(len(answer.body))
+    phrase = HTTPStatus(answer.status).phrase
+    line = ResponseStartLine("HTTP/1.1", answer.status, phrase)
+    written = conn.write_headers(line, headers, answer.body)
+    written.add_done_callback(lambda fut: fut.exception())
+    conn.finish()
+
+
+def listen_control(address: str, calls: ControlCalls) -> HTTPServer:
+    """Serve the calls on "ip:port"; raises ``OSError`` when it is taken."""
+    tasks: set[asyncio.Task] = set()
+
+    async def serve(req: HTTPServerRequest) -> None:
+        answer = await answer_call(calls, req.method or "", req.path, req.body)
+        write_answer(req, answer)
+
+    def on_request(req: HTTPServerRequest) -> None:
+        task = asyncio.get_running_loop().create_task(serve(req))
+        tasks.add(task)
+        task.add_done_callback(tasks.discard)
+
+    server = HTTPServer(on_request, idle_connection_timeout=60.0)
+    host, port = split_address(address)
+    server.listen(port, host, backlog=1024)
+    return server
+
+
+def listen_ready(address: str, is_ready: Callable[[], bool]) -> HTTPServer:
+    """Tell the balancer whether callers may be sent here."""
+
+    def on_request(req: HTTPServerRequest) -> None:
+        is_known = req.path == names.READY_PATH
+        write_answer(req, Answer(200 if is_known and is_ready() else 503))
+
+    server = HTTPServer(on_request, idle_connection_timeout=60.0)
+    host, port = split_address(address)
+    server.listen(port, host)
+    return server
--- /dev/null
+++ b/src/bramleyrouter/platform/settings.py
@@ -0,0 +1,105 @@
+"""Read the platform's settings file into the project's settings."""
+
+import os
+import tomllib
+
+import msgspec
+from result import Err, Ok, Result
+
+from bramleyrouter.codes import Code
+from bramleyrouter.conf.fleet import FleetBounds, FleetSettings
+from bramleyrouter.failures import Failure
+from bramleyrouter.ids import DaemonId, DataCentre
+from bramleyrouter.platform.names import SETTINGS_VARIABLE
+
+MILLISECONDS = 1000.0
+
+
+class _Listen(msgspec.Struct):
+    front: str = ""
+    ready: str = ""
+    control: str = ""
+
+
+class _Tolerance(msgspec.Struct):
+    machines: int = 1
+
+
+class _Bounds(msgspec.Struct, rename="camel"):
+    drain_ms: float = 3000
+    grace_s: float = 6
+    contact_ms: float = 4000
+    catchup_s: float = 4
+    retry_budget: float = 0.2
+    budget_window_s: float = 10
+    budget_slack: float = 50
+    warmup_factor: float = 1.5
+    warmup_slack: float = 5
+
+
+class _File(msgspec.Struct, rename="camel"):
+    node: str
+    ip: str
+    zone: str
+    internal_ports: list[int]
+    # Addresses for outside callers of control daemons, not internal ones.
+    seeds: list[str]
+    bootstrap: bool = False
+    data_dir: str = ""
+    heartbeat_ms: float = 1200
+    zones: dict[str, str] = {}
+    listen: _Listen = msgspec.field(default_factory=_Listen)
+    fault_tolerance: _Tolerance = msgspec.field(default_factory=_Tolerance)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def settings_path() -> str:
+    """Return the path of the settings file; raise ``KeyError`` without one."""
+    return os.environ[SETTINGS_VARIABLE]
+
+
+def read_settings(path: str) -> Result[FleetSettings, Failure]:
+    """Read the file; fail with ``SETTINGS_UNREADABLE`` or ``SETTINGS_INVALID``."""
+    try:
+        with open(path, "rb") as file:
+            fields = tomllib.load(file)
+    except (OSError, tomllib.TOMLDecodeError) as exc:
+        text = f'"{path}" can\'t be read: {exc}.'
+        return Err(Failure(Code.SETTINGS_UNREADABLE, text))
+    try:
+        return Ok(_convert(msgspec.convert(fields, _File, strict=False)))
+    except (msgspec.ValidationError, IndexError) as exc:
+        text = f'"{path}" holds no valid settings: {exc}.'
+        return Err(Failure(Code.SETTINGS_INVALID, text))
+
+
+def _convert(file: _File) -> FleetSettings:
+    # Ports are the same on all VMs, so a seed's internal address follows from
+    # its ip.
+    port = file.internal_ports[0]
+    return FleetSettings(
+        daemon_id=DaemonId(file.node),
+        data_centre=DataCentre(file.zone),
+        data_centres=tuple(DataCentre(name) for name in file.zones),
+        internal_address=f"{file.ip}:{port}",
+        seeds=tuple(f"{seed.rpartition(':')[0]}:{port}" for seed in file.seeds),
+        is_first_start=file.bootstrap,
+        data_folder=file.data_dir,
+        caller_address=file.listen.front,
+        ready_address=file.listen.ready,
+        control_address=file.listen.control,
+        metrics_address=f"{file.ip}:{file.internal_ports[-1]}",
+        heartbeat_s=file.heartbeat_ms / MILLISECONDS,
+        tolerated_losses=file.fault_tolerance.machines,
+        bounds=FleetBounds(
+            drain_s=file.bounds.drain_ms / MILLISECONDS,
+            stop_s=file.bounds.grace_s,
+            contact_s=file.bounds.contact_ms / MILLISECONDS,
+            catch_up_s=file.bounds.catchup_s,
+            extra_ratio=file.bounds.retry_budget,
+            extra_window_s=file.bounds.budget_window_s,
+            extra_slack=file.bounds.budget_slack,
+            cold_factor=file.bounds.warmup_factor,
+            cold_slack=file.bounds.warmup_slack,
+        ),
+    )
--- a/src/bramleyrouter/wire/kinds.py
+++ b/src/bramleyrouter/wire/kinds.py
@@ -28,6 +28,7 @@
     CHANGE_MEMBERS = 54
     CONTROL_STATUS = 55
     SHOW_ROLLOUT = 56
+    READ_ROUTES = 57
 
     # Dissemination and membership.
     SUBSCRIBE = 70
@@ -37,3 +38,7 @@
     TABLE_DIGEST = 74
     LEAVE = 75
     ROLLOUT = 76
+
+    # The fleet as entry daemons see it.
+    WATCH_FLEET = 90
+    FETCH_ROUTES = 91
