Delegated shards of other data centres to a relay there

One message to an entry daemon near the servers takes their place. And the moving latency of a server that was not asked decayed towards 0, so that it looked faster than the local one; it is now a multiple of the route's typical latency that decays towards 1.

--- a/src/bramleyrouter/control/client.py
+++ b/src/bramleyrouter/control/client.py
@@ -90,7 +90,7 @@
     """Return the closure that sends an operator's request to the leader."""
 
     async def operate(
-        operation: Operation, timeout_s: float
+        operation: Operation | PublishRoutes, timeout_s: float
     ) -> Result[OperatorResult, Failure]:
         encoded = try_encode_command(operation)
         if isinstance(encoded, Err):
--- a/src/bramleyrouter/control/interfaces.py
+++ b/src/bramleyrouter/control/interfaces.py
@@ -21,7 +21,8 @@
 from bramleyrouter.failures import Failure
 from bramleyrouter.ids import MemberId, Revision
 
-Operation = Publish | PublishRoutes | SetAvailability
+# What operators ask for; a route table has no id, its version orders it.
+Operation = Publish | SetAvailability
 
 
 class ControlClient(NamedTuple):
@@ -32,7 +33,9 @@
     been recorded, but that nothing was dispatched for it.
     """
 
-    operate: Callable[[Operation, float], Awaitable[Result[OperatorResult, Failure]]]
+    operate: Callable[
+        [Operation | PublishRoutes, float], Awaitable[Result[OperatorResult, Failure]]
+    ]
     claim: Callable[[Claim, float], Awaitable[Result[ClaimResult, Failure]]]
     settle: Callable[[Settle, float], Awaitable[Result[None, Failure]]]
     read_config: Callable[[float], Awaitable[Result[ConfigState, Failure]]]
--- a/src/bramleyrouter/control/machine.py
+++ b/src/bramleyrouter/control/machine.py
@@ -36,8 +36,8 @@
     """Bundle the state machine for the log and the reads of its state.
 
     ``watch(callback)`` calls after each change of the configuration's
-    revision or of the route table. ``is_ledger_full_for(tenant, request_id)`` says whether a claim
-    of this identity would be refused for lack of room.
+    revision or of the route table. ``is_ledger_full_for(tenant, request_id)``
+    says whether a claim of this identity would be refused for lack of room.
     """
 
     for_log: StateMachine
--- a/src/bramleyrouter/daemons/fleet.py
+++ b/src/bramleyrouter/daemons/fleet.py
@@ -35,6 +35,7 @@
 from bramleyrouter.ids import DaemonIncarnation, ServiceName, TableVersion
 from bramleyrouter.telemetry.events import EventLog, record, record_ordinary
 from bramleyrouter.utils.tasks import TaskGroup, cancel_all, spawn
+from bramleyrouter.wire.kinds import Kind
 from bramleyrouter.wire.tcp import build_tcp_network
 
 # The deployment gives its processes no secret; the key keeps strangers' bytes
@@ -117,7 +118,13 @@
             parts[0].gateway.set_servers(service, rows.values())
 
     watching = start_watching(
-        network, note, cfg.data_centre, loop.time, take_table, take_servers
+        network,
+        note,
+        cfg.data_centre,
+        loop.time,
+        take_table,
+        take_servers,
+        lambda relays: parts[0].gateway.set_relays(relays),
     )
     bounds = cfg.bounds
     gateway = build_gateway(
@@ -129,7 +136,12 @@
         note_ordinary,
         lambda: watching.watch.data_centres_out,
         watching.entry_daemons,
+        lambda address, payload, on_item, on_end: network.stream(
+            address, Kind.GATHER_SHARDS, payload, on_item, on_end
+        ),
+        lambda: "stopping" in board.readiness.reasons,
     )
+    network.serve_stream(Kind.GATHER_SHARDS, gateway.serve_delegated)
 
     async def close() -> None:
         watching.close()
--- a/src/bramleyrouter/fleet/messages.py
+++ b/src/bramleyrouter/fleet/messages.py
@@ -30,6 +30,7 @@
     members: tuple[str, ...] = ()
     entry_daemons: int | None = None
     data_centre: DataCentre | None = None
+    relays: tuple[tuple[str, DataCentre], ...] | None = None
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/src/bramleyrouter/fleet/publishing.py
+++ b/src/bramleyrouter/fleet/publishing.py
@@ -32,16 +32,22 @@
 COUNT_ENTRY_S = 20.0
 
 
+# Entry daemons of each data centre that are named as relays: enough to share
+# the work and to bear the loss of one, few enough to name to everyone.
+RELAYS_PER_DATA_CENTRE = 4
+
+
 @dataclass(eq=False)
 class Subscriber:
     """Hold one stream and what it was last told."""
 
-    daemon_id: DaemonId
+    peer: Peer
     send: Callable[[bytes], None]
     told_version: int = -1
     told_revision: int = -1
     told_members: tuple[str, ...] = ()
     told_entries: int = -1
+    told_relays: tuple[tuple[str, DataCentre], ...] = ()
 
 
 @dataclass
@@ -97,9 +103,26 @@
     if subscriber.told_entries != entries:
         subscriber.told_entries = entries
         fields["entry_daemons"] = entries
+    relays = _relays(publisher)
+    if subscriber.told_relays != relays:
+        subscriber.told_relays = relays
+        fields["relays"] = relays
     return fields
 
 
+def _relays(publisher: Publisher) -> tuple[tuple[str, DataCentre], ...]:
+    """Return some entry daemons of each data centre, the same at each call."""
+    by_data_centre: dict[DataCentre, list[str]] = {}
+    for subscriber in publisher.subscribers.values():
+        peer = subscriber.peer
+        by_data_centre.setdefault(peer.data_centre, []).append(peer.address)
+    return tuple(
+        (address, data_centre)
+        for data_centre, addresses in sorted(by_data_centre.items())
+        for address in sorted(addresses)[:RELAYS_PER_DATA_CENTRE]
+    )
+
+
 def _tell(publisher: Publisher, is_life_sign: bool = False) -> None:
     """Send each subscriber what it lacks, with the rows that wait."""
     rows = tuple(publisher.waiting_rows.values())
@@ -133,7 +156,7 @@
     async def watch(
         peer: Peer, payload: bytes, send: Callable[[bytes], None]
     ) -> Result[None, Failure]:
-        subscriber = Subscriber(peer.daemon_id, send)
+        subscriber = Subscriber(peer, send)
         # A daemon that reconnects replaces its former stream, which may hang.
         publisher.subscribers[peer.daemon_id] = subscriber
         rows = tuple(rows_of(registry, clock()))
--- a/src/bramleyrouter/fleet/watching.py
+++ b/src/bramleyrouter/fleet/watching.py
@@ -45,6 +45,7 @@
     clock: Callable[[], float]
     on_table: Callable[[TableVersion, bytes], None]
     on_servers: Callable[[set[ServiceName]], None]
+    on_relays: Callable[[set[tuple[str, DataCentre]]], None]
     view: FleetView = field(default_factory=FleetView)
     near: set[str] = field(default_factory=set)
     seeds: frozenset[str] = frozenset()
@@ -57,6 +58,7 @@
     revision: int = -1
     data_centres_out: frozenset[DataCentre] = frozenset()
     entry_daemons: dict[str, int] = field(default_factory=dict)
+    relays: dict[str, tuple[tuple[str, DataCentre], ...]] = field(default_factory=dict)
     streams: dict[str, asyncio.Task] = field(default_factory=dict)
     group: TaskGroup = field(default_factory=lambda: TaskGroup("fleet"))
 
@@ -96,6 +98,9 @@
         )
     if update.entry_daemons is not None:
         watch.entry_daemons[source] = update.entry_daemons
+    if update.relays is not None:
+        watch.relays[source] = update.relays
+        _tell_relays(watch)
     if update.members_index is not None and update.members_index > watch.members_index:
         watch.members_index = update.members_index
         watch.members = frozenset(update.members)
@@ -104,6 +109,11 @@
         _take_version(watch, source, update.table_version)
 
 
+def _tell_relays(watch: Watch) -> None:
+    """Name the relays that any control daemon knows."""
+    watch.on_relays({relay for told in watch.relays.values() for relay in told})
+
+
 def _take_version(watch: Watch, source: str, version: TableVersion) -> None:
     """Fetch a newer table: at once inside the data centre, else a little later.
 
@@ -166,6 +176,7 @@
         watch.streams.pop(address).cancel()
         watch.heard_at.pop(address, None)
         watch.entry_daemons.pop(address, None)
+        watch.relays.pop(address, None)
         watch.network.close_peer(address)
         changed = drop_source(watch.view, address)
         if changed:
@@ -227,9 +238,12 @@
     clock: Callable[[], float],
     on_table: Callable[[TableVersion, bytes], None],
     on_servers: Callable[[set[ServiceName]], None],
+    on_relays: Callable[[set[tuple[str, DataCentre]]], None],
 ) -> Watching:
     """Follow the control daemons; ``set_seeds`` names the first of them."""
-    watch = Watch(network, record, own_data_centre, clock, on_table, on_servers)
+    watch = Watch(
+        network, record, own_data_centre, clock, on_table, on_servers, on_relays
+    )
     started = clock()
 
     def set_seeds(addresses: tuple[str, ...]) -> None:
--- a/src/bramleyrouter/gateway/build.py
+++ b/src/bramleyrouter/gateway/build.py
@@ -7,6 +7,7 @@
 
 from bramleyrouter.fleet.records import ServerRow
 from bramleyrouter.gateway.budgets import ExtraBudget, ExtraLimits
+from bramleyrouter.gateway.delegation import OpenStream, set_relays
 from bramleyrouter.gateway.exchanges import (
     CallerRequest,
     GatewayReply,
@@ -22,11 +23,13 @@
     refuse,
 )
 from bramleyrouter.gateway.gathers import start_gather
+from bramleyrouter.gateway.relaying import build_relaying
 from bramleyrouter.gateway.servers import set_servers
 from bramleyrouter.gateway.singles import start_single
 from bramleyrouter.gateway.tables import RouteTable, build_index, match_route
 from bramleyrouter.ids import DataCentre, ServiceName
 from bramleyrouter.telemetry.events import Record
+from bramleyrouter.wire.network import StreamHandler
 
 # A caller that comes before this daemon knows its routes waits so long, seconds.
 UNREADY_RETRY_S = 0.5
@@ -42,6 +45,8 @@
     handle: Callable[[CallerRequest, OnGatewayReply], Cancel]
     set_table: Callable[[RouteTable], None]
     set_servers: Callable[[ServiceName, Collection[ServerRow]], None]
+    set_relays: Callable[[Collection[tuple[str, DataCentre]]], None]
+    serve_delegated: StreamHandler
     in_flight: Callable[[], int]
     has_table: Callable[[], bool]
 
@@ -55,6 +60,8 @@
     record_ordinary: Record,
     data_centres_out: Callable[[], Collection[DataCentre]],
     entry_daemons: Callable[[], int],
+    open_stream: OpenStream,
+    is_stopping: Callable[[], bool],
 ) -> GatewayHandle:
     """Return the gateway on the running loop."""
     loop = asyncio.get_running_loop()
@@ -68,6 +75,7 @@
         record_ordinary,
         data_centres_out,
         entry_daemons,
+        open_stream=open_stream,
     )
 
     def set_table(table: RouteTable) -> None:
@@ -83,6 +91,8 @@
         handle=lambda request, on_reply: _handle(gateway, request, on_reply),
         set_table=set_table,
         set_servers=update_servers,
+        set_relays=lambda known: set_relays(gateway.relays, known),
+        serve_delegated=build_relaying(gateway, is_stopping),
         in_flight=lambda: gateway.in_flight,
         has_table=lambda: gateway.index is not None,
     )
--- /dev/null
+++ b/src/bramleyrouter/gateway/delegation.py
@@ -0,0 +1,225 @@
+"""Ask an entry daemon of another data centre for many shards at once.
+
+Links between data centres are dear, and a query to 20 shards of another data
+centre sends 20 requests over them. One message to an entry daemon there, which
+asks its own servers and merges what they answer, takes a tenth of the bytes.
+"""
+
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+
+import msgspec
+from result import Err, Ok, Result
+
+from bramleyrouter.codes import Code
+from bramleyrouter.failures import Failure
+from bramleyrouter.gateway.exchanges import CallerRequest
+from bramleyrouter.ids import DataCentre, ServiceName
+
+# Fewer shards than this are asked for directly: a message saves nothing.
+MIN_SHARDS = 4
+# Part of the wanted shards that a data centre must have good servers for.
+MIN_SERVED = 0.8
+# A relay confirms the receipt at once; one that takes longer, in seconds, is
+# frozen, cut off or overloaded. A round trip takes 2 ms.
+CONFIRM_TIMEOUT_S = 0.03
+# A relay that failed is left alone for so long, in seconds; doubles each time.
+FIRST_REST_S = 1.0
+MAX_REST_S = 5.0
+# What the way back from the relay takes off the objective, in seconds.
+RETURN_S = 0.003
+
+
+class DelegatedQuery(msgspec.Struct, frozen=True, array_like=True):
+    """Ask for shards; the times are seconds that are left when it is sent."""
+
+    request: CallerRequest
+    route: str
+    services: tuple[ServiceName, ...]
+    deadline_s: float
+    objective_s: float
+    attempts: int
+    priority: int
+    top_records: int
+    min_coverage: float
+
+
+class DelegatedReply(msgspec.Struct, frozen=True, array_like=True):
+    """Tell what was gathered.
+
+    ``included`` are positions in the query's ``services``, each with its
+    signature. ``records`` are the greatest ones of these shards.
+    """
+
+    included: tuple[int, ...] = ()
+    signatures: tuple[str, ...] = ()
+    records: bytes = b""
+    # False only if no server can have run anything.
+    may_have_run: bool = True
+
+
+_ENCODER = msgspec.msgpack.Encoder()
+_QUERY = msgspec.msgpack.Decoder(DelegatedQuery)
+_REPLY = msgspec.msgpack.Decoder(DelegatedReply)
+# The first item of the stream: the relay has the query.
+CONFIRMATION = b""
+
+
+def encode(message: DelegatedQuery | DelegatedReply) -> bytes:
+    """Return a message as bytes."""
+    return _ENCODER.encode(message)
+
+
+def decode_query(payload: bytes) -> Result[DelegatedQuery, Failure]:
+    """Decode a query; fail with ``WIRE_MALFORMED``."""
+    return _decode(_QUERY, payload)
+
+
+def decode_reply(payload: bytes) -> Result[DelegatedReply, Failure]:
+    """Decode a reply; fail with ``WIRE_MALFORMED``."""
+    return _decode(_REPLY, payload)
+
+
+def _decode(decoder, payload: bytes):
+    try:
+        return Ok(decoder.decode(payload))
+    except msgspec.MsgspecError as exc:
+        text = f"The delegated message can't be decoded: {exc}."
+        return Err(Failure(Code.WIRE_MALFORMED, text))
+
+
+@dataclass(eq=False)
+class Relay:
+    """Hold an entry daemon that may be asked, and how it did."""
+
+    address: str
+    data_centre: DataCentre
+    failures: int = 0
+    rests_until: float = 0.0
+
+
+@dataclass
+class Relays:
+    """Hold the known relays by address."""
+
+    by_address: dict[str, Relay] = field(default_factory=dict)
+
+
+def set_relays(relays: Relays, known: Collection[tuple[str, DataCentre]]) -> None:
+    """Bring the relays in line with what the control daemons name."""
+    before = relays.by_address
+    relays.by_address = {
+        address: before.get(address) or Relay(address, data_centre)
+        for address, data_centre in known
+    }
+
+
+def candidates(
+    relays: Relays,
+    served: dict[DataCentre, int],
+    wanted: int,
+    own_data_centre: DataCentre,
+    now: float,
+) -> list[Relay]:
+    """Return the relays that may be asked for ``wanted`` shards.
+
+    ``served`` counts, by data centre, the wanted shards that have a good server
+    there.
+    """
+    if wanted < MIN_SHARDS:
+        return []
+    return [
+        relay
+        for relay in relays.by_address.values()
+        if relay.data_centre != own_data_centre
+        and relay.rests_until <= now
+        and served.get(relay.data_centre, 0) >= MIN_SERVED * wanted
+    ]
+
+
+def note_failure(relay: Relay, now: float) -> None:
+    """Leave a relay alone for a while."""
+    rest_s = min(MAX_REST_S, FIRST_REST_S * 2 ** min(relay.failures, 6))
+    relay.failures += 1
+    relay.rests_until = now + rest_s
+
+
+def note_success(relay: Relay) -> None:
+    """Forget the failures of a relay that answered."""
+    relay.failures = 0
+
+
+# ``open_stream(address, payload, on_item, on_end)`` returns what cancels it.
+OpenStream = Callable[
+    [str, bytes, Callable[[bytes], None], Callable[[Result[None, Failure]], None]],
+    Callable[[], None],
+]
+
+
+@dataclass(eq=False)
+class Delegated:
+    """Hold one query at a relay until it ends, once."""
+
+    relay: Relay
+    loop: object
+    on_done: Callable[[DelegatedReply | None, bool], None]
+    cancel_stream: Callable[[], None] = lambda: None
+    timer: object = None
+    is_confirmed: bool = False
+    is_done: bool = False
+
+
+def start_delegated(
+    loop,
+    open_stream: OpenStream,
+    relay: Relay,
+    query: DelegatedQuery,
+    on_done: Callable[[DelegatedReply | None, bool], None],
+) -> Callable[[], None]:
+    """Send a query to a relay; return the closure that cancels it.
+
+    ``on_done(reply, may_have_run)`` is called once unless cancelled; without a
+    reply the relay failed.
+    """
+    work = Delegated(relay, loop, on_done)
+
+    def finish(reply: DelegatedReply | None, may_have_run: bool) -> None:
+        if work.is_done:
+            return
+        work.is_done = True
+        work.timer.cancel()  # type: ignore[attr-defined]
+        if reply is None:
+            note_failure(relay, loop.time())
+        else:
+            note_success(relay)
+        on_done(reply, may_have_run)
+
+    def on_item(payload: bytes) -> None:
+        if payload == CONFIRMATION:
+            work.is_confirmed = True
+            return
+        decoded = decode_reply(payload)
+        finish(decoded.ok_value if isinstance(decoded, Ok) else None, True)
+
+    def on_end(outcome: Result[None, Failure]) -> None:
+        is_certain = isinstance(outcome, Err) and outcome.err_value.code in (
+            Code.PEER_UNREACHABLE,
+            Code.STOPPING,
+            Code.UNKNOWN_MESSAGE_KIND,
+        )
+        finish(None, not is_certain)
+
+    def on_time() -> None:
+        if not work.is_confirmed and not work.is_done:
+            work.cancel_stream()
+            finish(None, True)
+
+    def cancel() -> None:
+        if not work.is_done:
+            work.is_done = True
+            work.timer.cancel()  # type: ignore[attr-defined]
+            work.cancel_stream()
+
+    work.timer = loop.call_later(CONFIRM_TIMEOUT_S, on_time)
+    work.cancel_stream = open_stream(relay.address, encode(query), on_item, on_end)
+    return cancel
--- a/src/bramleyrouter/gateway/exchanges.py
+++ b/src/bramleyrouter/gateway/exchanges.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from bramleyrouter.fleet.records import ServerRow
+from bramleyrouter.ids import ServiceName
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -108,8 +109,8 @@
     """Hold a caller's reply.
 
     ``REFUSED`` promises that nothing ran and nothing will; ``retry_after_s``
-    is then when to come back. ``signatures`` and ``missing`` tell what a
-    gathered reply covers. ``reason`` is for the log.
+    is then when to come back. ``signatures``, ``included`` and ``missing`` tell
+    which shards a gathered reply covers. ``reason`` is for the log.
     """
 
     kind: ReplyKind
@@ -117,5 +118,6 @@
     server: ServerReply | None = None
     body: bytes = b""
     signatures: tuple[str, ...] = ()
+    included: tuple[ServiceName, ...] = ()
     missing: int = 0
     retry_after_s: float = 0.0
--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from bramleyrouter.gateway.budgets import ExtraBudget
+from bramleyrouter.gateway.delegation import OpenStream, Relays
 from bramleyrouter.gateway.exchanges import (
     CallerRequest,
     GatewayReply,
@@ -75,6 +76,8 @@
     windows: dict[str, LatencyWindow] = field(default_factory=dict)
     split_credit: dict[str, dict[ServiceName, float]] = field(default_factory=dict)
     in_flight: int = 0
+    relays: Relays = field(default_factory=Relays)
+    open_stream: OpenStream | None = None
 
 
 @dataclass(eq=False)
@@ -131,6 +134,7 @@
     context: ChoiceContext,
     request: CallerRequest,
     timeout_s: float,
+    window: LatencyWindow,
     on_reply: OnReply,
 ) -> Sending:
     """Send a request to a server and learn from how it ends."""
@@ -143,7 +147,7 @@
     def end(reply: ServerReply) -> None:
         sending.is_ended = True
         now = gateway.loop.time()
-        note_reply(state, reply, now - sending.sent_at, now)
+        note_reply(state, reply, now - sending.sent_at, window.median_s, now)
         on_reply(reply)
 
     sending.cancel = gateway.transport(
--- a/src/bramleyrouter/gateway/gathers.py
+++ b/src/bramleyrouter/gateway/gathers.py
@@ -4,6 +4,13 @@
 from dataclasses import dataclass, field
 
 from bramleyrouter.gateway.budgets import count_request, take_extra
+from bramleyrouter.gateway.delegation import (
+    RETURN_S,
+    DelegatedQuery,
+    DelegatedReply,
+    candidates,
+    start_delegated,
+)
 from bramleyrouter.gateway.exchanges import (
     CallerRequest,
     ExchangeEnd,
@@ -27,7 +34,12 @@
 )
 from bramleyrouter.gateway.latencies import add_sample, hedge_delay
 from bramleyrouter.gateway.merging import merge_greatest
-from bramleyrouter.gateway.servers import choose_server, note_cancelled, note_late
+from bramleyrouter.gateway.servers import (
+    choose_server,
+    good_data_centres,
+    note_cancelled,
+    note_late,
+)
 from bramleyrouter.gateway.tables import Route
 from bramleyrouter.gateway.waiting import (
     LATE_PATIENCE,
@@ -36,7 +48,7 @@
     reaches,
     should_answer,
 )
-from bramleyrouter.ids import ServerId, ServiceName
+from bramleyrouter.ids import DataCentre, ServerId, ServiceName
 
 # Sends of one shard in all, those that were refused without running included.
 MAX_SENDS = 4
@@ -60,6 +72,7 @@
     sends: int = 0
     ran: int = 0
     last_end: ExchangeEnd | None = None
+    is_delegated: bool = False
 
     @property
     def is_open(self) -> bool:
@@ -83,6 +96,8 @@
     hedges: int = 0
     is_finished: bool = False
     is_started: bool = False
+    cancel_delegated: Cancel | None = None
+    relay: str = ""
 
 
 def progress_of(run: GatherRun) -> GatherProgress:
@@ -97,8 +112,12 @@
     route: Route,
     request: CallerRequest,
     on_reply: OnGatewayReply,
+    may_delegate: bool = True,
 ) -> Cancel:
-    """Run a query; call ``on_reply`` once unless the returned closure is called."""
+    """Run a query; call ``on_reply`` once unless the returned closure is called.
+
+    A relay that runs a delegated query does not delegate it again.
+    """
     now = gateway.loop.time()
     deadline_s = deadline_of(route, request)
     run = GatherRun(gateway, route, request, now, now + deadline_s, on_reply)
@@ -108,10 +127,11 @@
         reason = f"{reachable} of {len(run.shards)} shards have a server"
         _finish(run, refuse(gateway, reason, deadline_s / 3))
         return lambda: None
+    if may_delegate:
+        _delegate(run)
     for shard in run.shards:
-        count_request(gateway.budget, shard.service)
-        if not _send(run, shard):
-            shard.is_missing = True
+        if not shard.is_delegated:
+            _send_first(run, shard)
     run.is_started = True
     _check(run)
     if not run.is_finished:
@@ -119,6 +139,123 @@
     return lambda: _cancel(run)
 
 
+def _send_first(run: GatherRun, shard: ShardRun) -> None:
+    count_request(run.gateway.budget, shard.service)
+    if not _send(run, shard):
+        shard.is_missing = True
+
+
+def _delegate(run: GatherRun) -> None:
+    """Leave the shards without a good server here to a relay, if one fits."""
+    gateway = run.gateway
+    if gateway.open_stream is None:
+        return
+    own = gateway.limits.own_data_centre
+    wanted: list[ShardRun] = []
+    served: dict[DataCentre, int] = {}
+    for shard in run.shards:
+        context = context_for(gateway, shard.service)
+        good = good_data_centres(states_of(gateway, shard.service), context)
+        if own in good:
+            continue
+        wanted.append(shard)
+        for data_centre in good:
+            served[data_centre] = served.get(data_centre, 0) + 1
+    now = gateway.loop.time()
+    able = candidates(gateway.relays, served, len(wanted), own, now)
+    if not able:
+        return
+    relay = gateway.rng.choice(able)
+    for shard in wanted:
+        shard.is_delegated = True
+    run.relay = relay.address
+    query = _delegated_query(run, wanted)
+    run.cancel_delegated = start_delegated(
+        gateway.loop,
+        gateway.open_stream,
+        relay,
+        query,
+        lambda reply, may_have_run: _take_delegated(run, wanted, reply, may_have_run),
+    )
+
+
+def _delegated_query(run: GatherRun, wanted: list[ShardRun]) -> DelegatedQuery:
+    route, now = run.route, run.gateway.loop.time()
+    return DelegatedQuery(
+        run.request,
+        route.name,
+        tuple(shard.service for shard in wanted),
+        run.deadline_at - now - RETURN_S,
+        route.objective_s - (now - run.arrived) - RETURN_S,
+        route.attempts,
+        route.priority,
+        route.top_records,
+        route.min_coverage,
+    )
+
+
+def _take_delegated(
+    run: GatherRun,
+    wanted: list[ShardRun],
+    reply: DelegatedReply | None,
+    may_have_run: bool,
+) -> None:
+    run.cancel_delegated = None
+    if run.is_finished:
+        return
+    if reply is None:
+        _after_relay_failure(run, wanted, may_have_run)
+    else:
+        _take_delegated_reply(run, wanted, reply)
+    _check(run)
+
+
+def _take_delegated_reply(
+    run: GatherRun, wanted: list[ShardRun], reply: DelegatedReply
+) -> None:
+    """Take the shards that the relay gathered; the others are missing.
+
+    The records of all of them come merged and are kept with the first shard:
+    the greatest of the greatest are the same.
+    """
+    records = reply.records
+    for position, signature in zip(reply.included, reply.signatures, strict=True):
+        shard = wanted[position]
+        shard.reply = ServerReply(
+            ExchangeEnd.ANSWERED, 200, body=records, signature=signature
+        )
+        records = b""
+    for shard in wanted:
+        if shard.reply is None:
+            shard.is_missing = True
+            shard.ran += int(reply.may_have_run)
+
+
+def _after_relay_failure(
+    run: GatherRun, wanted: list[ShardRun], may_have_run: bool
+) -> None:
+    """Ask the servers directly; what the relay sent counts as a first send."""
+    run.gateway.record(
+        "gateway",
+        "relay_failed",
+        id=run.request.request_id,
+        relay=run.relay,
+        may_have_run=may_have_run,
+        waited_ms=round(1000 * (run.gateway.loop.time() - run.arrived)),
+    )
+    for shard in wanted:
+        shard.is_delegated = False
+        if not may_have_run:
+            _send_first(run, shard)
+            continue
+        shard.ran = 1
+        may_send = run.route.attempts > 1 and take_extra(
+            run.gateway.budget, shard.service
+        )
+        if not may_send or not _send(run, shard):
+            shard.is_missing = True
+
+
 def _choose(run: GatherRun, shard: ShardRun):
     context = context_for(run.gateway, shard.service)
     states = states_of(run.gateway, shard.service)
@@ -143,6 +280,7 @@
         context,
         run.request,
         timeout_s,
+        window_of(gateway, run.route),
         lambda reply: _take(run, shard, holder[0], reply),
     )
     holder.append(sending)
@@ -162,8 +300,9 @@
     shard.last_end = reply.end
     if reply.is_success:
         shard.reply = reply
+        typical_s = window_of(run.gateway, run.route).median_s
         for other in shard.pending:
-            note_late(other.state, now - other.sent_at, now)
+            note_late(other.state, now - other.sent_at, typical_s, now)
     else:
         _after_failure(run, shard, sending, reply)
     if run.is_started:
@@ -276,6 +415,7 @@
         ReplyKind.GATHERED,
         body=merge_greatest((reply.body for reply in replies), run.route.top_records),
         signatures=tuple(reply.signature for reply in replies),
+        included=tuple(s.service for s in run.shards if s.reply is not None),
         missing=progress.total - progress.included,
     )
 
@@ -293,6 +433,8 @@
     run.is_finished = True
     if run.timer is not None:
         run.timer.cancel()
+    if run.cancel_delegated is not None:
+        run.cancel_delegated()
     _log(run, reply)
     run.on_reply(reply)
 
@@ -311,6 +453,7 @@
         included=len(reply.signatures),
         shards=len(run.shards),
         hedges=run.hedges,
+        relay=run.relay,
         waited_ms=round(1000 * (run.gateway.loop.time() - run.arrived)),
         objective_ms=round(1000 * run.route.objective_s),
         missing=[s.service for s in run.shards if s.reply is None][:5],
@@ -323,6 +466,8 @@
     run.is_finished = True
     if run.timer is not None:
         run.timer.cancel()
+    if run.cancel_delegated is not None:
+        run.cancel_delegated()
     for shard in run.shards:
         for sending in shard.pending:
             sending.cancel()
--- a/src/bramleyrouter/gateway/servers.py
+++ b/src/bramleyrouter/gateway/servers.py
@@ -14,9 +14,12 @@
 
 # Weight of a new latency in the moving average.
 LATENCY_WEIGHT = 0.25
-# An average that is not renewed falls by half in this time, in seconds, so
-# that a server which was slow is tried again.
-LATENCY_HALF_LIFE_S = 4.0
+# An average that is not renewed approaches that of an ordinary server, half of
+# the way in this time, in seconds, so that a server which was slow is tried
+# again.
+SLOWNESS_HALF_LIFE_S = 4.0
+# Bounds one sample, so that one long pause is forgotten soon.
+MAX_SLOWNESS = 20.0
 # Failures in a row after which a server is suspected, and for how long, in
 # seconds; the time doubles with each further failure. A pause of a healthy
 # server costs one failure at most.
@@ -25,9 +28,9 @@
 MAX_SUSPECT_S = 4.0
 # A server that refused for lack of room is left alone for so long, in seconds.
 FULL_S = 0.05
-# What a server in another data centre costs beside its latency, in seconds:
-# the links between data centres are dear, and a slow server may be worth them.
-REMOTE_PENALTY_S = 0.015
+# How much slower than an ordinary server one in the own data centre may be
+# before one in another data centre is asked: the links between them are dear.
+REMOTE_PENALTY = 1.5
 # Part of the rate that cold servers bear which all entry daemons use together.
 COLD_RATE_USED = 0.5
 # Factor and constant above the declared rate that a cold server still bears;
@@ -39,13 +42,15 @@
 class ServerState:
     """Hold what is known of one server.
 
-    ``latency_s`` is a moving average. ``failed_share`` is the moving share of
-    failures. Times are of the loop's clock, in seconds.
+    ``slowness`` is a moving average of its latency as a multiple of what is
+    typical for the route, so that requests of different length can be compared.
+    ``failed_share`` is the moving share of failures. Times are of the loop's
+    clock, in seconds.
     """
 
     row: ServerRow
-    latency_s: float = 0.0
-    latency_at: float = 0.0
+    slowness: float = 1.0
+    slowness_at: float = 0.0
     failed_share: float = 0.0
     in_flight: int = 0
     strikes: int = 0
@@ -114,18 +119,18 @@
     return 1.0 / allowed if allowed > 0 else float("inf")
 
 
-def expected_latency(state: ServerState, now: float) -> float:
-    """Return the moving average, discounted by its age."""
-    age = max(0.0, now - state.latency_at)
-    return state.latency_s * 0.5 ** (age / LATENCY_HALF_LIFE_S)
+def expected_slowness(state: ServerState, now: float) -> float:
+    """Return the moving average, drawn towards 1 by its age."""
+    age = max(0.0, now - state.slowness_at)
+    return 1.0 + (state.slowness - 1.0) * 0.5 ** (age / SLOWNESS_HALF_LIFE_S)
 
 
 def _cost(state: ServerState, context: ChoiceContext) -> float:
-    latency = expected_latency(state, context.now)
     queue = 1.0 + state.in_flight / max(1, state.row.slots)
-    cost = latency * queue * (1.0 + 4.0 * state.failed_share)
+    failures = 1.0 + 4.0 * state.failed_share
+    cost = expected_slowness(state, context.now) * queue * failures
     if state.row.data_centre != context.own_data_centre:
-        cost += REMOTE_PENALTY_S
+        cost += REMOTE_PENALTY
     return cost
 
 
@@ -143,6 +148,13 @@
     return 0
 
 
+def good_data_centres(
+    states: Iterable[ServerState], context: ChoiceContext
+) -> set[DataCentre]:
+    """Return the data centres that have a server without any doubt."""
+    return {state.row.data_centre for state in states if _rank(state, context) == 0}
+
+
 def choose_server(
     states: Iterable[ServerState],
     context: ChoiceContext,
@@ -182,29 +194,36 @@
     state.failed_share += LATENCY_WEIGHT * (float(is_failed) - state.failed_share)
 
 
-def note_late(state: ServerState, waited_s: float, now: float) -> None:
+def note_late(
+    state: ServerState, waited_s: float, typical_s: float, now: float
+) -> None:
     """Note that another server answered first; this one is not heard of yet.
 
     What it has taken so far is a lower bound of its latency.
     """
-    if waited_s > expected_latency(state, now):
-        _average_latency(state, waited_s, now)
+    if typical_s > 0 and waited_s / typical_s > expected_slowness(state, now):
+        _average_slowness(state, waited_s / typical_s, now)
     _strike(state, now)
 
 
-def _average_latency(state: ServerState, latency_s: float, now: float) -> None:
-    expected = expected_latency(state, now)
-    if state.latency_at == 0.0:
-        state.latency_s = latency_s
-    else:
-        state.latency_s = expected + LATENCY_WEIGHT * (latency_s - expected)
-    state.latency_at = now
+def _average_slowness(state: ServerState, sample: float, now: float) -> None:
+    expected = expected_slowness(state, now)
+    sample = min(sample, MAX_SLOWNESS)
+    state.slowness = expected + LATENCY_WEIGHT * (sample - expected)
+    state.slowness_at = now
 
 
 def note_reply(
-    state: ServerState, reply: ServerReply, latency_s: float, now: float
+    state: ServerState,
+    reply: ServerReply,
+    latency_s: float,
+    typical_s: float,
+    now: float,
 ) -> None:
-    """Learn from the end of an exchange; it is on its way no more."""
+    """Learn from the end of an exchange; it is on its way no more.
+
+    ``typical_s`` is what servers of the route take, 0 while that is unknown.
+    """
     state.in_flight = max(0, state.in_flight - 1)
     if reply.cold_s:
         state.cold_until = max(state.cold_until, now + reply.cold_s)
@@ -223,7 +242,8 @@
     else:
         state.strikes = 0
         state.suspect_until = 0.0
-        _average_latency(state, latency_s, now)
+        if typical_s > 0:
+            _average_slowness(state, latency_s / typical_s, now)
 
 
 def note_cancelled(state: ServerState) -> None:
--- a/src/bramleyrouter/gateway/singles.py
+++ b/src/bramleyrouter/gateway/singles.py
@@ -122,6 +122,7 @@
         context,
         run.request,
         timeout_s,
+        window_of(gateway, run.route),
         lambda reply: _take(run, holder[0], reply),
     )
     holder.append(sending)
@@ -141,8 +142,9 @@
         reply.status < 500 or not run.is_idempotent
     )
     if is_final:
+        typical_s = window_of(gateway, run.route).median_s
         for other in run.pending:
-            note_late(other.state, now - other.sent_at, now)
+            note_late(other.state, now - other.sent_at, typical_s, now)
         _finish(run, GatewayReply(ReplyKind.SERVER, server=reply))
         return
     _after_failure(run, sending, reply)
--- a/src/bramleyrouter/platform/callers.py
+++ b/src/bramleyrouter/platform/callers.py
@@ -140,6 +140,7 @@
 
     def finish(self):
         """Hand the whole request on."""
+        assert self._start_line is not None and self._headers is not None
         request = read_request(self._start_line, self._headers, b"".join(self._chunks))
         self._conn.set_close_callback(self.on_connection_close)
         cancel = self._server.handle(
--- a/src/bramleyrouter/wire/kinds.py
+++ b/src/bramleyrouter/wire/kinds.py
@@ -42,3 +42,4 @@
     # The fleet as entry daemons see it.
     WATCH_FLEET = 90
     FETCH_ROUTES = 91
+    GATHER_SHARDS = 92
