Sent heartbeats to the control daemon of the server's data centre

Cause: two of three heartbeats crossed between data centres. A reply now names the control daemon of the server's own data centre while that one answers; and control daemons without subscribers no longer prove the configuration current.

--- a/src/bramleyrouter/control/service.py
+++ b/src/bramleyrouter/control/service.py
@@ -66,11 +66,13 @@
     log: ReplicatedLog,
     machine: Machine,
     clock: Callable[[], float],
+    has_subscribers: bool = True,
 ) -> Control:
     """Serve configuration and ledger from this member of the log.
 
     ``log`` replicates ``machine.for_log``. A member that does not lead answers
-    ``NOT_LEADER``, whose text is the leader's address or empty.
+    ``NOT_LEADER``, whose text is the leader's address or empty. Where no daemon
+    subscribes to the configuration, nothing is spent on proving it current.
     """
     currency = Currency()
     network.serve(
@@ -82,13 +84,15 @@
     network.serve(Kind.READ_ROUTES, _serve_routes(log, machine))
     network.serve(Kind.CONTROL_STATUS, _serve_status(log))
     network.serve(Kind.CHANGE_MEMBERS, _serve_member_changes(log))
-    confirming = asyncio.get_running_loop().create_task(
-        keep_confirming(currency, log, network, clock)
-    )
+    confirming: list[asyncio.Task] = []
+    if has_subscribers:
+        work = keep_confirming(currency, log, network, clock)
+        confirming.append(asyncio.get_running_loop().create_task(work))
 
     async def close() -> None:
-        confirming.cancel()
-        await asyncio.gather(confirming, return_exceptions=True)
+        for task in confirming:
+            task.cancel()
+        await asyncio.gather(*confirming, return_exceptions=True)
 
     source = ConfigSource(
         state=machine.config,
--- a/src/bramleyrouter/daemons/fleet.py
+++ b/src/bramleyrouter/daemons/fleet.py
@@ -24,6 +24,12 @@
 from bramleyrouter.control.machine import build_machine
 from bramleyrouter.control.service import build_control
 from bramleyrouter.failures import Failure
+from bramleyrouter.fleet.neighbours import (
+    Description,
+    Neighbours,
+    keep_asking,
+    recommend,
+)
 from bramleyrouter.fleet.publishing import start_publishing
 from bramleyrouter.fleet.registry import Registry
 from bramleyrouter.fleet.watching import Watching, start_watching
@@ -32,7 +38,7 @@
 from bramleyrouter.gateway.exchanges import ServerTransport
 from bramleyrouter.gateway.gateways import GatewayLimits
 from bramleyrouter.gateway.tables import RouteTable
-from bramleyrouter.ids import DaemonIncarnation, ServiceName, TableVersion
+from bramleyrouter.ids import DaemonIncarnation, DataCentre, ServiceName, TableVersion
 from bramleyrouter.telemetry.events import EventLog, record, record_ordinary
 from bramleyrouter.utils.tasks import TaskGroup, cancel_all, spawn
 from bramleyrouter.wire.kinds import Kind
@@ -61,6 +67,7 @@
 
     board: Board
     registry: Registry
+    recommend: Callable[[DataCentre], str]
     operate: Callable
     read_routes: Callable
     listen: Callable[[], None]
@@ -184,7 +191,7 @@
     cfg, log, seeds, board, network, listen, machine, members, clock, rng
 ) -> ControlParts:
     group = TaskGroup("control")
-    control = build_control(network, members, machine, clock)
+    control = build_control(network, members, machine, clock, has_subscribers=False)
     registry = Registry(cfg.heartbeat_s)
     publishing = start_publishing(
         network, registry, machine, members, clock, cfg.data_centre
@@ -197,6 +204,15 @@
         SILENT_SHARE * cfg.bounds.catch_up_s,
     )
     spawn(group, keep_joined(leaders, members, policy, seeds))
+    neighbours = Neighbours(Description(cfg.data_centre, cfg.control_address))
+    asking = keep_asking(
+        neighbours,
+        network,
+        cfg.internal_address,
+        lambda: list(leaders.addresses),
+        clock,
+    )
+    spawn(group, asking)
     watch_leader(log, members)
 
     async def close() -> None:
@@ -209,6 +225,7 @@
     return ControlParts(
         board,
         registry,
+        lambda data_centre: recommend(neighbours, data_centre, clock()),
         build_operate(leaders),
         build_read_routes(leaders),
         listen,
--- /dev/null
+++ b/src/bramleyrouter/fleet/neighbours.py
@@ -0,0 +1,90 @@
+"""Which control daemon backend servers of each data centre should talk to.
+
+A server that sends its heartbeats to a control daemon of its own data centre
+keeps them off the links between data centres, where they would be most of the
+control traffic. Control daemons therefore ask each other now and then where
+they are and whether they still answer.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+from result import Err, Ok, Result
+
+from bramleyrouter.failures import Failure
+from bramleyrouter.ids import DataCentre
+from bramleyrouter.utils.calls import bounded_call
+from bramleyrouter.wire.kinds import Kind
+from bramleyrouter.wire.network import Network, Peer
+
+# Time between two questions to one neighbour, in seconds.
+ASK_INTERVAL_S = 1.0
+ASK_TIMEOUT_S = 0.4
+# A neighbour that has not answered for so long is not recommended, in seconds.
+FRESH_S = 2.0
+
+
+class Description(msgspec.Struct, frozen=True, array_like=True):
+    """Tell where a control daemon is and where servers reach it."""
+
+    data_centre: DataCentre
+    address: str
+
+
+@dataclass
+class Neighbours:
+    """Hold what the other control daemons told, with the time of it."""
+
+    own: Description
+    told: dict[str, tuple[Description, float]] = field(default_factory=dict)
+
+
+def recommend(neighbours: Neighbours, data_centre: DataCentre, now: float) -> str:
+    """Return the address for servers of a data centre, empty for no matter.
+
+    Servers of the own data centre stay here. Others are sent to a neighbour in
+    theirs, as long as it answers.
+    """
+    if data_centre == neighbours.own.data_centre:
+        return neighbours.own.address
+    fresh = [
+        description.address
+        for description, at in neighbours.told.values()
+        if description.data_centre == data_centre and now - at <= FRESH_S
+    ]
+    return min(fresh, default="")
+
+
+async def keep_asking(
+    neighbours: Neighbours,
+    network: Network,
+    own_internal_address: str,
+    addresses: Callable[[], list[str]],
+    clock: Callable[[], float],
+) -> None:
+    """Ask the control daemons at ``addresses()`` again and again."""
+
+    async def serve(peer: Peer, payload: bytes) -> Result[bytes, Failure]:
+        return Ok(msgspec.msgpack.encode(neighbours.own))
+
+    network.serve(Kind.DESCRIBE, serve)
+    decoder = msgspec.msgpack.Decoder(Description)
+
+    async def ask(address: str) -> None:
+        reply = await bounded_call(network, address, Kind.DESCRIBE, b"", ASK_TIMEOUT_S)
+        if isinstance(reply, Err):
+            # It is recommended no more once its last answer is too old.
+            return
+        try:
+            neighbours.told[address] = (decoder.decode(reply.ok_value), clock())
+        except msgspec.MsgspecError:
+            neighbours.told.pop(address, None)
+
+    while True:
+        others = [item for item in addresses() if item != own_internal_address]
+        await asyncio.gather(*(ask(address) for address in others))
+        for gone in set(neighbours.told) - set(others):
+            del neighbours.told[gone]
+        await asyncio.sleep(ASK_INTERVAL_S)
--- a/src/bramleyrouter/platform/operators.py
+++ b/src/bramleyrouter/platform/operators.py
@@ -51,6 +51,7 @@
     ]
     read: Callable[[float], Awaitable[Result[PublishRoutes, Failure]]]
     announce: Callable[[ServerRow], bool]
+    recommend: Callable[[DataCentre], str]
     withdraw: Callable[[ServerId, ServerIncarnation | None], None]
     data_centres: tuple[DataCentre, ...]
     record: Record
@@ -95,8 +96,11 @@
     if isinstance(decoded, Err):
         calls.record("registry", "bad_heartbeat", server=server_id)
         return _refusal(400, decoded.err_value)
-    calls.announce(decoded.ok_value)
-    return Answer(200)
+    row = decoded.ok_value
+    calls.announce(row)
+    address = calls.recommend(row.data_centre)
+    # Where the server sends its later heartbeats, until one fails there.
+    return Answer(200, msgspec.json.encode({"beatAddr": address} if address else {}))
 
 
 async def _publish(calls: ControlCalls, body: bytes) -> Answer:
--- a/src/bramleyrouter/platform/programs.py
+++ b/src/bramleyrouter/platform/programs.py
@@ -135,6 +135,7 @@
         withdraw=lambda server_id, incarnation: withdraw(
             parts.registry, server_id, incarnation, clock()
         ),
+        recommend=parts.recommend,
         data_centres=cfg.data_centres,
         record=lambda part, event, **fields: record(log, part, event, **fields),
     )
--- a/src/bramleyrouter/wire/kinds.py
+++ b/src/bramleyrouter/wire/kinds.py
@@ -43,3 +43,4 @@
     WATCH_FLEET = 90
     FETCH_ROUTES = 91
     GATHER_SHARDS = 92
+    DESCRIBE = 93
