Kept a server's work in its data centre through one pause

Cause: a pause of 120 ms counted twice (as late and as a reply of 7.5 times the typical latency) and moved the server's requests to another data centre for a second or two; with a pause each 3 s that was most of the time. A sample is bounded at 6, late ones count once, and three strikes suspect a server.

--- a/src/bramleyrouter/gateway/gathers.py
+++ b/src/bramleyrouter/gateway/gathers.py
@@ -300,9 +300,8 @@
     shard.last_end = reply.end
     if reply.is_success:
         shard.reply = reply
-        typical_s = window_of(run.gateway, run.route).median_s
         for other in shard.pending:
-            note_late(other.state, now - other.sent_at, typical_s, now)
+            note_late(other.state, now)
     else:
         _after_failure(run, shard, sending, reply)
     if run.is_started:
--- a/src/bramleyrouter/gateway/servers.py
+++ b/src/bramleyrouter/gateway/servers.py
@@ -13,24 +13,24 @@
 from bramleyrouter.ids import DataCentre, ServerId, ServiceName
 
 # Weight of a new latency in the moving average.
-LATENCY_WEIGHT = 0.25
+LATENCY_WEIGHT = 0.3
 # An average that is not renewed approaches that of an ordinary server, half of
 # the way in this time, in seconds, so that a server which was slow is tried
 # again.
 SLOWNESS_HALF_LIFE_S = 4.0
 # Bounds one sample, so that one long pause is forgotten soon.
-MAX_SLOWNESS = 20.0
+MAX_SLOWNESS = 6.0
 # Failures in a row after which a server is suspected, and for how long, in
 # seconds; the time doubles with each further failure. A pause of a healthy
-# server costs one failure at most.
-STRIKES_TO_SUSPECT = 2
+# server costs one or two.
+STRIKES_TO_SUSPECT = 3
 SUSPECT_S = 0.5
 MAX_SUSPECT_S = 4.0
 # A server that refused for lack of room is left alone for so long, in seconds.
 FULL_S = 0.05
 # How much slower than an ordinary server one in the own data centre may be
 # before one in another data centre is asked: the links between them are dear.
-REMOTE_PENALTY = 1.5
+REMOTE_PENALTY = 2.5
 # Part of the rate that cold servers bear which all entry daemons use together.
 COLD_RATE_USED = 0.5
 # Factor and constant above the declared rate that a cold server still bears;
@@ -194,15 +194,11 @@
     state.failed_share += LATENCY_WEIGHT * (float(is_failed) - state.failed_share)
 
 
-def note_late(
-    state: ServerState, waited_s: float, typical_s: float, now: float
-) -> None:
+def note_late(state: ServerState, now: float) -> None:
     """Note that another server answered first; this one is not heard of yet.
 
-    What it has taken so far is a lower bound of its latency.
+    Its latency counts when its reply comes, if ever.
     """
-    if typical_s > 0 and waited_s / typical_s > expected_slowness(state, now):
-        _average_slowness(state, waited_s / typical_s, now)
     _strike(state, now)
 
 
--- a/src/bramleyrouter/gateway/singles.py
+++ b/src/bramleyrouter/gateway/singles.py
@@ -142,9 +142,8 @@
         reply.status < 500 or not run.is_idempotent
     )
     if is_final:
-        typical_s = window_of(gateway, run.route).median_s
         for other in run.pending:
-            note_late(other.state, now - other.sent_at, typical_s, now)
+            note_late(other.state, now)
         _finish(run, GatewayReply(ReplyKind.SERVER, server=reply))
         return
     _after_failure(run, sending, reply)
