Asked cold servers without a declared rate, ended hopeless queries early

Now a relay answers for what the whole query needs, servers overdue at the objective count as late, and a query that can't reach its minimum is refused or ended at once.

--- a/src/bramleyrouter/edges/servers/multi.py
+++ b/src/bramleyrouter/edges/servers/multi.py
@@ -18,6 +18,9 @@
 from bramleyrouter.edges.servers.formats import MAX_REPLY_BYTES
 
 CONNECT_TIMEOUT_MS = 1000
+# Requests that are passed on have other servers to go to: a connection that is
+# not open after so long, many round trips, is given up.
+PASS_ON_CONNECT_TIMEOUT_MS = 300
 
 
 class HttpEnd(NamedTuple):
@@ -278,6 +281,7 @@
     exchange.is_passed_on = True
     curl = exchange.curl
     curl.setopt(pycurl.PATH_AS_IS, 1)
+    curl.setopt(pycurl.CONNECTTIMEOUT_MS, PASS_ON_CONNECT_TIMEOUT_MS)
     curl.setopt(pycurl.HEADERFUNCTION, lambda line: _read_head_line(exchange, line))
     return exchange
 
--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -48,6 +48,12 @@
 # Part of a server's connections that all entry daemons hold together; a new one
 # may open before the server has seen the former one close.
 CONNECTIONS_USED = 0.95
+# Connections beyond a server's slots, so that a reply that is late does not
+# keep the next request waiting.
+SPARE_CONNECTIONS = 2
+# Time between two queries that are let through although too many shards have
+# only suspected servers, in seconds: they find out when these are back.
+TRIAL_INTERVAL_S = 0.5
 
 
 class GatewayLimits(NamedTuple):
@@ -76,6 +82,8 @@
     windows: dict[str, LatencyWindow] = field(default_factory=dict)
     split_credit: dict[str, dict[ServiceName, float]] = field(default_factory=dict)
     in_flight: int = 0
+    # Loop time of the next trial, by route.
+    next_trial: dict[str, float] = field(default_factory=dict)
     relays: Relays = field(default_factory=Relays)
     open_stream: OpenStream | None = None
 
@@ -142,7 +150,9 @@
     note_sent(state, context)
     known = gateway.index.services.get(state.row.service) if gateway.index else None
     declared = known.max_connections if known else state.row.slots + 1
-    max_connections = connection_share(declared, gateway.entry_daemons())
+    share = connection_share(declared, gateway.entry_daemons())
+    # More would only fill the server's queue.
+    max_connections = min(share, state.row.slots + SPARE_CONNECTIONS)
 
     def end(reply: ServerReply) -> None:
         sending.is_ended = True
--- a/src/bramleyrouter/gateway/gathers.py
+++ b/src/bramleyrouter/gateway/gathers.py
@@ -21,6 +21,7 @@
 from bramleyrouter.gateway.gateways import (
     DEADLINE_MARGIN_S,
     MIN_SEND_S,
+    TRIAL_INTERVAL_S,
     Cancel,
     Gateway,
     OnGatewayReply,
@@ -36,6 +37,7 @@
 from bramleyrouter.gateway.merging import merge_greatest
 from bramleyrouter.gateway.servers import (
     choose_server,
+    describe_servers,
     good_data_centres,
     note_cancelled,
     note_late,
@@ -46,6 +48,7 @@
     TRIP_S,
     GatherProgress,
     reaches,
+    share_needed,
     should_answer,
 )
 from bramleyrouter.ids import DataCentre, ServerId, ServiceName
@@ -55,6 +58,9 @@
 # Looks for stragglers in one request; the second catches those for which the
 # first had no budget or no server.
 HEDGE_LOOKS = 3
+# A server that takes this many times the typical latency is overdue at the
+# objective.
+OVERDUE_FACTOR = 2.0
 
 
 @dataclass(eq=False)
@@ -95,6 +101,7 @@
     looks: int = 0
     hedges: int = 0
     is_finished: bool = False
+    are_overdue_noted: bool = False
     is_started: bool = False
     cancel_delegated: Cancel | None = None
     relay: str = ""
@@ -122,9 +129,15 @@
     deadline_s = deadline_of(route, request)
     run = GatherRun(gateway, route, request, now, now + deadline_s, on_reply)
     run.shards = [ShardRun(service) for service in route.shards]
-    reachable = sum(_choose(run, shard) is not None for shard in run.shards)
+    lost = [shard for shard in run.shards if _choose(run, shard) is None]
+    reachable = len(run.shards) - len(lost)
     if not reaches(reachable, len(run.shards), route.min_coverage):
-        reason = f"{reachable} of {len(run.shards)} shards have a server"
+        reason = f"{reachable} of {len(run.shards)} shards have a server; "
+        reason += "; ".join(_describe(run, shard) for shard in lost[:3])
+        _finish(run, refuse(gateway, reason, deadline_s / 3))
+        return lambda: None
+    if not _is_hopeful(run):
+        reason = "too many shards have only suspected servers"
         _finish(run, refuse(gateway, reason, deadline_s / 3))
         return lambda: None
     if may_delegate:
@@ -190,7 +203,7 @@
         route.attempts,
         route.priority,
         route.top_records,
-        route.min_coverage,
+        share_needed(len(wanted), len(run.shards), route.min_coverage),
     )
 
 
@@ -256,6 +269,36 @@
             shard.is_missing = True
 
 
+def _is_hopeful(run: GatherRun) -> bool:
+    """Return whether the query can be expected to reach enough shards.
+
+    Once the servers of too many shards are suspected, as in a data centre that
+    is cut off, most queries are refused at once, and one now and then finds out
+    whether they are back.
+    """
+    gateway, route = run.gateway, run.route
+    trusted = 0
+    for shard in run.shards:
+        context = context_for(gateway, shard.service)
+        states = states_of(gateway, shard.service)
+        best = choose_server(states, context)
+        is_suspected = best is not None and best.suspect_until > context.now
+        trusted += best is not None and not is_suspected
+    if reaches(trusted, len(run.shards), route.min_coverage):
+        return True
+    now = gateway.loop.time()
+    if now < gateway.next_trial.get(route.name, 0.0):
+        return False
+    gateway.next_trial[route.name] = now + TRIAL_INTERVAL_S
+    return True
+
+
+def _describe(run: GatherRun, shard: ShardRun) -> str:
+    states = states_of(run.gateway, shard.service)
+    context = context_for(run.gateway, shard.service)
+    return f'"{shard.service}" ({describe_servers(states, context)})'
+
+
 def _choose(run: GatherRun, shard: ShardRun):
     context = context_for(run.gateway, shard.service)
     states = states_of(run.gateway, shard.service)
@@ -366,6 +409,8 @@
         delay_s = hedge_delay(window_of(run.gateway, route), route.objective_s)
         times.append(run.arrived + delay_s * (run.looks + 1))
     objective_at = run.arrived + route.objective_s - TRIP_S
+    # Whoever is suspected then is given up.
+    times += [at for at in (run.arrived + route.objective_s,) if at > now]
     late_at = run.arrived + LATE_PATIENCE * route.objective_s
     times += [at for at in (objective_at, late_at) if at > now]
     run.timer = run.gateway.loop.call_at(min(times), _on_timer, run)
@@ -380,11 +425,49 @@
     if run.looks < HEDGE_LOOKS and now >= run.arrived + delay_s * (run.looks + 1):
         run.looks += 1
         _hedge(run)
+    _note_overdue(run)
     _check(run)
     if not run.is_finished:
         _arm(run)
 
 
+def _hopeful(run: GatherRun) -> int:
+    """Count the open shards that are still expected to answer.
+
+    Past the objective, a shard that waits only for servers that are suspected
+    by now is given up.
+    """
+    now = run.gateway.loop.time()
+    is_late = now >= run.arrived + run.route.objective_s
+    count = 0
+    for shard in run.shards:
+        if not shard.is_open:
+            continue
+        is_given_up = (
+            is_late
+            and not shard.is_delegated
+            and all(item.state.suspect_until > now for item in shard.pending)
+        )
+        count += not is_given_up
+    return count
+
+
+def _note_overdue(run: GatherRun) -> None:
+    """Count it against the servers that have not answered by the objective.
+
+    A server that is cut off gives no other sign before the deadline.
+    """
+    now = run.gateway.loop.time()
+    if run.are_overdue_noted or now < run.arrived + run.route.objective_s - TRIP_S:
+        return
+    run.are_overdue_noted = True
+    overdue_s = OVERDUE_FACTOR * window_of(run.gateway, run.route).median_s
+    for shard in run.shards:
+        for sending in shard.pending if shard.is_open else ():
+            if now - sending.sent_at > overdue_s:
+                note_late(sending.state, now)
+
+
 def _check(run: GatherRun) -> None:
     """Answer if it is time to."""
     if run.is_finished:
@@ -400,7 +483,7 @@
     ):
         _finish(run, _gathered(run, progress))
     elif not reaches(
-        progress.included + progress.open, progress.total, route.min_coverage
+        progress.included + _hopeful(run), progress.total, route.min_coverage
     ):
         _finish(run, _failed(run, progress))
     elif is_last_call:
--- a/src/bramleyrouter/gateway/servers.py
+++ b/src/bramleyrouter/gateway/servers.py
@@ -31,6 +31,10 @@
 # How much slower than an ordinary server one in the own data centre may be
 # before one in another data centre is asked: the links between them are dear.
 REMOTE_PENALTY = 2.5
+# Ranks of servers that are asked when no better one is left: 0 is a good
+# server, 1 a cold, full or silent one.
+SUSPECT_RANK = 2
+COLD_RANK = 3
 # Part of the rate that cold servers bear which all entry daemons use together.
 COLD_RATE_USED = 0.5
 # Factor and constant above the declared rate that a cold server still bears;
@@ -64,7 +68,7 @@
     """Hold what a choice depends on besides the servers.
 
     ``cold_gap_s`` is the time between two requests of this entry daemon to a
-    cold server; infinite when cold servers get none.
+    cold server; 0 where the service declares no bound.
     """
 
     now: float
@@ -114,7 +118,10 @@
     """Return the seconds between two requests of one daemon to a cold server.
 
     All entry daemons together stay below ``rate * factor + slack`` per second.
+    A service without a rate only answers more slowly while it is cold.
     """
+    if rate <= 0:
+        return 0.0
     allowed = COLD_RATE_USED * (rate * factor + slack) / max(1, entry_daemons)
     return 1.0 / allowed if allowed > 0 else float("inf")
 
@@ -139,11 +146,12 @@
     now, row = context.now, state.row
     if row.phase is not Phase.READY or row.data_centre in context.data_centres_out:
         return None
-    if state.cold_until > now:
-        return 3 if state.cold_next_at <= now else None
+    is_cold = state.cold_until > now
+    if is_cold and context.cold_gap_s > 0:
+        return COLD_RANK if state.cold_next_at <= now else None
     if state.suspect_until > now:
-        return 2
-    if row.is_silent or state.full_until > now:
+        return SUSPECT_RANK
+    if is_cold or row.is_silent or state.full_until > now:
         return 1
     return 0
 
@@ -159,7 +167,7 @@
     states: Iterable[ServerState],
     context: ChoiceContext,
     tried: Collection[ServerId] = (),
-    max_rank: int = 3,
+    max_rank: int = COLD_RANK,
 ) -> ServerState | None:
     """Return the best server that was not tried yet, or none."""
     best: ServerState | None = None
@@ -245,3 +253,24 @@
 def note_cancelled(state: ServerState) -> None:
     """Note that nobody waits for an exchange any more."""
     state.in_flight = max(0, state.in_flight - 1)
+
+
+def describe_servers(states: Iterable[ServerState], context: ChoiceContext) -> str:
+    """Return why the servers of a service may not be asked, for the log.
+
+    For example ``i-7f3a: draining; i-02d9: cold for 1.3 s``.
+    """
+    texts = []
+    for state in states:
+        if state.row.phase is not Phase.READY:
+            reason = state.row.phase.value
+        elif state.row.data_centre in context.data_centres_out:
+            reason = f"{state.row.data_centre} is out"
+        elif state.cold_until > context.now:
+            reason = f"cold for {state.cold_until - context.now:.1f} s"
+        elif state.suspect_until > context.now:
+            reason = f"suspected, {state.strikes} failures"
+        else:
+            reason = "silent" if state.row.is_silent else "ready"
+        texts.append(f"{state.row.server_id}: {reason}")
+    return "; ".join(texts) or "none known"
