--- /dev/null
+++ b/tests/gateway/test_budgets.py
@@ -0,0 +1,57 @@
+import random
+
+from bramleyrouter.gateway.budgets import (
+    ExtraBudget,
+    ExtraLimits,
+    count_request,
+    take_extra,
+)
+from bramleyrouter.ids import ServiceName
+
+SERVICE = ServiceName("s0")
+LIMITS = ExtraLimits(ratio=0.2, slack=40.0, window_s=10.0)
+
+
+class TestExtraBudget:
+    def test_every_window_keeps_the_bound_over_all_daemons(self):
+        # Eight daemons that can't hear each other, with bursts of requests and
+        # a wish for an extra send at each one.
+        rng = random.Random(3)
+        now = [0.0]
+        daemons = [ExtraBudget(LIMITS, lambda: now[0], lambda: 8) for _ in range(8)]
+        requests, extras = [], []
+        while now[0] < 60.0:
+            rate = 200.0 if int(now[0]) % 13 == 5 else 20.0
+            now[0] += rng.expovariate(rate)
+            budget = rng.choice(daemons)
+            count_request(budget, SERVICE)
+            requests.append(now[0])
+            if take_extra(budget, SERVICE):
+                extras.append(now[0])
+        assert len(extras) > 0.15 * len(requests)
+        for start in extras:
+            taken = sum(start <= at < start + 10.0 for at in extras)
+            asked = sum(start <= at < start + 10.0 for at in requests)
+            assert taken <= LIMITS.ratio * asked + LIMITS.slack
+
+    def test_hedges_leave_room_for_retries(self):
+        budget = ExtraBudget(LIMITS, lambda: 1.0, lambda: 1)
+        while take_extra(budget, SERVICE, is_hedge=True):
+            pass
+        assert take_extra(budget, SERVICE)
+
+    def test_services_do_not_share(self):
+        budget = ExtraBudget(LIMITS, lambda: 1.0, lambda: 8)
+        while take_extra(budget, SERVICE):
+            pass
+        assert take_extra(budget, ServiceName("other"))
+
+    def test_the_budget_comes_back_after_the_window(self):
+        now = [0.0]
+        budget = ExtraBudget(LIMITS, lambda: now[0], lambda: 1)
+        while take_extra(budget, SERVICE):
+            pass
+        now[0] = 9.9
+        assert not take_extra(budget, SERVICE)
+        now[0] = 10.6
+        assert take_extra(budget, SERVICE)
--- /dev/null
+++ b/tests/gateway/test_gathers.py
@@ -0,0 +1,366 @@
+import asyncio
+
+from result import Err, Ok
+
+from bramleyrouter.codes import Code
+from bramleyrouter.failures import Failure
+from bramleyrouter.gateway.budgets import ExtraLimits
+from bramleyrouter.gateway.delegation import (
+    CONFIRMATION,
+    DelegatedReply,
+    decode_query,
+    encode,
+)
+from bramleyrouter.gateway.exchanges import ExchangeEnd, ReplyKind
+from bramleyrouter.gateway.waiting import (
+    GatherProgress,
+    reaches,
+    share_needed,
+    should_answer,
+)
+from bramleyrouter.ids import DataCentre
+from tests.support.gateway_fakes import (
+    ELSEWHERE,
+    HERE,
+    THERE,
+    after,
+    answered,
+    build_site,
+    ending,
+    gather_route,
+    request,
+    row,
+    silent,
+)
+from tests.support.virtual_time import run_virtual
+
+
+def two_each(shards):
+    return [
+        row(f"{name}{at}", f"s{at}", data_centre)
+        for at in range(shards)
+        for name, data_centre in (("a", HERE), ("b", THERE))
+    ]
+
+
+class TestGather:
+    def test_a_whole_response_names_one_part_of_each_shard(self):
+        async def scenario():
+            site = build_site([gather_route(4)], two_each(4))
+            reply = await site.ask()
+            assert reply.kind is ReplyKind.GATHERED
+            assert reply.missing == 0
+            assert len(set(reply.signatures)) == 4
+            assert len(site.servers.arrivals) == 4
+
+        run_virtual(scenario())
+
+    def test_a_paused_server_is_hedged_within_the_objective(self):
+        async def scenario():
+            site = build_site([gather_route(4)], two_each(4))
+            site.servers.behaviours["a2"] = after(0.13)
+            reply = await site.ask()
+            assert reply.missing == 0
+            assert asyncio.get_running_loop().time() < 0.1
+            assert len(site.servers.of("b2")) == 1
+
+        run_virtual(scenario())
+
+    def test_at_the_objective_a_partial_response_is_sent(self):
+        async def scenario():
+            site = build_site([gather_route(4)], two_each(4))
+            site.servers.behaviours |= {"a2": silent, "b2": silent}
+            reply = await site.ask()
+            assert (reply.kind, reply.missing) == (ReplyKind.GATHERED, 1)
+            assert 0.08 < asyncio.get_running_loop().time() < 0.1
+
+        run_virtual(scenario())
+
+    def test_no_shard_runs_at_more_servers_than_allowed(self):
+        async def scenario():
+            rows = [row(f"{name}{at}", f"s{at}") for at in range(4) for name in "abcd"]
+            site = build_site([gather_route(4, attempts=2)], rows)
+            for item in rows:
+                site.servers.behaviours[item.server_id] = ending(ExchangeEnd.LOST)
+            reply = await site.ask()
+            assert reply.kind is ReplyKind.FAILED
+            assert len(site.servers.arrivals) == 8
+
+        run_virtual(scenario())
+
+    def test_without_a_budget_nothing_is_sent_again(self):
+        async def scenario():
+            site = build_site(
+                [gather_route(4)], two_each(4), extra=ExtraLimits(0.0, 0.0, 10.0)
+            )
+            site.servers.behaviours["a1"] = ending(ExchangeEnd.LOST)
+            reply = await site.ask()
+            assert reply.missing == 1
+            assert len(site.servers.arrivals) == 4
+
+        run_virtual(scenario())
+
+    def test_a_send_that_did_not_arrive_is_repeated_without_a_budget(self):
+        async def scenario():
+            site = build_site(
+                [gather_route(4)], two_each(4), extra=ExtraLimits(0.0, 0.0, 10.0)
+            )
+            site.servers.behaviours["a1"] = ending(ExchangeEnd.UNREACHED)
+            reply = await site.ask()
+            assert reply.missing == 0
+
+        run_virtual(scenario())
+
+    def test_refused_before_anything_runs_where_shards_have_no_server(self):
+        async def scenario():
+            site = build_site([gather_route(4)], two_each(2))
+            reply = await site.ask()
+            assert reply.kind is ReplyKind.REFUSED
+            assert reply.retry_after_s > 0
+            assert site.servers.arrivals == []
+            # On-call engineers find the lost shard and its servers by the id.
+            event, fields = site.events[-1]
+            assert event == "gather_ended"
+            assert '"s2" (none known)' in fields["reason"]
+
+        run_virtual(scenario())
+
+    def test_a_failure_after_something_ran_is_no_refusal(self):
+        async def scenario():
+            site = build_site([gather_route(2, min_coverage=1.0)], two_each(2))
+            lost = ending(ExchangeEnd.LOST)
+            site.servers.behaviours |= {"a1": lost, "b1": lost}
+            reply = await site.ask()
+            assert reply.kind is ReplyKind.FAILED
+
+        run_virtual(scenario())
+
+    def test_work_ends_when_the_caller_leaves(self):
+        async def scenario():
+            site = build_site([gather_route(2)], two_each(2))
+            site.servers.behaviours |= {"a0": after(0.5), "a1": after(0.5)}
+            cancel = site.gateway.handle(request(), lambda reply: None)
+            await asyncio.sleep(0.01)
+            cancel()
+            assert all(item.is_cancelled for item in site.servers.arrivals)
+            assert site.gateway.in_flight() == 0
+
+        run_virtual(scenario())
+
+    def test_servers_are_told_no_more_time_than_is_left(self):
+        async def scenario():
+            site = build_site([gather_route(2)], two_each(2))
+            site.servers.behaviours["a0"] = after(0.3)
+            await site.ask(request(deadline_s=0.2))
+            for item in site.servers.arrivals:
+                assert item.at + item.timeout_s <= 0.2 + 1e-9
+
+        run_virtual(scenario())
+
+
+class TestCutDataCentre:
+    def test_hopeless_queries_are_refused_at_once_but_for_trials(self):
+        # Queries in a data centre that was cut off waited for their deadlines.
+        async def scenario():
+            rows = [row(f"a{at}", f"s{at}") for at in range(2)]
+            rows += [row(f"b{at}", f"s{at}", THERE) for at in range(2, 4)]
+            site = build_site([gather_route(4)], rows)
+            site.servers.behaviours |= {"b2": silent, "b3": silent}
+            loop = asyncio.get_running_loop()
+            kinds, waits = [], []
+            for _ in range(30):
+                started = loop.time()
+                reply = await site.ask()
+                kinds.append(reply.kind)
+                waits.append(loop.time() - started)
+                await asyncio.sleep(0.1)
+            refused = kinds.count(ReplyKind.REFUSED)
+            assert refused >= 15
+            quick = [wait for wait in waits if wait == 0.0]
+            assert len(quick) == refused
+            # Trials go on, so that it is found out when the servers are back.
+            site.servers.behaviours.clear()
+            await asyncio.sleep(5.0)
+            reply = await site.ask()
+            assert reply.kind is ReplyKind.GATHERED
+
+        run_virtual(scenario())
+
+
+class TestWaiting:
+    def test_full_responses_go_at_once(self):
+        assert should_answer(GatherProgress(20, 0, 20), 0.89, 0.01, 0.118)
+
+    def test_a_partial_one_waits_for_the_objective(self):
+        progress = GatherProgress(19, 1, 20)
+        assert not should_answer(progress, 0.89, 0.06, 0.118)
+        assert should_answer(progress, 0.89, 0.105, 0.118)
+
+    def test_below_the_minimum_nothing_is_sent(self):
+        assert not should_answer(GatherProgress(17, 3, 20), 0.89, 0.5, 0.118)
+
+    def test_a_late_one_waits_a_little_for_the_rest(self):
+        progress = GatherProgress(18, 2, 20)
+        assert not should_answer(progress, 0.89, 0.13, 0.118)
+        assert should_answer(progress, 0.89, 0.2, 0.118)
+
+    def test_rounding_does_not_cost_a_shard(self):
+        assert reaches(89, 100, 0.89)
+        assert not reaches(0, 0, 0.0)
+
+    def test_a_part_needs_what_the_whole_needs(self):
+        # A relay with 8 of its 9 shards answered nothing where 29 of 30 were in.
+        assert reaches(8, 9, share_needed(9, 30, 0.89))
+        assert not reaches(5, 9, share_needed(9, 30, 0.89))
+        assert share_needed(2, 30, 0.89) == 0.0
+
+
+class FakeRelay:
+    """Answer delegated queries, or not."""
+
+    def __init__(self, is_confirming=True, failure=None, left_out=()):
+        self.queries = []
+        self.cancelled = 0
+        self._is_confirming = is_confirming
+        self._failure = failure
+        self._left_out = left_out
+
+    def open_stream(self, address, payload, on_item, on_end):
+        loop = asyncio.get_running_loop()
+        query = decode_query(payload).ok_value
+        self.queries.append(query)
+        if self._failure is not None:
+            loop.call_soon(on_end, Err(self._failure))
+        elif self._is_confirming:
+            loop.call_later(0.002, on_item, CONFIRMATION)
+            loop.call_later(0.02, on_item, self._reply(query))
+            loop.call_later(0.021, on_end, Ok(None))
+
+        def cancel():
+            self.cancelled += 1
+
+        return cancel
+
+    def _reply(self, query):
+        included = [
+            at
+            for at, service in enumerate(query.services)
+            if service not in self._left_out
+        ]
+        signatures = [f"sig-{query.services[at]}-relay" for at in included]
+        return encode(DelegatedReply(tuple(included), tuple(signatures), b"z" * 16))
+
+
+def remote_site(relay, **fields):
+    """Six shards here and six that have servers in two other data centres."""
+    rows = [row(f"a{at}", f"s{at}") for at in range(6)]
+    for at in range(6, 12):
+        rows.append(row(f"b{at}", f"s{at}", THERE))
+        rows.append(row(f"c{at}", f"s{at}", ELSEWHERE))
+    site = build_site([gather_route(12)], rows, open_stream=relay.open_stream, **fields)
+    site.gateway.set_relays([("10.2.0.1:7380", THERE)])
+    return site
+
+
+class TestDelegation:
+    def test_remote_shards_travel_in_one_message(self):
+        async def scenario():
+            relay = FakeRelay()
+            site = remote_site(relay)
+            reply = await site.ask()
+            assert reply.kind is ReplyKind.GATHERED
+            assert reply.missing == 0
+            assert len(set(reply.signatures)) == 12
+            assert reply.body.startswith(b"z" * 16)
+            assert len(relay.queries) == 1
+            assert len(relay.queries[0].services) == 6
+            assert len(site.servers.arrivals) == 6
+
+        run_virtual(scenario())
+
+    def test_what_a_relay_lacks_is_missing(self):
+        async def scenario():
+            site = remote_site(FakeRelay(left_out=("s7",)))
+            reply = await site.ask()
+            assert (reply.kind, reply.missing) == (ReplyKind.GATHERED, 1)
+
+        run_virtual(scenario())
+
+    def test_a_relay_that_does_not_confirm_is_replaced_by_direct_sends(self):
+        async def scenario():
+            relay = FakeRelay(is_confirming=False)
+            site = remote_site(relay)
+            reply = await site.ask()
+            assert reply.missing == 0
+            assert asyncio.get_running_loop().time() < 0.1
+            assert relay.cancelled == 1
+            # It is left alone for a while.
+            await site.ask()
+            assert len(relay.queries) == 1
+            await asyncio.sleep(2.0)
+            await site.ask()
+            assert len(relay.queries) == 2
+
+        run_virtual(scenario())
+
+    def test_direct_sends_after_a_relay_that_may_have_run_need_a_budget(self):
+        async def scenario():
+            relay = FakeRelay(is_confirming=False)
+            site = remote_site(relay, extra=ExtraLimits(0.0, 0.0, 10.0))
+            await site.ask()
+            assert len(site.servers.arrivals) == 6
+
+        run_virtual(scenario())
+
+    def test_a_relay_that_was_not_reached_costs_nothing(self):
+        async def scenario():
+            failure = Failure(Code.PEER_UNREACHABLE, "no connection")
+            relay = FakeRelay(failure=failure)
+            site = remote_site(relay, extra=ExtraLimits(0.0, 0.0, 10.0))
+            reply = await site.ask()
+            assert reply.missing == 0
+
+        run_virtual(scenario())
+
+    def test_the_relay_stops_when_the_caller_leaves(self):
+        async def scenario():
+            relay = FakeRelay()
+            site = remote_site(relay)
+            cancel = site.gateway.handle(request(), lambda reply: None)
+            await asyncio.sleep(0.005)
+            cancel()
+            assert relay.cancelled == 1
+
+        run_virtual(scenario())
+
+    def test_a_relay_serves_with_its_own_servers(self):
+        async def scenario():
+            asked = FakeRelay()
+            await remote_site(asked).ask()
+            rows = [row(f"b{at}", f"s{at}") for at in range(6, 12)]
+            site = build_site([gather_route(12)], rows)
+            sent = []
+            payload = encode(asked.queries[0])
+            await site.gateway.serve_delegated(None, payload, sent.append)
+            assert sent[0] == CONFIRMATION
+            assert len(site.servers.arrivals) == 6
+            first = site.servers.arrivals[0]
+            assert first.request.request_id == "q1"
+            assert answered(first.server).signature.encode() in sent[1]
+
+        run_virtual(scenario())
+
+
+class TestEvacuation:
+    def test_a_data_centre_that_is_out_gets_nothing(self):
+        async def scenario():
+            out = (DataCentre(THERE),)
+            site = build_site([gather_route(4)], two_each(4), out=out)
+            site.servers.behaviours["a1"] = ending(ExchangeEnd.LOST)
+            reply = await site.ask()
+            assert reply.missing == 1
+            assert all(
+                item.server.data_centre == HERE for item in site.servers.arrivals
+            )
+
+        run_virtual(scenario())
--- /dev/null
+++ b/tests/gateway/test_servers.py
@@ -0,0 +1,126 @@
+from bramleyrouter.fleet.records import Phase
+from bramleyrouter.gateway.exchanges import ExchangeEnd, ServerReply
+from bramleyrouter.gateway.servers import (
+    STRIKES_TO_SUSPECT,
+    ChoiceContext,
+    ServerState,
+    ServerTable,
+    choose_server,
+    cold_gap,
+    note_late,
+    note_reply,
+    note_sent,
+    set_servers,
+)
+from bramleyrouter.ids import ServiceName
+from tests.support.gateway_fakes import HERE, THERE, answered, row
+
+TYPICAL_S = 0.016
+
+
+def context(now=100.0, out=(), cold_gap_s=0.0):
+    return ChoiceContext(now, HERE, out, cold_gap_s)
+
+
+def near_and_far():
+    return ServerState(row("near")), ServerState(row("far", data_centre=THERE))
+
+
+def reply_after(state, latency_s, now):
+    state.in_flight += 1
+    note_reply(state, answered(state.row), latency_s, TYPICAL_S, now)
+
+
+class TestChooseServer:
+    def test_the_own_data_centre_comes_first(self):
+        near, far = near_and_far()
+        assert choose_server([far, near], context()) is near
+
+    def test_a_server_not_asked_for_long_does_not_look_faster(self):
+        # Its average once decayed towards 0, which drew all requests into the
+        # other data centre until it was measured again.
+        near, far = near_and_far()
+        reply_after(far, TYPICAL_S, 0.0)
+        for step in range(20):
+            reply_after(near, TYPICAL_S, 80.0 + step)
+        assert choose_server([far, near], context()) is near
+
+    def test_one_pause_keeps_the_work_in_the_data_centre(self):
+        # A pause of 120 ms each 3 s once moved the requests away for seconds.
+        near, far = near_and_far()
+        note_late(near, 99.9)
+        reply_after(near, 0.136, 100.0)
+        assert choose_server([far, near], context(100.1)) is near
+
+    def test_a_server_that_stays_slow_is_left(self):
+        near, far = near_and_far()
+        for step in range(4):
+            reply_after(near, 7 * TYPICAL_S, 99.0 + step / 10)
+        assert choose_server([far, near], context()) is far
+
+    def test_suspected_after_some_failures_in_a_row(self):
+        near, far = near_and_far()
+        for _ in range(STRIKES_TO_SUSPECT):
+            near.in_flight += 1
+            note_reply(near, ServerReply(ExchangeEnd.LOST), 0.01, TYPICAL_S, 100.0)
+        assert choose_server([near, far], context(100.1)) is far
+        # Where no other is left it is still better than nothing.
+        assert choose_server([near], context(100.1)) is near
+
+    def test_never_one_that_drains_is_gone_or_out(self):
+        states = [
+            ServerState(row("a", phase=Phase.DRAINING)),
+            ServerState(row("b", phase=Phase.GONE)),
+            ServerState(row("c", data_centre=THERE)),
+        ]
+        assert choose_server(states, context(out={THERE})) is None
+
+    def test_a_server_at_whose_address_another_one_answered_is_left_at_once(self):
+        near, far = near_and_far()
+        near.in_flight += 1
+        note_reply(near, ServerReply(ExchangeEnd.MISDIRECTED), 0.01, TYPICAL_S, 100.0)
+        assert choose_server([near, far], context(100.1)) is far
+
+
+class TestColdServers:
+    def test_without_a_declared_rate_they_are_asked_when_no_other_is_left(self):
+        # After a drain all successors were cold, and queries were refused for
+        # eight seconds although a cold server only answers more slowly.
+        near, far = near_and_far()
+        near.cold_until = 103.0
+        assert choose_server([near, far], context()) is far
+        assert choose_server([near], context(cold_gap_s=0.0)) is near
+        assert cold_gap(0.0, 1.5, 5.0, 8) == 0.0
+
+    def test_with_a_rate_all_daemons_together_stay_below_the_bound(self):
+        rate, factor, slack, daemons = 8.0, 1.5, 5.0, 6
+        gap_s = cold_gap(rate, factor, slack, daemons)
+        state = ServerState(row("cold"))
+        state.cold_until = 1e9
+        sent, now = 0, 0.0
+        while now < 1.0:
+            here = context(now, cold_gap_s=gap_s)
+            if choose_server([state], here) is not None:
+                note_sent(state, here)
+                sent += 1
+            now += 0.001
+        assert 1 <= sent * daemons <= rate * factor + slack
+
+    def test_a_reply_that_says_so_makes_a_server_cold(self):
+        near, far = near_and_far()
+        near.in_flight += 1
+        reply = answered(near.row)._replace(cold_s=2.0)
+        note_reply(near, reply, 0.01, TYPICAL_S, 100.0)
+        assert choose_server([near, far], context(101.0)) is far
+        assert choose_server([near, far], context(102.1)) is near
+
+
+class TestSetServers:
+    def test_measurements_end_with_the_incarnation(self):
+        table, service = ServerTable(), ServiceName("s0")
+        set_servers(table, service, [row("a")], 0.0)
+        table.by_service[service]["a"].strikes = 5
+        set_servers(table, service, [row("a", sequence=2)], 1.0)
+        assert table.by_service[service]["a"].strikes == 5
+        set_servers(table, service, [row("a", incarnation=2)], 2.0)
+        assert table.by_service[service]["a"].strikes == 0
--- /dev/null
+++ b/tests/gateway/test_singles.py
@@ -0,0 +1,164 @@
+import asyncio
+
+from bramleyrouter.gateway.exchanges import ExchangeEnd, ReplyKind
+from bramleyrouter.gateway.tables import RequestKind, Target
+from bramleyrouter.ids import ServiceName
+from tests.support.gateway_fakes import (
+    after,
+    answered,
+    build_site,
+    ending,
+    request,
+    route,
+    row,
+    silent,
+    single_route,
+)
+from tests.support.virtual_time import run_virtual
+
+ROWS = [row("a"), row("b"), row("c")]
+ONCE = RequestKind.NON_IDEMPOTENT
+
+
+def all_of(site, behaviour):
+    for item in ROWS:
+        site.servers.behaviours[item.server_id] = behaviour
+
+
+class TestSingle:
+    def test_the_reply_of_the_server_comes_back_unchanged(self):
+        async def scenario():
+            site = build_site([single_route()], ROWS)
+            all_of(site, lambda arrival: (0.01, answered(arrival.server, b"x", 404)))
+            reply = await site.ask()
+            assert reply.kind is ReplyKind.SERVER
+            assert (reply.server.status, reply.server.body) == (404, b"x")
+            assert len(site.servers.arrivals) == 1
+
+        run_virtual(scenario())
+
+    def test_an_idempotent_request_is_tried_elsewhere(self):
+        async def scenario():
+            site = build_site([single_route()], ROWS)
+            all_of(site, lambda arrival: (0.01, answered(arrival.server, status=500)))
+            reply = await site.ask()
+            assert reply.server.status == 500
+            assert len(site.servers.arrivals) == 2
+
+        run_virtual(scenario())
+
+    def test_a_slow_server_is_hedged(self):
+        async def scenario():
+            site = build_site([single_route()], ROWS)
+            delays = iter([0.5, 0.01])
+            all_of(site, lambda item: (next(delays), answered(item.server)))
+            reply = await site.ask()
+            assert reply.kind is ReplyKind.SERVER
+            assert asyncio.get_running_loop().time() < 0.1
+
+        run_virtual(scenario())
+
+
+class TestNonIdempotent:
+    def test_never_sent_again_once_it_may_have_run(self):
+        for end in (ExchangeEnd.LOST, ExchangeEnd.TIMED_OUT):
+
+            async def scenario(end=end):
+                site = build_site([single_route(kind=ONCE)], ROWS)
+                all_of(site, ending(end))
+                reply = await site.ask()
+                assert reply.kind in (ReplyKind.FAILED, ReplyKind.DEADLINE)
+                assert len(site.servers.arrivals) == 1
+
+            run_virtual(scenario())
+
+    def test_a_failure_of_the_server_is_passed_on(self):
+        async def scenario():
+            site = build_site([single_route(kind=ONCE)], ROWS)
+            all_of(site, lambda arrival: (0.01, answered(arrival.server, status=500)))
+            reply = await site.ask()
+            assert reply.server.status == 500
+            assert len(site.servers.arrivals) == 1
+
+        run_virtual(scenario())
+
+    def test_what_certainly_did_not_run_is_tried_elsewhere(self):
+        for end in (
+            ExchangeEnd.REFUSED,
+            ExchangeEnd.MISDIRECTED,
+            ExchangeEnd.UNREACHED,
+        ):
+
+            async def scenario(end=end):
+                site = build_site([single_route(kind=ONCE)], ROWS)
+                sent = []
+
+                def first_fails(arrival):
+                    sent.append(arrival)
+                    if len(sent) == 1:
+                        return ending(end)(arrival)
+                    return after(0.01)(arrival)
+
+                all_of(site, first_fails)
+                reply = await site.ask()
+                assert reply.kind is ReplyKind.SERVER
+                assert len(sent) == 2
+
+            run_virtual(scenario())
+
+    def test_refused_only_when_nothing_can_have_run(self):
+        async def scenario():
+            site = build_site([single_route(kind=ONCE)], ROWS)
+            all_of(site, ending(ExchangeEnd.REFUSED))
+            reply = await site.ask()
+            assert reply.kind is ReplyKind.REFUSED
+
+        run_virtual(scenario())
+
+    def test_never_hedged(self):
+        async def scenario():
+            site = build_site([single_route(kind=ONCE)], ROWS)
+            all_of(site, silent)
+            reply = await site.ask()
+            assert reply.kind is ReplyKind.DEADLINE
+            assert len(site.servers.arrivals) == 1
+            assert asyncio.get_running_loop().time() <= 1.0
+
+        run_virtual(scenario())
+
+
+class TestSplit:
+    def test_each_part_gets_its_share(self):
+        async def scenario():
+            split = (
+                Target(ServiceName("s0"), 3.0),
+                Target(ServiceName("s1"), 1.0),
+                Target(ServiceName("s2"), 0.0),
+            )
+            rows = [row("a", "s0"), row("b", "s1"), row("c", "s2")]
+            site = build_site([route(targets=split)], rows)
+            for number in range(40):
+                await site.ask(request(request_id=f"q{number}"))
+            counts = [len(site.servers.of(name)) for name in "abc"]
+            assert counts == [30, 10, 0]
+
+        run_virtual(scenario())
+
+
+class TestUnready:
+    def test_without_a_server_it_is_refused_at_once(self):
+        async def scenario():
+            site = build_site([single_route()], [])
+            reply = await site.ask()
+            assert reply.kind is ReplyKind.REFUSED
+            assert asyncio.get_running_loop().time() == 0.0
+
+        run_virtual(scenario())
+
+    def test_no_route(self):
+        async def scenario():
+            site = build_site([single_route()], ROWS)
+            reply = await site.ask(request("/b/x"))
+            assert reply.kind is ReplyKind.NO_ROUTE
+
+        run_virtual(scenario())
--- /dev/null
+++ b/tests/gateway/test_tables.py
@@ -0,0 +1,66 @@
+from bramleyrouter.gateway.checks import check_table
+from bramleyrouter.gateway.tables import (
+    RouteTable,
+    Service,
+    Target,
+    build_index,
+    match_route,
+)
+from bramleyrouter.ids import ServiceName, TableVersion
+from tests.support.gateway_fakes import HOST, gather_route, route, single_route
+
+
+def table(*routes, services=("s0", "s1")):
+    known = tuple(Service(ServiceName(name)) for name in services)
+    return RouteTable(TableVersion(1), tuple(routes), known)
+
+
+class TestMatchRoute:
+    def test_the_longest_prefix_wins(self):
+        short = single_route(name="short", prefix="/a/")
+        long = single_route(name="long", prefix="/a/b/")
+        index = build_index(table(short, long))
+        assert match_route(index, HOST, "/a/b/c").name == "long"
+        assert match_route(index, HOST, "/a/bc").name == "short"
+
+    def test_a_prefix_matches_whole_segments_only(self):
+        index = build_index(table(single_route(prefix="/a/")))
+        assert match_route(index, HOST, "/ab/c") is None
+        assert match_route(index, HOST, "/a") is None
+
+    def test_another_host_has_no_route(self):
+        index = build_index(table(single_route(prefix="/")))
+        assert match_route(index, "other.example", "/a") is None
+        assert match_route(index, HOST, "/a").name == "r"
+
+
+class TestCheckTable:
+    def codes(self, *routes, **fields):
+        return [finding.code for finding in check_table(table(*routes, **fields))]
+
+    def test_a_sound_table_has_no_findings(self):
+        assert self.codes(single_route(), gather_route(2, prefix="/g/")) == []
+
+    def test_two_routes_at_one_place(self):
+        assert self.codes(single_route(), single_route(name="b")) == ["routes.E001"]
+
+    def test_a_service_that_is_not_named(self):
+        assert self.codes(single_route("unknown")) == ["routes.E002"]
+        assert self.codes(gather_route(3)) == ["routes.E002"]
+
+    def test_neither_service_nor_shards(self):
+        assert self.codes(gather_route(0)) == ["routes.E003"]
+
+    def test_weights_that_add_up_to_nothing(self):
+        split = (Target(ServiceName("s0"), 0.0), Target(ServiceName("s1"), 0.0))
+        assert self.codes(gather_route(0, targets=split)) == ["routes.E004"]
+
+    def test_a_timeout_of_zero(self):
+        assert self.codes(single_route(timeout_s=0.0)) == ["routes.E005"]
+
+    def test_a_prefix_without_its_slashes(self):
+        assert self.codes(single_route(prefix="/a")) == ["routes.E006"]
+
+    def test_a_shard_named_twice(self):
+        doubled = (ServiceName("s0"), ServiceName("s0"))
+        assert self.codes(route(shards=doubled)) == ["routes.E007"]
--- /dev/null
+++ b/tests/support/gateway_fakes.py
@@ -0,0 +1,227 @@
+"""Backend servers in virtual time for tests of the gateway."""
+
+import asyncio
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bramleyrouter.fleet.records import Phase, ServerRow
+from bramleyrouter.gateway.budgets import ExtraLimits
+from bramleyrouter.gateway.build import GatewayHandle, build_gateway
+from bramleyrouter.gateway.exchanges import (
+    CallerRequest,
+    ExchangeEnd,
+    GatewayReply,
+    ServerReply,
+)
+from bramleyrouter.gateway.gateways import GatewayLimits
+from bramleyrouter.gateway.tables import (
+    RequestKind,
+    Route,
+    RouteTable,
+    Service,
+    Target,
+)
+from bramleyrouter.ids import (
+    DataCentre,
+    ServerId,
+    ServerIncarnation,
+    ServiceName,
+    TableVersion,
+)
+
+HERE, THERE, ELSEWHERE = DataCentre("here"), DataCentre("there"), DataCentre("else")
+HOST = "search.example"
+DEFAULT_EXTRA = ExtraLimits(0.2, 50.0, 10.0)
+RECORD = b"0123456789abcdef"
+
+# What a server does with a request: seconds until the reply, and the reply; no
+# reply at all where it is none.
+Behaviour = Callable[["Arrival"], tuple[float, ServerReply | None]]
+
+
+@dataclass
+class Arrival:
+    """Hold one request that reached a server."""
+
+    server: ServerRow
+    request: CallerRequest
+    timeout_s: float
+    at: float
+    is_cancelled: bool = False
+
+
+def answered(server: ServerRow, body: bytes = RECORD, status: int = 200):
+    """Return a whole reply of ``server``."""
+    signature = f"sig-{server.service}-{server.server_id}"
+    return ServerReply(ExchangeEnd.ANSWERED, status, (), body, signature)
+
+
+def after(delay_s: float) -> Behaviour:
+    """Answer well after ``delay_s``."""
+    return lambda arrival: (delay_s, answered(arrival.server))
+
+
+def ending(end: ExchangeEnd, delay_s: float = 0.001) -> Behaviour:
+    """End each exchange as ``end`` after ``delay_s``."""
+    return lambda arrival: (delay_s, ServerReply(end))
+
+
+def silent(arrival: Arrival) -> tuple[float, None]:
+    """Never answer, as a server behind a cut."""
+    return 0.0, None
+
+
+@dataclass
+class FakeServers:
+    """Hold the behaviours by server id and the arrivals."""
+
+    loop: asyncio.AbstractEventLoop
+    behaviours: dict[str, Behaviour] = field(default_factory=dict)
+    arrivals: list[Arrival] = field(default_factory=list)
+
+    def transport(self, server, request, timeout_s, max_connections, on_reply):
+        """Stand in for the platform's transport."""
+        arrival = Arrival(server, request, timeout_s, self.loop.time())
+        self.arrivals.append(arrival)
+        behaviour = self.behaviours.get(server.server_id, after(0.01))
+        delay_s, reply = behaviour(arrival)
+        if reply is None or delay_s >= timeout_s:
+            delay_s, reply = timeout_s, ServerReply(ExchangeEnd.TIMED_OUT)
+        timer = self.loop.call_later(delay_s, on_reply, reply)
+
+        def cancel():
+            arrival.is_cancelled = True
+            timer.cancel()
+
+        return cancel
+
+    def of(self, server_id) -> list[Arrival]:
+        """Return the arrivals at one server."""
+        return [item for item in self.arrivals if item.server.server_id == server_id]
+
+
+def row(server_id, service="s0", data_centre=HERE, **fields) -> ServerRow:
+    """Return the row of a server that is ready."""
+    values = {
+        "incarnation": ServerIncarnation(1),
+        "sequence": 1,
+        "address": f"10.0.0.{sum(server_id.encode()) % 250}:{len(server_id)}",
+        "slots": 2,
+        "phase": Phase.READY,
+        **fields,
+    }
+    return ServerRow(
+        server_id=ServerId(server_id),
+        service=ServiceName(service),
+        data_centre=data_centre,
+        **values,
+    )
+
+
+def route(**fields) -> Route:
+    """Return a route to one service, idempotent unless told otherwise."""
+    values = {
+        "name": "r",
+        "host": HOST,
+        "prefix": "/a/",
+        "kind": RequestKind.IDEMPOTENT,
+        "timeout_s": 1.0,
+        "objective_s": 0.1,
+        "priority": 1,
+        "attempts": 2,
+        **fields,
+    }
+    return Route(**values)
+
+
+def single_route(service="s0", **fields) -> Route:
+    """Return a route to one service."""
+    return route(targets=(Target(ServiceName(service)),), **fields)
+
+
+def gather_route(shards: int, **fields) -> Route:
+    """Return a gather over ``shards`` services s0, s1, ..."""
+    names = tuple(ServiceName(f"s{at}") for at in range(shards))
+    values = {"shards": names, "top_records": 5, "min_coverage": 0.75, **fields}
+    return route(**values)
+
+
+def request(path="/a/x", deadline_s=1.0, request_id="q1", **fields) -> CallerRequest:
+    """Return a caller's request."""
+    values = {
+        "method": "GET",
+        "host": HOST,
+        "headers": (),
+        "body": b"",
+        "has_body": False,
+        **fields,
+    }
+    return CallerRequest(
+        request_id=request_id, target=path, deadline_s=deadline_s, **values
+    )
+
+
+@dataclass
+class Site:
+    """Hold a gateway with its servers and the events that it recorded."""
+
+    servers: FakeServers
+    gateway: GatewayHandle
+    events: list[tuple[str, dict]]
+    streams: list = field(default_factory=list)
+
+    def set_rows(self, rows) -> None:
+        """Announce the servers, by service."""
+        by_service: dict = {}
+        for item in rows:
+            by_service.setdefault(item.service, []).append(item)
+        for service, known in by_service.items():
+            self.gateway.set_servers(service, known)
+
+    async def ask(self, asked: CallerRequest | None = None) -> GatewayReply:
+        """Send a request and wait for its reply."""
+        fut = asyncio.get_running_loop().create_future()
+        self.gateway.handle(asked or request(), fut.set_result)
+        return await fut
+
+
+def build_site(
+    routes,
+    rows,
+    services=None,
+    extra=DEFAULT_EXTRA,
+    entry_daemons=1,
+    out=(),
+    open_stream=None,
+) -> Site:
+    """Return a gateway on the running loop with fake servers."""
+    loop = asyncio.get_running_loop()
+    servers = FakeServers(loop)
+    events: list[tuple[str, dict]] = []
+
+    def record(part, event, **fields):
+        events.append((event, fields))
+
+    def no_stream(address, payload, on_item, on_end):
+        raise AssertionError("no relay is known")
+
+    gateway = build_gateway(
+        GatewayLimits(HERE, 1.5, 5.0),
+        extra,
+        servers.transport,
+        random.Random(1),
+        record,
+        record,
+        lambda: frozenset(out),
+        lambda: entry_daemons,
+        open_stream or no_stream,
+        lambda: False,
+    )
+    names = {name for item in routes for name in item.shards}
+    names |= {part.service for item in routes for part in item.targets}
+    known = services or tuple(Service(name, 16) for name in sorted(names))
+    gateway.set_table(RouteTable(TableVersion(1), tuple(routes), known))
+    site = Site(servers, gateway, events)
+    site.set_rows(rows)
+    return site
