Counted rejected sends for the budget of extra sends

The part of the constant now grows over a window after a start, and the number of entry daemons is told only by a control daemon that has heard of all, since both would double it too.

--- a/src/bramleyrouter/fleet/publishing.py
+++ b/src/bramleyrouter/fleet/publishing.py
@@ -30,6 +30,9 @@
 # Entry daemons that left are counted for so long, in seconds: their share of
 # what all share is given to the others only when it can't be in use any more.
 COUNT_ENTRY_S = 20.0
+# A control daemon that started less than this ago, in seconds, has not heard of
+# all entry daemons yet and tells no number.
+COUNT_GRACE_S = 3.0
 
 
 # Entry daemons of each data centre that are named as relays: enough to share
@@ -58,6 +61,7 @@
     machine: Machine
     log: ReplicatedLog
     clock: Callable[[], float]
+    started: float
     subscribers: dict[DaemonId, Subscriber] = field(default_factory=dict)
     last_seen: dict[DaemonId, float] = field(default_factory=dict)
     waiting_rows: dict[str, ServerRow] = field(default_factory=dict)
@@ -100,7 +104,8 @@
         fields["members_index"] = status.commit_index
         fields["members"] = members
     entries = _entry_daemons(publisher)
-    if subscriber.told_entries != entries:
+    is_complete = publisher.clock() - publisher.started >= COUNT_GRACE_S
+    if is_complete and subscriber.told_entries != entries:
         subscriber.told_entries = entries
         fields["entry_daemons"] = entries
     relays = _relays(publisher)
@@ -150,7 +155,7 @@
     data_centre: DataCentre,
 ) -> Publishing:
     """Serve the fleet stream and the fetching of route tables."""
-    publisher = Publisher(registry, machine, log, clock)
+    publisher = Publisher(registry, machine, log, clock, clock())
     group = TaskGroup("fleet")
 
     async def watch(
--- a/src/bramleyrouter/fleet/watching.py
+++ b/src/bramleyrouter/fleet/watching.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -33,6 +34,10 @@
 # on the stream of the own data centre before it is fetched, in seconds.
 TABLE_GRACE_S = 0.25
 FETCH_TIMEOUT_S = 0.5
+# How long a number of entry daemons is remembered, in seconds, and the number
+# that is assumed before any control daemon told one.
+COUNT_KEPT_S = 20.0
+ASSUMED_DAEMONS = 16
 
 
 @dataclass
@@ -57,7 +62,7 @@
     fetching: dict[str, TableVersion] = field(default_factory=dict)
     revision: int = -1
     data_centres_out: frozenset[DataCentre] = frozenset()
-    entry_daemons: dict[str, int] = field(default_factory=dict)
+    entry_counts: deque[tuple[float, int]] = field(default_factory=deque)
     relays: dict[str, tuple[tuple[str, DataCentre], ...]] = field(default_factory=dict)
     streams: dict[str, asyncio.Task] = field(default_factory=dict)
     group: TaskGroup = field(default_factory=lambda: TaskGroup("fleet"))
@@ -97,7 +102,7 @@
             source=source,
         )
     if update.entry_daemons is not None:
-        watch.entry_daemons[source] = update.entry_daemons
+        watch.entry_counts.append((watch.clock(), update.entry_daemons))
     if update.relays is not None:
         watch.relays[source] = update.relays
         _tell_relays(watch)
@@ -109,6 +114,18 @@
         _take_version(watch, source, update.table_version)
 
 
+def count_entry_daemons(watch: Watch) -> int:
+    """Return the largest number that was told lately.
+
+    What all entry daemons share is divided by it, so a number that is too small
+    would break a bound, and one that is too large only wastes a little.
+    """
+    oldest = watch.clock() - COUNT_KEPT_S
+    while len(watch.entry_counts) > 1 and watch.entry_counts[0][0] < oldest:
+        watch.entry_counts.popleft()
+    return max((count for _, count in watch.entry_counts), default=ASSUMED_DAEMONS)
+
+
 def _tell_relays(watch: Watch) -> None:
     """Name the relays that any control daemon knows."""
     watch.on_relays({relay for told in watch.relays.values() for relay in told})
@@ -175,7 +192,6 @@
     for address in set(watch.streams) - wanted:
         watch.streams.pop(address).cancel()
         watch.heard_at.pop(address, None)
-        watch.entry_daemons.pop(address, None)
         watch.relays.pop(address, None)
         watch.network.close_peer(address)
         changed = drop_source(watch.view, address)
@@ -256,7 +272,7 @@
     return Watching(
         watch=watch,
         set_seeds=set_seeds,
-        entry_daemons=lambda: max(watch.entry_daemons.values(), default=1) or 1,
+        entry_daemons=lambda: count_entry_daemons(watch),
         silence_s=silence_s,
         close=lambda: cancel_all(watch.group),
     )
--- a/src/bramleyrouter/gateway/budgets.py
+++ b/src/bramleyrouter/gateway/budgets.py
@@ -39,11 +39,12 @@
 
 @dataclass
 class ExtraBudget:
-    """Hold the counts of one entry daemon."""
+    """Hold the counts of one entry daemon; ``started`` is by its clock."""
 
     limits: ExtraLimits
     clock: Callable[[], float]
     entry_daemons: Callable[[], int]
+    started: float
     services: dict[ServiceName, _Counts] = field(default_factory=dict)
 
 
@@ -75,7 +76,10 @@
     counts, now, limits = _counts(budget, service), _bucket(budget), budget.limits
     requests = sum(n for at, n in counts.requests.items() if at > now - BUCKETS + 1)
     extras = sum(n for at, n in counts.extras.items() if at >= now - BUCKETS)
-    slack = limits.slack * SLACK_USED / max(1, budget.entry_daemons())
+    # What this daemon sent before a restart is forgotten, so its part of the
+    # constant grows over one window.
+    age = min(1.0, (budget.clock() - budget.started) / limits.window_s)
+    slack = age * limits.slack * SLACK_USED / max(1, budget.entry_daemons())
     return limits.ratio * requests + slack - extras
 
 
@@ -88,7 +92,7 @@
     if is_hedge:
         used = sum(n for at, n in counts.extras.items() if at >= now - BUCKETS)
         left -= (1.0 - HEDGE_SHARE) * (left + used)
-    if left < 1.0 or limits.window_s <= 0:
+    if left < 1.0:
         return False
     _add(counts.extras, now)
     return True
--- a/src/bramleyrouter/gateway/build.py
+++ b/src/bramleyrouter/gateway/build.py
@@ -70,7 +70,7 @@
         loop,
         rng,
         transport,
-        ExtraBudget(extra_limits, loop.time, entry_daemons),
+        ExtraBudget(extra_limits, loop.time, entry_daemons, loop.time()),
         record,
         record_ordinary,
         data_centres_out,
--- a/src/bramleyrouter/gateway/gathers.py
+++ b/src/bramleyrouter/gateway/gathers.py
@@ -12,6 +12,7 @@
     start_delegated,
 )
 from bramleyrouter.gateway.exchanges import (
+    NOT_RUN,
     CallerRequest,
     ExchangeEnd,
     GatewayReply,
@@ -366,12 +367,9 @@
         text=reply.text,
         waited_ms=round(1000 * (run.gateway.loop.time() - run.arrived)),
     )
-    has_arrived = reply.end not in (ExchangeEnd.UNREACHED, ExchangeEnd.MISDIRECTED)
-    if reply.end in (
-        ExchangeEnd.UNREACHED,
-        ExchangeEnd.MISDIRECTED,
-        ExchangeEnd.REFUSED,
-    ):
+    # A server that rejects a request has been reached by it.
+    has_arrived = reply.end is not ExchangeEnd.UNREACHED
+    if reply.end in NOT_RUN:
         shard.ran -= 1
     if shard.pending:
         return
--- a/src/bramleyrouter/gateway/singles.py
+++ b/src/bramleyrouter/gateway/singles.py
@@ -180,9 +180,9 @@
         return False
     if _choose(run) is None:
         return False
-    # A send that did not reach the service is no extra one there.
-    did_arrive = reply.end not in (ExchangeEnd.UNREACHED, ExchangeEnd.MISDIRECTED)
-    return not did_arrive or take_extra(run.gateway.budget, run.service)
+    # A send that reached no server is no extra one; a rejected one did arrive.
+    has_arrived = reply.end is not ExchangeEnd.UNREACHED
+    return not has_arrived or take_extra(run.gateway.budget, run.service)
 
 
 def _last_word(run: SingleRun, reply: ServerReply) -> GatewayReply:
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -18,7 +18,9 @@
         # a wish for an extra send at each one.
         rng = random.Random(3)
         now = [0.0]
-        daemons = [ExtraBudget(LIMITS, lambda: now[0], lambda: 8) for _ in range(8)]
+        daemons = [
+            ExtraBudget(LIMITS, lambda: now[0], lambda: 8, -10.0) for _ in range(8)
+        ]
         requests, extras = [], []
         while now[0] < 60.0:
             rate = 200.0 if int(now[0]) % 13 == 5 else 20.0
@@ -35,23 +37,34 @@
             assert taken <= LIMITS.ratio * asked + LIMITS.slack
 
     def test_hedges_leave_room_for_retries(self):
-        budget = ExtraBudget(LIMITS, lambda: 1.0, lambda: 1)
+        budget = ExtraBudget(LIMITS, lambda: 1.0, lambda: 1, -10.0)
         while take_extra(budget, SERVICE, is_hedge=True):
             pass
         assert take_extra(budget, SERVICE)
 
     def test_services_do_not_share(self):
-        budget = ExtraBudget(LIMITS, lambda: 1.0, lambda: 8)
+        budget = ExtraBudget(LIMITS, lambda: 1.0, lambda: 8, -10.0)
         while take_extra(budget, SERVICE):
             pass
         assert take_extra(budget, ServiceName("other"))
 
     def test_the_budget_comes_back_after_the_window(self):
         now = [0.0]
-        budget = ExtraBudget(LIMITS, lambda: now[0], lambda: 1)
+        budget = ExtraBudget(LIMITS, lambda: now[0], lambda: 1, -10.0)
         while take_extra(budget, SERVICE):
             pass
         now[0] = 9.9
         assert not take_extra(budget, SERVICE)
         now[0] = 10.6
         assert take_extra(budget, SERVICE)
+
+    def test_a_restart_does_not_double_the_constant(self):
+        # Entry daemons that are restarted in turn forget what they sent.
+        now = [0.0]
+        fresh = ExtraBudget(LIMITS, lambda: now[0], lambda: 1, 0.0)
+        assert not take_extra(fresh, SERVICE)
+        now[0] = 5.0
+        taken = 0
+        while take_extra(fresh, SERVICE):
+            taken += 1
+        assert taken <= LIMITS.slack / 2
--- a/tests/gateway/test_gathers.py
+++ b/tests/gateway/test_gathers.py
@@ -111,6 +111,20 @@
 
         run_virtual(scenario())
 
+    def test_a_rejected_send_counts_for_the_budget(self):
+        # Servers that had restarted rejected requests for their former ids;
+        # the sends that followed broke the budget (hunt-d9fe-11).
+        async def scenario():
+            site = build_site(
+                [gather_route(4)], two_each(4), extra=ExtraLimits(0.0, 0.0, 10.0)
+            )
+            site.servers.behaviours["a1"] = ending(ExchangeEnd.MISDIRECTED)
+            reply = await site.ask()
+            assert reply.missing == 1
+            assert len(site.servers.arrivals) == 4
+
+        run_virtual(scenario())
+
     def test_refused_before_anything_runs_where_shards_have_no_server(self):
         async def scenario():
             site = build_site([gather_route(4)], two_each(2))
--- a/tests/support/gateway_fakes.py
+++ b/tests/support/gateway_fakes.py
@@ -195,8 +195,13 @@
     out=(),
     open_stream=None,
 ) -> Site:
-    """Return a gateway on the running loop with fake servers."""
+    """Return a gateway on the running loop with fake servers.
+
+    It has run for a window of the budget already.
+    """
     loop = asyncio.get_running_loop()
+    started = loop.time()
+    loop.virtual_now -= extra.window_s
     servers = FakeServers(loop)
     events: list[tuple[str, dict]] = []
 
@@ -220,6 +225,7 @@
     )
     names = {name for item in routes for name in item.shards}
     names |= {part.service for item in routes for part in item.targets}
+    loop.virtual_now = started
     known = services or tuple(Service(name, 16) for name in sorted(names))
     gateway.set_table(RouteTable(TableVersion(1), tuple(routes), known))
     site = Site(servers, gateway, events)
