--- a/src/bramleyrouter/gateway/gathers.py
+++ b/src/bramleyrouter/gateway/gathers.py
@@ -68,7 +68,8 @@
 class ShardRun:
     """Hold the state of one shard of a gather.
 
-    ``ran`` counts the sends that may have run, ``sends`` all of them.
+    ``ran`` counts the sends that may have run, ``sends`` all of them. Once a
+    send has reached a server, every later one is an extra.
     """
 
     service: ServiceName
@@ -78,7 +79,7 @@
     is_missing: bool = False
     sends: int = 0
     ran: int = 0
-    last_end: ExchangeEnd | None = None
+    has_arrived: bool = False
     is_delegated: bool = False
 
     @property
@@ -263,6 +264,7 @@
             _send_first(run, shard)
             continue
         shard.ran = 1
+        shard.has_arrived = True
         may_send = run.route.attempts > 1 and take_extra(
             run.gateway.budget, shard.service
         )
@@ -341,7 +343,6 @@
         add_sample(window_of(run.gateway, run.route), now - sending.sent_at)
     if run.is_finished or not shard.is_open:
         return
-    shard.last_end = reply.end
     if reply.is_success:
         shard.reply = reply
         for other in shard.pending:
@@ -368,7 +369,7 @@
         waited_ms=round(1000 * (run.gateway.loop.time() - run.arrived)),
     )
     # A server that rejects a request has been reached by it.
-    has_arrived = reply.end is not ExchangeEnd.UNREACHED
+    shard.has_arrived |= reply.end is not ExchangeEnd.UNREACHED
     if reply.end in NOT_RUN:
         shard.ran -= 1
     if shard.pending:
@@ -378,7 +379,7 @@
         shard.tried.clear()
         shard.tried.add(sending.state.row.server_id)
     can_send = shard.ran < run.route.attempts and shard.sends < MAX_SENDS
-    if can_send and has_arrived:
+    if can_send and shard.has_arrived:
         can_send = take_extra(run.gateway.budget, shard.service)
     if not can_send or not _send(run, shard):
         shard.is_missing = True
--- a/src/bramleyrouter/gateway/singles.py
+++ b/src/bramleyrouter/gateway/singles.py
@@ -51,6 +51,7 @@
     last_answer: ServerReply | None = None
     sends: int = 0
     ran: int = 0
+    has_arrived: bool = False
     timer: asyncio.TimerHandle | None = None
     is_finished: bool = False
 
@@ -166,6 +167,8 @@
         run.last_answer = reply
     if reply.end in NOT_RUN:
         run.ran -= 1
+    # A server that rejects a request has been reached by it.
+    run.has_arrived |= reply.end is not ExchangeEnd.UNREACHED
     if run.pending:
         return
     if _may_send_again(run, reply) and _send(run):
@@ -180,9 +183,7 @@
         return False
     if _choose(run) is None:
         return False
-    # A send that reached no server is no extra one; a rejected one did arrive.
-    has_arrived = reply.end is not ExchangeEnd.UNREACHED
-    return not has_arrived or take_extra(run.gateway.budget, run.service)
+    return not run.has_arrived or take_extra(run.gateway.budget, run.service)
 
 
 def _last_word(run: SingleRun, reply: ServerReply) -> GatewayReply:
--- a/tests/gateway/test_gathers.py
+++ b/tests/gateway/test_gathers.py
@@ -125,6 +125,25 @@
 
         run_virtual(scenario())
 
+    def test_only_the_first_arrival_is_free(self):
+        # A hedge was rejected while the first send still waited for its
+        # connection; what followed was taken for the first arrival.
+        async def scenario():
+            rows = [*two_each(4), row("c1", "s1", ELSEWHERE)]
+            site = build_site(
+                [gather_route(4)], rows, extra=ExtraLimits(0.0, 2.5, 10.0)
+            )
+            site.servers.behaviours |= {
+                "a1": ending(ExchangeEnd.UNREACHED, 0.06),
+                "b1": ending(ExchangeEnd.MISDIRECTED),
+                "c1": ending(ExchangeEnd.MISDIRECTED),
+            }
+            reply = await site.ask()
+            assert reply.missing == 1
+            assert len(site.servers.arrivals) == 5
+
+        run_virtual(scenario())
+
     def test_refused_before_anything_runs_where_shards_have_no_server(self):
         async def scenario():
             site = build_site([gather_route(4)], two_each(2))
