--- a/tests/gateway/test_gathers.py
+++ b/tests/gateway/test_gathers.py
@@ -131,7 +131,7 @@
         async def scenario():
             rows = [*two_each(4), row("c1", "s1", ELSEWHERE)]
             site = build_site(
-                [gather_route(4)], rows, extra=ExtraLimits(0.0, 2.5, 10.0)
+                [gather_route(4)], rows, extra=ExtraLimits(0.0, 1.9, 10.0)
             )
             site.servers.behaviours |= {
                 "a1": ending(ExchangeEnd.UNREACHED, 0.06),
