Took a server whose address another one has for gone

Both servers of another shard were dead and their addresses reused; with no server left, each query went on to them, and the servers there, of this shard, counted each rejected request as a second arrival of its id. Ruled out: the budget's windows and retries of curl.

--- a/src/bramleyrouter/gateway/servers.py
+++ b/src/bramleyrouter/gateway/servers.py
@@ -62,6 +62,7 @@
     full_until: float = 0.0
     cold_until: float = 0.0
     cold_next_at: float = 0.0
+    is_replaced: bool = False
 
 
 class ChoiceContext(NamedTuple):
@@ -144,7 +145,8 @@
 def _rank(state: ServerState, context: ChoiceContext) -> int | None:
     """Return 0 for a good server, more for a doubtful one, none for no use."""
     now, row = context.now, state.row
-    if row.phase is not Phase.READY or row.data_centre in context.data_centres_out:
+    is_out = row.data_centre in context.data_centres_out
+    if row.phase is not Phase.READY or is_out or state.is_replaced:
         return None
     is_cold = state.cold_until > now
     if is_cold and context.cold_gap_s > 0:
@@ -238,9 +240,9 @@
     is_failed = reply.end is not ExchangeEnd.ANSWERED or reply.status >= 500
     _average_failures(state, is_failed)
     if reply.end is ExchangeEnd.MISDIRECTED:
-        # Another server has the address: this one is gone.
-        state.strikes = STRIKES_TO_SUSPECT + 3
-        _strike(state, now)
+        # Another server has the address, for which each such request counts as
+        # an extra one: this one is gone for good.
+        state.is_replaced = True
     elif is_failed:
         _strike(state, now)
     else:
@@ -266,6 +268,8 @@
             reason = state.row.phase.value
         elif state.row.data_centre in context.data_centres_out:
             reason = f"{state.row.data_centre} is out"
+        elif state.is_replaced:
+            reason = "another server has its address"
         elif state.cold_until > context.now:
             reason = f"cold for {state.cold_until - context.now:.1f} s"
         elif state.suspect_until > context.now:
--- a/tests/gateway/test_servers.py
+++ b/tests/gateway/test_servers.py
@@ -81,6 +81,14 @@
         note_reply(near, ServerReply(ExchangeEnd.MISDIRECTED), 0.01, TYPICAL_S, 100.0)
         assert choose_server([near, far], context(100.1)) is far
 
+    def test_it_is_not_asked_again_even_if_no_other_is_left(self):
+        # Each request that went on to the address counted as an extra one of
+        # the service that has it now (BUDGET on hunt-d9fe-11).
+        near, _ = near_and_far()
+        near.in_flight += 1
+        note_reply(near, ServerReply(ExchangeEnd.MISDIRECTED), 0.01, TYPICAL_S, 100.0)
+        assert choose_server([near], context(1000.0)) is None
+
 
 class TestColdServers:
     def test_without_a_declared_rate_they_are_asked_when_no_other_is_left(self):
