Reserved the ports of processes under test, kept their logs after a failure

The suspect is gone: a port was closed between its choice and its use, and any outgoing connection could take it.

--- a/features/steps/real_processes.py
+++ b/features/steps/real_processes.py
@@ -24,13 +24,13 @@
 
 @given("three control daemons, six entry daemons and stand-ins as processes")
 def start_processes(context):
-    folder = tempfile.TemporaryDirectory(prefix="bramley-proof-")
-    context.add_cleanup(folder.cleanup)
+    folder = tempfile.mkdtemp(prefix="bramley-proof-")
+    context.process_folder = Path(folder)
     context.real_loop = asyncio.new_event_loop()
     context.add_cleanup(context.real_loop.close)
     context.real = context.real_loop.run_until_complete
     started = deployments.start_deployment(
-        SIZE, Path(folder.name), entries=6, baselines=0
+        SIZE, context.process_folder, entries=6, baselines=0
     )
     context.deployment = context.real(started)
     context.add_cleanup(lambda: context.real(context.deployment.processes.stop_all()))
--- a/src/bramleyrouter/measure/consensus.py
+++ b/src/bramleyrouter/measure/consensus.py
@@ -9,7 +9,6 @@
 import asyncio
 import os
 import random
-import socket
 import tempfile
 import time
 from pathlib import Path
@@ -26,6 +25,7 @@
 from bramleyrouter.consensus.replicated_log import build_replicated_log, make_id
 from bramleyrouter.consensus.storage import open_storage
 from bramleyrouter.ids import DaemonId, DaemonIncarnation, DataCentre
+from bramleyrouter.utils.ports import reserve_address
 from bramleyrouter.wire.network import Network
 from bramleyrouter.wire.tcp import build_tcp_network
 
@@ -90,12 +90,6 @@
     return StateMachine(apply, lambda: msgspec.msgpack.encode(held), restore)
 
 
-def _free_address() -> str:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
 def _start(
     address: str, members: tuple[str, ...], folder: Path, key: bytes, seed: int
 ) -> Running:
@@ -174,7 +168,7 @@
 
 async def _measure_cluster(folder: Path):
     key = os.urandom(32)
-    addresses = tuple(_free_address() for _ in range(3))
+    addresses = tuple(reserve_address() for _ in range(3))
 
     def start_again(address: str) -> Running:
         seed = random.getrandbits(32)
@@ -206,7 +200,7 @@
 
 
 async def _measure_recovery(folder: Path, entries: int) -> Recovery:
-    address, key = _free_address(), os.urandom(32)
+    address, key = reserve_address(), os.urandom(32)
     running = _start(address, (address,), folder, key, 1)
     await _leader([running])
     await _fill(running.log, entries)
--- a/src/bramleyrouter/measure/control_clusters.py
+++ b/src/bramleyrouter/measure/control_clusters.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -38,6 +37,7 @@
 from bramleyrouter.membership.build import build_membership
 from bramleyrouter.membership.interfaces import Membership
 from bramleyrouter.states import ServerState
+from bramleyrouter.utils.ports import reserve_address
 from bramleyrouter.wire.network import Network
 from bramleyrouter.wire.tcp import build_tcp_network
 
@@ -147,20 +147,10 @@
     log: Log = field(default_factory=Log)
 
 
-def _free_addresses(count: int) -> list[str]:
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    addresses = [f"127.0.0.1:{sock.getsockname()[1]}" for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return addresses
-
-
 async def start_cluster(entries: int) -> Cluster:
     """Start ``entries`` entry daemons and the control daemons."""
     cluster = Cluster()
-    addresses = _free_addresses(entries + CONTROL_DAEMONS)
+    addresses = [reserve_address() for _ in range(entries + CONTROL_DAEMONS)]
     control = tuple(addresses[:CONTROL_DAEMONS])
     for number, address in enumerate(addresses):
         name = f"c{number}" if address in control else f"e{number}"
--- a/src/bramleyrouter/measure/deployments.py
+++ b/src/bramleyrouter/measure/deployments.py
@@ -1,7 +1,6 @@
 """Clusters of processes on loopback in the sizes of the measurements."""
 
 import asyncio
-import socket
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -19,6 +18,7 @@
     ServerConfig,
     ServerFigures,
 )
+from bramleyrouter.utils.ports import reserve_ports
 
 DATA_CENTRES = ("dc1", "dc2", "dc3")
 TOKEN = "measurement-operator-token"
@@ -62,17 +62,6 @@
         return [f"svc-{number:02d}" for number in range(self.size.services)]
 
 
-def free_ports(count: int) -> list[int]:
-    """Return ports on loopback that nothing listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 async def fetch(client: CurlAsyncHTTPClient, request: HTTPRequest):
     """Return status and body; the status is 599 when no response came."""
     try:
@@ -119,7 +108,7 @@
 
 
 def _start_controls(deployment: Deployment, count: int) -> list[str]:
-    ports = free_ports(2 * count)
+    ports = reserve_ports(2 * count)
     internal = [f"127.0.0.1:{port}" for port in ports[:count]]
     for number in range(count):
         name = f"control-{number + 1}"
@@ -141,7 +130,7 @@
 
 
 def _start_entries(deployment: Deployment, count: int, control: list[str]) -> None:
-    ports = free_ports(2 * count)
+    ports = reserve_ports(2 * count)
     for number in range(count):
         name = f"entry-{number + 1}"
         pair = (ports[number], ports[count + number])
@@ -154,7 +143,7 @@
 
 def _start_standins(deployment: Deployment) -> None:
     size = deployment.size
-    ports = free_ports(size.services * size.replicas + STANDIN_HOSTS)
+    ports = reserve_ports(size.services * size.replicas + STANDIN_HOSTS)
     for index, service in enumerate(deployment.services):
         for replica in range(size.replicas):
             deployment.servers.append(
@@ -190,7 +179,7 @@
     for server in deployment.servers:
         one = Replica(server.server_id, f"127.0.0.1:{server.port}")
         replicas[server.service] = (*replicas.get(server.service, ()), one)
-    for number, port in enumerate(free_ports(count)):
+    for number, port in enumerate(reserve_ports(count)):
         cfg = BaselineConfig(f"127.0.0.1:{port}", "v1", replicas)
         deployment.baselines.append(cfg.http_address)
         deployment.processes.start(
--- a/src/bramleyrouter/measure/wire_cost.py
+++ b/src/bramleyrouter/measure/wire_cost.py
@@ -6,13 +6,13 @@
 
 import asyncio
 import json
-import socket
 import time
 
 from result import Ok
 
 from bramleyrouter.board.sections import Identity
 from bramleyrouter.ids import DaemonId, DaemonIncarnation, DataCentre
+from bramleyrouter.utils.ports import reserve_address
 from bramleyrouter.wire.envelopes import (
     LENGTH_BYTES,
     Envelope,
@@ -32,9 +32,7 @@
 
 
 def _identity(name: str) -> Identity:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        address = f"127.0.0.1:{sock.getsockname()[1]}"
+    address = reserve_address()
     return Identity(
         DaemonId(name), DaemonIncarnation(1), DataCentre("dc1"), address, address
     )
--- a/tests/commands/test_bramleyctl.py
+++ b/tests/commands/test_bramleyctl.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import socket
 from pathlib import Path
 
 import pytest
@@ -12,18 +11,13 @@
 from bramleyrouter.commands.main import build_parser, run_command
 from bramleyrouter.edges.listeners import listen_http
 from bramleyrouter.edges.operators.handlers import operator_routes
+from bramleyrouter.utils.ports import reserve_address
 from tests.control.direct_access import DirectControl
 from tests.edges.operators.test_operator_routes import MANIFEST, TOKEN
 
 PAGE = Path(__file__).parents[2] / "docs" / "reference" / "bramleyctl.md"
 
 
-def free_address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
 @pytest.fixture
 def token_file(tmp_path):
     path = tmp_path / "token"
@@ -42,7 +36,7 @@
     """Run command lines in turn; the first URL is of a daemon that is lost."""
 
     async def scenario():
-        address, lost = free_address(), free_address()
+        address, lost = reserve_address(), reserve_address()
         stop = listen_http(address, operator_routes(control.build_access(), TOKEN))
         common = ["--url", f"http://{lost}", "--url", f"http://{address}"]
         common += ["--token-file", token_file, "--timeout", timeout]
--- a/tests/edges/operators/test_operator_routes.py
+++ b/tests/edges/operators/test_operator_routes.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import socket
 
 import pytest
 from tornado.httpclient import AsyncHTTPClient
@@ -13,6 +12,7 @@
     MAX_SMALL_BODY_BYTES,
     operator_routes,
 )
+from bramleyrouter.utils.ports import reserve_address
 from tests.control.direct_access import DirectControl
 
 TOKEN = "t" * 32
@@ -36,9 +36,7 @@
 
     async def run():
         control = DirectControl()
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            address = f"127.0.0.1:{sock.getsockname()[1]}"
+        address = reserve_address()
         stop = listen_http(address, operator_routes(control.build_access(), TOKEN))
         client = AsyncHTTPClient(force_instance=True)
 
--- a/tests/edges/test_http.py
+++ b/tests/edges/test_http.py
@@ -1,7 +1,6 @@
 """Tests of the common HTTP handler over loopback."""
 
 import asyncio
-import socket
 
 import msgspec
 from tornado.httpclient import HTTPRequest
@@ -10,6 +9,7 @@
 from bramleyrouter.codes import Code
 from bramleyrouter.edges.http import HttpReply, RouteSpec
 from bramleyrouter.edges.listeners import listen_http
+from bramleyrouter.utils.ports import reserve_address
 
 
 async def fail(req, body):
@@ -25,9 +25,7 @@
 
 def post(path, body):
     async def scenario():
-        with socket.socket() as sock:
-            sock.bind(("127.0.0.1", 0))
-            address = f"127.0.0.1:{sock.getsockname()[1]}"
+        address = reserve_address()
         stop = listen_http(address, SPECS)
         client = SimpleAsyncHTTPClient(force_instance=True)
         request = HTTPRequest(f"http://{address}{path}", method="POST", body=body)
--- /dev/null
+++ b/tests/utils/test_ports.py
@@ -0,0 +1,29 @@
+import socket
+
+from tornado.netutil import bind_sockets
+
+from bramleyrouter.utils.ports import LOOPBACK, reserve_ports
+
+# More than the kernel has in its range of outgoing ports at one parity.
+TRIES = 20_000
+
+
+class TestReservePorts:
+    def test_nobody_else_gets_a_reserved_port(self):
+        # A daemon of a test lost its port between choice and use once.
+        ports = set(reserve_ports(50))
+        taken = set()
+        for _ in range(TRIES):
+            with socket.socket() as sock:
+                sock.bind((LOOPBACK, 0))
+                taken.add(sock.getsockname()[1])
+        assert len(taken) > 1000
+        assert not taken & ports
+
+    def test_a_server_listens_on_it(self):
+        port = reserve_ports(1)[0]
+        servers = bind_sockets(port, LOOPBACK)
+        with socket.create_connection((LOOPBACK, port), 1.0):
+            pass
+        for server in servers:
+            server.close()
--- a/tests/wire/test_networks.py
+++ b/tests/wire/test_networks.py
@@ -1,13 +1,13 @@
 """Tests of the network over TCP and in memory."""
 
 import asyncio
-import socket
 
 import pytest
 from result import Err, Ok
 
 from bramleyrouter.codes import Code
 from bramleyrouter.failures import Failure
+from bramleyrouter.utils.ports import reserve_ports
 from bramleyrouter.wire.kinds import Kind
 from bramleyrouter.wire.tcp import build_tcp_network
 from tests.support.identities import make_identity
@@ -17,12 +17,6 @@
 KEY = b"k" * 32
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 async def echo(peer, payload):
     return Ok(peer.daemon_id.encode() + b":" + payload)
 
@@ -58,8 +52,8 @@
 
     def test_calls_and_streams_reach_their_handlers(self):
         async def scenario():
-            first_identity = make_identity("one", port=free_port())
-            second_identity = make_identity("two", port=free_port())
+            first_identity = make_identity("one", port=reserve_ports(1)[0])
+            second_identity = make_identity("two", port=reserve_ports(1)[0])
             first, _ = build_tcp_network(first_identity, KEY)
             second, listen = build_tcp_network(second_identity, KEY)
             listen()
@@ -72,7 +66,7 @@
 
     def test_peer_without_the_key_is_refused(self):
         async def scenario():
-            identity = make_identity("two", port=free_port())
+            identity = make_identity("two", port=reserve_ports(1)[0])
             stranger, _ = build_tcp_network(make_identity("one"), b"other" * 8)
             server, listen = build_tcp_network(identity, KEY)
             server.serve(Kind.CLAIM, echo)
@@ -87,7 +81,9 @@
     def test_unreachable_peer_is_told_from_a_lost_reply(self):
         async def scenario():
             first, _ = build_tcp_network(make_identity("one"), KEY)
-            return await first.call(f"127.0.0.1:{free_port()}", Kind.CLAIM, b"", 2.0)
+            return await first.call(
+                f"127.0.0.1:{reserve_ports(1)[0]}", Kind.CLAIM, b"", 2.0
+            )
 
         refused = asyncio.run(scenario())
         assert refused.err_value.code is Code.PEER_UNREACHABLE
