Refused replies whose head is cut off, and successes without a signature

Found by the tests of the adapter: curl takes a head that ends between two lines for a whole reply, so a server that broke off there gave the caller a success without body and signature. Tests of the adapter over loopback, each for a fault of servers or callers that one careless default lets through.

--- a/src/bramleyrouter/platform/servers.py
+++ b/src/bramleyrouter/platform/servers.py
@@ -88,6 +88,9 @@
         is_late = end.error == pycurl.E_OPERATION_TIMEDOUT
         kind = ExchangeEnd.TIMED_OUT if is_late else ExchangeEnd.LOST
         return ServerReply(kind, text=end.text)
+    if not end.head or end.head[-1].strip():
+        # curl takes a head that is cut off between two lines for a whole one.
+        return ServerReply(ExchangeEnd.LOST, text="the head of the reply is cut off")
     headers = _split_head(end.head)
     fields = {name.lower(): value for name, value in headers}
     cold_s = _read_cold(fields.get(names.WARMUP_MS.lower(), ""))
@@ -101,6 +104,8 @@
         (name, value) for name, value in headers if name.lower() not in names.HOP_BY_HOP
     )
     signature = fields.get(names.SERVER_SEAL.lower(), "")
+    if 200 <= end.status < 300 and not signature:
+        return ServerReply(ExchangeEnd.LOST, text="a success without a signature")
     return ServerReply(
         ExchangeEnd.ANSWERED, end.status, passed_on, end.body, signature, cold_s
     )
--- /dev/null
+++ b/tests/platform/test_announcements.py
@@ -0,0 +1,72 @@
+import msgspec
+import pytest
+from result import Err
+
+from bramleyrouter.fleet.records import Phase
+from bramleyrouter.platform.announcements import decode_heartbeat, decode_leave
+
+BEAT = {
+    "service": "s0",
+    "addr": "10.0.0.9:8080",
+    "zone": "se-a",
+    "version": "v1",
+    "slots": 3,
+    "state": "ready",
+    "warmupLeftMs": 1500,
+    "seq": 4,
+    "born": 1781001263459,
+}
+ZONES = ("se-a", "se-b")
+
+
+def decode(**fields):
+    return decode_heartbeat("i-1", msgspec.json.encode({**BEAT, **fields}), ZONES)
+
+
+class TestDecodeHeartbeat:
+    def test_whole(self):
+        row = decode().ok_value
+        assert (row.server_id, row.incarnation, row.sequence) == (
+            "i-1",
+            1781001263459,
+            4,
+        )
+        assert (row.phase, row.cold_s, row.slots) == (Phase.READY, 1.5, 3)
+
+    def test_draining(self):
+        assert decode(state="draining").ok_value.phase is Phase.DRAINING
+
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"service": None},
+            {"service": ""},
+            {"addr": "10.0.0.9"},
+            {"addr": "name:80"},
+            {"zone": "mars"},
+            {"slots": "3"},
+            {"slots": 0},
+            {"state": "asleep"},
+            {"seq": 1.5},
+            {"seq": True},
+            {"born": 1.5},
+            {"born": "1781001263459"},
+            {"warmupLeftMs": "soon"},
+        ],
+    )
+    def test_one_from_another_writer_names_no_server(self, fields):
+        assert isinstance(decode(**fields), Err)
+
+    def test_a_missing_field(self):
+        body = {key: value for key, value in BEAT.items() if key != "service"}
+        assert isinstance(decode_heartbeat("i-1", msgspec.json.encode(body), ()), Err)
+
+    def test_bytes_that_cannot_be_read(self):
+        assert isinstance(decode_heartbeat("i-1", b"\xff{", ()), Err)
+
+
+class TestDecodeLeave:
+    def test_names_the_incarnation_if_it_can(self):
+        assert decode_leave(b'{"born":17}') == 17
+        assert decode_leave(b"") is None
+        assert decode_leave(b"\xff") is None
--- /dev/null
+++ b/tests/platform/test_callers.py
@@ -0,0 +1,195 @@
+"""Tests of the callers' side over loopback."""
+
+import asyncio
+
+from bramleyrouter.gateway.exchanges import (
+    ExchangeEnd,
+    GatewayReply,
+    ReplyKind,
+    ServerReply,
+)
+from bramleyrouter.gateway.tables import CallerLimits
+from bramleyrouter.platform.callers import (
+    announce_stop,
+    listen_callers,
+    stop_listening,
+)
+from bramleyrouter.utils.ports import reserve_address
+
+HEAD = (
+    "{method} /a/x?q=1 HTTP/1.1\r\nHost: h.example:80\r\n"
+    "Bramleyrouter-Request-Id: q1\r\nBramleyrouter-Deadline-Ms: 250\r\n"
+)
+
+
+class Handler:
+    """Collect requests; answer when told to."""
+
+    def __init__(self):
+        self.requests = []
+        self.replies = []
+        self.cancelled = 0
+        self.answer = None
+
+    def handle(self, request, on_reply):
+        self.requests.append(request)
+        self.replies.append(on_reply)
+        if self.answer is not None:
+            on_reply(self.answer)
+
+        def cancel():
+            self.cancelled += 1
+
+        return cancel
+
+
+def run(scenario):
+    async def run_it():
+        handler = Handler()
+        address = reserve_address()
+        listener = listen_callers(address, handler.handle, CallerLimits())
+        host, port = address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            return await asyncio.wait_for(
+                scenario(handler, listener, reader, writer), 5.0
+            )
+        finally:
+            writer.close()
+            listener.server.stop()
+
+    return asyncio.run(run_it())
+
+
+async def read_reply(reader):
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    lines = head.split("\r\n")
+    fields = dict(line.split(": ", 1) for line in lines[1:] if line)
+    body = await reader.readexactly(int(fields["Content-Length"]))
+    return int(lines[0].split()[1]), fields, body
+
+
+async def until(condition):
+    while not condition():
+        await asyncio.sleep(0.005)
+
+
+class TestRequests:
+    def test_decoded_once(self):
+        async def scenario(handler, listener, reader, writer):
+            handler.answer = GatewayReply(ReplyKind.FAILED)
+            head = HEAD.format(method="POST")
+            head += "X-Own: 1\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 2\r\n"
+            writer.write((head + "Content-Length: 3\r\n\r\nabc").encode())
+            await read_reply(reader)
+            return handler.requests[0]
+
+        request = run(scenario)
+        assert request.request_id == "q1"
+        assert (request.method, request.target) == ("POST", "/a/x?q=1")
+        assert (request.path, request.host) == ("/a/x", "h.example")
+        assert (request.body, request.has_body) == (b"abc", True)
+        assert request.deadline_s == 0.25
+        assert request.headers == (("X-Own", "1"),)
+
+    def test_a_body_in_chunks(self):
+        async def scenario(handler, listener, reader, writer):
+            handler.answer = GatewayReply(ReplyKind.FAILED)
+            head = HEAD.format(method="POST") + "Transfer-Encoding: chunked\r\n\r\n"
+            writer.write((head + "2\r\nab\r\n1\r\nc\r\n0\r\n\r\n").encode())
+            await read_reply(reader)
+            return handler.requests[0]
+
+        request = run(scenario)
+        assert (request.body, request.has_body) == (b"abc", True)
+        assert request.headers == ()
+
+
+class TestReplies:
+    def ask(self, answer):
+        async def scenario(handler, listener, reader, writer):
+            handler.answer = answer
+            writer.write((HEAD.format(method="GET") + "\r\n").encode())
+            return await read_reply(reader)
+
+        return run(scenario)
+
+    def test_gathered(self):
+        answer = GatewayReply(
+            ReplyKind.GATHERED, body=b"r" * 16, signatures=("a", "b"), missing=1
+        )
+        status, fields, body = self.ask(answer)
+        assert (status, body) == (200, b"r" * 16)
+        assert fields["Bramleyrouter-Part-Seals"] == "a, b"
+        assert fields["Bramleyrouter-Missing-Parts"] == "1"
+
+    def test_the_reply_of_a_server(self):
+        headers = (("Bramleyrouter-Server-Seal", "s"), ("X-Own", "1"))
+        server = ServerReply(ExchangeEnd.ANSWERED, 404, headers, b"none", "s")
+        answer = GatewayReply(ReplyKind.SERVER, server=server)
+        status, fields, body = self.ask(answer)
+        assert (status, body) == (404, b"none")
+        assert fields["Bramleyrouter-Server-Seal"] == "s"
+        assert fields["X-Own"] == "1"
+
+    def test_refused_with_a_time_to_come_back(self):
+        answer = GatewayReply(ReplyKind.REFUSED, retry_after_s=0.25)
+        status, fields, _ = self.ask(answer)
+        assert (status, fields["Retry-After"]) == (503, "0.250")
+
+    def test_only_a_refusal_promises_that_nothing_ran(self):
+        promises = {408, 421, 429, 503}
+        for kind in (ReplyKind.FAILED, ReplyKind.DEADLINE):
+            assert self.ask(GatewayReply(kind))[0] not in promises
+
+
+class TestLeaving:
+    def test_work_is_cancelled_when_the_caller_leaves(self):
+        async def scenario(handler, listener, reader, writer):
+            writer.write((HEAD.format(method="GET") + "\r\n").encode())
+            await until(lambda: handler.requests)
+            writer.close()
+            await until(lambda: handler.cancelled)
+            # A reply that comes afterwards goes nowhere.
+            handler.replies[0](GatewayReply(ReplyKind.FAILED))
+
+        run(scenario)
+
+
+class TestStopping:
+    def test_a_request_under_way_is_answered_and_the_connection_closed(self):
+        async def scenario(handler, listener, reader, writer):
+            writer.write((HEAD.format(method="GET") + "\r\n").encode())
+            await until(lambda: handler.requests)
+            announce_stop(listener)
+            stopping = asyncio.ensure_future(stop_listening(listener, 2.0))
+            await asyncio.sleep(0.05)
+            assert not stopping.done()
+            handler.replies[0](GatewayReply(ReplyKind.GATHERED, body=b"x" * 200_000))
+            status, fields, body = await read_reply(reader)
+            assert (status, len(body)) == (200, 200_000)
+            assert fields["Connection"] == "close"
+            await stopping
+            assert await reader.read() == b""
+
+        run(scenario)
+
+    def test_requests_are_still_served_before_the_listener_closes(self):
+        async def scenario(handler, listener, reader, writer):
+            handler.answer = GatewayReply(ReplyKind.FAILED)
+            announce_stop(listener)
+            writer.write((HEAD.format(method="GET") + "\r\n").encode())
+            status, fields, _ = await read_reply(reader)
+            assert fields["Connection"] == "close"
+
+        run(scenario)
+
+    def test_idle_connections_are_closed(self):
+        async def scenario(handler, listener, reader, writer):
+            handler.answer = GatewayReply(ReplyKind.FAILED)
+            writer.write((HEAD.format(method="GET") + "\r\n").encode())
+            await read_reply(reader)
+            await stop_listening(listener, 2.0)
+            assert await reader.read() == b""
+
+        run(scenario)
--- /dev/null
+++ b/tests/platform/test_servers.py
@@ -0,0 +1,228 @@
+"""Tests of the transport to backend servers that misbehave, over loopback."""
+
+import asyncio
+import socket
+import struct
+
+from bramleyrouter.gateway.exchanges import CallerRequest, ExchangeEnd
+from bramleyrouter.platform.servers import build_transport
+from tests.support.gateway_fakes import row
+from tests.support.raw_server import header_of, start_raw_server
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+SEAL = "Bramleyrouter-Server-Seal: 3e1b.07\r\n"
+
+
+def asked(request_id="q1", method="GET", body=b"", headers=()):
+    return CallerRequest(
+        request_id, method, "/a/x?y=%20z", "h.example", headers, body, bool(body), 1.0
+    )
+
+
+def reply(body=b"hello", status="200 OK", extra=SEAL, length=None):
+    length = len(body) if length is None else length
+    head = f"HTTP/1.1 {status}\r\nContent-Length: {length}\r\n{extra}\r\n"
+    return head.encode() + body
+
+
+def answering(data, stays_open=True):
+    async def script(request, writer):
+        writer.write(data(request) if callable(data) else data)
+        await writer.drain()
+        return stays_open
+
+    return script
+
+
+async def exchange(transport, server, request, timeout_s=1.0):
+    fut = asyncio.get_running_loop().create_future()
+    target = row("i-1", address=server.address)
+    transport(target, request, timeout_s, 3, fut.set_result)
+    return await asyncio.wait_for(fut, 3.0)
+
+
+def run(script, *requests, timeout_s=1.0):
+    """Send requests one after the other; return replies and the server."""
+
+    async def scenario():
+        server = await start_raw_server(script)
+        transport, keep_only = build_transport()
+        replies = [
+            await exchange(transport, server, request, timeout_s)
+            for request in requests
+        ]
+        keep_only(set())
+        server.server.close()
+        return replies, server
+
+    return asyncio.run(scenario())
+
+
+class TestRequest:
+    def test_passed_on_as_it_came(self):
+        headers = (("X-Own", "1"), ("Content-Type", "text/x"))
+        request = asked(method="POST", body=b"a=b&c", headers=headers)
+        _, server = run(answering(reply()), request)
+        data = server.requests[0]
+        assert data.startswith(b"POST /a/x?y=%20z HTTP/1.1\r\n")
+        assert data.endswith(b"\r\n\r\na=b&c")
+        assert header_of(data, "Host") == "h.example"
+        assert header_of(data, "X-Own") == "1"
+        assert header_of(data, "Content-Type") == "text/x"
+        assert header_of(data, "Bramleyrouter-Request-Id") == "q1"
+        assert header_of(data, "Bramleyrouter-Target-Instance") == "i-1"
+        assert 900 <= int(header_of(data, "Bramleyrouter-Deadline-Ms")) <= 1000
+
+    def test_nothing_is_added_by_the_library(self):
+        _, server = run(answering(reply()), asked())
+        for name in ("Accept", "User-Agent", "Expect", "Accept-Encoding"):
+            assert header_of(server.requests[0], name) is None
+
+    def test_no_content_type_is_made_up_for_a_body(self):
+        _, server = run(answering(reply()), asked(method="PUT", body=b"x"))
+        assert header_of(server.requests[0], "Content-Type") is None
+
+    def test_a_redirect_is_not_followed(self):
+        moved = reply(b"", "302 Found", SEAL + "Location: /other\r\n")
+        replies, server = run(answering(moved), asked())
+        assert replies[0].status == 302
+        assert len(server.requests) == 1
+
+    def test_idempotent_requests_share_a_connection(self):
+        _, server = run(answering(reply()), asked(), asked(), asked())
+        assert server.connections == 1
+
+
+class TestReply:
+    def test_whole(self):
+        replies, _ = run(answering(reply()), asked())
+        assert replies[0].is_success
+        assert (replies[0].body, replies[0].signature) == (b"hello", "3e1b.07")
+        names = {name.lower() for name, _ in replies[0].headers}
+        assert "content-length" not in names
+
+    def test_without_length_it_ends_with_the_connection(self):
+        data = f"HTTP/1.1 200 OK\r\n{SEAL}\r\nhello".encode()
+        replies, _ = run(answering(data, stays_open=False), asked())
+        assert replies[0].body == b"hello"
+
+    def test_in_chunks(self):
+        data = (
+            f"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n{SEAL}\r\n"
+            "3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n"
+        ).encode()
+        replies, _ = run(answering(data), asked())
+        assert replies[0].body == b"hello"
+
+    def test_one_that_ends_early_is_no_reply(self):
+        for data in (reply(length=9), reply()[:20], b"", b"no http at all"):
+            replies, _ = run(answering(data, stays_open=False), asked())
+            assert replies[0].end is ExchangeEnd.LOST
+
+    def test_a_reset_in_the_middle_is_no_reply(self):
+        async def script(request, writer):
+            writer.write(f"HTTP/1.1 200 OK\r\n{SEAL}\r\nhel".encode())
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            sock = writer.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            writer.transport.abort()
+            return False
+
+        replies, _ = run(script, asked())
+        assert replies[0].end is ExchangeEnd.LOST
+
+    def test_bytes_after_a_reply_belong_to_no_request(self):
+        def twice(request):
+            name = header_of(request, "Bramleyrouter-Request-Id")
+            own = reply(name.encode())
+            return own + reply(b"extra") if name == "q1" else own
+
+        replies, _ = run(answering(twice), asked("q1"), asked("q2"))
+        assert [item.body for item in replies] == [b"q1", b"q2"]
+
+    def test_a_late_reply_to_another_request_is_not_taken(self):
+        stale = reply(b"old", extra=SEAL + "Bramleyrouter-Request-Id: q0\r\n")
+        replies, server = run(answering(stale), asked("q1"))
+        assert replies[0].end is ExchangeEnd.LOST
+        assert server.closed_by_peer == 1
+
+    def test_not_executed(self):
+        data = reply(b"", "503 Busy", "Bramleyrouter-Not-Executed: 1\r\n")
+        replies, _ = run(answering(data), asked())
+        assert replies[0].end is ExchangeEnd.REFUSED
+
+    def test_another_server_at_the_address(self):
+        replies, _ = run(answering(reply(b"", "421 Misdirected", "")), asked())
+        assert replies[0].end is ExchangeEnd.MISDIRECTED
+
+    def test_a_failure_of_the_server_is_its_reply(self):
+        replies, _ = run(answering(reply(b"no", "500 Oops")), asked())
+        assert (replies[0].end, replies[0].status) == (ExchangeEnd.ANSWERED, 500)
+        assert not replies[0].is_success
+
+    def test_a_success_without_a_signature_is_none(self):
+        replies, _ = run(answering(reply(extra="")), asked())
+        assert replies[0].end is ExchangeEnd.LOST
+
+    def test_answered_before_the_body_is_read(self):
+        async def script(request, writer):
+            writer.write(reply(b"no", "400 Bad", "Bramleyrouter-Not-Executed: 1\r\n"))
+            await writer.drain()
+            return False
+
+        replies, _ = run(script, asked(method="POST", body=b"x" * 100_000))
+        assert replies[0].end is ExchangeEnd.REFUSED
+
+
+class TestConnections:
+    def test_the_library_never_sends_again_by_itself(self):
+        # curl repeats a request when a reused connection closes without a byte.
+        async def script(request, writer):
+            if header_of(request, "Bramleyrouter-Request-Id") == "q1":
+                writer.write(reply())
+                await writer.drain()
+                return True
+            return False
+
+        replies, server = run(script, asked("q1"), asked("q2"))
+        assert replies[1].end is ExchangeEnd.LOST
+        ids = [header_of(item, "Bramleyrouter-Request-Id") for item in server.requests]
+        assert ids == ["q1", "q2"]
+
+    def test_nobody_listens(self):
+        async def scenario():
+            server = await start_raw_server(answering(reply()))
+            server.server.close()
+            await server.server.wait_closed()
+            transport, _ = build_transport()
+            return await exchange(transport, server, asked())
+
+        assert asyncio.run(scenario()).end is ExchangeEnd.UNREACHED
+
+    def test_a_silent_connection_ends_with_the_time_limit(self):
+        async def script(request, writer):
+            await asyncio.sleep(1.0)
+            return False
+
+        replies, _ = run(script, asked(), timeout_s=0.1)
+        assert replies[0].end is ExchangeEnd.TIMED_OUT
+
+    def test_cancelling_closes_the_connection(self):
+        async def scenario():
+            async def script(request, writer):
+                return True
+
+            server = await start_raw_server(script)
+            transport, _ = build_transport()
+            replies = []
+            target = row("i-1", address=server.address)
+            cancel = transport(target, asked(), 5.0, 3, replies.append)
+            while not server.requests:
+                await asyncio.sleep(0.005)
+            cancel()
+            while not server.closed_by_peer:
+                await asyncio.sleep(0.005)
+            return replies
+
+        assert asyncio.run(asyncio.wait_for(scenario(), 3.0)) == []
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,61 @@
+from result import Err
+
+from bramleyrouter.codes import Code
+from bramleyrouter.platform.settings import read_settings
+
+FILE = """
+node = "front-1"
+role = "entry"
+ip = "10.1.0.9"
+zone = "se-a"
+internalPorts = [7380,7395]
+seeds = ["10.1.0.12:8106","10.2.0.23:8106"]
+bootstrap = true
+heartbeatMs = 1200
+later = 1
+[zones]
+se-a = "south-east"
+se-b = "south-east"
+[listen]
+front = "10.1.0.9:8104"
+ready = "10.1.0.9:8108"
+[faultTolerance]
+machines = 2
+[bounds]
+drainMs = 3000
+graceS = 6
+retryBudget = 0.2
+budgetSlack = 56
+warmupFactor = 1.5
+"""
+
+
+def read(tmp_path, text):
+    path = tmp_path / "boot.toml"
+    path.write_text(text)
+    return read_settings(str(path))
+
+
+class TestReadSettings:
+    def test_whole(self, tmp_path):
+        cfg = read(tmp_path, FILE).ok_value
+        assert cfg.daemon_id == "front-1"
+        assert cfg.internal_address == "10.1.0.9:7380"
+        assert cfg.seeds == ("10.1.0.12:7380", "10.2.0.23:7380")
+        assert cfg.is_first_start
+        assert cfg.data_centres == ("se-a", "se-b")
+        assert cfg.tolerated_losses == 2
+        assert (cfg.bounds.drain_s, cfg.bounds.stop_s) == (3.0, 6.0)
+        assert (cfg.bounds.extra_ratio, cfg.bounds.extra_slack) == (0.2, 56.0)
+
+    def test_missing_file(self):
+        failure = read_settings("/nowhere/boot.toml")
+        assert isinstance(failure, Err)
+        assert failure.err_value.code is Code.SETTINGS_UNREADABLE
+
+    def test_no_toml(self, tmp_path):
+        assert read(tmp_path, "node =").err_value.code is Code.SETTINGS_UNREADABLE
+
+    def test_a_field_of_another_type(self, tmp_path):
+        failure = read(tmp_path, FILE.replace("[7380,7395]", "7380"))
+        assert failure.err_value.code is Code.SETTINGS_INVALID
