--- /dev/null
+++ b/tests/fleet/fleet_cluster.py
@@ -0,0 +1,151 @@
+"""Control daemons with their streams, and entry daemons, in virtual time."""
+
+import asyncio
+import random
+
+from bramleyrouter.consensus.replicated_log import build_replicated_log
+from bramleyrouter.control.client import build_operate, build_read_routes
+from bramleyrouter.control.joining import JoinPolicy, keep_joined
+from bramleyrouter.control.leaders import Leaders
+from bramleyrouter.control.machine import build_machine
+from bramleyrouter.control.messages import PublishRoutes
+from bramleyrouter.control.service import build_control
+from bramleyrouter.fleet.publishing import start_publishing
+from bramleyrouter.fleet.registry import Registry
+from bramleyrouter.fleet.watching import start_watching
+from bramleyrouter.ids import DaemonId, DataCentre, TableVersion
+from bramleyrouter.utils.tasks import TaskGroup, cancel_all, spawn
+from tests.support.identities import make_identity
+from tests.support.memory_disk import MemoryDisk
+from tests.support.memory_network import MemoryFabric
+
+ADDRESSES = tuple(f"127.0.0.1:{port}" for port in (7100, 7200, 7300, 7400))
+FIRST = ADDRESSES[:3]
+
+
+class Control:
+    """Hold one running control daemon."""
+
+    def __init__(self, fleet, number, is_first_start):
+        loop = asyncio.get_running_loop()
+        self.address = ADDRESSES[number]
+        port = int(self.address.rsplit(":", 1)[1])
+        identity = make_identity(f"c{number}", port=port)
+        self.network = fleet.fabric.build_network(identity)
+        self.machine = build_machine()
+        fleet.starts += 1
+        ids = iter(range(10_000))
+        rng = random.Random(f"{fleet.seed}-{fleet.starts}")
+        prefix = f"m{fleet.starts}"
+        self.log = build_replicated_log(
+            identity,
+            FIRST if is_first_start else (),
+            self.network,
+            rng,
+            self.machine.for_log,
+            fleet.disks[number].open(),
+            new_id=lambda: f"{prefix}-{next(ids)}",
+        ).ok_value
+        self.group = TaskGroup("test")
+        self.control = build_control(
+            self.network, self.log, self.machine, loop.time, has_subscribers=False
+        )
+        self.registry = Registry(1.2)
+        self.publishing = start_publishing(
+            self.network,
+            self.registry,
+            self.machine,
+            self.log,
+            loop.time,
+            DataCentre(f"dc{number}"),
+        )
+        leaders = Leaders(self.network, list(FIRST), loop.time, rng)
+        policy = JoinPolicy(self.address, is_first_start, 3, 2.4)
+        joining = keep_joined(leaders, self.log, policy, lambda: FIRST)
+        spawn(self.group, joining)
+        self.operate = build_operate(leaders)
+        self.read = build_read_routes(leaders)
+
+
+class Entry:
+    """Hold one entry daemon and what it learnt."""
+
+    def __init__(self, fleet, name, port, data_centre="dc0"):
+        identity = make_identity(name, port=port)
+        self.network = fleet.fabric.build_network(identity)
+        self.versions, self.services, self.events = [], [], []
+        self.fetches = 0
+        self.watching = start_watching(
+            self.network,
+            lambda part, event, **fields: self.events.append((event, fields)),
+            DataCentre(data_centre),
+            asyncio.get_running_loop().time,
+            lambda version, document: self.versions.append((version, document)),
+            self.services.append,
+            lambda relays: None,
+        )
+        self.watching.set_seeds(FIRST)
+
+    @property
+    def watch(self):
+        """Return the state of the streams."""
+        return self.watching.watch
+
+
+class Fleet:
+    """Hold control daemons on their disks, by number, and entry daemons."""
+
+    def __init__(self, seed=1):
+        self.seed, self.starts = seed, 0
+        self.fabric = MemoryFabric()
+        self.disks = [MemoryDisk() for _ in ADDRESSES]
+        self.controls = {}
+
+    def start(self, *numbers, is_first_start=True):
+        """Start control daemons."""
+        for number in numbers:
+            self.controls[number] = Control(self, number, is_first_start)
+
+    def kill(self, number):
+        """End a control daemon without a word; its disk stays."""
+        control = self.controls.pop(number)
+        cancel_all(control.group)
+        control.publishing.close()
+        self.fabric.kill(control.address)
+        loop = asyncio.get_running_loop()
+        return loop.create_task(self._close(control))
+
+    async def _close(self, control):
+        await control.control.close()
+        await control.log.close()
+
+    def wipe(self, number):
+        """Replace a disk by an empty one."""
+        self.disks[number] = MemoryDisk()
+
+    def leader(self):
+        """Return the number of the leader that has the highest term, or none."""
+        leading = [
+            (control.log.status().term, number)
+            for number, control in self.controls.items()
+            if control.log.status().is_leader
+        ]
+        return max(leading)[1] if leading else None
+
+    async def publish(self, version, at=0, timeout_s=3.0):
+        """Publish a table through one control daemon."""
+        command = PublishRoutes(TableVersion(version), b'{"v":%d}' % version)
+        return await self.controls[at].operate(command, timeout_s)
+
+    async def until(self, condition, timeout_s=10.0):
+        """Wait until ``condition()`` holds."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + timeout_s
+        while not condition():
+            assert loop.time() < until, "The condition did not hold in time."
+            await asyncio.sleep(0.01)
+
+
+def entry_name(number):
+    """Return the id of an entry daemon."""
+    return DaemonId(f"e{number}")
