--- a/src/bramleyrouter/commands/main.py
+++ b/src/bramleyrouter/commands/main.py
@@ -6,7 +6,14 @@
 from collections.abc import Sequence
 
 from bramleyrouter import __version__
-from bramleyrouter.commands import availability, check, control, publish, status
+from bramleyrouter.commands import (
+    availability,
+    check,
+    control,
+    explain,
+    publish,
+    status,
+)
 from bramleyrouter.commands.exits import EPILOG
 
 
@@ -27,6 +34,7 @@
     availability.add_parsers(subparsers)
     status.add_parser(subparsers)
     control.add_parser(subparsers)
+    explain.add_parser(subparsers)
     return parser
 
 
--- a/src/bramleyrouter/daemons/fleet.py
+++ b/src/bramleyrouter/daemons/fleet.py
@@ -40,6 +40,7 @@
 from bramleyrouter.gateway.tables import RouteTable
 from bramleyrouter.ids import DaemonIncarnation, DataCentre, ServiceName, TableVersion
 from bramleyrouter.telemetry.events import EventLog, record, record_ordinary
+from bramleyrouter.telemetry.gateway_metrics import GatewayMetrics, build_observe
 from bramleyrouter.utils.tasks import TaskGroup, cancel_all, spawn
 from bramleyrouter.wire.kinds import Kind
 from bramleyrouter.wire.tcp import build_tcp_network
@@ -59,6 +60,7 @@
     gateway: GatewayHandle
     watching: Watching
     listen: Callable[[], None]
+    metrics: GatewayMetrics
     close: Callable
 
 
@@ -133,7 +135,7 @@
         take_servers,
         lambda relays: parts[0].gateway.set_relays(relays),
     )
-    bounds = cfg.bounds
+    bounds, metrics = cfg.bounds, GatewayMetrics()
     gateway = build_gateway(
         GatewayLimits(cfg.data_centre, bounds.cold_factor, bounds.cold_slack),
         ExtraLimits(bounds.extra_ratio, bounds.extra_slack, bounds.extra_window_s),
@@ -141,6 +143,7 @@
         random.Random(),
         note,
         note_ordinary,
+        build_observe(metrics),
         lambda: watching.watch.data_centres_out,
         watching.entry_daemons,
         lambda address, payload, on_item, on_end: network.stream(
@@ -154,7 +157,7 @@
         watching.close()
         await network.close()
 
-    parts.append(EntryParts(board, gateway, watching, listen, close))
+    parts.append(EntryParts(board, gateway, watching, listen, metrics, close))
     watching.set_seeds(cfg.seeds)
     return parts[0]
 
--- a/src/bramleyrouter/gateway/build.py
+++ b/src/bramleyrouter/gateway/build.py
@@ -29,6 +29,7 @@
 from bramleyrouter.gateway.tables import RouteTable, build_index, match_route
 from bramleyrouter.ids import DataCentre, ServiceName
 from bramleyrouter.telemetry.events import Record
+from bramleyrouter.telemetry.gateway_metrics import Observe
 from bramleyrouter.wire.network import StreamHandler
 
 # A caller that comes before this daemon knows its routes waits so long, seconds.
@@ -58,6 +59,7 @@
     rng: random.Random,
     record: Record,
     record_ordinary: Record,
+    observe: Observe,
     data_centres_out: Callable[[], Collection[DataCentre]],
     entry_daemons: Callable[[], int],
     open_stream: OpenStream,
@@ -73,6 +75,7 @@
         ExtraBudget(extra_limits, loop.time, entry_daemons, loop.time()),
         record,
         record_ordinary,
+        observe,
         data_centres_out,
         entry_daemons,
         open_stream=open_stream,
@@ -123,6 +126,7 @@
         reason = f"{gateway.in_flight} requests are under way"
         return answer_now(refuse(gateway, reason, route.timeout_s / 3))
     gateway.in_flight += 1
+    arrived = gateway.loop.time()
     is_open = True
 
     def leave() -> None:
@@ -133,6 +137,11 @@
 
     def finish(reply: GatewayReply) -> None:
         leave()
+        waited_s = gateway.loop.time() - arrived
+        coverage = None
+        if reply.kind is ReplyKind.GATHERED:
+            coverage = len(reply.signatures) / len(route.shards)
+        gateway.observe(route.name, reply.kind.value, waited_s, coverage)
         on_reply(reply)
 
     start = start_gather if route.shards else start_single
--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -28,6 +28,7 @@
 from bramleyrouter.gateway.tables import Route, RouteIndex
 from bramleyrouter.ids import DataCentre, ServiceName
 from bramleyrouter.telemetry.events import Record
+from bramleyrouter.telemetry.gateway_metrics import Observe
 
 # What remains for the last send to a server must be worth the send, seconds.
 MIN_SEND_S = 0.004
@@ -75,6 +76,7 @@
     budget: ExtraBudget
     record: Record
     record_ordinary: Record
+    observe: Observe
     data_centres_out: Callable[[], Collection[DataCentre]]
     entry_daemons: Callable[[], int]
     index: RouteIndex | None = None
--- a/src/bramleyrouter/platform/operators.py
+++ b/src/bramleyrouter/platform/operators.py
@@ -7,6 +7,8 @@
 from typing import NamedTuple
 
 import msgspec
+from aioprometheus import Registry
+from aioprometheus.renderer import render
 from result import Err, Result
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
@@ -167,12 +169,14 @@
     return Answer(200, outcome.ok_value.document)
 
 
-def write_answer(req: HTTPServerRequest, answer: Answer) -> None:
+def write_answer(
+    req: HTTPServerRequest, answer: Answer, content_type: str = JSON_TYPE
+) -> None:
     """Write a reply; one whose caller has left is dropped."""
     conn = req.connection
     if conn is None or conn.stream.closed():  # type: ignore[attr-defined]
         return
-    headers = HTTPHeaders({"Content-Type": JSON_TYPE})
+    headers = HTTPHeaders({"Content-Type": content_type})
     headers["Content-Length"] = str(len(answer.body))
     phrase = HTTPStatus(answer.status).phrase
     line = ResponseStartLine("HTTP/1.1", answer.status, phrase)
@@ -200,6 +204,20 @@
     return server
 
 
+def listen_metrics(address: str, registry: Registry, collect: Callable[[], None]):
+    """Serve the metrics as text; ``collect`` brings them up to date."""
+
+    def on_request(req: HTTPServerRequest) -> None:
+        collect()
+        content, _ = render(registry, [])
+        write_answer(req, Answer(200, content), "text/plain; version=0.0.4")
+
+    server = HTTPServer(on_request, idle_connection_timeout=60.0)
+    host, port = split_address(address)
+    server.listen(port, host)
+    return server
+
+
 def listen_ready(address: str, is_ready: Callable[[], bool]) -> HTTPServer:
     """Tell the balancer whether callers may be sent here."""
 
--- a/src/bramleyrouter/platform/programs.py
+++ b/src/bramleyrouter/platform/programs.py
@@ -25,6 +25,7 @@
 from bramleyrouter.platform.operators import (
     ControlCalls,
     listen_control,
+    listen_metrics,
     listen_ready,
 )
 from bramleyrouter.platform.servers import build_transport
@@ -95,12 +96,23 @@
         if "stopping" in reasons and listeners:
             announce_stop(listeners[0])
 
+    def collect() -> None:
+        state, watch = parts.metrics.state, parts.watching.watch
+        state.set({"value": "table_version"}, watch.table_version)
+        state.set({"value": "servers"}, len(view.merged))
+        state.set({"value": "control_daemons"}, len(watch.heard_at))
+        state.set({"value": "control_silence_s"}, parts.watching.silence_s())
+        state.set({"value": "entry_daemons"}, parts.watching.entry_daemons())
+        state.set({"value": "in_flight"}, parts.gateway.in_flight())
+        state.set({"value": "ready"}, int(not reasons))
+
     async def start() -> None:
         parts.listen()
         listeners.append(
             listen_callers(cfg.caller_address, parts.gateway.handle, CallerLimits())
         )
         listen_ready(cfg.ready_address, lambda: not reasons)
+        listen_metrics(cfg.metrics_address, parts.metrics.registry, collect)
         parts.board.watch(Section.READINESS, note_readiness)
         _watch_settings(log, group, lambda new: parts.watching.set_seeds(new.seeds))
         sweep = repeat(POOL_SWEEP_S, lambda: keep_only(set(view.merged)), POOL_SWEEP_S)
--- a/src/bramleyrouter/platform/settings.py
+++ b/src/bramleyrouter/platform/settings.py
@@ -13,6 +13,8 @@
 from bramleyrouter.platform.names import SETTINGS_VARIABLE
 
 MILLISECONDS = 1000.0
+# As in deploy/system.toml, which names the same port for every VM.
+METRICS_PORT = 9464
 
 
 class _Listen(msgspec.Struct):
@@ -88,7 +90,7 @@
         caller_address=file.listen.front,
         ready_address=file.listen.ready,
         control_address=file.listen.control,
-        metrics_address=f"{file.ip}:{file.internal_ports[-1]}",
+        metrics_address=f"{file.ip}:{METRICS_PORT}",
         heartbeat_s=file.heartbeat_ms / MILLISECONDS,
         tolerated_losses=file.fault_tolerance.machines,
         bounds=FleetBounds(
--- a/src/bramleyrouter/telemetry/events.py
+++ b/src/bramleyrouter/telemetry/events.py
@@ -69,20 +69,21 @@
     if log.left_out and len(log.waiting) < MAX_WAITING_LINES:
         count, log.left_out = log.left_out, 0
         record(log, "events", "left_out", count=count)
-    if not log.waiting and not log.partial:
+    if not log.partial:
+        # Lines wait in the bounded queue until the last ones are written.
+        log.partial = b"".join(line + b"\n" for line in log.waiting)
+        log.waiting.clear()
+    if not log.partial:
         return
-    lines = [*log.waiting, b""]
-    log.waiting.clear()
-    data = log.partial + b"\n".join(lines)
-    log.partial = b""
     try:
-        written = os.write(log.descriptor, data)
+        written = os.write(log.descriptor, log.partial)
     except BlockingIOError:
-        written = 0
+        return
     except OSError:
         # Nobody reads any more; a daemon goes on without its log.
+        log.partial = b""
         return
-    log.partial = data[written:]
+    log.partial = log.partial[written:]
 
 
 def start_writing(log: EventLog) -> Callable[[], None]:
--- /dev/null
+++ b/src/bramleyrouter/telemetry/gateway_metrics.py
@@ -0,0 +1,73 @@
+"""Metrics of an entry daemon that serves by route table."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+
+from bramleyrouter.telemetry.metrics import COVERAGE_BUCKETS, LATENCY_BUCKETS_S
+
+# Routes with labels of their own; later ones are counted as "other", so that a
+# table of hundreds of routes does not make the page grow without bound.
+MAX_ROUTES = 50
+OTHER = "other"
+
+# ``observe(route, outcome, latency_s, coverage)``; coverage is none unless
+# shards were gathered.
+Observe = Callable[[str, str, float, float | None], None]
+
+
+@dataclass
+class GatewayMetrics:
+    """Hold the registry and the metrics of one entry daemon."""
+
+    registry: Registry = field(default_factory=Registry)
+    latency: Histogram = field(init=False)
+    coverage: Histogram = field(init=False)
+    results: Counter = field(init=False)
+    state: Gauge = field(init=False)
+    routes: set[str] = field(default_factory=set)
+
+    def __post_init__(self):
+        registry = self.registry
+        self.latency = Histogram(
+            "bramley_gateway_request_seconds",
+            "Latency of callers' requests by route.",
+            registry=registry,
+            buckets=list(LATENCY_BUCKETS_S),
+        )
+        self.coverage = Histogram(
+            "bramley_gateway_coverage",
+            "Share of the shards in a gathered response, by route.",
+            registry=registry,
+            buckets=list(COVERAGE_BUCKETS),
+        )
+        self.results = Counter(
+            "bramley_gateway_results_total",
+            "Ended requests of callers by route and outcome.",
+            registry=registry,
+        )
+        self.state = Gauge(
+            "bramley_gateway_state",
+            "What the daemon believes: table version, servers, control silence.",
+            registry=registry,
+        )
+
+
+def build_observe(metrics: GatewayMetrics) -> Observe:
+    """Return the closure that counts one ended request."""
+
+    def observe(
+        route: str, outcome: str, latency_s: float, coverage: float | None
+    ) -> None:
+        if route not in metrics.routes:
+            if len(metrics.routes) >= MAX_ROUTES:
+                route = OTHER
+            metrics.routes.add(route)
+        labels = {"route": route}
+        metrics.latency.observe(labels, latency_s)
+        metrics.results.inc({"route": route, "outcome": outcome})
+        if coverage is not None:
+            metrics.coverage.observe(labels, coverage)
+
+    return observe
--- a/tests/gateway/test_gathers.py
+++ b/tests/gateway/test_gathers.py
@@ -152,8 +152,7 @@
             assert reply.retry_after_s > 0
             assert site.servers.arrivals == []
             # On-call engineers find the lost shard and its servers by the id.
-            event, fields = site.events[-1]
-            assert event == "gather_ended"
+            fields = dict(site.events)["gather_ended"]
             assert '"s2" (none known)' in fields["reason"]
 
         run_virtual(scenario())
--- a/tests/support/gateway_fakes.py
+++ b/tests/support/gateway_fakes.py
@@ -218,6 +218,9 @@
         random.Random(1),
         record,
         record,
+        lambda route, outcome, waited_s, coverage: events.append(
+            ("observed", {"route": route, "outcome": outcome, "coverage": coverage})
+        ),
         lambda: frozenset(out),
         lambda: entry_daemons,
         open_stream or no_stream,
--- /dev/null
+++ b/tests/telemetry/test_events.py
@@ -0,0 +1,92 @@
+import os
+
+import msgspec
+
+from bramleyrouter.telemetry.events import (
+    MAX_ORDINARY_PER_INTERVAL,
+    MAX_WAITING_LINES,
+    EventLog,
+    flush,
+    record,
+    record_ordinary,
+)
+
+
+def build():
+    """Return a log that writes to a pipe, and the pipe's reading end."""
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    os.set_blocking(writer, False)
+    return EventLog(writer, "front-1", lambda: 12.5), reader
+
+
+def read(reader):
+    try:
+        data = os.read(reader, 1 << 22)
+    except BlockingIOError:
+        data = b""
+    return [msgspec.json.decode(line) for line in data.splitlines()]
+
+
+class TestEventLog:
+    def test_one_object_a_line(self):
+        log, reader = build()
+        record(log, "gateway", "ended", id="q1", text="a\nb")
+        flush(log)
+        assert read(reader) == [
+            {
+                "at": 12.5,
+                "daemon": "front-1",
+                "part": "gateway",
+                "event": "ended",
+                "id": "q1",
+                "text": "a\nb",
+            }
+        ]
+
+    def test_ordinary_requests_are_sampled_and_counted(self):
+        log, reader = build()
+        for number in range(MAX_ORDINARY_PER_INTERVAL + 3):
+            record_ordinary(log, "gateway", "ended", id=number)
+        record(log, "gateway", "failed", id="f")
+        flush(log)
+        lines = read(reader)
+        assert lines[-1]["event"] == "left_out"
+        assert lines[-1]["count"] == 3
+        assert lines[-2]["id"] == "f"
+        assert len(lines) == MAX_ORDINARY_PER_INTERVAL + 2
+
+    def test_bounded_while_nobody_reads(self):
+        log, reader = build()
+        for _ in range(200):
+            for _ in range(100):
+                record(log, "gateway", "failed", text="x" * 100)
+            flush(log)
+        assert len(log.waiting) <= MAX_WAITING_LINES
+        assert len(log.partial) <= MAX_PARTIAL
+
+    def test_a_reader_that_comes_back_gets_whole_lines(self):
+        log, reader = build()
+        texts = []
+        for number in range(3000):
+            record(log, "gateway", "failed", id=number, text="x" * 50)
+            if number % 100 == 0:
+                flush(log)
+        raw = b""
+        for _ in range(100):
+            flush(log)
+            try:
+                raw += os.read(reader, 1 << 22)
+            except BlockingIOError:
+                break
+        texts = [msgspec.json.decode(line) for line in raw.splitlines()]
+        assert texts[-1]["event"] in ("failed", "left_out")
+
+    def test_a_closed_reader_does_not_end_the_daemon(self):
+        log, reader = build()
+        os.close(reader)
+        record(log, "gateway", "failed")
+        flush(log)
+
+
+MAX_PARTIAL = 2 * MAX_WAITING_LINES * 250
