--- a/src/bramleyrouter/gateway/gathers.py
+++ b/src/bramleyrouter/gateway/gathers.py
@@ -486,7 +486,9 @@
     ):
         _finish(run, _failed(run, progress))
     elif is_last_call:
-        text = f"{progress.included} of {progress.total} shards by the deadline"
+        without = [shard for shard in run.shards if shard.reply is None]
+        text = f"{len(without)} of {progress.total} shards open at the deadline: "
+        text += "; ".join(_describe(run, shard) for shard in without[:3])
         _finish(run, GatewayReply(ReplyKind.DEADLINE, text))
 
 
@@ -503,8 +505,9 @@
 
 def _failed(run: GatherRun, progress: GatherProgress) -> GatewayReply:
     """Return a refusal where no server ran anything, else a plain failure."""
-    missing = [shard.service for shard in run.shards if shard.is_missing]
-    reason = f"{len(missing)} of {progress.total} shards are lost: {missing[:5]}"
+    without = [shard for shard in run.shards if shard.reply is None]
+    reason = f"{len(without)} of {progress.total} shards did not answer: "
+    reason += "; ".join(_describe(run, shard) for shard in without[:3])
     if any(shard.ran > 0 for shard in run.shards):
         return GatewayReply(ReplyKind.FAILED, reason)
     return refuse(run.gateway, reason, (run.deadline_at - run.arrived) / 3)
@@ -531,7 +534,7 @@
         route=run.route.name,
         version=index.table.version if index else None,
         outcome=reply.kind.value,
-        included=len(reply.signatures),
+        included=sum(shard.reply is not None for shard in run.shards),
         shards=len(run.shards),
         hedges=run.hedges,
         relay=run.relay,
--- a/src/bramleyrouter/gateway/singles.py
+++ b/src/bramleyrouter/gateway/singles.py
@@ -27,7 +27,12 @@
     window_of,
 )
 from bramleyrouter.gateway.latencies import add_sample, hedge_delay
-from bramleyrouter.gateway.servers import choose_server, note_cancelled, note_late
+from bramleyrouter.gateway.servers import (
+    choose_server,
+    describe_servers,
+    note_cancelled,
+    note_late,
+)
 from bramleyrouter.gateway.tables import RequestKind, Route
 from bramleyrouter.ids import ServerId, ServiceName
 
@@ -94,7 +99,9 @@
     run = SingleRun(gateway, route, request, service, now, now + deadline_s, on_reply)
     count_request(gateway.budget, service)
     if not _send(run):
-        reason = f'service "{service}" has no server that may be asked'
+        states = states_of(gateway, service)
+        known = describe_servers(states, context_for(gateway, service))
+        reason = f'service "{service}" has no server that may be asked ({known})'
         _finish(run, refuse(gateway, reason, deadline_s / 3))
         return lambda: None
     _arm(run)
