--- /dev/null
+++ b/src/bramleyrouter/gateway/gather_runs.py
@@ -0,0 +1,65 @@
+"""The state of one query over many shards while it runs."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from bramleyrouter.gateway.exchanges import CallerRequest, ServerReply
+from bramleyrouter.gateway.gateways import Cancel, Gateway, OnGatewayReply, Sending
+from bramleyrouter.gateway.tables import Route
+from bramleyrouter.gateway.waiting import GatherProgress
+from bramleyrouter.ids import ServerId, ServiceName
+
+
+@dataclass(eq=False)
+class ShardRun:
+    """Hold the state of one shard of a gather.
+
+    ``ran`` counts the sends that may have run, ``sends`` all of them. Once a
+    send has reached a server, every later one is an extra.
+    """
+
+    service: ServiceName
+    tried: set[ServerId] = field(default_factory=set)
+    pending: list[Sending] = field(default_factory=list)
+    reply: ServerReply | None = None
+    is_missing: bool = False
+    sends: int = 0
+    ran: int = 0
+    has_arrived: bool = False
+    is_delegated: bool = False
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the shard may still answer."""
+        return self.reply is None and not self.is_missing
+
+
+@dataclass(eq=False)
+class GatherRun:
+    """Hold one query while it runs."""
+
+    gateway: Gateway
+    route: Route
+    request: CallerRequest
+    arrived: float
+    deadline_at: float
+    on_reply: OnGatewayReply
+    # Called after each shard's end, to answer if it is time to.
+    check: Callable[["GatherRun"], None]
+    shards: list[ShardRun] = field(default_factory=list)
+    timer: asyncio.TimerHandle | None = None
+    looks: int = 0
+    hedges: int = 0
+    is_finished: bool = False
+    are_overdue_noted: bool = False
+    is_started: bool = False
+    cancel_delegated: Cancel | None = None
+    relay: str = ""
+
+
+def progress_of(run: GatherRun) -> GatherProgress:
+    """Count the shards by their state."""
+    included = sum(shard.reply is not None for shard in run.shards)
+    still_open = sum(shard.is_open for shard in run.shards)
+    return GatherProgress(included, still_open, len(run.shards))
