--- a/src/bramleyrouter/fleet/watching.py
+++ b/src/bramleyrouter/fleet/watching.py
@@ -29,7 +29,7 @@
 SILENT_STREAM_S = 2.0
 # Pauses between two attempts at one control daemon, in seconds.
 FIRST_PAUSE_S = 0.1
-MAX_PAUSE_S = 1.0
+MAX_PAUSE_S = 0.3
 # How long the table of a version that another control daemon named may take
 # on the stream of the own data centre before it is fetched, in seconds.
 TABLE_GRACE_S = 0.25
