--- a/src/bramleyrouter/edges/servers/multi.py
+++ b/src/bramleyrouter/edges/servers/multi.py
@@ -27,7 +27,8 @@
     """Tell how an exchange ended.
 
     ``error`` is curl's number, 0 for a whole reply. ``may_have_run`` is false
-    when no byte of the request can have left this process.
+    when no byte of the request can have left this process. ``was_queued`` is
+    set when all connections to the server were in use at the start.
     """
 
     error: int
@@ -36,6 +37,7 @@
     body: bytes
     may_have_run: bool
     head: tuple[bytes, ...] = ()
+    was_queued: bool = False
 
 
 class HttpCall(NamedTuple):
@@ -71,6 +73,7 @@
     head: list[bytes] = field(default_factory=list)
     accepts_line: Callable[[bytes], bool] | None = None
     is_passed_on: bool = False
+    was_queued: bool = False
 
 
 @dataclass(eq=False)
@@ -202,6 +205,7 @@
         exchange.body.getvalue(),
         exchange.sent > 0,
         tuple(exchange.head),
+        exchange.was_queued,
     )
     on_end = exchange.on_end
     exchange.on_end = None
@@ -281,7 +285,6 @@
     exchange.is_passed_on = True
     curl = exchange.curl
     curl.setopt(pycurl.PATH_AS_IS, 1)
-    curl.setopt(pycurl.CONNECTTIMEOUT_MS, PASS_ON_CONNECT_TIMEOUT_MS)
     curl.setopt(pycurl.HEADERFUNCTION, lambda line: _read_head_line(exchange, line))
     return exchange
 
@@ -315,7 +318,12 @@
         curl.setopt(pycurl.URL, f"http://{state.address}{call.path}")
     curl.setopt(pycurl.HTTPHEADER, call.headers)
     curl.setopt(pycurl.FRESH_CONNECT, 1 if is_fresh else 0)
-    curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeout_s * 1000)))
+    timeout_ms = max(1, int(timeout_s * 1000))
+    curl.setopt(pycurl.TIMEOUT_MS, timeout_ms)
+    # curl counts the wait for a connection of ours as part of the connecting.
+    exchange.was_queued = len(state.active) >= state.max_connections
+    connect_ms = timeout_ms if exchange.was_queued else PASS_ON_CONNECT_TIMEOUT_MS
+    curl.setopt(pycurl.CONNECTTIMEOUT_MS, connect_ms)
     if call.body is None:
         curl.setopt(pycurl.HTTPGET, 1)
     else:
--- a/src/bramleyrouter/platform/servers.py
+++ b/src/bramleyrouter/platform/servers.py
@@ -83,6 +83,9 @@
 def read_reply(end: HttpEnd, request_id: str) -> ServerReply:
     """Return what an exchange's end means for the request."""
     if end.error:
+        if not end.may_have_run and end.was_queued:
+            text = "no connection to the server became free"
+            return ServerReply(ExchangeEnd.REFUSED, text=text)
         if not end.may_have_run:
             return ServerReply(ExchangeEnd.UNREACHED, text=end.text)
         is_late = end.error == pycurl.E_OPERATION_TIMEDOUT
--- a/tests/platform/test_servers.py
+++ b/tests/platform/test_servers.py
@@ -226,3 +226,34 @@
             return replies
 
         assert asyncio.run(asyncio.wait_for(scenario(), 3.0)) == []
+
+    def test_a_request_that_waits_for_a_connection_of_ours_is_not_the_servers_fault(
+        self,
+    ):
+        # After a restart more queries than connections waited for one server;
+        # 300 ms later it was suspected of not answering (inc-1673).
+        async def scenario():
+            async def script(request, writer):
+                await asyncio.sleep(0.35)
+                writer.write(reply())
+                await writer.drain()
+                return True
+
+            server = await start_raw_server(script)
+            transport, keep_only = build_transport()
+            target = row("i-1", address=server.address)
+            loop = asyncio.get_running_loop()
+            futs = []
+            for number, timeout_s in enumerate((2.0, 2.0, 0.2)):
+                fut = loop.create_future()
+                request = asked(f"q{number}")
+                transport(target, request, timeout_s, 1, fut.set_result)
+                futs.append(fut)
+            ends = [item.end for item in await asyncio.gather(*futs)]
+            keep_only(set())
+            server.server.close()
+            return ends
+
+        ends = asyncio.run(asyncio.wait_for(scenario(), 5.0))
+        answered = ExchangeEnd.ANSWERED
+        assert ends == [answered, answered, ExchangeEnd.REFUSED]
