--- a/tests/membership/test_failure_detection.py
+++ b/tests/membership/test_failure_detection.py
@@ -219,3 +219,40 @@
     for daemon in cluster.daemons.values():
         daemon.board.watch(Section.DAEMONS, lambda daemon=daemon: look(daemon))
     return seen
+
+
+class TestClockSteps:
+    def test_restarted_after_a_clock_step_back_it_is_known_again(self):
+        """Guards against a restart that looks older than its former self.
+
+        The incarnation is the wall clock at the start, and the clock may have
+        stepped back meanwhile.
+        """
+
+        async def scenario(cluster):
+            cluster.kill("e1dc1")
+            cluster.start("e1dc1", incarnation=5_000)
+            await until(
+                lambda: states_of(cluster, "e1dc1") == {DaemonState.ALIVE},
+                DEATH_LIMIT_S,
+            )
+            cluster.kill("e1dc1")
+            cluster.start("e1dc1", incarnation=3_000)
+            restarted = cluster.daemons["e1dc1"].board.daemons.records["e1dc1"]
+            for daemon in cluster.daemons.values():
+                await until(
+                    lambda d=daemon: (
+                        d.board.daemons.records["e1dc1"].incarnation
+                        >= restarted.incarnation
+                        and d.board.daemons.records["e1dc1"].state is DaemonState.ALIVE
+                    ),
+                    DEATH_LIMIT_S,
+                )
+            rows = [make_record("t", cluster.daemons["e1dc1"].identity)]
+            cluster.daemons["e1dc1"].membership.publish_rows(rows, [])
+            everyone = set(cluster.daemons)
+            await until(
+                lambda: set(holders_of(cluster, "t")) == everyone, DEATH_LIMIT_S
+            )
+
+        run_cluster(scenario)
