Refused no query while a relay may be at work on it

Found while reading: shards that were delegated count no send of their own, so a query whose direct sends all failed to arrive was refused as not run although the relay's servers may have run it.

--- a/src/bramleyrouter/gateway/gathers.py
+++ b/src/bramleyrouter/gateway/gathers.py
@@ -111,11 +111,13 @@
     if run.looks < HEDGE_LOOKS:
         delay_s = hedge_delay(window_of(run.gateway, route), route.objective_s)
         times.append(run.arrived + delay_s * (run.looks + 1))
-    objective_at = run.arrived + route.objective_s - TRIP_S
-    # Whoever is suspected then is given up.
-    times += [at for at in (run.arrived + route.objective_s,) if at > now]
-    late_at = run.arrived + LATE_PATIENCE * route.objective_s
-    times += [at for at in (objective_at, late_at) if at > now]
+    decisions = (
+        run.arrived + route.objective_s - TRIP_S,
+        # Shards that wait only for suspected servers are given up then.
+        run.arrived + route.objective_s,
+        run.arrived + LATE_PATIENCE * route.objective_s,
+    )
+    times += [at for at in decisions if at > now]
     run.timer = run.gateway.loop.call_at(min(times), _on_timer, run)
 
 
@@ -212,7 +214,8 @@
     without = [shard for shard in run.shards if shard.reply is None]
     reason = f"{len(without)} of {progress.total} shards did not answer: "
     reason += "; ".join(describe_shard(run, shard) for shard in without[:3])
-    if any(shard.ran > 0 for shard in run.shards):
+    is_relay_at_work = run.cancel_delegated is not None
+    if is_relay_at_work or any(shard.ran > 0 for shard in run.shards):
         return GatewayReply(ReplyKind.FAILED, reason)
     return refuse(run.gateway, reason, (run.deadline_at - run.arrived) / 3)
 
--- a/src/bramleyrouter/gateway/shard_sends.py
+++ b/src/bramleyrouter/gateway/shard_sends.py
@@ -12,25 +12,33 @@
 )
 from bramleyrouter.gateway.gather_runs import GatherRun, ShardRun
 from bramleyrouter.gateway.latencies import add_sample
-from bramleyrouter.gateway.servers import choose_server, describe_servers, note_late
+from bramleyrouter.gateway.servers import (
+    ServerState,
+    choose_server,
+    describe_servers,
+    note_late,
+)
 
 # Sends of one shard in all, those that were refused without running included.
 MAX_SENDS = 4
 
 
 def send_first(run: GatherRun, shard: ShardRun) -> None:
+    """Send the shard's request for the first time; without a server it is lost."""
     count_request(run.gateway.budget, shard.service)
     if not send_shard(run, shard):
         shard.is_missing = True
 
 
 def describe_shard(run: GatherRun, shard: ShardRun) -> str:
+    """Return the shard's servers with the reason why each may not be asked."""
     states = states_of(run.gateway, shard.service)
     context = context_for(run.gateway, shard.service)
     return f'"{shard.service}" ({describe_servers(states, context)})'
 
 
-def choose_for(run: GatherRun, shard: ShardRun):
+def choose_for(run: GatherRun, shard: ShardRun) -> ServerState | None:
+    """Return the best server that this shard's request was not sent to yet."""
     context = context_for(run.gateway, shard.service)
     states = states_of(run.gateway, shard.service)
     return choose_server(states, context, shard.tried)
--- a/tests/gateway/test_gathers.py
+++ b/tests/gateway/test_gathers.py
@@ -250,11 +250,14 @@
 class FakeRelay:
     """Answer delegated queries, or not."""
 
-    def __init__(self, is_confirming=True, failure=None, left_out=()):
+    def __init__(
+        self, is_confirming=True, failure=None, left_out=(), is_answering=True
+    ):
         self.queries = []
         self.cancelled = 0
         self._is_confirming = is_confirming
         self._failure = failure
+        self._is_answering = is_answering
         self._left_out = left_out
 
     def open_stream(self, address, payload, on_item, on_end):
@@ -265,6 +268,7 @@
             loop.call_soon(on_end, Err(self._failure))
         elif self._is_confirming:
             loop.call_later(0.002, on_item, CONFIRMATION)
+        if self._failure is None and self._is_confirming and self._is_answering:
             loop.call_later(0.02, on_item, self._reply(query))
             loop.call_later(0.021, on_end, Ok(None))
 
@@ -354,6 +358,19 @@
 
         run_virtual(scenario())
 
+    def test_no_refusal_while_a_relay_is_at_work(self):
+        # A refusal promises that nothing ran, and a relay's servers may.
+        async def scenario():
+            relay = FakeRelay(is_answering=False)
+            site = remote_site(relay)
+            for at in range(6):
+                site.servers.behaviours[f"a{at}"] = ending(ExchangeEnd.UNREACHED)
+            reply = await site.ask()
+            assert reply.kind is ReplyKind.FAILED
+            assert relay.cancelled == 1
+
+        run_virtual(scenario())
+
     def test_the_relay_stops_when_the_caller_leaves(self):
         async def scenario():
             relay = FakeRelay()
