Ordered records of a daemon by its statements, not by its wall clock

Cause: a daemon's incarnation is its wall clock at the start and came first in the order of its records. After a step back, a restarted daemon was older than its former self and its peers kept the record of the dead one. Change: statements come first and count from the incarnation, so that an ordinary restart is newer at once and one after a step back speaks above what it hears of its former self. Two daemons of one id that run at the same time stop answering each other after 8 records. Looked through: every other use of the time of day only names something (a request id) or times a report.

--- a/src/bramleyrouter/daemons/wiring.py
+++ b/src/bramleyrouter/daemons/wiring.py
@@ -42,8 +42,9 @@
 def identity_of(cfg: Settings) -> Identity:
     """Return the identity of a daemon that starts now.
 
-    The incarnation is the wall clock in milliseconds, so that a restart has a
-    larger one without a disk.
+    The incarnation is the wall clock in milliseconds: two lives of a daemon
+    differ in it without a disk. It is not relied on to grow, as the clock may
+    step back.
     """
     return Identity(
         DaemonId(cfg.daemon_id),
--- a/src/bramleyrouter/membership/records.py
+++ b/src/bramleyrouter/membership/records.py
@@ -28,8 +28,12 @@
 
 
 def order_of(incarnation: int, statement: int, state: int) -> tuple[int, int, int]:
-    """Return the place of a record among those of the same daemon."""
-    return incarnation, statement, _VERDICT_RANKS.get(DAEMON_STATES[state], 0)
+    """Return the place of a record among those of the same daemon.
+
+    Statements go first: after its clock stepped back, a restarted daemon has a
+    smaller incarnation than its former self, and can still speak above it.
+    """
+    return statement, incarnation, _VERDICT_RANKS.get(DAEMON_STATES[state], 0)
 
 
 def is_newer(entry: Entry, than: Entry | None) -> bool:
@@ -61,11 +65,15 @@
 
 
 def own_entry(identity: Identity, is_control: bool) -> Entry:
-    """Return the first entry of a daemon about itself."""
+    """Return the first entry of a daemon about itself.
+
+    Its statements count from the incarnation, so that an ordinary restart is
+    newer than its former self before it has heard of that.
+    """
     return Entry(
         identity.daemon_id,
         identity.incarnation,
-        0,
+        int(identity.incarnation),
         state_number(DaemonState.JOINING),
         is_control,
         identity.data_centre,
--- a/src/bramleyrouter/membership/store.py
+++ b/src/bramleyrouter/membership/store.py
@@ -8,7 +8,7 @@
 from absl import logging
 
 from bramleyrouter.board import Board, Section
-from bramleyrouter.ids import DaemonId, DataCentre, ServerId
+from bramleyrouter.ids import DaemonId, DaemonIncarnation, DataCentre, ServerId
 from bramleyrouter.membership.messages import (
     MAX_ROWS_PER_BATCH,
     Batch,
@@ -42,6 +42,10 @@
 # A dead daemon's record outlives the older records that may still be under way.
 TOMBSTONE_S = 3600.0
 
+# Records of a former incarnation that may still arrive, each newer than the one
+# before: its last statements, and the verdicts of its peers on them.
+MAX_FORMER_RECORDS = 8
+
 Affected = set[tuple[DaemonId, ServerId]]
 
 
@@ -65,6 +69,8 @@
     heard: dict[DataCentre, float] = field(default_factory=dict)
     suspicions: dict[DaemonId, float] = field(default_factory=dict)
     died_at: dict[DaemonId, float] = field(default_factory=dict)
+    # Records of other incarnations of this daemon that it spoke above.
+    refuted: dict[DaemonIncarnation, int] = field(default_factory=dict)
     view: ServerView = field(default_factory=ServerView)
     hidden: frozenset[DataCentre] = frozenset()
     suspected_centres: frozenset[DataCentre] = frozenset()
@@ -138,22 +144,35 @@
 
 
 def _hear_of_self(state: MembershipState, entry: Entry) -> bool:
-    if entry.incarnation > state.own.incarnation:
-        logging.log_first_n(
-            logging.ERROR,
-            'membership: another "%s" runs with the later incarnation %d.',
-            1,
-            entry.daemon_id,
-            entry.incarnation,
-        )
-        return False
     if not is_newer(entry, state.own):
         return False
+    if entry.incarnation != state.own.incarnation and not _is_former(state, entry):
+        return False
     logging.info('membership: refuting that this daemon is "%s".', state_of(entry))
     restate(state, state_of(state.own), entry.statement)
     return True
 
 
+def _is_former(state: MembershipState, entry: Entry) -> bool:
+    """Return whether another incarnation of this daemon can be a former one.
+
+    A former one no longer answers, so only a few of its records can still be
+    under way; one that goes on speaking runs at the same time.
+    """
+    heard = state.refuted.get(entry.incarnation, 0)
+    state.refuted[entry.incarnation] = heard + 1
+    if heard < MAX_FORMER_RECORDS:
+        return True
+    logging.log_first_n(
+        logging.ERROR,
+        'membership: another "%s" runs with the incarnation %d.',
+        1,
+        entry.daemon_id,
+        entry.incarnation,
+    )
+    return False
+
+
 def _store_entry(state: MembershipState, entry: Entry, affected: Affected) -> None:
     name = entry.daemon_id
     old = state.entries.get(name)
--- a/tests/membership/test_tables.py
+++ b/tests/membership/test_tables.py
@@ -141,6 +141,18 @@
         merge(state, batch_of(HOME, *(make_record(f"s{i}", HOME) for i in range(50))))
         assert state.board.versions[Section.SERVERS] == 1
 
+    def test_records_of_a_former_life_are_spoken_above_a_few_times_only(self):
+        """Guards against two daemons of one id that answer each other for ever."""
+        state = open_state(Board(make_identity("own")), lambda: 0.0, SELF)
+        former = make_identity("own", incarnation=5_000)
+        answered = []
+        for _ in range(20):
+            above = state.own.statement + 1
+            entry = msgspec.structs.replace(own_entry(former, False), statement=above)
+            merge(state, Batch(entries=(entry,)))
+            answered.append(state.own.statement > above)
+        assert answered == [True] * 8 + [False] * 12
+
 
 SELF = own_entry(make_identity("own"), False)
 
