Let a daemon that is cut off from other data centres leave the rotation

Cause: while a data centre is cut off, its entry daemons stayed ready and refused their callers for 6 s, as they reach two thirds of the shards only; the other data centres could serve them. Change: a daemon that hears no other data centre for 0.6 s and lacks servers for a route is not ready, closes connections with its replies, and lets refused callers return when the balancer has moved on.

--- a/src/bramleyrouter/daemons/fleet.py
+++ b/src/bramleyrouter/daemons/fleet.py
@@ -12,7 +12,7 @@
 
 from result import Err, Result
 
-from bramleyrouter.board.blackboard import Board
+from bramleyrouter.board.blackboard import Board, Section
 from bramleyrouter.board.sections import Identity
 from bramleyrouter.codes import Code
 from bramleyrouter.conf.fleet import FleetSettings
@@ -41,7 +41,7 @@
 from bramleyrouter.ids import DaemonIncarnation, DataCentre, ServiceName, TableVersion
 from bramleyrouter.telemetry.events import EventLog, record, record_ordinary
 from bramleyrouter.telemetry.gateway_metrics import GatewayMetrics, build_observe
-from bramleyrouter.utils.tasks import TaskGroup, cancel_all, spawn
+from bramleyrouter.utils.tasks import TaskGroup, cancel_all, repeat, spawn
 from bramleyrouter.wire.kinds import Kind
 from bramleyrouter.wire.tcp import build_tcp_network
 
@@ -51,6 +51,9 @@
 # Part of the time in which a VM must count again after it came back that a
 # silent voter is still waited for.
 SILENT_SHARE = 0.6
+# Time between two looks whether this entry daemon is cut off, in seconds; the
+# balancer asks once per second.
+REVIEW_S = 0.2
 
 
 class EntryParts(NamedTuple):
@@ -134,10 +137,13 @@
         take_table,
         take_servers,
         lambda relays: parts[0].gateway.set_relays(relays),
+        lambda data_centre: parts[0].gateway.hear_from(data_centre),
     )
     bounds, metrics = cfg.bounds, GatewayMetrics()
     gateway = build_gateway(
-        GatewayLimits(cfg.data_centre, bounds.cold_factor, bounds.cold_slack),
+        GatewayLimits(
+            cfg.data_centre, cfg.data_centres, bounds.cold_factor, bounds.cold_slack
+        ),
         ExtraLimits(bounds.extra_ratio, bounds.extra_slack, bounds.extra_window_s),
         transport,
         random.Random(),
@@ -153,7 +159,19 @@
     )
     network.serve_stream(Kind.GATHER_SHARDS, gateway.serve_delegated)
 
+    def review_reach() -> None:
+        reasons = board.readiness.reasons
+        before = set(reasons)
+        (reasons.add if gateway.is_cut_off() else reasons.discard)("cut off")
+        if reasons != before:
+            note("daemon", "readiness", reasons=sorted(reasons))
+            board.touch(Section.READINESS)
+
+    group = TaskGroup("readiness")
+    spawn(group, repeat(REVIEW_S, review_reach, REVIEW_S))
+
     async def close() -> None:
+        cancel_all(group)
         watching.close()
         await network.close()
 
--- a/src/bramleyrouter/fleet/watching.py
+++ b/src/bramleyrouter/fleet/watching.py
@@ -51,8 +51,10 @@
     on_table: Callable[[TableVersion, bytes], None]
     on_servers: Callable[[set[ServiceName]], None]
     on_relays: Callable[[set[tuple[str, DataCentre]]], None]
+    on_contact: Callable[[DataCentre], None]
     view: FleetView = field(default_factory=FleetView)
-    near: set[str] = field(default_factory=set)
+    # Data centre of each control daemon that was heard.
+    centres: dict[str, DataCentre] = field(default_factory=dict)
     seeds: frozenset[str] = frozenset()
     members: frozenset[str] = frozenset()
     members_index: int = -1
@@ -85,8 +87,10 @@
 def take_update(watch: Watch, source: str, update: Update) -> None:
     """Apply one update of the control daemon at ``source``."""
     watch.heard_at[source] = watch.clock()
-    if update.data_centre == watch.own_data_centre:
-        watch.near.add(source)
+    if update.data_centre is not None:
+        watch.centres[source] = update.data_centre
+    if source in watch.centres:
+        watch.on_contact(watch.centres[source])
     if update.rows or update.is_full:
         changed = apply_rows(watch.view, source, update.rows, update.is_full)
         if changed:
@@ -139,7 +143,10 @@
     """
     if version <= watch.table_version:
         return
-    is_waited_for = source not in watch.near and watch.near & set(watch.heard_at)
+    near = {
+        at for at in watch.heard_at if watch.centres.get(at) == watch.own_data_centre
+    }
+    is_waited_for = near and source not in near
     delay_s = TABLE_GRACE_S if is_waited_for else 0.0
     spawn(watch.group, _fetch(watch, source, version, delay_s))
 
@@ -255,10 +262,18 @@
     on_table: Callable[[TableVersion, bytes], None],
     on_servers: Callable[[set[ServiceName]], None],
     on_relays: Callable[[set[tuple[str, DataCentre]]], None],
+    on_contact: Callable[[DataCentre], None] = lambda _: None,
 ) -> Watching:
     """Follow the control daemons; ``set_seeds`` names the first of them."""
     watch = Watch(
-        network, record, own_data_centre, clock, on_table, on_servers, on_relays
+        network,
+        record,
+        own_data_centre,
+        clock,
+        on_table,
+        on_servers,
+        on_relays,
+        on_contact,
     )
     started = clock()
 
--- a/src/bramleyrouter/gateway/build.py
+++ b/src/bramleyrouter/gateway/build.py
@@ -7,6 +7,7 @@
 
 from bramleyrouter.fleet.records import ServerRow
 from bramleyrouter.gateway.budgets import ExtraBudget, ExtraLimits
+from bramleyrouter.gateway.contacts import open_contacts
 from bramleyrouter.gateway.delegation import OpenStream, set_relays
 from bramleyrouter.gateway.exchanges import (
     CallerRequest,
@@ -19,11 +20,14 @@
     Gateway,
     GatewayLimits,
     OnGatewayReply,
+    hear_from,
     is_overloaded,
     refuse,
 )
 from bramleyrouter.gateway.gathers import start_gather
+from bramleyrouter.gateway.reach import is_cut_off
 from bramleyrouter.gateway.relaying import build_relaying
+from bramleyrouter.gateway.rotation import Rotation, note_question
 from bramleyrouter.gateway.servers import set_servers
 from bramleyrouter.gateway.singles import start_single
 from bramleyrouter.gateway.tables import RouteTable, build_index, match_route
@@ -40,7 +44,9 @@
     """Bundle what ``build_gateway`` returns.
 
     ``handle(request, on_reply)`` returns the closure that cancels the work
-    when the caller leaves.
+    when the caller leaves. ``hear_from(data_centre)`` notes a sign of life;
+    ``is_cut_off()`` tells whether callers are served better elsewhere, and
+    ``note_question(is_ready)`` what the balancer was told of that.
     """
 
     handle: Callable[[CallerRequest, OnGatewayReply], Cancel]
@@ -48,6 +54,9 @@
     set_servers: Callable[[ServiceName, Collection[ServerRow]], None]
     set_relays: Callable[[Collection[tuple[str, DataCentre]]], None]
     serve_delegated: StreamHandler
+    hear_from: Callable[[DataCentre], None]
+    is_cut_off: Callable[[], bool]
+    note_question: Callable[[bool], None]
     in_flight: Callable[[], int]
     has_table: Callable[[], bool]
 
@@ -78,6 +87,8 @@
         observe,
         data_centres_out,
         entry_daemons,
+        open_contacts(limits.own_data_centre, limits.data_centres, loop.time()),
+        Rotation(loop.time()),
         open_stream=open_stream,
     )
 
@@ -96,6 +107,11 @@
         set_servers=update_servers,
         set_relays=lambda known: set_relays(gateway.relays, known),
         serve_delegated=build_relaying(gateway, is_stopping),
+        hear_from=lambda data_centre: hear_from(gateway, data_centre),
+        is_cut_off=lambda: is_cut_off(gateway),
+        note_question=lambda is_ready: note_question(
+            gateway.rotation, is_ready, loop.time()
+        ),
         in_flight=lambda: gateway.in_flight,
         has_table=lambda: gateway.index is not None,
     )
--- /dev/null
+++ b/src/bramleyrouter/gateway/contacts.py
@@ -0,0 +1,64 @@
+"""Which other data centres gave a sign of life, and whether one is cut off.
+
+All here is pure but for the state that it updates: time is passed in.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from bramleyrouter.ids import DataCentre
+
+# Without a sign of life from any other data centre for so long, in seconds, a
+# daemon that also lacks servers is cut off. Under load, replies come each few
+# milliseconds; without any, two control daemons speak each 0.7 s.
+CUT_OFF_S = 0.6
+# A data centre that was not heard for so long, in seconds, was out of reach:
+# two signs of life of its control daemon were missed.
+OUT_OF_REACH_S = 1.5
+
+
+@dataclass
+class Contacts:
+    """Hold when each other data centre was last heard, by the loop's clock.
+
+    One that was not heard yet counts as heard at the start.
+    """
+
+    own_data_centre: DataCentre
+    heard_at: dict[DataCentre, float] = field(default_factory=dict)
+    is_cut_off: bool = False
+
+
+def note_contact(contacts: Contacts, data_centre: DataCentre, now: float) -> bool:
+    """Note a sign of life; return whether the data centre was out of reach."""
+    if data_centre == contacts.own_data_centre:
+        return False
+    before = contacts.heard_at.get(data_centre, now)
+    contacts.heard_at[data_centre] = now
+    contacts.is_cut_off = False
+    return now - before >= OUT_OF_REACH_S
+
+
+def open_contacts(
+    own_data_centre: DataCentre, data_centres: Iterable[DataCentre], now: float
+) -> Contacts:
+    """Return the contacts of a daemon that starts now."""
+    others = (name for name in data_centres if name != own_data_centre)
+    return Contacts(own_data_centre, dict.fromkeys(others, now))
+
+
+def silence(contacts: Contacts, now: float) -> float:
+    """Return the seconds since any other data centre was heard; 0 without any."""
+    return now - max(contacts.heard_at.values(), default=now)
+
+
+def review(contacts: Contacts, lacks_servers: Callable[[], bool], now: float) -> bool:
+    """Return whether this daemon is cut off now.
+
+    Silence alone is not enough: the control daemons of the other data centres
+    may be down while their servers answer. Once cut off it stays so until it
+    hears something, since suspicions of servers lapse without any news.
+    """
+    if silence(contacts, now) >= CUT_OFF_S and lacks_servers():
+        contacts.is_cut_off = True
+    return contacts.is_cut_off
--- a/src/bramleyrouter/gateway/delegated_shards.py
+++ b/src/bramleyrouter/gateway/delegated_shards.py
@@ -9,7 +9,7 @@
     start_delegated,
 )
 from bramleyrouter.gateway.exchanges import ExchangeEnd, ServerReply
-from bramleyrouter.gateway.gateways import context_for, states_of
+from bramleyrouter.gateway.gateways import context_for, hear_from, states_of
 from bramleyrouter.gateway.gather_runs import GatherRun, ShardRun
 from bramleyrouter.gateway.servers import good_data_centres
 from bramleyrouter.gateway.shard_sends import send_first, send_shard
@@ -47,7 +47,9 @@
         gateway.open_stream,
         relay,
         query,
-        lambda reply, may_have_run: _take_delegated(run, wanted, reply, may_have_run),
+        lambda reply, may_have_run: _take_delegated(
+            run, wanted, relay.data_centre, reply, may_have_run
+        ),
     )
 
 
@@ -69,6 +71,7 @@
 def _take_delegated(
     run: GatherRun,
     wanted: list[ShardRun],
+    data_centre: DataCentre,
     reply: DelegatedReply | None,
     may_have_run: bool,
 ) -> None:
@@ -78,6 +81,7 @@
     if reply is None:
         _after_relay_failure(run, wanted, may_have_run)
     else:
+        hear_from(run.gateway, data_centre)
         _take_delegated_reply(run, wanted, reply)
     run.check(run)
 
--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from bramleyrouter.gateway.budgets import ExtraBudget
+from bramleyrouter.gateway.contacts import Contacts, note_contact
 from bramleyrouter.gateway.delegation import OpenStream, Relays
 from bramleyrouter.gateway.exchanges import (
     CallerRequest,
@@ -17,11 +18,13 @@
     ServerTransport,
 )
 from bramleyrouter.gateway.latencies import LatencyWindow
+from bramleyrouter.gateway.rotation import Rotation, time_to_leave
 from bramleyrouter.gateway.servers import (
     ChoiceContext,
     ServerState,
     ServerTable,
     cold_gap,
+    forgive,
     note_reply,
     note_sent,
 )
@@ -61,6 +64,7 @@
     """Hold the bounds of the deployment that the gateway keeps."""
 
     own_data_centre: DataCentre
+    data_centres: tuple[DataCentre, ...]
     cold_factor: float
     cold_slack: float
 
@@ -79,6 +83,8 @@
     observe: Observe
     data_centres_out: Callable[[], Collection[DataCentre]]
     entry_daemons: Callable[[], int]
+    contacts: Contacts
+    rotation: Rotation
     index: RouteIndex | None = None
     servers: ServerTable = field(default_factory=ServerTable)
     windows: dict[str, LatencyWindow] = field(default_factory=dict)
@@ -100,6 +106,22 @@
     is_ended: bool = False
 
 
+def hear_from(gateway: Gateway, data_centre: DataCentre) -> None:
+    """Note a sign of life of a data centre.
+
+    After a silence its servers are trusted again: they were suspected because
+    they could not be reached.
+    """
+    now = gateway.loop.time()
+    if not note_contact(gateway.contacts, data_centre, now):
+        return
+    gateway.record("gateway", "data_centre_heard", data_centre=data_centre)
+    for states in gateway.servers.by_service.values():
+        for state in states.values():
+            if state.row.data_centre == data_centre:
+                forgive(state)
+
+
 OnGatewayReply = Callable[[GatewayReply], None]
 Cancel = Callable[[], None]
 
@@ -160,6 +182,9 @@
         sending.is_ended = True
         now = gateway.loop.time()
         note_reply(state, reply, now - sending.sent_at, window.median_s, now)
+        # Without a status nothing came back, whatever the end.
+        if reply.status:
+            hear_from(gateway, state.row.data_centre)
         on_reply(reply)
 
     sending.cancel = gateway.transport(
@@ -180,6 +205,19 @@
     return GatewayReply(ReplyKind.REFUSED, reason, retry_after_s=after_s)
 
 
+def refuse_cut_off(gateway: Gateway, reason: str, longest_s: float) -> GatewayReply:
+    """Return a refusal that sends the caller to another data centre.
+
+    It comes back when the balancer no longer sends it here. Coming back sooner
+    would only get it another refusal.
+    """
+    now = gateway.loop.time()
+    spread_s = gateway.rng.uniform(0.0, MIN_RETRY_AFTER_S)
+    after_s = MIN_RETRY_AFTER_S + time_to_leave(gateway.rotation, now) + spread_s
+    after_s = min(after_s, max(MIN_RETRY_AFTER_S, longest_s))
+    return GatewayReply(ReplyKind.REFUSED, reason, retry_after_s=after_s)
+
+
 def is_overloaded(gateway: Gateway, route: Route) -> bool:
     """Return whether a request of this route is refused for lack of room."""
     limit = MAX_IN_FLIGHT - IN_FLIGHT_STEP * min(route.priority, 4)
--- a/src/bramleyrouter/gateway/gathers.py
+++ b/src/bramleyrouter/gateway/gathers.py
@@ -8,16 +8,16 @@
     Cancel,
     Gateway,
     OnGatewayReply,
-    context_for,
     deadline_of,
     refuse,
-    states_of,
+    refuse_cut_off,
     window_of,
 )
 from bramleyrouter.gateway.gather_runs import GatherRun, ShardRun, progress_of
 from bramleyrouter.gateway.latencies import hedge_delay
 from bramleyrouter.gateway.merging import merge_greatest
-from bramleyrouter.gateway.servers import choose_server, note_cancelled, note_late
+from bramleyrouter.gateway.reach import count_trusted
+from bramleyrouter.gateway.servers import note_cancelled, note_late
 from bramleyrouter.gateway.shard_sends import (
     choose_for,
     describe_shard,
@@ -65,7 +65,9 @@
         return lambda: None
     if not _is_hopeful(run):
         reason = "too many shards have only suspected servers"
-        _finish(run, refuse(gateway, reason, deadline_s / 3))
+        is_cut_off = gateway.contacts.is_cut_off
+        refuse_as = refuse_cut_off if is_cut_off else refuse
+        _finish(run, refuse_as(gateway, reason, deadline_s / 3))
         return lambda: None
     if may_delegate:
         delegate_shards(run)
@@ -87,15 +89,12 @@
     whether they are back.
     """
     gateway, route = run.gateway, run.route
-    trusted = 0
-    for shard in run.shards:
-        context = context_for(gateway, shard.service)
-        states = states_of(gateway, shard.service)
-        best = choose_server(states, context)
-        is_suspected = best is not None and best.suspect_until > context.now
-        trusted += best is not None and not is_suspected
-    if reaches(trusted, len(run.shards), route.min_coverage):
+    trusted = count_trusted(gateway, route.shards)
+    if reaches(trusted, len(route.shards), route.min_coverage):
         return True
+    if gateway.contacts.is_cut_off:
+        # The first sign of life from another data centre ends this.
+        return False
     now = gateway.loop.time()
     if now < gateway.next_trial.get(route.name, 0.0):
         return False
--- a/src/bramleyrouter/gateway/servers.py
+++ b/src/bramleyrouter/gateway/servers.py
@@ -257,6 +257,15 @@
     state.in_flight = max(0, state.in_flight - 1)
 
 
+def forgive(state: ServerState) -> None:
+    """Trust a server again that may only have been out of reach.
+
+    One more failure is enough to suspect it anew.
+    """
+    state.suspect_until = 0.0
+    state.strikes = min(state.strikes, STRIKES_TO_SUSPECT - 1)
+
+
 def describe_servers(states: Iterable[ServerState], context: ChoiceContext) -> str:
     """Return why the servers of a service may not be asked, for the log.
 
--- a/src/bramleyrouter/platform/callers.py
+++ b/src/bramleyrouter/platform/callers.py
@@ -55,7 +55,7 @@
     handle: Handle
     connections: set = field(default_factory=set)
     busy: set = field(default_factory=set)
-    is_stopping: bool = False
+    closes_after_replies: bool = False
 
 
 def read_request(
@@ -155,7 +155,7 @@
         self._is_answered = True
         self._server.busy.discard(self._owner)
         status, headers, body = encode_reply(reply, request_id)
-        is_last = self._server.is_stopping
+        is_last = self._server.closes_after_replies
         if is_last:
             headers["Connection"] = "close"
         line = ResponseStartLine("HTTP/1.1", status, _reason(status))
@@ -228,9 +228,13 @@
     params.max_body_size = limits.max_body_bytes
 
 
-def announce_stop(listener: CallerListener) -> None:
-    """Let each connection end with its next reply."""
-    listener.state.is_stopping = True
+def close_after_replies(listener: CallerListener, is_wanted: bool) -> None:
+    """Let each connection end with its next reply, or keep them again.
+
+    A caller whose connection ends comes back through the balancer, to a daemon
+    that is ready.
+    """
+    listener.state.closes_after_replies = is_wanted
 
 
 async def stop_listening(listener: CallerListener, timeout_s: float) -> None:
--- a/src/bramleyrouter/platform/programs.py
+++ b/src/bramleyrouter/platform/programs.py
@@ -16,7 +16,7 @@
 from bramleyrouter.fleet.registry import announce, withdraw
 from bramleyrouter.gateway.tables import CallerLimits, RouteTable
 from bramleyrouter.platform.callers import (
-    announce_stop,
+    close_after_replies,
     listen_callers,
     set_limits,
     stop_listening,
@@ -93,8 +93,13 @@
     view = parts.watching.watch.view
 
     def note_readiness() -> None:
-        if "stopping" in reasons and listeners:
-            announce_stop(listeners[0])
+        if listeners:
+            close_after_replies(listeners[0], bool(reasons))
+
+    def answer_balancer() -> bool:
+        is_ready = not reasons
+        parts.gateway.note_question(is_ready)
+        return is_ready
 
     def collect() -> None:
         state, watch = parts.metrics.state, parts.watching.watch
@@ -111,7 +116,7 @@
         listeners.append(
             listen_callers(cfg.caller_address, parts.gateway.handle, CallerLimits())
         )
-        listen_ready(cfg.ready_address, lambda: not reasons)
+        listen_ready(cfg.ready_address, answer_balancer)
         listen_metrics(cfg.metrics_address, parts.metrics.registry, collect)
         parts.board.watch(Section.READINESS, note_readiness)
         _watch_settings(log, group, lambda new: parts.watching.set_seeds(new.seeds))
--- /dev/null
+++ b/tests/gateway/test_reach.py
@@ -0,0 +1,174 @@
+"""Tests of what a daemon does when it is cut off from other data centres."""
+
+import asyncio
+
+from bramleyrouter.gateway.contacts import (
+    CUT_OFF_S,
+    OUT_OF_REACH_S,
+    note_contact,
+    open_contacts,
+    review,
+    silence,
+)
+from bramleyrouter.gateway.exchanges import ExchangeEnd, ReplyKind, ServerReply
+from bramleyrouter.gateway.rotation import Rotation, note_question, time_to_leave
+from tests.support.gateway_fakes import (
+    ELSEWHERE,
+    HERE,
+    THERE,
+    build_site,
+    gather_route,
+    request,
+    row,
+    silent,
+)
+from tests.support.virtual_time import run_virtual
+
+CENTRES = (HERE, THERE, ELSEWHERE)
+
+
+def yes():
+    return True
+
+
+def no():
+    return False
+
+
+class TestContacts:
+    def test_silence_alone_is_no_cut(self):
+        """Guards against leaving rotation while only control daemons are down."""
+        contacts = open_contacts(HERE, CENTRES, 0.0)
+        assert not review(contacts, no, 100.0)
+
+    def test_lacking_servers_alone_is_no_cut(self):
+        """Guards against leaving rotation when shards are down for everyone."""
+        contacts = open_contacts(HERE, CENTRES, 0.0)
+        note_contact(contacts, THERE, 100.0)
+        assert not review(contacts, yes, 100.0 + CUT_OFF_S / 2)
+
+    def test_a_cut_lasts_until_the_first_sign_of_life(self):
+        """Guards against returning when suspicions lapse without any news."""
+        contacts = open_contacts(HERE, CENTRES, 0.0)
+        assert review(contacts, yes, CUT_OFF_S)
+        assert review(contacts, no, 3.0)
+        note_contact(contacts, HERE, 3.0)
+        assert review(contacts, no, 3.0)
+        note_contact(contacts, ELSEWHERE, 3.0)
+        assert not review(contacts, yes, 3.0)
+
+    def test_one_data_centre_alone_is_never_cut_off(self):
+        contacts = open_contacts(HERE, (HERE,), 0.0)
+        assert silence(contacts, 100.0) == 0.0
+        assert not review(contacts, yes, 100.0)
+
+    def test_contact_tells_whether_the_data_centre_was_out_of_reach(self):
+        contacts = open_contacts(HERE, CENTRES, 0.0)
+        assert not note_contact(contacts, THERE, 0.9 * OUT_OF_REACH_S)
+        assert note_contact(contacts, THERE, 2 * OUT_OF_REACH_S)
+        assert note_contact(contacts, ELSEWHERE, 2 * OUT_OF_REACH_S)
+
+
+class TestRotation:
+    def test_two_misses_end_it(self):
+        rotation = Rotation(10.0)
+        note_question(rotation, True, 11.0)
+        assert time_to_leave(rotation, 11.25) == 1.75
+        note_question(rotation, False, 12.0)
+        assert time_to_leave(rotation, 12.25) == 0.75
+        note_question(rotation, False, 13.0)
+        assert time_to_leave(rotation, 13.25) == 0.0
+
+    def test_a_good_answer_starts_it_anew(self):
+        rotation = Rotation(10.0, misses=5)
+        note_question(rotation, True, 11.0)
+        assert time_to_leave(rotation, 11.0) == 2.0
+
+
+def cut_site(**fields):
+    """Return a site of four shards, of which two have servers elsewhere only."""
+    rows = [row(f"a{at}", f"s{at}") for at in range(2)]
+    rows += [row(f"b{at}", f"s{at}", THERE) for at in range(2, 4)]
+    return build_site([gather_route(4, **fields)], rows)
+
+
+async def load(site, seconds, asked=None):
+    """Send a query each 0.1 s, as callers do; return the replies."""
+    loop = asyncio.get_running_loop()
+    replies = []
+    until = loop.time() + seconds
+    while loop.time() < until:
+        site.gateway.handle(asked or request(), replies.append)
+        await asyncio.sleep(0.1)
+        site.gateway.is_cut_off()
+    return replies
+
+
+class TestCutOff:
+    def test_callers_are_sent_elsewhere_until_the_first_sign_of_life(self):
+        """Guards against serving callers badly for as long as a cut lasts.
+
+        Replays the load of a data centre that is cut off: a query each 0.1 s.
+        """
+
+        async def scenario():
+            site = cut_site()
+            assert {reply.kind for reply in await load(site, 1.0)} == {
+                ReplyKind.GATHERED
+            }
+            assert not site.gateway.is_cut_off()
+            site.servers.behaviours |= {"b2": silent, "b3": silent}
+            # Suspicion of the servers and the silence, and no more.
+            await load(site, CUT_OFF_S + 0.4)
+            assert site.gateway.is_cut_off()
+            before = len(site.servers.arrivals)
+            replies = await load(site, 3.0)
+            assert len(site.servers.arrivals) == before
+            assert {reply.kind for reply in replies} == {ReplyKind.REFUSED}
+            site.servers.behaviours.clear()
+            site.gateway.hear_from(THERE)
+            assert not site.gateway.is_cut_off()
+            replies = await load(site, 0.5)
+            assert {reply.kind for reply in replies} == {ReplyKind.GATHERED}
+
+        run_virtual(scenario())
+
+    def test_callers_are_told_to_return_when_the_balancer_has_moved_on(self):
+        """Guards against a caller's only retry that reaches the same daemon."""
+
+        async def scenario():
+            site = cut_site(timeout_s=9.0)
+            site.servers.behaviours |= {"b2": silent, "b3": silent}
+            await load(site, 1.5)
+            assert site.gateway.is_cut_off()
+            patient = request(deadline_s=9.0)
+            site.gateway.note_question(False)
+            first = await site.ask(patient)
+            assert 1.0 <= first.retry_after_s <= 1.2
+            site.gateway.note_question(False)
+            second = await site.ask(patient)
+            assert 0.0 < second.retry_after_s <= 0.1
+            hurried = await site.ask(request(deadline_s=0.6))
+            assert hurried.retry_after_s <= 0.2
+
+        run_virtual(scenario())
+
+    def test_only_what_came_back_from_a_server_is_a_sign_of_life(self):
+        """Guards against taking a full connection pool for a server's refusal.
+
+        A daemon that was cut off came back into rotation in the middle of the
+        cut, as requests ran out of connections to silent servers.
+        """
+
+        async def scenario(status):
+            site = cut_site(timeout_s=9.0)
+            reply = ServerReply(ExchangeEnd.REFUSED, status)
+            late = lambda arrival: (1.5, reply)  # noqa: E731
+            site.servers.behaviours |= {"b2": late, "b3": late}
+            await load(site, 1.2, request(deadline_s=9.0))
+            assert site.gateway.is_cut_off()
+            await load(site, 1.0, request(deadline_s=9.0))
+            return site.gateway.is_cut_off()
+
+        assert run_virtual(scenario(status=0))
+        assert not run_virtual(scenario(status=503))
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -10,7 +10,7 @@
 )
 from bramleyrouter.gateway.tables import CallerLimits
 from bramleyrouter.platform.callers import (
-    announce_stop,
+    close_after_replies,
     listen_callers,
     stop_listening,
 )
@@ -161,7 +161,7 @@
         async def scenario(handler, listener, reader, writer):
             writer.write((HEAD.format(method="GET") + "\r\n").encode())
             await until(lambda: handler.requests)
-            announce_stop(listener)
+            close_after_replies(listener, True)
             stopping = asyncio.ensure_future(stop_listening(listener, 2.0))
             await asyncio.sleep(0.05)
             assert not stopping.done()
@@ -177,7 +177,7 @@
     def test_requests_are_still_served_before_the_listener_closes(self):
         async def scenario(handler, listener, reader, writer):
             handler.answer = GatewayReply(ReplyKind.FAILED)
-            announce_stop(listener)
+            close_after_replies(listener, True)
             writer.write((HEAD.format(method="GET") + "\r\n").encode())
             status, fields, _ = await read_reply(reader)
             assert fields["Connection"] == "close"
--- a/tests/support/gateway_fakes.py
+++ b/tests/support/gateway_fakes.py
@@ -212,7 +212,7 @@
         raise AssertionError("no relay is known")
 
     gateway = build_gateway(
-        GatewayLimits(HERE, 1.5, 5.0),
+        GatewayLimits(HERE, (HERE, THERE, ELSEWHERE), 1.5, 5.0),
         extra,
         servers.transport,
         random.Random(1),
