Took the times of the streams between daemons from the deployment's bounds

Cause: a dead stream was found out after a fixed 2 s, beyond the bounds of a deployment that puts tables in force within 2 s or less. Change: 65% of the shortest of the bounds on contact, drains, tables and evacuations, at most 2 s; signs of life come three times as often, and the cut-off of a data centre is found out in relation to them.

--- a/src/bramleyrouter/daemons/fleet.py
+++ b/src/bramleyrouter/daemons/fleet.py
@@ -15,7 +15,7 @@
 from bramleyrouter.board.blackboard import Board, Section
 from bramleyrouter.board.sections import Identity
 from bramleyrouter.codes import Code
-from bramleyrouter.conf.fleet import FleetSettings
+from bramleyrouter.conf.fleet import FleetSettings, stream_times
 from bramleyrouter.consensus.files import open_folder
 from bramleyrouter.consensus.replicated_log import build_replicated_log
 from bramleyrouter.control.client import build_operate, build_read_routes
@@ -114,6 +114,8 @@
     def note_ordinary(part: str, event: str, **fields) -> None:
         record_ordinary(log, part, event, **fields)
 
+    times = stream_times(cfg.bounds)
+
     def take_table(version: TableVersion, document: bytes) -> None:
         decoded = decode_table(document)
         if isinstance(decoded, Err):
@@ -138,11 +140,16 @@
         take_servers,
         lambda relays: parts[0].gateway.set_relays(relays),
         lambda data_centre: parts[0].gateway.hear_from(data_centre),
+        times,
     )
     bounds, metrics = cfg.bounds, GatewayMetrics()
     gateway = build_gateway(
         GatewayLimits(
-            cfg.data_centre, cfg.data_centres, bounds.cold_factor, bounds.cold_slack
+            cfg.data_centre,
+            cfg.data_centres,
+            times.life_sign_s,
+            bounds.cold_factor,
+            bounds.cold_slack,
         ),
         ExtraLimits(bounds.extra_ratio, bounds.extra_slack, bounds.extra_window_s),
         transport,
@@ -215,7 +222,13 @@
     control = build_control(network, members, machine, clock, has_subscribers=False)
     registry = Registry(cfg.heartbeat_s)
     publishing = start_publishing(
-        network, registry, machine, members, clock, cfg.data_centre
+        network,
+        registry,
+        machine,
+        members,
+        clock,
+        cfg.data_centre,
+        stream_times(cfg.bounds),
     )
     leaders = Leaders(network, list(cfg.seeds), clock, rng)
     policy = JoinPolicy(
--- a/src/bramleyrouter/fleet/publishing.py
+++ b/src/bramleyrouter/fleet/publishing.py
@@ -7,6 +7,7 @@
 
 from result import Ok, Result
 
+from bramleyrouter.conf.fleet import StreamTimes
 from bramleyrouter.consensus.interfaces import ReplicatedLog
 from bramleyrouter.control.codecs import encode_command
 from bramleyrouter.control.machine import Machine
@@ -20,9 +21,6 @@
 from bramleyrouter.wire.kinds import Kind
 from bramleyrouter.wire.network import Network, Peer
 
-# Time between two signs of life on a stream, in seconds; an entry daemon takes
-# a stream for dead after three.
-LIFE_SIGN_S = 0.7
 # Rows that change within this time travel together, in seconds.
 GATHER_ROWS_S = 0.02
 # Time between two looks for silent servers, in seconds.
@@ -153,8 +151,10 @@
     log: ReplicatedLog,
     clock: Callable[[], float],
     data_centre: DataCentre,
+    times: StreamTimes,
 ) -> Publishing:
     """Serve the fleet stream and the fetching of route tables."""
+    pause_s = times.life_sign_s
     publisher = Publisher(registry, machine, log, clock, clock())
     group = TaskGroup("fleet")
 
@@ -183,7 +183,7 @@
     network.serve(Kind.FETCH_ROUTES, fetch)
     registry.on_change.append(lambda row: _note_row(publisher, row))
     machine.watch(lambda: _tell(publisher))
-    spawn(group, repeat(LIFE_SIGN_S, lambda: _tell(publisher, True), LIFE_SIGN_S))
+    spawn(group, repeat(pause_s, lambda: _tell(publisher, True), pause_s))
     spawn(group, repeat(SWEEP_S, lambda: sweep(registry, clock()), SWEEP_S))
     return Publishing(
         subscribers=lambda: len(publisher.subscribers),
--- a/src/bramleyrouter/fleet/watching.py
+++ b/src/bramleyrouter/fleet/watching.py
@@ -13,6 +13,7 @@
 
 from result import Err, Ok
 
+from bramleyrouter.conf.fleet import StreamTimes
 from bramleyrouter.control.codecs import decode_command
 from bramleyrouter.control.messages import PublishRoutes
 from bramleyrouter.fleet.messages import Update, decode_update
@@ -24,9 +25,6 @@
 from bramleyrouter.wire.kinds import Kind
 from bramleyrouter.wire.network import Network
 
-# A stream without an update for so long is taken for dead, in seconds: three
-# signs of life were missed.
-SILENT_STREAM_S = 2.0
 # Pauses between two attempts at one control daemon, in seconds.
 FIRST_PAUSE_S = 0.1
 MAX_PAUSE_S = 0.3
@@ -52,6 +50,7 @@
     on_servers: Callable[[set[ServiceName]], None]
     on_relays: Callable[[set[tuple[str, DataCentre]]], None]
     on_contact: Callable[[DataCentre], None]
+    times: StreamTimes
     view: FleetView = field(default_factory=FleetView)
     # Data centre of each control daemon that was heard.
     centres: dict[str, DataCentre] = field(default_factory=dict)
@@ -241,7 +240,7 @@
     try:
         while not ended.done():
             last = heard[0] if heard else started
-            left_s = last + SILENT_STREAM_S - loop.time()
+            left_s = last + watch.times.silent_s - loop.time()
             if left_s <= 0:
                 break
             await asyncio.wait([ended], timeout=left_s)
@@ -262,7 +261,8 @@
     on_table: Callable[[TableVersion, bytes], None],
     on_servers: Callable[[set[ServiceName]], None],
     on_relays: Callable[[set[tuple[str, DataCentre]]], None],
-    on_contact: Callable[[DataCentre], None] = lambda _: None,
+    on_contact: Callable[[DataCentre], None],
+    times: StreamTimes,
 ) -> Watching:
     """Follow the control daemons; ``set_seeds`` names the first of them."""
     watch = Watch(
@@ -274,6 +274,7 @@
         on_servers,
         on_relays,
         on_contact,
+        times,
     )
     started = clock()
 
--- a/src/bramleyrouter/gateway/build.py
+++ b/src/bramleyrouter/gateway/build.py
@@ -87,7 +87,9 @@
         observe,
         data_centres_out,
         entry_daemons,
-        open_contacts(limits.own_data_centre, limits.data_centres, loop.time()),
+        open_contacts(
+            limits.own_data_centre, limits.data_centres, limits.life_sign_s, loop.time()
+        ),
         Rotation(loop.time()),
         open_stream=open_stream,
     )
--- a/src/bramleyrouter/gateway/contacts.py
+++ b/src/bramleyrouter/gateway/contacts.py
@@ -8,23 +8,26 @@
 
 from bramleyrouter.ids import DataCentre
 
-# Without a sign of life from any other data centre for so long, in seconds, a
-# daemon that also lacks servers is cut off. Under load, replies come each few
-# milliseconds; without any, two control daemons speak each 0.7 s.
-CUT_OFF_S = 0.6
-# A data centre that was not heard for so long, in seconds, was out of reach:
+# Without a sign of life from any other data centre for this part of the time
+# between two signs of a control daemon, a daemon that also lacks servers is cut
+# off. Under load, replies come each few milliseconds; without any, the control
+# daemons of two data centres speak.
+CUT_OFF_SHARE = 0.9
+# A data centre that was not heard for so many times as long was out of reach:
 # two signs of life of its control daemon were missed.
-OUT_OF_REACH_S = 1.5
+OUT_OF_REACH_SHARE = 2.25
 
 
 @dataclass
 class Contacts:
     """Hold when each other data centre was last heard, by the loop's clock.
 
-    One that was not heard yet counts as heard at the start.
+    One that was not heard yet counts as heard at the start. ``life_sign_s`` is
+    the time between two signs of life of a control daemon, in seconds.
     """
 
     own_data_centre: DataCentre
+    life_sign_s: float
     heard_at: dict[DataCentre, float] = field(default_factory=dict)
     is_cut_off: bool = False
 
@@ -36,15 +39,18 @@
     before = contacts.heard_at.get(data_centre, now)
     contacts.heard_at[data_centre] = now
     contacts.is_cut_off = False
-    return now - before >= OUT_OF_REACH_S
+    return now - before >= OUT_OF_REACH_SHARE * contacts.life_sign_s
 
 
 def open_contacts(
-    own_data_centre: DataCentre, data_centres: Iterable[DataCentre], now: float
+    own_data_centre: DataCentre,
+    data_centres: Iterable[DataCentre],
+    life_sign_s: float,
+    now: float,
 ) -> Contacts:
     """Return the contacts of a daemon that starts now."""
     others = (name for name in data_centres if name != own_data_centre)
-    return Contacts(own_data_centre, dict.fromkeys(others, now))
+    return Contacts(own_data_centre, life_sign_s, dict.fromkeys(others, now))
 
 
 def silence(contacts: Contacts, now: float) -> float:
@@ -59,6 +65,7 @@
     may be down while their servers answer. Once cut off it stays so until it
     hears something, since suspicions of servers lapse without any news.
     """
-    if silence(contacts, now) >= CUT_OFF_S and lacks_servers():
+    is_silent = silence(contacts, now) >= CUT_OFF_SHARE * contacts.life_sign_s
+    if is_silent and lacks_servers():
         contacts.is_cut_off = True
     return contacts.is_cut_off
--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -65,6 +65,7 @@
 
     own_data_centre: DataCentre
     data_centres: tuple[DataCentre, ...]
+    life_sign_s: float
     cold_factor: float
     cold_slack: float
 
--- a/src/bramleyrouter/platform/settings.py
+++ b/src/bramleyrouter/platform/settings.py
@@ -32,6 +32,8 @@
     grace_s: float = 6
     contact_ms: float = 4000
     catchup_s: float = 4
+    config_apply_ms: float = 3000
+    evacuate_ms: float = 5000
     retry_budget: float = 0.2
     budget_window_s: float = 10
     budget_slack: float = 50
@@ -98,6 +100,8 @@
             stop_s=file.bounds.grace_s,
             contact_s=file.bounds.contact_ms / MILLISECONDS,
             catch_up_s=file.bounds.catchup_s,
+            apply_s=file.bounds.config_apply_ms / MILLISECONDS,
+            evacuate_s=file.bounds.evacuate_ms / MILLISECONDS,
             extra_ratio=file.bounds.retry_budget,
             extra_window_s=file.bounds.budget_window_s,
             extra_slack=file.bounds.budget_slack,
--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 
+from bramleyrouter.conf.fleet import StreamTimes
 from bramleyrouter.consensus.replicated_log import build_replicated_log
 from bramleyrouter.control.client import build_operate, build_read_routes
 from bramleyrouter.control.joining import JoinPolicy, keep_joined
@@ -58,6 +59,7 @@
             self.log,
             loop.time,
             DataCentre(f"dc{number}"),
+            StreamTimes(),
         )
         leaders = Leaders(self.network, list(FIRST), loop.time, rng)
         policy = JoinPolicy(self.address, is_first_start, 3, 2.4)
@@ -74,6 +76,7 @@
         identity = make_identity(name, port=port)
         self.network = fleet.fabric.build_network(identity)
         self.versions, self.services, self.events = [], [], []
+        self.contacts = []
         self.fetches = 0
         self.watching = start_watching(
             self.network,
@@ -83,6 +86,8 @@
             lambda version, document: self.versions.append((version, document)),
             self.services.append,
             lambda relays: None,
+            self.contacts.append,
+            StreamTimes(),
         )
         self.watching.set_seeds(FIRST)
 
--- a/tests/fleet/test_streams.py
+++ b/tests/fleet/test_streams.py
@@ -214,3 +214,19 @@
         assert (await fleet.controls[0].read(3.0)).ok_value.version == 9
         await asyncio.sleep(3.0)
         assert len(entry.watch.heard_at) == 3
+
+
+class TestContacts:
+    @in_virtual_time
+    async def test_every_update_is_a_sign_of_life_of_its_data_centre(self):
+        """Guards against a daemon that is cut off for want of traffic."""
+        fleet, (entry,) = await started()
+        entry.contacts.clear()
+        await asyncio.sleep(3.0)
+        for data_centre in ("dc0", "dc1", "dc2"):
+            assert entry.contacts.count(data_centre) >= 3
+        fleet.fabric.cut_groups([ADDRESSES[2]], ["127.0.0.1:7500"])
+        await asyncio.sleep(1.0)
+        entry.contacts.clear()
+        await asyncio.sleep(2.0)
+        assert "dc2" not in entry.contacts and "dc1" in entry.contacts
--- a/tests/gateway/test_reach.py
+++ b/tests/gateway/test_reach.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from bramleyrouter.gateway.contacts import (
-    CUT_OFF_S,
-    OUT_OF_REACH_S,
+    CUT_OFF_SHARE,
+    OUT_OF_REACH_SHARE,
     note_contact,
     open_contacts,
     review,
@@ -15,6 +15,7 @@
 from tests.support.gateway_fakes import (
     ELSEWHERE,
     HERE,
+    LIFE_SIGN_S,
     THERE,
     build_site,
     gather_route,
@@ -25,6 +26,8 @@
 from tests.support.virtual_time import run_virtual
 
 CENTRES = (HERE, THERE, ELSEWHERE)
+CUT_OFF_S = CUT_OFF_SHARE * LIFE_SIGN_S
+OUT_OF_REACH_S = OUT_OF_REACH_SHARE * LIFE_SIGN_S
 
 
 def yes():
@@ -38,18 +41,18 @@
 class TestContacts:
     def test_silence_alone_is_no_cut(self):
         """Guards against leaving rotation while only control daemons are down."""
-        contacts = open_contacts(HERE, CENTRES, 0.0)
+        contacts = open_contacts(HERE, CENTRES, LIFE_SIGN_S, 0.0)
         assert not review(contacts, no, 100.0)
 
     def test_lacking_servers_alone_is_no_cut(self):
         """Guards against leaving rotation when shards are down for everyone."""
-        contacts = open_contacts(HERE, CENTRES, 0.0)
+        contacts = open_contacts(HERE, CENTRES, LIFE_SIGN_S, 0.0)
         note_contact(contacts, THERE, 100.0)
         assert not review(contacts, yes, 100.0 + CUT_OFF_S / 2)
 
     def test_a_cut_lasts_until_the_first_sign_of_life(self):
         """Guards against returning when suspicions lapse without any news."""
-        contacts = open_contacts(HERE, CENTRES, 0.0)
+        contacts = open_contacts(HERE, CENTRES, LIFE_SIGN_S, 0.0)
         assert review(contacts, yes, CUT_OFF_S)
         assert review(contacts, no, 3.0)
         note_contact(contacts, HERE, 3.0)
@@ -58,12 +61,12 @@
         assert not review(contacts, yes, 3.0)
 
     def test_one_data_centre_alone_is_never_cut_off(self):
-        contacts = open_contacts(HERE, (HERE,), 0.0)
+        contacts = open_contacts(HERE, (HERE,), LIFE_SIGN_S, 0.0)
         assert silence(contacts, 100.0) == 0.0
         assert not review(contacts, yes, 100.0)
 
     def test_contact_tells_whether_the_data_centre_was_out_of_reach(self):
-        contacts = open_contacts(HERE, CENTRES, 0.0)
+        contacts = open_contacts(HERE, CENTRES, LIFE_SIGN_S, 0.0)
         assert not note_contact(contacts, THERE, 0.9 * OUT_OF_REACH_S)
         assert note_contact(contacts, THERE, 2 * OUT_OF_REACH_S)
         assert note_contact(contacts, ELSEWHERE, 2 * OUT_OF_REACH_S)
--- a/tests/support/gateway_fakes.py
+++ b/tests/support/gateway_fakes.py
@@ -33,6 +33,7 @@
 HERE, THERE, ELSEWHERE = DataCentre("here"), DataCentre("there"), DataCentre("else")
 HOST = "search.example"
 DEFAULT_EXTRA = ExtraLimits(0.2, 50.0, 10.0)
+LIFE_SIGN_S = 0.7
 RECORD = b"0123456789abcdef"
 
 # What a server does with a request: seconds until the reply, and the reply; no
@@ -212,7 +213,7 @@
         raise AssertionError("no relay is known")
 
     gateway = build_gateway(
-        GatewayLimits(HERE, (HERE, THERE, ELSEWHERE), 1.5, 5.0),
+        GatewayLimits(HERE, (HERE, THERE, ELSEWHERE), LIFE_SIGN_S, 1.5, 5.0),
         extra,
         servers.transport,
         random.Random(1),
