Served metrics of control daemons

Calls of operators and servers by kind and status, their latency, and what the daemon believes of the log and of the fleet, on the metrics address as entry daemons do.

--- a/src/bramleyrouter/daemons/fleet.py
+++ b/src/bramleyrouter/daemons/fleet.py
@@ -75,6 +75,7 @@
     recommend: Callable[[DataCentre], str]
     operate: Callable
     read_routes: Callable
+    state: Callable[[], dict[str, float]]
     listen: Callable[[], None]
     close: Callable
 
@@ -262,11 +263,27 @@
         lambda data_centre: recommend(neighbours, data_centre, clock()),
         build_operate(leaders),
         build_read_routes(leaders),
+        lambda: _control_state(members, machine, registry, publishing),
         listen,
         close,
     )
 
 
+def _control_state(members, machine, registry, publishing) -> dict[str, float]:
+    """Return what a control daemon believes, for its metrics."""
+    status = members.status()
+    return {
+        "is_leader": float(status.is_leader),
+        "term": float(status.term),
+        "commit_index": float(status.commit_index),
+        "members": float(len(status.members)),
+        "table_version": float(machine.routes().version),
+        "revision": float(machine.config().revision),
+        "servers": float(len(registry.servers)),
+        "streams": float(publishing.subscribers()),
+    }
+
+
 def watch_leader(log: EventLog, members) -> None:
     """Record each change of the leader that this member sees."""
     last: list = [None]
--- a/src/bramleyrouter/platform/operators.py
+++ b/src/bramleyrouter/platform/operators.py
@@ -30,6 +30,7 @@
 from bramleyrouter.platform import names
 from bramleyrouter.platform.announcements import decode_heartbeat, decode_leave
 from bramleyrouter.platform.documents import decode_document
+from bramleyrouter.telemetry.control_metrics import ObserveCall
 from bramleyrouter.telemetry.events import Record
 from bramleyrouter.utils.addresses import split_address
 
@@ -57,6 +58,7 @@
     withdraw: Callable[[ServerId, ServerIncarnation | None], None]
     data_centres: tuple[DataCentre, ...]
     record: Record
+    observe: ObserveCall
 
 
 class Answer(NamedTuple):
@@ -75,7 +77,28 @@
 async def answer_call(
     calls: ControlCalls, method: str, path: str, body: bytes
 ) -> Answer:
-    """Carry one call out and return its reply."""
+    """Carry one call out, count it, and return its reply."""
+    clock = asyncio.get_running_loop().time
+    started = clock()
+    answer = await _carry_out(calls, method, path, body)
+    calls.observe(_kind_of(method, path), answer.status, clock() - started)
+    return answer
+
+
+def _kind_of(method: str, path: str) -> str:
+    """Return the name of a call in the metrics."""
+    if path.startswith(names.REPLICAS_PREFIX):
+        return "heartbeat" if method == _PUT else "leave"
+    if path == names.CONFIG_PATH:
+        return "publish" if method == _PUT else "read"
+    if path.startswith(names.EVACUATE_PREFIX):
+        return "availability"
+    return "unknown"
+
+
+async def _carry_out(
+    calls: ControlCalls, method: str, path: str, body: bytes
+) -> Answer:
     if path.startswith(names.REPLICAS_PREFIX):
         server_id = path[len(names.REPLICAS_PREFIX) :]
         if method == _PUT:
--- a/src/bramleyrouter/platform/programs.py
+++ b/src/bramleyrouter/platform/programs.py
@@ -30,6 +30,11 @@
 )
 from bramleyrouter.platform.servers import build_transport
 from bramleyrouter.platform.settings import read_settings, settings_path
+from bramleyrouter.telemetry.control_metrics import (
+    ControlMetrics,
+    build_observe_call,
+    show_state,
+)
 from bramleyrouter.telemetry.events import EventLog, record, start_writing
 from bramleyrouter.telemetry.logs import set_up_logs
 from bramleyrouter.utils.tasks import TaskGroup, repeat, spawn
@@ -143,7 +148,7 @@
     built = build_control_parts(cfg, log, lambda: seeds[0])
     if isinstance(built, Err):
         return built
-    parts = built.ok_value
+    parts, metrics = built.ok_value, ControlMetrics()
     calls = ControlCalls(
         publish=parts.operate,
         set_out=parts.operate,
@@ -155,6 +160,7 @@
         recommend=parts.recommend,
         data_centres=cfg.data_centres,
         record=lambda part, event, **fields: record(log, part, event, **fields),
+        observe=build_observe_call(metrics),
     )
     servers: list = []
 
@@ -164,6 +170,8 @@
     async def start() -> None:
         parts.listen()
         servers.append(listen_control(cfg.control_address, calls))
+        collect = lambda: show_state(metrics, parts.state())
+        listen_metrics(cfg.metrics_address, metrics.registry, collect)
         parts.board.readiness.reasons.discard("starting")
         _watch_settings(log, group, take_settings)
         record(log, "daemon", "started", control_address=cfg.control_address)
--- a/tests/gateway/test_reach.py
+++ b/tests/gateway/test_reach.py
@@ -166,7 +166,7 @@
         async def scenario(status):
             site = cut_site(timeout_s=9.0)
             reply = ServerReply(ExchangeEnd.REFUSED, status)
-            late = lambda arrival: (1.5, reply)  # noqa: E731
+            late = lambda arrival: (1.5, reply)
             site.servers.behaviours |= {"b2": late, "b3": late}
             await load(site, 1.2, request(deadline_s=9.0))
             assert site.gateway.is_cut_off()
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -19,7 +19,7 @@
     """Hold what was asked of the control plane."""
 
     def __init__(self, outcome=ACCEPTED, table=None):
-        self.orders, self.rows, self.gone = [], [], []
+        self.orders, self.rows, self.gone, self.counted = [], [], [], []
         self.outcome, self.table = outcome, table
 
     async def order(self, command, timeout_s):
@@ -39,6 +39,7 @@
             withdraw=lambda name, incarnation: self.gone.append((name, incarnation)),
             data_centres=(DataCentre("se-a"), DataCentre("se-b")),
             record=lambda part, event, **fields: None,
+            observe=lambda call, status, latency_s: self.counted.append((call, status)),
         )
         return asyncio.run(answer_call(calls, method, path, body))
 
@@ -108,3 +109,23 @@
         control = Control()
         assert control.call("DELETE", "/v1/replicas/i-1").status == 200
         assert control.gone == [("i-1", None)]
+
+
+class TestMetrics:
+    def test_each_call_is_counted_by_kind_and_status(self):
+        """Guards against orders that on-call engineers can't see failing."""
+        control = Control(OPEN)
+        control.call("PUT", "/v1/config", document())
+        control.call("GET", "/v1/config")
+        control.call("POST", "/v1/evacuate/se-a")
+        control.call("PUT", "/v1/replicas/i-1", msgspec.json.encode(BEAT))
+        control.call("DELETE", "/v1/replicas/i-1")
+        control.call("GET", "/elsewhere")
+        assert control.counted == [
+            ("publish", 503),
+            ("read", 503),
+            ("availability", 503),
+            ("heartbeat", 200),
+            ("leave", 200),
+            ("unknown", 404),
+        ]
--- /dev/null
+++ b/tests/telemetry/test_control_metrics.py
@@ -0,0 +1,27 @@
+"""Tests of the metrics of control daemons."""
+
+from aioprometheus.renderer import render
+
+from bramleyrouter.telemetry.control_metrics import (
+    ControlMetrics,
+    build_observe_call,
+    show_state,
+)
+
+
+class TestControlMetrics:
+    def test_calls_and_state_are_served_as_text(self):
+        metrics = ControlMetrics()
+        build_observe_call(metrics)("publish", 200, 0.012)
+        show_state(metrics, {"is_leader": 1, "table_version": 7})
+        text = render(metrics.registry, [])[0].decode()
+        assert 'bramley_control_calls_total{call="publish",status="200"} 1' in text
+        assert 'bramley_control_call_seconds_bucket{call="publish",le="0.02"' in text
+        assert 'bramley_control_state{value="table_version"} 7' in text
+
+    def test_state_follows_what_changes(self):
+        metrics = ControlMetrics()
+        show_state(metrics, {"is_leader": 1})
+        show_state(metrics, {"is_leader": 0})
+        text = render(metrics.registry, [])[0].decode()
+        assert 'bramley_control_state{value="is_leader"} 0' in text
