Split the shards of other data centres between two relays

After a repartition with lost and cold servers no data centre had 80% of the wanted shards, so no relay was asked. Change: each relay is asked for what its data centre has, the one with most first, down to 4 shards; servers of the best rank there is count, so cold ones without a rate do.

--- a/src/bramleyrouter/gateway/build.py
+++ b/src/bramleyrouter/gateway/build.py
@@ -91,7 +91,7 @@
             limits.own_data_centre, limits.data_centres, limits.life_sign_s, loop.time()
         ),
         Rotation(loop.time()),
-        open_stream=open_stream,
+        open_stream,
     )
 
     def set_table(table: RouteTable) -> None:
--- a/src/bramleyrouter/gateway/delegated_shards.py
+++ b/src/bramleyrouter/gateway/delegated_shards.py
@@ -1,55 +1,58 @@
-"""Leave the shards without a good server nearby to a relay."""
+"""Leave the shards without a good server nearby to relays."""
 
 from bramleyrouter.gateway.budgets import take_extra
 from bramleyrouter.gateway.delegation import (
     RETURN_S,
     DelegatedQuery,
     DelegatedReply,
-    candidates,
+    Relay,
+    able_relays,
+    split_shards,
     start_delegated,
 )
 from bramleyrouter.gateway.exchanges import ExchangeEnd, ServerReply
 from bramleyrouter.gateway.gateways import context_for, hear_from, states_of
-from bramleyrouter.gateway.gather_runs import GatherRun, ShardRun
-from bramleyrouter.gateway.servers import good_data_centres
+from bramleyrouter.gateway.gather_runs import Delegation, GatherRun, ShardRun
+from bramleyrouter.gateway.servers import best_data_centres
 from bramleyrouter.gateway.shard_sends import send_first, send_shard
 from bramleyrouter.gateway.waiting import share_needed
 from bramleyrouter.ids import DataCentre
 
 
 def delegate_shards(run: GatherRun) -> None:
-    """Leave the shards without a good server here to a relay, if one fits."""
+    """Leave the shards without a good server here to relays that have some."""
     gateway = run.gateway
-    if gateway.open_stream is None:
-        return
     own = gateway.limits.own_data_centre
+    able = able_relays(gateway.relays, own, gateway.loop.time())
+    if not able:
+        return
     wanted: list[ShardRun] = []
-    served: dict[DataCentre, int] = {}
+    places: list[set[DataCentre]] = []
     for shard in run.shards:
         context = context_for(gateway, shard.service)
-        good = good_data_centres(states_of(gateway, shard.service), context)
-        if own in good:
-            continue
-        wanted.append(shard)
-        for data_centre in good:
-            served[data_centre] = served.get(data_centre, 0) + 1
-    now = gateway.loop.time()
-    able = candidates(gateway.relays, served, len(wanted), own, now)
-    if not able:
-        return
-    relay = gateway.rng.choice(able)
-    for shard in wanted:
+        good = best_data_centres(states_of(gateway, shard.service), context)
+        if own not in good:
+            wanted.append(shard)
+            places.append(good)
+    # Among equal data centres a random one is asked, so that they share the work.
+    names = list(able)
+    gateway.rng.shuffle(names)
+    for data_centre, positions in split_shards(places, names).items():
+        relay = gateway.rng.choice(able[data_centre])
+        _start(run, relay, [wanted[at] for at in positions])
+
+
+def _start(run: GatherRun, relay: Relay, shards: list[ShardRun]) -> None:
+    delegation = Delegation(relay.address, relay.data_centre, shards)
+    run.delegations.append(delegation)
+    for shard in shards:
         shard.is_delegated = True
-    run.relay = relay.address
-    query = _delegated_query(run, wanted)
-    run.cancel_delegated = start_delegated(
-        gateway.loop,
-        gateway.open_stream,
+    delegation.cancel = start_delegated(
+        run.gateway.loop,
+        run.gateway.open_stream,
         relay,
-        query,
-        lambda reply, may_have_run: _take_delegated(
-            run, wanted, relay.data_centre, reply, may_have_run
-        ),
+        _delegated_query(run, shards),
+        lambda reply, may_have_run: _take(run, delegation, reply, may_have_run),
     )
 
 
@@ -68,27 +71,24 @@
     )
 
 
-def _take_delegated(
+def _take(
     run: GatherRun,
-    wanted: list[ShardRun],
-    data_centre: DataCentre,
+    delegation: Delegation,
     reply: DelegatedReply | None,
     may_have_run: bool,
 ) -> None:
-    run.cancel_delegated = None
+    delegation.is_open = False
     if run.is_finished:
         return
     if reply is None:
-        _after_relay_failure(run, wanted, may_have_run)
+        _after_relay_failure(run, delegation, may_have_run)
     else:
-        hear_from(run.gateway, data_centre)
-        _take_delegated_reply(run, wanted, reply)
+        hear_from(run.gateway, delegation.data_centre)
+        _take_reply(delegation.shards, reply)
     run.check(run)
 
 
-def _take_delegated_reply(
-    run: GatherRun, wanted: list[ShardRun], reply: DelegatedReply
-) -> None:
+def _take_reply(wanted: list[ShardRun], reply: DelegatedReply) -> None:
     """Take the shards that the relay gathered; the others are missing.
 
     The records of all of them come merged and are kept with the first shard:
@@ -108,18 +108,18 @@
 
 
 def _after_relay_failure(
-    run: GatherRun, wanted: list[ShardRun], may_have_run: bool
+    run: GatherRun, delegation: Delegation, may_have_run: bool
 ) -> None:
     """Ask the servers directly; what the relay sent counts as a first send."""
     run.gateway.record(
         "gateway",
         "relay_failed",
         id=run.request.request_id,
-        relay=run.relay,
+        relay=delegation.address,
         may_have_run=may_have_run,
         waited_ms=round(1000 * (run.gateway.loop.time() - run.arrived)),
     )
-    for shard in wanted:
+    for shard in delegation.shards:
         shard.is_delegated = False
         if not may_have_run:
             send_first(run, shard)
--- a/src/bramleyrouter/gateway/delegation.py
+++ b/src/bramleyrouter/gateway/delegation.py
@@ -5,7 +5,7 @@
 asks its own servers and merges what they answer, takes a tenth of the bytes.
 """
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field
 
 import msgspec
@@ -18,8 +18,6 @@
 
 # Fewer shards than this are asked for directly: a message saves nothing.
 MIN_SHARDS = 4
-# Part of the wanted shards that a data centre must have good servers for.
-MIN_SERVED = 0.8
 # A relay confirms the receipt at once; one that takes longer, in seconds, is
 # frozen, cut off or overloaded. A round trip takes 2 ms.
 CONFIRM_TIMEOUT_S = 0.03
@@ -114,27 +112,43 @@
     }
 
 
-def candidates(
-    relays: Relays,
-    served: dict[DataCentre, int],
-    wanted: int,
-    own_data_centre: DataCentre,
-    now: float,
-) -> list[Relay]:
-    """Return the relays that may be asked for ``wanted`` shards.
+def able_relays(
+    relays: Relays, own_data_centre: DataCentre, now: float
+) -> dict[DataCentre, list[Relay]]:
+    """Return the relays of other data centres that may be asked now."""
+    able: dict[DataCentre, list[Relay]] = {}
+    for relay in relays.by_address.values():
+        if relay.data_centre != own_data_centre and relay.rests_until <= now:
+            able.setdefault(relay.data_centre, []).append(relay)
+    return able
 
-    ``served`` counts, by data centre, the wanted shards that have a good server
-    there.
+
+def split_shards(
+    places: Sequence[Collection[DataCentre]], data_centres: Sequence[DataCentre]
+) -> dict[DataCentre, list[int]]:
+    """Return which shards each data centre is asked for, by position.
+
+    ``places`` names the data centres that have a good server of each shard. The
+    one that has most is asked first, the first of ``data_centres`` among equal
+    ones. Shards that would make up a message of fewer than ``MIN_SHARDS`` are
+    left out.
+
+    Answers the time after a repartition or the loss of servers, when no single
+    data centre has nearly all of the shards.
     """
-    if wanted < MIN_SHARDS:
-        return []
-    return [
-        relay
-        for relay in relays.by_address.values()
-        if relay.data_centre != own_data_centre
-        and relay.rests_until <= now
-        and served.get(relay.data_centre, 0) >= MIN_SERVED * wanted
-    ]
+    parts: dict[DataCentre, list[int]] = {}
+    left = set(range(len(places)))
+    while True:
+        held = {
+            name: [at for at in sorted(left) if name in places[at]]
+            for name in data_centres
+            if name not in parts
+        }
+        best = max(held, key=lambda name: len(held[name]), default=None)
+        if best is None or len(held[best]) < MIN_SHARDS:
+            return parts
+        parts[best] = held[best]
+        left.difference_update(held[best])
 
 
 def note_failure(relay: Relay, now: float) -> None:
@@ -156,19 +170,6 @@
 ]
 
 
-@dataclass(eq=False)
-class Delegated:
-    """Hold one query at a relay until it ends, once."""
-
-    relay: Relay
-    loop: object
-    on_done: Callable[[DelegatedReply | None, bool], None]
-    cancel_stream: Callable[[], None] = lambda: None
-    timer: object = None
-    is_confirmed: bool = False
-    is_done: bool = False
-
-
 def start_delegated(
     loop,
     open_stream: OpenStream,
@@ -181,13 +182,14 @@
     ``on_done(reply, may_have_run)`` is called once unless cancelled; without a
     reply the relay failed.
     """
-    work = Delegated(relay, loop, on_done)
+    is_confirmed, is_done = False, False
 
     def finish(reply: DelegatedReply | None, may_have_run: bool) -> None:
-        if work.is_done:
+        nonlocal is_done
+        if is_done:
             return
-        work.is_done = True
-        work.timer.cancel()  # type: ignore[attr-defined]
+        is_done = True
+        timer.cancel()
         if reply is None:
             note_failure(relay, loop.time())
         else:
@@ -195,8 +197,9 @@
         on_done(reply, may_have_run)
 
     def on_item(payload: bytes) -> None:
+        nonlocal is_confirmed
         if payload == CONFIRMATION:
-            work.is_confirmed = True
+            is_confirmed = True
             return
         decoded = decode_reply(payload)
         finish(decoded.ok_value if isinstance(decoded, Ok) else None, True)
@@ -210,16 +213,17 @@
         finish(None, not is_certain)
 
     def on_time() -> None:
-        if not work.is_confirmed and not work.is_done:
-            work.cancel_stream()
+        if not is_confirmed and not is_done:
+            cancel_stream()
             finish(None, True)
 
     def cancel() -> None:
-        if not work.is_done:
-            work.is_done = True
-            work.timer.cancel()  # type: ignore[attr-defined]
-            work.cancel_stream()
-
-    work.timer = loop.call_later(CONFIRM_TIMEOUT_S, on_time)
-    work.cancel_stream = open_stream(relay.address, encode(query), on_item, on_end)
+        nonlocal is_done
+        if not is_done:
+            is_done = True
+            timer.cancel()
+            cancel_stream()
+
+    timer = loop.call_later(CONFIRM_TIMEOUT_S, on_time)
+    cancel_stream = open_stream(relay.address, encode(query), on_item, on_end)
     return cancel
--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -89,6 +89,7 @@
     entry_daemons: Callable[[], int]
     contacts: Contacts
     rotation: Rotation
+    open_stream: OpenStream
     index: RouteIndex | None = None
     servers: ServerTable = field(default_factory=ServerTable)
     windows: dict[str, LatencyWindow] = field(default_factory=dict)
@@ -97,7 +98,6 @@
     # Loop time of the next trial, by route.
     next_trial: dict[str, float] = field(default_factory=dict)
     relays: Relays = field(default_factory=Relays)
-    open_stream: OpenStream | None = None
 
 
 @dataclass(eq=False)
--- a/src/bramleyrouter/gateway/gather_runs.py
+++ b/src/bramleyrouter/gateway/gather_runs.py
@@ -8,7 +8,7 @@
 from bramleyrouter.gateway.gateways import Cancel, Gateway, OnGatewayReply, Sending
 from bramleyrouter.gateway.tables import Route
 from bramleyrouter.gateway.waiting import GatherProgress
-from bramleyrouter.ids import ServerId, ServiceName
+from bramleyrouter.ids import DataCentre, ServerId, ServiceName
 
 
 @dataclass(eq=False)
@@ -35,6 +35,17 @@
         return self.reply is None and not self.is_missing
 
 
+@dataclass(eq=False)
+class Delegation:
+    """Hold the shards that one relay gathers; open until it has ended."""
+
+    address: str
+    data_centre: DataCentre
+    shards: list[ShardRun]
+    cancel: Cancel = lambda: None
+    is_open: bool = True
+
+
 @dataclass(eq=False)
 class GatherRun:
     """Hold one query while it runs."""
@@ -54,8 +65,15 @@
     is_finished: bool = False
     are_overdue_noted: bool = False
     is_started: bool = False
-    cancel_delegated: Cancel | None = None
-    relay: str = ""
+    delegations: list[Delegation] = field(default_factory=list)
+
+
+def cancel_delegations(run: GatherRun) -> None:
+    """Stop the relays that are still at work."""
+    for delegation in run.delegations:
+        if delegation.is_open:
+            delegation.is_open = False
+            delegation.cancel()
 
 
 def progress_of(run: GatherRun) -> GatherProgress:
--- a/src/bramleyrouter/gateway/gathers.py
+++ b/src/bramleyrouter/gateway/gathers.py
@@ -14,7 +14,12 @@
     refuse_cut_off,
     window_of,
 )
-from bramleyrouter.gateway.gather_runs import GatherRun, ShardRun, progress_of
+from bramleyrouter.gateway.gather_runs import (
+    GatherRun,
+    ShardRun,
+    cancel_delegations,
+    progress_of,
+)
 from bramleyrouter.gateway.latencies import hedge_delay
 from bramleyrouter.gateway.merging import merge_greatest
 from bramleyrouter.gateway.reach import count_trusted
@@ -214,7 +219,7 @@
     without = [shard for shard in run.shards if shard.reply is None]
     reason = f"{len(without)} of {progress.total} shards did not answer: "
     reason += "; ".join(describe_shard(run, shard) for shard in without[:3])
-    is_relay_at_work = run.cancel_delegated is not None
+    is_relay_at_work = any(item.is_open for item in run.delegations)
     if is_relay_at_work or any(shard.ran > 0 for shard in run.shards):
         return GatewayReply(ReplyKind.FAILED, reason)
     return refuse(run.gateway, reason, (run.deadline_at - run.arrived) / 3)
@@ -224,8 +229,7 @@
     run.is_finished = True
     if run.timer is not None:
         run.timer.cancel()
-    if run.cancel_delegated is not None:
-        run.cancel_delegated()
+    cancel_delegations(run)
     for shard in run.shards:
         drop_unsent(shard.pending)
     _log(run, reply)
@@ -246,7 +250,7 @@
         included=sum(shard.reply is not None for shard in run.shards),
         shards=len(run.shards),
         hedges=run.hedges,
-        relay=run.relay,
+        relays=[item.address for item in run.delegations],
         waited_ms=round(1000 * (run.gateway.loop.time() - run.arrived)),
         objective_ms=round(1000 * run.route.objective_s),
         missing=[s.service for s in run.shards if s.reply is None][:5],
@@ -259,8 +263,7 @@
     run.is_finished = True
     if run.timer is not None:
         run.timer.cancel()
-    if run.cancel_delegated is not None:
-        run.cancel_delegated()
+    cancel_delegations(run)
     for shard in run.shards:
         for sending in shard.pending:
             sending.cancel()
--- a/src/bramleyrouter/gateway/servers.py
+++ b/src/bramleyrouter/gateway/servers.py
@@ -169,11 +169,20 @@
     return 0
 
 
-def good_data_centres(
+def best_data_centres(
     states: Iterable[ServerState], context: ChoiceContext
 ) -> set[DataCentre]:
-    """Return the data centres that have a server without any doubt."""
-    return {state.row.data_centre for state in states if _rank(state, context) == 0}
+    """Return the data centres that have a server of the best rank there is.
+
+    It is empty where all servers are suspected, cold within a declared rate, or
+    gone.
+    """
+    ranked = [(state.row.data_centre, _rank(state, context)) for state in states]
+    ranks = [rank for _, rank in ranked if rank is not None]
+    best = min(ranks, default=SUSPECT_RANK)
+    if best >= SUSPECT_RANK:
+        return set()
+    return {data_centre for data_centre, rank in ranked if rank == best}
 
 
 def choose_server(
--- a/tests/gateway/test_gathers.py
+++ b/tests/gateway/test_gathers.py
@@ -10,6 +10,7 @@
     DelegatedReply,
     decode_query,
     encode,
+    split_shards,
 )
 from bramleyrouter.gateway.exchanges import ExchangeEnd, ReplyKind
 from bramleyrouter.gateway.waiting import (
@@ -418,3 +419,63 @@
             )
 
         run_virtual(scenario())
+
+
+class TestSplitShards:
+    def test_one_message_where_one_data_centre_has_all(self):
+        places = [{THERE, ELSEWHERE}] * 6
+        assert split_shards(places, [ELSEWHERE, THERE]) == {ELSEWHERE: [*range(6)]}
+
+    def test_two_where_neither_has_all(self):
+        """Guards against single requests over dear links after lost servers.
+
+        After a repartition with lost servers no data centre had 80% of the wanted
+        shards, and 16 requests a query crossed the links instead of two messages
+        (bench: tsm, trouble-1).
+        """
+        places = [{THERE}] * 6 + [{ELSEWHERE}] * 5 + [{THERE, ELSEWHERE}] * 4
+        parts = split_shards(places, [THERE, ELSEWHERE])
+        assert parts == {THERE: [*range(6), *range(11, 15)], ELSEWHERE: [*range(6, 11)]}
+
+    def test_a_few_shards_are_asked_for_directly(self):
+        places = [{THERE}] * 6 + [{ELSEWHERE}] * 3
+        assert split_shards(places, [THERE, ELSEWHERE]) == {THERE: [*range(6)]}
+        assert split_shards([{THERE}] * 3, [THERE]) == {}
+
+    def test_shards_without_a_good_server_are_left_out(self):
+        assert split_shards([set()] * 9 + [{THERE}] * 4, [THERE]) == {
+            THERE: [9, 10, 11, 12]
+        }
+
+
+class TestTwoRelays:
+    def test_each_is_asked_for_what_it_has(self):
+        async def scenario():
+            relay = FakeRelay()
+            rows = [row(f"a{at}", f"s{at}") for at in range(4)]
+            rows += [row(f"b{at}", f"s{at}", THERE) for at in range(4, 8)]
+            rows += [row(f"c{at}", f"s{at}", ELSEWHERE) for at in range(8, 12)]
+            site = build_site([gather_route(12)], rows, open_stream=relay.open_stream)
+            site.gateway.set_relays([("10.2.0.1:1", THERE), ("10.3.0.1:1", ELSEWHERE)])
+            reply = await site.ask()
+            assert (reply.kind, reply.missing) == (ReplyKind.GATHERED, 0)
+            assert len(reply.signatures) == 12
+            asked = sorted(len(query.services) for query in relay.queries)
+            assert asked == [4, 4]
+            assert len(site.servers.arrivals) == 4
+
+        run_virtual(scenario())
+
+    def test_cold_servers_without_a_rate_are_asked_through_a_relay_too(self):
+        """Guards against single requests over dear links after a repartition."""
+
+        async def scenario():
+            relay = FakeRelay()
+            rows = [row(f"a{at}", f"s{at}") for at in range(4)]
+            rows += [row(f"b{at}", f"s{at}", THERE, cold_s=3.0) for at in range(4, 8)]
+            site = build_site([gather_route(8)], rows, open_stream=relay.open_stream)
+            site.gateway.set_relays([("10.2.0.1:1", THERE)])
+            await site.ask()
+            assert [len(query.services) for query in relay.queries] == [4]
+
+        run_virtual(scenario())
