--- a/src/bramleyrouter/conf/fleet.py
+++ b/src/bramleyrouter/conf/fleet.py
@@ -67,6 +67,7 @@
 
     ``seeds`` are internal addresses of some control daemons.
     ``tolerated_losses`` counts the control daemons that may be lost at once.
+    ``cores`` is the VM's share of a core, 1.0 for a whole one.
     """
 
     daemon_id: DaemonId
@@ -82,4 +83,5 @@
     metrics_address: str
     heartbeat_s: float
     tolerated_losses: int
+    cores: float
     bounds: FleetBounds
--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -70,6 +70,7 @@
     own_address: str
     data_centres: tuple[DataCentre, ...]
     life_sign_s: float
+    trip_s: float
     cold_factor: float
     cold_slack: float
 
--- a/src/bramleyrouter/gateway/gathers.py
+++ b/src/bramleyrouter/gateway/gathers.py
@@ -33,7 +33,6 @@
 from bramleyrouter.gateway.tables import Route
 from bramleyrouter.gateway.waiting import (
     LATE_PATIENCE,
-    TRIP_S,
     GatherProgress,
     reaches,
     should_answer,
@@ -119,7 +118,7 @@
         delay_s = hedge_delay(window_of(run.gateway, route), route.objective_s)
         times.append(run.arrived + delay_s * (run.looks + 1))
     decisions = (
-        run.arrived + route.objective_s - TRIP_S,
+        run.arrived + route.objective_s - run.gateway.limits.trip_s,
         # Shards that wait only for suspected servers are given up then.
         run.arrived + route.objective_s,
         run.arrived + LATE_PATIENCE * route.objective_s,
@@ -170,7 +169,10 @@
     A server that is cut off gives no other sign before the deadline.
     """
     now = run.gateway.loop.time()
-    if run.are_overdue_noted or now < run.arrived + run.route.objective_s - TRIP_S:
+    if (
+        run.are_overdue_noted
+        or now < run.arrived + run.route.objective_s - run.gateway.limits.trip_s
+    ):
         return
     run.are_overdue_noted = True
     overdue_s = OVERDUE_FACTOR * window_of(run.gateway, run.route).median_s
@@ -193,12 +195,14 @@
 def _check_whole(run: GatherRun) -> None:
     progress = progress_of(run)
     route, now = run.route, run.gateway.loop.time()
-    waited_s = now - run.arrived
+    waited_s, trip_s = now - run.arrived, run.gateway.limits.trip_s
     is_enough = reaches(progress.included, progress.total, route.min_coverage)
     is_last_call = now >= run.deadline_at - DEADLINE_MARGIN_S
     if is_enough and (
         is_last_call
-        or should_answer(progress, route.min_coverage, waited_s, route.objective_s)
+        or should_answer(
+            progress, route.min_coverage, waited_s, route.objective_s, trip_s
+        )
     ):
         _finish(run, _gathered(run, run.shards))
     elif not reaches(
@@ -225,7 +229,7 @@
             progress = progress_of(run)
             end = _out_of_time if is_last_call else _failed
             _finish(run, end(run, progress))
-    elif untold and now >= run.arrived + route.objective_s - TRIP_S:
+    elif untold and now >= run.arrived + route.objective_s - run.gateway.limits.trip_s:
         for shard in untold:
             shard.is_told = True
         on_part(_gathered(run, untold))
--- a/src/bramleyrouter/gateway/waiting.py
+++ b/src/bramleyrouter/gateway/waiting.py
@@ -8,10 +8,12 @@
 
 from typing import NamedTuple
 
-# Time between this daemon's decision and the caller's receipt, and between the
-# caller's start and the arrival here, together, in seconds: about 3 ms each
-# way, a connection that may have to be opened, and the merging.
-TRIP_S = 0.014
+# Time on the way between the caller's start and the arrival here, and between the
+# decision here and the caller's receipt, together, in seconds: about 3 ms each
+# way, and a connection that may have to be opened.
+NETWORK_TRIP_S = 0.012
+# Processor time of reading a request, merging and writing, in seconds of a core.
+PROCESSING_S = 0.002
 # A late response waits for more coverage up to this multiple of the objective.
 LATE_PATIENCE = 1.6
 
@@ -24,6 +26,15 @@
     total: int
 
 
+def trip_time(cores: float) -> float:
+    """Return the part of an objective that is not spent on waiting, in seconds.
+
+    ``cores`` is the share of a core that the VM has. For example, 0.016 s on
+    half a core.
+    """
+    return NETWORK_TRIP_S + PROCESSING_S / cores
+
+
 def reaches(included: int, total: int, min_coverage: float) -> bool:
     """Return whether ``included`` of ``total`` shards are enough."""
     # The epsilon undoes the rounding of, say, 0.89 * 100.
@@ -31,7 +42,11 @@
 
 
 def should_answer(
-    progress: GatherProgress, min_coverage: float, waited_s: float, objective_s: float
+    progress: GatherProgress,
+    min_coverage: float,
+    waited_s: float,
+    objective_s: float,
+    trip_s: float,
 ) -> bool:
     """Return whether the gather ends with what has arrived.
 
@@ -42,7 +57,7 @@
         return True
     if not reaches(progress.included, progress.total, min_coverage):
         return False
-    at_objective = objective_s - TRIP_S
+    at_objective = objective_s - trip_s
     if waited_s < at_objective:
         return False
     was_decided_in_time = waited_s < objective_s
--- a/src/bramleyrouter/platform/settings.py
+++ b/src/bramleyrouter/platform/settings.py
@@ -15,6 +15,9 @@
 MILLISECONDS = 1000.0
 # As in deploy/system.toml, which names the same port for every VM.
 METRICS_PORT = 9464
+# A smaller share is taken for this one, so that times worked out from it stay
+# finite.
+MIN_CORES = 0.05
 
 
 class _Listen(msgspec.Struct):
@@ -23,6 +26,13 @@
     control: str = ""
 
 
+class _Limits(msgspec.Struct, rename="camel"):
+    # The share of each core and how many times as fast the VM is counted;
+    # together they are the processor time that it gets.
+    cpu_share: float = 1.0
+    cores: float = 1.0
+
+
 class _Tolerance(msgspec.Struct):
     machines: int = 1
 
@@ -53,6 +63,7 @@
     heartbeat_ms: float = 1200
     zones: dict[str, str] = {}
     listen: _Listen = msgspec.field(default_factory=_Listen)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     fault_tolerance: _Tolerance = msgspec.field(default_factory=_Tolerance)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
@@ -95,6 +106,7 @@
         metrics_address=f"{file.ip}:{METRICS_PORT}",
         heartbeat_s=file.heartbeat_ms / MILLISECONDS,
         tolerated_losses=file.fault_tolerance.machines,
+        cores=max(MIN_CORES, file.limits.cpu_share * file.limits.cores),
         bounds=FleetBounds(
             drain_s=file.bounds.drain_ms / MILLISECONDS,
             stop_s=file.bounds.grace_s,
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -19,6 +19,9 @@
 [listen]
 front = "10.1.0.9:8104"
 ready = "10.1.0.9:8108"
+[limits]
+cpuShare = 0.25
+cores = 2
 [faultTolerance]
 machines = 2
 [bounds]
@@ -45,6 +48,7 @@
         assert cfg.is_first_start
         assert cfg.data_centres == ("se-a", "se-b")
         assert cfg.tolerated_losses == 2
+        assert cfg.cores == 0.5
         assert (cfg.bounds.drain_s, cfg.bounds.stop_s) == (3.0, 6.0)
         assert (cfg.bounds.extra_ratio, cfg.bounds.extra_slack) == (0.2, 56.0)
 
--- a/tests/support/gateway_fakes.py
+++ b/tests/support/gateway_fakes.py
@@ -22,6 +22,7 @@
     Service,
     Target,
 )
+from bramleyrouter.gateway.waiting import trip_time
 from bramleyrouter.ids import (
     DataCentre,
     ServerId,
@@ -215,7 +216,13 @@
 
     gateway = build_gateway(
         GatewayLimits(
-            HERE, OWN_ADDRESS, (HERE, THERE, ELSEWHERE), LIFE_SIGN_S, 1.5, 5.0
+            HERE,
+            OWN_ADDRESS,
+            (HERE, THERE, ELSEWHERE),
+            LIFE_SIGN_S,
+            trip_time(1.0),
+            1.5,
+            5.0,
         ),
         extra,
         servers.transport,
