Passed the streams of far control daemons on inside a data centre

Change: with two or more control daemons nearby, one of them passes each far stream on as it came (fleet/mirrors.py). An entry daemon whose path fails follows the far one directly for 10 s. As a control daemon no longer sees all entry daemons, it counts them by data centre and entry daemons add up the largest counts.

--- a/src/bramleyrouter/fleet/messages.py
+++ b/src/bramleyrouter/fleet/messages.py
@@ -17,8 +17,10 @@
 
     An update without any field is a sign of life. The first one names the data
     centre of the control daemon. ``members_index`` and ``revision`` order the
-    values of different control daemons. A route table travels only when it is
-    fetched: most entry daemons then get it inside their data centre.
+    values of different control daemons. ``entry_daemons`` counts those that
+    follow this control daemon directly, by data centre. A route table travels
+    only when it is fetched: most entry daemons then get it inside their data
+    centre.
     """
 
     rows: tuple[ServerRow, ...] = ()
@@ -28,11 +30,16 @@
     data_centres_out: tuple[DataCentre, ...] = ()
     members_index: int | None = None
     members: tuple[str, ...] = ()
-    entry_daemons: int | None = None
+    entry_daemons: dict[DataCentre, int] | None = None
     data_centre: DataCentre | None = None
     relays: tuple[tuple[str, DataCentre], ...] | None = None
 
 
+# What a subscriber asks for: the stream itself as an entry daemon (nothing), the
+# stream to pass it on, or that of another control daemon (its address).
+DIRECT = b""
+MIRROR = b"mirror"
+
 _ENCODER = msgspec.msgpack.Encoder()
 _UPDATE = msgspec.msgpack.Decoder(Update)
 
--- a/src/bramleyrouter/fleet/publishing.py
+++ b/src/bramleyrouter/fleet/publishing.py
@@ -1,19 +1,22 @@
 """Stream what a control daemon knows to the entry daemons that ask."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from result import Ok, Result
+from result import Err, Ok, Result
 
+from bramleyrouter.codes import Code
 from bramleyrouter.conf.fleet import StreamTimes
 from bramleyrouter.consensus.interfaces import ReplicatedLog
 from bramleyrouter.control.codecs import encode_command
 from bramleyrouter.control.machine import Machine
 from bramleyrouter.control.messages import PublishRoutes
 from bramleyrouter.failures import Failure
-from bramleyrouter.fleet.messages import Update, encode_update
+from bramleyrouter.fleet.messages import DIRECT, MIRROR, Update, encode_update
+from bramleyrouter.fleet.mirrors import Mirrors, follow
 from bramleyrouter.fleet.records import ServerRow
 from bramleyrouter.fleet.registry import Registry, rows_of, sweep
 from bramleyrouter.ids import DaemonId, DataCentre
@@ -47,7 +50,7 @@
     told_version: int = -1
     told_revision: int = -1
     told_members: tuple[str, ...] = ()
-    told_entries: int = -1
+    told_entries: dict[DataCentre, int] | None = None
     told_relays: tuple[tuple[str, DataCentre], ...] = ()
 
 
@@ -62,7 +65,9 @@
     data_centre: DataCentre
     started: float
     subscribers: dict[DaemonId, Subscriber] = field(default_factory=dict)
-    last_seen: dict[DaemonId, float] = field(default_factory=dict)
+    # Streams of control daemons that pass this one on.
+    mirrors: set[Subscriber] = field(default_factory=set)
+    last_seen: dict[DaemonId, tuple[float, DataCentre]] = field(default_factory=dict)
     waiting_rows: dict[str, ServerRow] = field(default_factory=dict)
     timer: asyncio.TimerHandle | None = None
 
@@ -74,14 +79,14 @@
     close: Callable[[], None]
 
 
-def _entry_daemons(publisher: Publisher) -> int:
-    oldest = publisher.clock() - COUNT_ENTRY_S
-    seen = publisher.last_seen
-    for daemon_id in publisher.subscribers:
-        seen[daemon_id] = publisher.clock()
-    for daemon_id in [key for key, at in seen.items() if at < oldest]:
+def _entry_daemons(publisher: Publisher) -> dict[DataCentre, int]:
+    now, seen = publisher.clock(), publisher.last_seen
+    for daemon_id, subscriber in publisher.subscribers.items():
+        seen[daemon_id] = (now, subscriber.peer.data_centre)
+    oldest = now - COUNT_ENTRY_S
+    for daemon_id in [key for key, (at, _) in seen.items() if at < oldest]:
         del seen[daemon_id]
-    return len(seen)
+    return dict(sorted(Counter(name for _, name in seen.values()).items()))
 
 
 def _state_fields(publisher: Publisher, subscriber: Subscriber) -> dict:
@@ -147,7 +152,7 @@
     rows = tuple(publisher.waiting_rows.values())
     publisher.waiting_rows.clear()
     publisher.timer = None
-    for subscriber in list(publisher.subscribers.values()):
+    for subscriber in [*publisher.subscribers.values(), *publisher.mirrors]:
         fields = _state_fields(publisher, subscriber)
         if rows or fields or is_life_sign:
             subscriber.send(encode_update(Update(rows=rows, **fields)))
@@ -174,12 +179,23 @@
     publisher = Publisher(registry, machine, log, clock, data_centre, clock())
     group = TaskGroup("fleet")
 
+    mirrors = Mirrors(network, times, group)
+
     async def watch(
         peer: Peer, payload: bytes, send: Callable[[bytes], None]
     ) -> Result[None, Failure]:
+        if payload not in (DIRECT, MIRROR):
+            wanted = payload.decode("ascii", "replace")
+            if wanted not in {member.address for member in log.status().members}:
+                text = f'"{wanted}" is no control daemon known here.'
+                return Err(Failure(Code.PEER_UNREACHABLE, text))
+            return await follow(mirrors, wanted, send)
         subscriber = Subscriber(peer, send)
-        # A daemon that reconnects replaces its former stream, which may hang.
-        publisher.subscribers[peer.daemon_id] = subscriber
+        if payload == MIRROR:
+            publisher.mirrors.add(subscriber)
+        else:
+            # A daemon that reconnects replaces its former stream, which may hang.
+            publisher.subscribers[peer.daemon_id] = subscriber
         rows = tuple(rows_of(registry, clock()))
         fields = _state_fields(publisher, subscriber)
         fields["data_centre"] = data_centre
@@ -187,6 +203,7 @@
         try:
             await asyncio.get_running_loop().create_future()
         finally:
+            publisher.mirrors.discard(subscriber)
             if publisher.subscribers.get(peer.daemon_id) is subscriber:
                 del publisher.subscribers[peer.daemon_id]
         return Ok(None)
--- a/src/bramleyrouter/fleet/watching.py
+++ b/src/bramleyrouter/fleet/watching.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -16,11 +16,12 @@
 from bramleyrouter.conf.fleet import StreamTimes
 from bramleyrouter.control.codecs import decode_command
 from bramleyrouter.control.messages import PublishRoutes
-from bramleyrouter.fleet.messages import Update, decode_update
+from bramleyrouter.fleet.messages import DIRECT, Update, decode_update
 from bramleyrouter.fleet.views import FleetView, apply_rows, drop_source
 from bramleyrouter.ids import DataCentre, ServiceName, TableVersion
 from bramleyrouter.telemetry.events import Record
 from bramleyrouter.utils.calls import bounded_call
+from bramleyrouter.utils.rendezvous import ranked
 from bramleyrouter.utils.tasks import TaskGroup, cancel_all, spawn
 from bramleyrouter.wire.kinds import Kind
 from bramleyrouter.wire.network import Network
@@ -32,6 +33,12 @@
 # on the stream of the own data centre before it is fetched, in seconds.
 TABLE_GRACE_S = 0.25
 FETCH_TIMEOUT_S = 0.5
+# Control daemons nearby from which on they pass the streams of far ones on. One
+# alone would take all streams along when it ends.
+MIN_NEAR = 2
+# How long a far control daemon is followed directly after one nearby failed to
+# pass its stream on, in seconds.
+DIRECT_S = 10.0
 # How long a number of entry daemons is remembered, in seconds, and the number
 # that is assumed before any control daemon told one.
 COUNT_KEPT_S = 20.0
@@ -63,7 +70,13 @@
     fetching: dict[str, TableVersion] = field(default_factory=dict)
     revision: int = -1
     data_centres_out: frozenset[DataCentre] = frozenset()
+    # Loop time, and the entry daemons of each data centre that any one control
+    # daemon counted then, added up.
     entry_counts: deque[tuple[float, int]] = field(default_factory=deque)
+    counts: dict[str, dict[DataCentre, int]] = field(default_factory=dict)
+    # Loop time until which a far control daemon is followed directly, since the one
+    # nearby could not pass its stream on.
+    direct_until: dict[str, float] = field(default_factory=dict)
     relays: dict[str, tuple[tuple[str, DataCentre], ...]] = field(default_factory=dict)
     streams: dict[str, asyncio.Task] = field(default_factory=dict)
     group: TaskGroup = field(default_factory=lambda: TaskGroup("fleet"))
@@ -105,7 +118,8 @@
             source=source,
         )
     if update.entry_daemons is not None:
-        watch.entry_counts.append((watch.clock(), update.entry_daemons))
+        watch.counts[source] = update.entry_daemons
+        watch.entry_counts.append((watch.clock(), _add_up(watch.counts.values())))
     if update.relays is not None:
         watch.relays[source] = update.relays
         _tell_relays(watch)
@@ -129,6 +143,19 @@
     return max((count for _, count in watch.entry_counts), default=ASSUMED_DAEMONS)
 
 
+def _add_up(counts: Iterable[dict[DataCentre, int]]) -> int:
+    """Return the entry daemons of all data centres.
+
+    Entry daemons that follow a control daemon through another one are not known
+    to it; those of a data centre are counted by the one that knows most.
+    """
+    most: dict[DataCentre, int] = {}
+    for told in counts:
+        for data_centre, count in told.items():
+            most[data_centre] = max(most.get(data_centre, 0), count)
+    return max(1, sum(most.values()))
+
+
 def _tell_relays(watch: Watch) -> None:
     """Name the relays that any control daemon knows."""
     watch.on_relays({relay for told in watch.relays.values() for relay in told})
@@ -142,9 +169,7 @@
     """
     if version <= watch.table_version:
         return
-    near = {
-        at for at in watch.heard_at if watch.centres.get(at) == watch.own_data_centre
-    }
+    near = {at for at in watch.heard_at if _is_near(watch, at)}
     is_waited_for = near and source not in near
     delay_s = TABLE_GRACE_S if is_waited_for else 0.0
     spawn(watch.group, _fetch(watch, source, version, delay_s))
@@ -199,6 +224,7 @@
         watch.streams.pop(address).cancel()
         watch.heard_at.pop(address, None)
         watch.relays.pop(address, None)
+        watch.counts.pop(address, None)
         watch.network.close_peer(address)
         changed = drop_source(watch.view, address)
         if changed:
@@ -215,11 +241,31 @@
         pause_s = min(2 * pause_s, MAX_PAUSE_S)
 
 
+def choose_path(watch: Watch, address: str) -> str:
+    """Return the control daemon that is asked for the stream of ``address``.
+
+    It is ``address`` itself, but where two or more are heard nearby, one of
+    those passes the stream of a far one on, the same to all of the data centre.
+    """
+    near = [at for at in watch.heard_at if _is_near(watch, at)]
+    is_direct = watch.direct_until.get(address, 0.0) > watch.clock()
+    if is_direct or len(near) < MIN_NEAR or _is_near(watch, address):
+        return address
+    return ranked(address, near)[0]
+
+
+def _is_near(watch: Watch, address: str) -> bool:
+    return watch.centres.get(address) == watch.own_data_centre
+
+
 async def _run_stream(watch: Watch, address: str) -> bool:
     """Follow one stream until it ends or falls silent; say whether it spoke."""
     loop = asyncio.get_running_loop()
+    path = choose_path(watch, address)
+    payload = DIRECT if path == address else address.encode()
     ended = loop.create_future()
     heard: list[float] = []
+    is_moving = [False]
 
     def on_item(payload: bytes) -> None:
         decoded = decode_update(payload)
@@ -230,12 +276,16 @@
             watch.record("fleet", "control_heard", source=address)
         heard[:] = [loop.time()]
         take_update(watch, address, decoded.ok_value)
+        if path == address and choose_path(watch, address) != address:
+            # One nearby can pass it on by now.
+            is_moving[:] = [True]
+            on_end(None)
 
     def on_end(outcome) -> None:
         if not ended.done():
             ended.set_result(outcome)
 
-    cancel = watch.network.stream(address, Kind.WATCH_FLEET, b"", on_item, on_end)
+    cancel = watch.network.stream(path, Kind.WATCH_FLEET, payload, on_item, on_end)
     started = loop.time()
     try:
         while not ended.done():
@@ -246,9 +296,15 @@
             await asyncio.wait([ended], timeout=left_s)
     finally:
         cancel()
-        watch.network.close_peer(address)
-    if heard:
-        watch.heard_at.pop(address, None)
+        # The connection to one nearby carries other streams too.
+        if path == address:
+            watch.network.close_peer(address)
+    if is_moving[0]:
+        watch.record("fleet", "control_moved", source=address)
+        return True
+    if path != address:
+        watch.direct_until[address] = loop.time() + DIRECT_S
+    if watch.heard_at.pop(address, None) is not None:
         watch.record("fleet", "control_lost", source=address)
     return bool(heard)
 
--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -31,7 +31,8 @@
         loop = asyncio.get_running_loop()
         self.address = ADDRESSES[number]
         port = int(self.address.rsplit(":", 1)[1])
-        identity = make_identity(f"c{number}", port=port)
+        centre = fleet.centre_of(number)
+        identity = make_identity(f"c{number}", centre, port=port)
         self.network = fleet.fabric.build_network(identity)
         self.machine = build_machine()
         fleet.starts += 1
@@ -58,7 +59,7 @@
             self.machine,
             self.log,
             loop.time,
-            DataCentre(f"dc{number}"),
+            fleet.centre_of(number),
             StreamTimes(),
         )
         leaders = Leaders(self.network, list(FIRST), loop.time, rng)
@@ -73,7 +74,7 @@
     """Hold one entry daemon and what it learnt."""
 
     def __init__(self, fleet, name, port, data_centre="dc0"):
-        identity = make_identity(name, port=port)
+        identity = make_identity(name, data_centre, port=port)
         self.network = fleet.fabric.build_network(identity)
         self.versions, self.services, self.events = [], [], []
         self.contacts = []
@@ -100,12 +101,16 @@
 class Fleet:
     """Hold control daemons on their disks, by number, and entry daemons."""
 
-    def __init__(self, seed=1):
-        self.seed, self.starts = seed, 0
+    def __init__(self, seed=1, centres=("dc0", "dc1", "dc2", "dc3")):
+        self.seed, self.starts, self.centres = seed, 0, centres
         self.fabric = MemoryFabric()
         self.disks = [MemoryDisk() for _ in ADDRESSES]
         self.controls = {}
 
+    def centre_of(self, number):
+        """Return the data centre of a control daemon."""
+        return DataCentre(self.centres[number])
+
     def start(self, *numbers, is_first_start=True):
         """Start control daemons."""
         for number in numbers:
