Split the two programs on the platform, so that each imports its own parts only

daemons/fleet.py and platform/programs.py wired both daemons; each program loaded the other's. Listeners of both programs are in platform/listeners.py.

--- /dev/null
+++ b/src/bramleyrouter/daemons/fleet_entry.py
@@ -0,0 +1,140 @@
+"""Composition of the entry daemon that serves by route table.
+
+The adapter of a platform hands in how callers and servers speak; everything
+that decides is wired here. Nothing of the control daemon is imported: each
+program starts faster without the other.
+"""
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from result import Err, Result
+
+from bramleyrouter.board.blackboard import Board, Section
+from bramleyrouter.conf.fleet import FleetSettings, stream_times
+from bramleyrouter.daemons.fleet import CLUSTER_KEY, board_of
+from bramleyrouter.failures import Failure
+from bramleyrouter.fleet.watching import Watching, start_watching
+from bramleyrouter.gateway.budgets import ExtraLimits
+from bramleyrouter.gateway.build import GatewayHandle, build_gateway
+from bramleyrouter.gateway.exchanges import ServerTransport
+from bramleyrouter.gateway.gateways import GatewayLimits
+from bramleyrouter.gateway.tables import RouteTable
+from bramleyrouter.gateway.waiting import trip_time
+from bramleyrouter.ids import ServiceName, TableVersion
+from bramleyrouter.telemetry.events import EventLog, record, record_ordinary
+from bramleyrouter.telemetry.gateway_metrics import GatewayMetrics, build_observe
+from bramleyrouter.utils.tasks import TaskGroup, cancel_all, repeat, spawn
+from bramleyrouter.wire.kinds import Kind
+from bramleyrouter.wire.tcp import build_tcp_network
+
+# Time between two looks whether this entry daemon is cut off, in seconds; the
+# balancer asks once per second.
+REVIEW_S = 0.2
+
+
+class EntryParts(NamedTuple):
+    """Bundle the wired parts of an entry daemon."""
+
+    board: Board
+    gateway: GatewayHandle
+    watching: Watching
+    listen: Callable[[], None]
+    metrics: GatewayMetrics
+    close: Callable
+
+
+def build_entry_parts(
+    cfg: FleetSettings,
+    log: EventLog,
+    transport: ServerTransport,
+    decode_table: Callable[[bytes], Result[RouteTable, Failure]],
+    on_table: Callable[[RouteTable], None],
+) -> EntryParts:
+    """Wire an entry daemon; needs a running event loop."""
+    loop = asyncio.get_running_loop()
+    board = board_of(cfg)
+    network, listen = build_tcp_network(board.identity, CLUSTER_KEY)
+    parts: list[EntryParts] = []
+
+    def note(part: str, event: str, **fields) -> None:
+        record(log, part, event, **fields)
+
+    def note_ordinary(part: str, event: str, **fields) -> None:
+        record_ordinary(log, part, event, **fields)
+
+    times = stream_times(cfg.bounds)
+
+    def take_table(version: TableVersion, document: bytes) -> None:
+        decoded = decode_table(document)
+        if isinstance(decoded, Err):
+            # Control daemons accept only what they could decode.
+            note("fleet", "bad_table", version=version, reason=str(decoded.err_value))
+            return
+        parts[0].gateway.set_table(decoded.ok_value)
+        on_table(decoded.ok_value)
+        board.readiness.reasons.discard("starting")
+
+    def take_servers(services: set[ServiceName]) -> None:
+        for service in services:
+            rows = watching.watch.view.by_service.get(service, {})
+            parts[0].gateway.set_servers(service, rows.values())
+
+    watching = start_watching(
+        network,
+        note,
+        cfg.data_centre,
+        loop.time,
+        take_table,
+        take_servers,
+        lambda relays: parts[0].gateway.set_relays(relays),
+        lambda data_centre: parts[0].gateway.hear_from(data_centre),
+        times,
+    )
+    bounds, metrics = cfg.bounds, GatewayMetrics()
+    gateway = build_gateway(
+        GatewayLimits(
+            cfg.data_centre,
+            cfg.internal_address,
+            cfg.data_centres,
+            times.life_sign_s,
+            trip_time(cfg.cores),
+            bounds.cold_factor,
+            bounds.cold_slack,
+        ),
+        ExtraLimits(bounds.extra_ratio, bounds.extra_slack, bounds.extra_window_s),
+        transport,
+        random.Random(),
+        note,
+        note_ordinary,
+        build_observe(metrics),
+        lambda: watching.watch.data_centres_out,
+        watching.entry_daemons,
+        lambda address, payload, on_item, on_end: network.stream(
+            address, Kind.GATHER_SHARDS, payload, on_item, on_end
+        ),
+        lambda: "stopping" in board.readiness.reasons,
+    )
+    network.serve_stream(Kind.GATHER_SHARDS, gateway.serve_delegated)
+
+    def review_reach() -> None:
+        reasons = board.readiness.reasons
+        before = set(reasons)
+        (reasons.add if gateway.is_cut_off() else reasons.discard)("cut off")
+        if reasons != before:
+            note("daemon", "readiness", reasons=sorted(reasons))
+            board.touch(Section.READINESS)
+
+    group = TaskGroup("readiness")
+    spawn(group, repeat(REVIEW_S, review_reach, REVIEW_S))
+
+    async def close() -> None:
+        cancel_all(group)
+        watching.close()
+        await network.close()
+
+    parts.append(EntryParts(board, gateway, watching, listen, metrics, close))
+    watching.set_seeds(cfg.seeds)
+    return parts[0]
--- a/src/bramleyrouter/platform/control.py
+++ b/src/bramleyrouter/platform/control.py
@@ -1,6 +1,73 @@
-"""Main function of the control daemon on the platform."""
+"""The control daemon on the platform."""
+
+import asyncio
+
+from result import Err
+
+from bramleyrouter.conf.fleet import FleetSettings
+from bramleyrouter.daemons.fleet_control import build_control_parts
+from bramleyrouter.daemons.lifecycles import Daemon
+from bramleyrouter.fleet.registry import announce, withdraw
+from bramleyrouter.platform.listeners import listen_metrics
+from bramleyrouter.platform.operators import (
+    ControlCalls,
+    listen_control,
+)
+from bramleyrouter.platform.programs import run_program, watch_settings
+from bramleyrouter.telemetry.control_metrics import (
+    ControlMetrics,
+    build_observe_call,
+    show_state,
+)
+from bramleyrouter.telemetry.events import EventLog, record
+from bramleyrouter.utils.tasks import TaskGroup
+
+
+def build_control_daemon(cfg: FleetSettings, log: EventLog):
+    """Wire a control daemon to the platform; fails as its log does."""
+    seeds = [cfg.seeds]
+    group = TaskGroup("platform")
+    clock = asyncio.get_running_loop().time
+    built = build_control_parts(cfg, log, lambda: seeds[0])
+    if isinstance(built, Err):
+        return built
+    parts, metrics = built.ok_value, ControlMetrics()
+    calls = ControlCalls(
+        publish=parts.operate,
+        set_out=parts.operate,
+        read=parts.read_routes,
+        announce=lambda row: announce(parts.registry, row, clock()),
+        withdraw=lambda server_id, incarnation: withdraw(
+            parts.registry, server_id, incarnation, clock()
+        ),
+        recommend=parts.recommend,
+        data_centres=cfg.data_centres,
+        record=lambda part, event, **fields: record(log, part, event, **fields),
+        observe=build_observe_call(metrics),
+    )
+    servers: list = []
+
+    def take_settings(new: FleetSettings) -> None:
+        seeds[0] = new.seeds
+
+    async def start() -> None:
+        parts.listen()
+        servers.append(listen_control(cfg.control_address, calls))
+        collect = lambda: show_state(metrics, parts.state())
+        listen_metrics(cfg.metrics_address, metrics.registry, collect)
+        parts.board.readiness.reasons.discard("starting")
+        watch_settings(log, group, take_settings)
+        record(log, "daemon", "started", control_address=cfg.control_address)
+
+    async def drain() -> None:
+        servers[0].stop()
+
+    async def close() -> None:
+        record(log, "daemon", "stopped")
+        await parts.close()
+
+    return built.map(lambda _: Daemon(parts.board, start, drain, close))
 
-from bramleyrouter.platform.programs import main
 
 if __name__ == "__main__":
-    main("control")
+    run_program(build_control_daemon, balancer_wait_s=0.0)
--- a/src/bramleyrouter/platform/entry.py
+++ b/src/bramleyrouter/platform/entry.py
@@ -1,6 +1,87 @@
-"""Main function of the entry daemon on the platform."""
+"""The entry daemon on the platform."""
+
+from result import Ok, Result
+
+from bramleyrouter.board.blackboard import Section
+from bramleyrouter.conf.fleet import FleetSettings
+from bramleyrouter.daemons.fleet_entry import build_entry_parts
+from bramleyrouter.daemons.lifecycles import Daemon
+from bramleyrouter.failures import Failure
+from bramleyrouter.gateway.tables import CallerLimits, RouteTable
+from bramleyrouter.platform.callers import (
+    close_after_replies,
+    listen_callers,
+    set_limits,
+    stop_listening,
+)
+from bramleyrouter.platform.documents import decode_document
+from bramleyrouter.platform.listeners import listen_metrics, listen_ready
+from bramleyrouter.platform.programs import CLOSE_S, run_program, watch_settings
+from bramleyrouter.platform.servers import build_transport
+from bramleyrouter.telemetry.events import EventLog, record
+from bramleyrouter.utils.tasks import TaskGroup, repeat, spawn
+
+# The balancer asks once per second and takes a daemon out after two misses.
+BALANCER_WAIT_S = 3.2
+POOL_SWEEP_S = 2.0
+
+
+def build_entry(cfg: FleetSettings, log: EventLog) -> Result[Daemon, Failure]:
+    """Wire an entry daemon to the platform."""
+    group = TaskGroup("platform")
+    transport, keep_only = build_transport()
+    listeners: list = []
+
+    def on_table(table: RouteTable) -> None:
+        if listeners:
+            set_limits(listeners[0], table.limits)
+
+    parts = build_entry_parts(cfg, log, transport, decode_document, on_table)
+    reasons = parts.board.readiness.reasons
+    view = parts.watching.watch.view
+
+    def note_readiness() -> None:
+        if listeners:
+            close_after_replies(listeners[0], bool(reasons))
+
+    def answer_balancer() -> bool:
+        is_ready = not reasons
+        parts.gateway.note_question(is_ready)
+        return is_ready
+
+    def collect() -> None:
+        state, watch = parts.metrics.state, parts.watching.watch
+        state.set({"value": "table_version"}, watch.table_version)
+        state.set({"value": "servers"}, len(view.merged))
+        state.set({"value": "control_daemons"}, len(watch.heard_at))
+        state.set({"value": "control_silence_s"}, parts.watching.silence_s())
+        state.set({"value": "entry_daemons"}, parts.watching.entry_daemons())
+        state.set({"value": "in_flight"}, parts.gateway.in_flight())
+        state.set({"value": "ready"}, int(not reasons))
+
+    async def start() -> None:
+        parts.listen()
+        listeners.append(
+            listen_callers(cfg.caller_address, parts.gateway.handle, CallerLimits())
+        )
+        listen_ready(cfg.ready_address, answer_balancer)
+        listen_metrics(cfg.metrics_address, parts.metrics.registry, collect)
+        parts.board.watch(Section.READINESS, note_readiness)
+        watch_settings(log, group, lambda new: parts.watching.set_seeds(new.seeds))
+        sweep = repeat(POOL_SWEEP_S, lambda: keep_only(set(view.merged)), POOL_SWEEP_S)
+        spawn(group, sweep)
+        record(log, "daemon", "started", caller_address=cfg.caller_address)
+
+    async def drain() -> None:
+        left_s = cfg.bounds.stop_s - BALANCER_WAIT_S - CLOSE_S
+        await stop_listening(listeners[0], left_s)
+
+    async def close() -> None:
+        record(log, "daemon", "stopped", in_flight=parts.gateway.in_flight())
+        await parts.close()
+
+    return Ok(Daemon(parts.board, start, drain, close))
 
-from bramleyrouter.platform.programs import main
 
 if __name__ == "__main__":
-    main("entry")
+    run_program(build_entry, BALANCER_WAIT_S)
--- a/src/bramleyrouter/platform/operators.py
+++ b/src/bramleyrouter/platform/operators.py
@@ -3,15 +3,12 @@
 import asyncio
 import secrets
 from collections.abc import Awaitable, Callable
-from http import HTTPStatus
 from typing import NamedTuple
 
 import msgspec
-from aioprometheus import Registry
-from aioprometheus.renderer import render
 from result import Err, Result
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.httputil import HTTPServerRequest
 
 from bramleyrouter.control.messages import (
     OperatorResult,
@@ -30,11 +27,11 @@
 from bramleyrouter.platform import names
 from bramleyrouter.platform.announcements import decode_heartbeat, decode_leave
 from bramleyrouter.platform.documents import decode_document
+from bramleyrouter.platform.listeners import Answer, write_answer
 from bramleyrouter.telemetry.control_metrics import ObserveCall
 from bramleyrouter.telemetry.events import Record
 from bramleyrouter.utils.addresses import split_address
 
-JSON_TYPE = "application/json"
 # Callers of control daemons wait one second for a reply; later the reply is
 # lost and the same order comes again.
 ORDER_TIMEOUT_S = 0.9
@@ -61,13 +58,6 @@
     observe: ObserveCall
 
 
-class Answer(NamedTuple):
-    """Hold one reply."""
-
-    status: int
-    body: bytes = b"{}"
-
-
 def _refusal(status: int, failure: Failure) -> Answer:
     findings = [str(finding) for finding in failure.findings]
     body = {"code": int(failure.code), "text": failure.text, "findings": findings}
@@ -192,22 +182,6 @@
     return Answer(200, outcome.ok_value.document)
 
 
-def write_answer(
-    req: HTTPServerRequest, answer: Answer, content_type: str = JSON_TYPE
-) -> None:
-    """Write a reply; one whose caller has left is dropped."""
-    conn = req.connection
-    if conn is None or conn.stream.closed():  # type: ignore[attr-defined]
-        return
-    headers = HTTPHeaders({"Content-Type": content_type})
-    headers["Content-Length"] = str(len(answer.body))
-    phrase = HTTPStatus(answer.status).phrase
-    line = ResponseStartLine("HTTP/1.1", answer.status, phrase)
-    written = conn.write_headers(line, headers, answer.body)
-    written.add_done_callback(lambda fut: fut.exception())
-    conn.finish()
-
-
 def listen_control(address: str, calls: ControlCalls) -> HTTPServer:
     """Serve the calls on "ip:port"; raises ``OSError`` when it is taken."""
     tasks: set[asyncio.Task] = set()
@@ -225,30 +199,3 @@
     host, port = split_address(address)
     server.listen(port, host, backlog=1024)
     return server
-
-
-def listen_metrics(address: str, registry: Registry, collect: Callable[[], None]):
-    """Serve the metrics as text; ``collect`` brings them up to date."""
-
-    def on_request(req: HTTPServerRequest) -> None:
-        collect()
-        content, _ = render(registry, [])
-        write_answer(req, Answer(200, content), "text/plain; version=0.0.4")
-
-    server = HTTPServer(on_request, idle_connection_timeout=60.0)
-    host, port = split_address(address)
-    server.listen(port, host)
-    return server
-
-
-def listen_ready(address: str, is_ready: Callable[[], bool]) -> HTTPServer:
-    """Tell the balancer whether callers may be sent here."""
-
-    def on_request(req: HTTPServerRequest) -> None:
-        is_known = req.path == names.READY_PATH
-        write_answer(req, Answer(200 if is_known and is_ready() else 503))
-
-    server = HTTPServer(on_request, idle_connection_timeout=60.0)
-    host, port = split_address(address)
-    server.listen(port, host)
-    return server
