--- /dev/null
+++ b/tests/gateway/test_shedding.py
@@ -0,0 +1,103 @@
+"""Tests of what is turned away when a daemon has too much under way."""
+
+import asyncio
+from collections import Counter
+
+from bramleyrouter.gateway.exchanges import ExchangeEnd, ReplyKind, ServerReply
+from tests.support.gateway_fakes import (
+    after,
+    build_site,
+    gather_route,
+    request,
+    row,
+    silent,
+    single_route,
+)
+from tests.support.virtual_time import run_virtual
+
+PRIORITIES = (0, 1, 2)
+
+
+def site_of_three():
+    """Return a site with a route of each priority to a service of its own."""
+    routes = [
+        single_route(
+            f"s{at}", name=f"r{at}", prefix=f"/{at}/", priority=at, timeout_s=20.0
+        )
+        for at in PRIORITIES
+    ]
+    rows = [
+        row(f"{name}{at}", f"s{at}", slots=999) for at in PRIORITIES for name in "ab"
+    ]
+    return build_site(routes, rows)
+
+
+class TestServersThatHang:
+    def test_the_least_urgent_are_refused_first_and_all_kinds_return(self):
+        """Replays 60 requests a second for 10 s at servers that hang.
+
+        Guards against requests that pile up without bound, and against a kind
+        that gets nothing when the servers are back.
+        """
+
+        async def scenario():
+            site = site_of_three()
+            hanging = dict.fromkeys(("a0", "b0", "a1", "b1", "a2", "b2"), silent)
+            site.servers.behaviours |= hanging
+            first_refused, kinds = {}, Counter()
+            for number in range(600):
+                at = number % 3
+                asked = request(f"/{at}/x", 20.0, f"q{number}")
+                note = lambda reply, at=at, number=number: (
+                    first_refused.setdefault(at, number)
+                    if reply.kind is ReplyKind.REFUSED
+                    else None
+                )
+                site.gateway.handle(asked, note)
+                await asyncio.sleep(1 / 60)
+            assert site.gateway.in_flight() <= 400
+            assert first_refused[2] < first_refused[1] < first_refused[0]
+            site.servers.behaviours.clear()
+            await asyncio.sleep(21.0)
+            assert site.gateway.in_flight() == 0
+            for number in range(90):
+                at = number % 3
+                reply = await site.ask(request(f"/{at}/x", 20.0, f"p{number}"))
+                kinds[at, reply.kind] += 1
+            assert kinds == {(at, ReplyKind.SERVER): 30 for at in PRIORITIES}
+
+        run_virtual(scenario())
+
+
+class TestShardsWithoutRoom:
+    def test_a_query_goes_on_without_a_shard_that_is_full(self):
+        """Guards against a query that fails, or waits, for one full shard."""
+
+        async def scenario():
+            rows = [row(f"{name}{at}", f"s{at}") for at in range(8) for name in "ab"]
+            site = build_site([gather_route(8)], rows)
+            full = lambda arrival: (0.002, ServerReply(ExchangeEnd.REFUSED, 503))
+            site.servers.behaviours |= {"a7": full, "b7": full}
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            reply = await site.ask()
+            assert (reply.kind, reply.missing) == (ReplyKind.GATHERED, 1)
+            assert loop.time() - started < 0.1
+            # Rejected sends draw on the budget, so a full shard gets few.
+            assert len(site.servers.of("a7")) + len(site.servers.of("b7")) <= 4
+
+        run_virtual(scenario())
+
+    def test_one_that_has_room_again_is_asked_again(self):
+        async def scenario():
+            rows = [row(f"{name}{at}", f"s{at}") for at in range(8) for name in "ab"]
+            site = build_site([gather_route(8)], rows)
+            full = lambda arrival: (0.002, ServerReply(ExchangeEnd.REFUSED, 503))
+            site.servers.behaviours |= {"a7": full, "b7": full}
+            await site.ask()
+            site.servers.behaviours |= {"a7": after(0.01), "b7": after(0.01)}
+            await asyncio.sleep(0.1)
+            reply = await site.ask()
+            assert reply.missing == 0
+
+        run_virtual(scenario())
