Gave the sends a module of their own, and refused no query that a relay has answered in part

Found by reading: a query whose own sends did not arrive was refused as "not run" although a relay's servers had answered their shards. Its test fails without the mend. gateways.send was a nest of closures; gateway/sends.py holds the same as functions of a Sending. A relay that has told all it had logs "gathered" instead of "failed".

--- a/src/bramleyrouter/gateway/delegated_shards.py
+++ b/src/bramleyrouter/gateway/delegated_shards.py
@@ -120,11 +120,11 @@
 
 
 def _take_reply(shards: list[ShardRun], reply: DelegatedReply) -> None:
-    """Take the shards that the relay gathered; after its last reply the others
-    are missing.
+    """Take the shards that the relay gathered.
 
-    The records of all of them come merged and are kept with the first shard:
-    the greatest of the greatest are the same.
+    After its last reply the others are missing. The records of all of them come
+    merged and are kept with the first shard: the greatest of the greatest are the
+    same.
     """
     records = reply.records
     for position, signature in zip(reply.included, reply.signatures, strict=True):
--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -11,20 +11,13 @@
 from bramleyrouter.gateway.delegation import OpenStream, Relays
 from bramleyrouter.gateway.exchanges import (
     CallerRequest,
-    ExchangeEnd,
     GatewayReply,
     ReplyKind,
-    ServerReply,
     ServerTransport,
 )
-from bramleyrouter.gateway.latencies import LatencyWindow, add_sample
+from bramleyrouter.gateway.latencies import LatencyWindow
 from bramleyrouter.gateway.queues import (
     Urgency,
-    Waiting,
-    enter,
-    expected_wait,
-    leave,
-    withdraw,
 )
 from bramleyrouter.gateway.rotation import Rotation, time_to_leave
 from bramleyrouter.gateway.servers import (
@@ -33,10 +26,6 @@
     ServerTable,
     cold_gap,
     forgive,
-    is_usable,
-    note_cancelled,
-    note_reply,
-    note_sent,
 )
 from bramleyrouter.gateway.tables import Route, RouteIndex
 from bramleyrouter.ids import DataCentre, ServiceName
@@ -61,12 +50,6 @@
 IN_FLIGHT_STEP = 60
 
 
-# Part of a server's connections that all entry daemons hold together; a new one
-# may open before the server has seen the former one close.
-CONNECTIONS_USED = 0.95
-# Connections beyond a server's slots, so that a reply that is late does not
-# keep the next request waiting.
-SPARE_CONNECTIONS = 2
 # Time between two queries that are let through although too many shards have
 # only suspected servers, in seconds: they find out when these are back.
 TRIAL_INTERVAL_S = 0.5
@@ -111,21 +94,6 @@
     next_trial: dict[str, float] = field(default_factory=dict)
 
 
-@dataclass(eq=False)
-class Sending:
-    """Hold one exchange that waits for a connection or is under way."""
-
-    state: ServerState
-    sent_at: float
-    cancel: Callable[[], None] = lambda: None
-    is_started: bool = False
-    is_ended: bool = False
-
-
-# Takes the end of an exchange.
-OnEnded = Callable[[Sending, ServerReply], None]
-
-
 def hear_from(gateway: Gateway, data_centre: DataCentre) -> None:
     """Note a sign of life of a data centre.
 
@@ -175,113 +143,6 @@
     return window
 
 
-def connection_share(declared: int, entry_daemons: int) -> int:
-    """Return how many connections this daemon may hold to one server."""
-    return max(1, int(CONNECTIONS_USED * declared / max(1, entry_daemons)))
-
-
-def send(
-    gateway: Gateway,
-    state: ServerState,
-    context: ChoiceContext,
-    request: CallerRequest,
-    until: float,
-    urgency: Urgency,
-    window: LatencyWindow,
-    on_ended: OnEnded,
-) -> Sending:
-    """Send a request to a server and learn from how it ends.
-
-    It waits while all connections to the server are in use, until the loop
-    time ``until`` at most. ``on_ended`` is called once unless cancelled.
-    """
-    loop, queue = gateway.loop, state.queue
-    sending = Sending(state, context.now)
-    note_sent(state, context)
-    max_connections = _connections_to(gateway, state)
-    # Stops the exchange, or the wait for a connection.
-    stop: list[Callable[[], None]] = []
-
-    def end(reply: ServerReply) -> None:
-        sending.is_ended = True
-        now = loop.time()
-        leave(queue, now)
-        latency_s = now - sending.sent_at
-        note_reply(state, reply, latency_s, window.median_s, now)
-        # Without a status nothing came back, whatever the end.
-        if reply.status:
-            hear_from(gateway, state.row.data_centre)
-        if reply.is_success:
-            add_sample(window, latency_s)
-        on_ended(sending, reply)
-
-    def start() -> None:
-        for action in stop:
-            action()
-        sending.is_started = True
-        sending.sent_at = loop.time()
-        if is_usable(state, gateway.data_centres_out()):
-            left_s = max(0.0, until - sending.sent_at)
-            stop[:] = [
-                gateway.transport(state.row, request, left_s, max_connections, end)
-            ]
-        else:
-            # The server has left while the request waited.
-            stop[:] = [loop.call_soon(end, ServerReply(ExchangeEnd.UNSENT)).cancel]
-
-    def give_up() -> None:
-        withdraw(queue, waiting)
-        sending.is_ended = True
-        reply = ServerReply(ExchangeEnd.UNSENT, text="no connection became free")
-        note_reply(state, reply, 0.0, 0.0, loop.time())
-        on_ended(sending, reply)
-
-    def cancel() -> None:
-        if sending.is_ended:
-            return
-        sending.is_ended = True
-        for action in stop:
-            action()
-        if sending.is_started:
-            leave(queue, loop.time())
-        else:
-            withdraw(queue, waiting)
-        note_cancelled(state)
-
-    waiting = Waiting(urgency, start)
-    sending.cancel = cancel
-    if not enter(queue, waiting, max_connections):
-        stop.append(loop.call_at(until, give_up).cancel)
-    return sending
-
-
-def _connections_to(gateway: Gateway, state: ServerState) -> int:
-    """Return how many connections this daemon uses to a server."""
-    known = gateway.index.services.get(state.row.service) if gateway.index else None
-    declared = known.max_connections if known else state.row.slots + 1
-    share = connection_share(declared, gateway.entry_daemons())
-    # More would only fill the server's queue.
-    return min(share, state.row.slots + SPARE_CONNECTIONS)
-
-
-def time_to_reply(gateway: Gateway, state: ServerState, window: LatencyWindow) -> float:
-    """Return the seconds until a server is expected to answer a request sent now.
-
-    It is 0 until the route's latencies are known.
-    """
-    connections = _connections_to(gateway, state)
-    wait_s = expected_wait(state.queue, connections, window.median_s)
-    return wait_s + window.median_s if wait_s else 0.0
-
-
-def drop_unsent(pending: list[Sending]) -> None:
-    """Take out the exchanges that still wait: nobody needs their replies."""
-    for sending in list(pending):
-        if not sending.is_started:
-            pending.remove(sending)
-            sending.cancel()
-
-
 def retry_after(gateway: Gateway, longest_s: float = MAX_RETRY_AFTER_S) -> float:
     """Return when a refused caller should come back, in seconds."""
     longest = max(MIN_RETRY_AFTER_S, min(longest_s, MAX_RETRY_AFTER_S))
--- a/src/bramleyrouter/gateway/gathers.py
+++ b/src/bramleyrouter/gateway/gathers.py
@@ -9,7 +9,6 @@
     Gateway,
     OnGatewayReply,
     deadline_of,
-    drop_unsent,
     refuse,
     refuse_cut_off,
     window_of,
@@ -23,6 +22,7 @@
 from bramleyrouter.gateway.latencies import hedge_delay
 from bramleyrouter.gateway.merging import merge_greatest
 from bramleyrouter.gateway.reach import count_trusted
+from bramleyrouter.gateway.sends import cancel_send, drop_unsent
 from bramleyrouter.gateway.servers import note_late
 from bramleyrouter.gateway.shard_sends import (
     choose_for,
@@ -109,6 +109,11 @@
     return True
 
 
+def _decision_at(run: GatherRun) -> float:
+    """Return when an answer must leave to arrive within the objective."""
+    return run.arrived + run.route.objective_s - run.gateway.limits.trip_s
+
+
 def _arm(run: GatherRun) -> None:
     """Wake at the next hedge, at the objective, or at the deadline."""
     now = run.gateway.loop.time()
@@ -118,7 +123,7 @@
         delay_s = hedge_delay(window_of(run.gateway, route), route.objective_s)
         times.append(run.arrived + delay_s * (run.looks + 1))
     decisions = (
-        run.arrived + route.objective_s - run.gateway.limits.trip_s,
+        _decision_at(run),
         # Shards that wait only for suspected servers are given up then.
         run.arrived + route.objective_s,
         run.arrived + LATE_PATIENCE * route.objective_s,
@@ -169,10 +174,7 @@
     A server that is cut off gives no other sign before the deadline.
     """
     now = run.gateway.loop.time()
-    if (
-        run.are_overdue_noted
-        or now < run.arrived + run.route.objective_s - run.gateway.limits.trip_s
-    ):
+    if run.are_overdue_noted or now < _decision_at(run):
         return
     run.are_overdue_noted = True
     overdue_s = OVERDUE_FACTOR * window_of(run.gateway, run.route).median_s
@@ -219,17 +221,17 @@
     It alone knows whether the query has enough: of ten parts that each lack a
     shard, none is short by itself.
     """
-    route, now = run.route, run.gateway.loop.time()
+    now = run.gateway.loop.time()
     untold = [shard for shard in run.shards if shard.reply and not shard.is_told]
     is_last_call = now >= run.deadline_at - DEADLINE_MARGIN_S
     if is_last_call or not _hopeful(run):
-        if untold:
+        if untold or any(shard.is_told for shard in run.shards):
             _finish(run, _gathered(run, untold))
         else:
             progress = progress_of(run)
             end = _out_of_time if is_last_call else _failed
             _finish(run, end(run, progress))
-    elif untold and now >= run.arrived + route.objective_s - run.gateway.limits.trip_s:
+    elif untold and now >= _decision_at(run):
         for shard in untold:
             shard.is_told = True
         on_part(_gathered(run, untold))
@@ -261,7 +263,8 @@
     reason = f"{len(without)} of {progress.total} shards did not answer: "
     reason += "; ".join(describe_shard(run, shard) for shard in without[:3])
     is_relay_at_work = any(item.is_open for item in run.delegations)
-    if is_relay_at_work or any(shard.ran > 0 for shard in run.shards):
+    has_run = any(shard.ran > 0 or shard.reply is not None for shard in run.shards)
+    if is_relay_at_work or has_run:
         return GatewayReply(ReplyKind.FAILED, reason)
     return refuse(run.gateway, reason, (run.deadline_at - run.arrived) / 3)
 
@@ -310,5 +313,5 @@
     cancel_delegations(run)
     for shard in run.shards:
         for sending in shard.pending:
-            sending.cancel()
+            cancel_send(sending)
         shard.pending.clear()
--- a/src/bramleyrouter/gateway/shard_sends.py
+++ b/src/bramleyrouter/gateway/shard_sends.py
@@ -9,15 +9,13 @@
 )
 from bramleyrouter.gateway.gateways import (
     MIN_SEND_S,
-    Sending,
     context_for,
-    drop_unsent,
-    send,
     states_of,
     urgency_of,
     window_of,
 )
 from bramleyrouter.gateway.gather_runs import GatherRun, ShardRun
+from bramleyrouter.gateway.sends import Sending, drop_unsent, send
 from bramleyrouter.gateway.servers import (
     ServerState,
     choose_server,
--- a/src/bramleyrouter/gateway/singles.py
+++ b/src/bramleyrouter/gateway/singles.py
@@ -19,19 +19,22 @@
     Cancel,
     Gateway,
     OnGatewayReply,
-    Sending,
     context_for,
     deadline_of,
-    drop_unsent,
     refuse,
     refuse_until,
-    send,
     states_of,
-    time_to_reply,
     urgency_of,
     window_of,
 )
 from bramleyrouter.gateway.latencies import hedge_delay
+from bramleyrouter.gateway.sends import (
+    Sending,
+    cancel_send,
+    drop_unsent,
+    send,
+    time_to_reply,
+)
 from bramleyrouter.gateway.servers import (
     choose_server,
     describe_servers,
@@ -283,7 +286,7 @@
 
 def _stop(run: SingleRun) -> None:
     for sending in run.pending:
-        sending.cancel()
+        cancel_send(sending)
     run.pending.clear()
 
 
--- a/tests/gateway/test_gathers.py
+++ b/tests/gateway/test_gathers.py
@@ -401,6 +401,18 @@
 
         run_virtual(scenario())
 
+    def test_no_refusal_after_a_relay_has_answered(self):
+        """Guards against "not run" for a query that a relay's servers ran."""
+
+        async def scenario():
+            site = remote_site(FakeRelay(), min_coverage=0.55)
+            for at in range(6):
+                site.servers.behaviours[f"a{at}"] = ending(ExchangeEnd.UNREACHED, 0.05)
+            reply = await site.ask()
+            assert reply.kind is ReplyKind.FAILED
+
+        run_virtual(scenario())
+
     def test_the_relay_stops_when_the_caller_leaves(self):
         async def scenario():
             relay = FakeRelay()
