Let a relay ask one server a shard until it would know that it was given up

Change: a relay sends nothing a second time before the time to confirm and a margin of 6 ms; a daemon whose relay fails later than that counts all servers as used. The time to confirm is a quarter of the objective, 12 to 30 ms.

--- a/src/bramleyrouter/gateway/delegated_shards.py
+++ b/src/bramleyrouter/gateway/delegated_shards.py
@@ -83,7 +83,7 @@
         run.gateway.open_stream,
         relay,
         _delegated_query(run, shards),
-        lambda reply, may_have_run: _take(run, delegation, reply, may_have_run),
+        lambda reply, ran: _take(run, delegation, reply, ran),
     )
 
 
@@ -106,13 +106,13 @@
     run: GatherRun,
     delegation: Delegation,
     reply: DelegatedReply | None,
-    may_have_run: bool,
+    ran: int,
 ) -> None:
     delegation.is_open = reply is not None and not reply.is_last
     if run.is_finished:
         return
     if reply is None:
-        _after_relay_failure(run, delegation, may_have_run)
+        _after_relay_failure(run, delegation, ran)
     else:
         hear_from(run.gateway, delegation.data_centre)
         _take_reply(delegation.shards, reply)
@@ -141,28 +141,26 @@
             shard.ran += int(reply.may_have_run)
 
 
-def _after_relay_failure(
-    run: GatherRun, delegation: Delegation, may_have_run: bool
-) -> None:
-    """Ask the servers directly; what the relay sent counts as a first send."""
+def _after_relay_failure(run: GatherRun, delegation: Delegation, ran: int) -> None:
+    """Ask the servers directly; what the relay may have sent counts as sent."""
     run.gateway.record(
         "gateway",
         "relay_failed",
         id=run.request.request_id,
         relay=delegation.address,
-        may_have_run=may_have_run,
+        ran=ran,
         waited_ms=round(1000 * (run.gateway.loop.time() - run.arrived)),
     )
     for shard in delegation.shards:
         shard.is_delegated = False
         if shard.reply is not None:
             continue
-        if not may_have_run:
+        if not ran:
             send_first(run, shard)
             continue
-        shard.ran = 1
+        shard.ran = ran
         shard.has_arrived = True
-        may_send = run.route.attempts > 1 and take_extra(
+        may_send = ran < run.route.attempts and take_extra(
             run.gateway.budget, shard.service
         )
         if not may_send or not send_shard(run, shard):
--- a/src/bramleyrouter/gateway/delegation.py
+++ b/src/bramleyrouter/gateway/delegation.py
@@ -25,11 +25,17 @@
 
 # Fewer shards than this are asked for directly: a message saves nothing.
 MIN_SHARDS = 4
-# A relay confirms the receipt at once; one that takes longer, in seconds, is
-# frozen, cut off or overloaded. A round trip takes 2 ms.
-CONFIRM_TIMEOUT_S = 0.03
-# Part of the objective that a relay may take for it where that is longer.
-CONFIRM_SHARE = 0.3
+# A relay confirms the receipt at once; one that takes longer than this share of
+# the objective, within bounds in seconds, is frozen, cut off or overloaded. A
+# round trip takes 2 ms.
+CONFIRM_SHARE = 0.25
+MIN_CONFIRM_S, MAX_CONFIRM_S = 0.012, 0.03
+# How much longer a relay asks one server a shard only, in seconds: the asking
+# daemon, which gives a relay up that does not confirm, may then still ask another
+# without exceeding the servers that a request may run at.
+QUIET_MARGIN_S = 0.006
+# Part of the margin that the way of a cancellation takes.
+CANCEL_TRIP_S = 0.002
 # A relay that failed is left alone for so long, in seconds; doubles each time.
 FIRST_REST_S = 1.0
 MAX_REST_S = 5.0
@@ -103,6 +109,16 @@
         return Err(Failure(Code.WIRE_MALFORMED, text))
 
 
+def confirm_time(objective_s: float) -> float:
+    """Return how long a relay may take to confirm a query, in seconds."""
+    return min(MAX_CONFIRM_S, max(MIN_CONFIRM_S, CONFIRM_SHARE * objective_s))
+
+
+def quiet_time(objective_s: float) -> float:
+    """Return how long a relay asks only one server a shard, in seconds."""
+    return confirm_time(objective_s) + QUIET_MARGIN_S
+
+
 @dataclass(eq=False)
 class Relay:
     """Hold an entry daemon that may be asked, and how it did."""
@@ -221,16 +237,18 @@
     open_stream: OpenStream,
     relay: Relay,
     query: DelegatedQuery,
-    on_reply: Callable[[DelegatedReply | None, bool], None],
+    on_reply: Callable[[DelegatedReply | None, int], None],
 ) -> Callable[[], None]:
     """Send a query to a relay; return the closure that cancels it.
 
-    ``on_reply(reply, may_have_run)`` is called for each reply unless cancelled;
-    without a reply the relay failed, and nothing more comes.
+    ``on_reply(reply, ran)`` is called for each reply unless cancelled; without a
+    reply the relay failed, nothing more comes, and each shard may have run at
+    ``ran`` servers.
     """
+    started = loop.time()
     is_confirmed, is_done = False, False
 
-    def finish(reply: DelegatedReply | None, may_have_run: bool) -> None:
+    def finish(reply: DelegatedReply | None, ran: int) -> None:
         nonlocal is_done
         if is_done:
             return
@@ -240,7 +258,12 @@
             note_failure(relay, loop.time())
         else:
             note_success(relay)
-        on_reply(reply, may_have_run)
+        on_reply(reply, ran)
+
+    def may_have_run() -> int:
+        """Return at how many servers the relay may have run each shard by now."""
+        quiet_s = quiet_time(query.objective_s) - CANCEL_TRIP_S
+        return 1 if loop.time() - started <= quiet_s else query.attempts
 
     def on_item(payload: bytes) -> None:
         nonlocal is_confirmed
@@ -249,9 +272,9 @@
             return
         reply = decode_reply(payload).ok()
         if reply is None or reply.is_last:
-            finish(reply, True)
+            finish(reply, query.attempts)
         elif not is_done:
-            on_reply(reply, True)
+            on_reply(reply, query.attempts)
 
     def on_end(outcome: Result[None, Failure]) -> None:
         is_certain = isinstance(outcome, Err) and outcome.err_value.code in (
@@ -259,12 +282,12 @@
             Code.STOPPING,
             Code.UNKNOWN_MESSAGE_KIND,
         )
-        finish(None, not is_certain)
+        finish(None, 0 if is_certain else may_have_run())
 
     def on_time() -> None:
         if not is_confirmed and not is_done:
             cancel_stream()
-            finish(None, True)
+            finish(None, may_have_run())
 
     def cancel() -> None:
         nonlocal is_done
@@ -273,7 +296,6 @@
             timer.cancel()
             cancel_stream()
 
-    confirm_s = max(CONFIRM_TIMEOUT_S, CONFIRM_SHARE * query.objective_s)
-    timer = loop.call_later(confirm_s, on_time)
+    timer = loop.call_later(confirm_time(query.objective_s), on_time)
     cancel_stream = open_stream(relay.address, encode(query), on_item, on_end)
     return cancel
--- a/src/bramleyrouter/gateway/gather_runs.py
+++ b/src/bramleyrouter/gateway/gather_runs.py
@@ -71,6 +71,8 @@
     # Set for a part of another daemon's query: takes what is in at the objective
     # and each later shard, before ``on_reply`` takes the last.
     on_part: OnGatewayReply | None = None
+    # Loop time before which no shard is sent to a second server.
+    quiet_until: float = 0.0
     delegations: list[Delegation] = field(default_factory=list)
 
 
--- a/src/bramleyrouter/gateway/gathers.py
+++ b/src/bramleyrouter/gateway/gathers.py
@@ -1,6 +1,7 @@
 """Queries over many shards: one server of each, merged into one response."""
 
 from bramleyrouter.gateway.delegated_shards import delegate_shards
+from bramleyrouter.gateway.delegation import quiet_time
 from bramleyrouter.gateway.exchanges import CallerRequest, GatewayReply, ReplyKind
 from bramleyrouter.gateway.gateways import (
     DEADLINE_MARGIN_S,
@@ -62,6 +63,8 @@
     deadline_s = deadline_of(route, request)
     run = GatherRun(gateway, route, request, now, now + deadline_s, on_reply, _check)
     run.on_part = on_part
+    if on_part is not None:
+        run.quiet_until = now + quiet_time(route.objective_s)
     run.shards = [ShardRun(service) for service in route.shards]
     lost = [shard for shard in run.shards if choose_for(run, shard) is None]
     reachable = len(run.shards) - len(lost)
@@ -114,14 +117,19 @@
     return run.arrived + run.route.objective_s - run.gateway.limits.trip_s
 
 
+def _next_look(run: GatherRun) -> float:
+    """Return when to look for stragglers next."""
+    delay_s = hedge_delay(window_of(run.gateway, run.route), run.route.objective_s)
+    return max(run.quiet_until, run.arrived + delay_s * (run.looks + 1))
+
+
 def _arm(run: GatherRun) -> None:
     """Wake at the next hedge, at the objective, or at the deadline."""
     now = run.gateway.loop.time()
     route = run.route
     times = [run.deadline_at - DEADLINE_MARGIN_S]
     if run.looks < HEDGE_LOOKS:
-        delay_s = hedge_delay(window_of(run.gateway, route), route.objective_s)
-        times.append(run.arrived + delay_s * (run.looks + 1))
+        times.append(_next_look(run))
     decisions = (
         _decision_at(run),
         # Shards that wait only for suspected servers are given up then.
@@ -137,8 +145,7 @@
     if run.is_finished:
         return
     now = run.gateway.loop.time()
-    delay_s = hedge_delay(window_of(run.gateway, run.route), run.route.objective_s)
-    if run.looks < HEDGE_LOOKS and now >= run.arrived + delay_s * (run.looks + 1):
+    if run.looks < HEDGE_LOOKS and now >= _next_look(run):
         run.looks += 1
         send_hedges(run)
     _note_overdue(run)
--- a/src/bramleyrouter/gateway/shard_sends.py
+++ b/src/bramleyrouter/gateway/shard_sends.py
@@ -114,6 +114,28 @@
         shard.ran -= 1
     if shard.pending:
         return
+    now = run.gateway.loop.time()
+    if shard.ran > 0 and now < run.quiet_until:
+        run.gateway.loop.call_at(run.quiet_until, _send_again_later, run, shard)
+        return
+    _send_again(run, shard, sending, reply)
+
+
+def _send_again_later(run: GatherRun, shard: ShardRun) -> None:
+    """Ask another server after the time in which a relay asks only one."""
+    if run.is_finished or not shard.is_open or shard.pending:
+        return
+    may_send = shard.ran < run.route.attempts and take_extra(
+        run.gateway.budget, shard.service
+    )
+    if not may_send or not send_shard(run, shard):
+        shard.is_missing = True
+    run.check(run)
+
+
+def _send_again(
+    run: GatherRun, shard: ShardRun, sending: Sending, reply: ServerReply
+) -> None:
     if reply.end in NO_ROOM and choose_for(run, shard) is None:
         # All are full for the moment; the one that refused first may have room.
         shard.tried.clear()
--- a/tests/gateway/test_gathers.py
+++ b/tests/gateway/test_gathers.py
@@ -1,6 +1,7 @@
 import asyncio
 import math
 
+import pytest
 from result import Err, Ok
 
 from bramleyrouter.codes import Code
@@ -8,10 +9,13 @@
 from bramleyrouter.gateway.budgets import ExtraLimits
 from bramleyrouter.gateway.delegation import (
     CONFIRMATION,
+    DelegatedQuery,
     DelegatedReply,
+    confirm_time,
     decode_query,
     decode_reply,
     encode,
+    quiet_time,
     share_out,
     split_shards,
 )
@@ -627,3 +631,75 @@
 
         assert run_virtual(scenario(30)) == []
         assert len(run_virtual(scenario(90))) >= 5
+
+
+class TestServersOfOneShard:
+    """Guard against a shard that runs at more servers than its route allows.
+
+    A slow relay confirmed late and had hedged, and the daemon that gave it up
+    asked a third server (bench: porchlight grown, trouble-1: BUDGET).
+    """
+
+    def delegated(self, objective_s):
+        return DelegatedQuery(request(), "r", ("s0", "s1"), 1.0, objective_s, 2, 1, 5)
+
+    @pytest.mark.parametrize(
+        "first",
+        [silent, ending(ExchangeEnd.LOST), after(0.6)],
+        ids=["silent", "lost", "slow"],
+    )
+    @pytest.mark.parametrize("objective_s", [0.05, 0.1, 0.25, 1.0])
+    def test_a_relay_asks_one_until_it_would_know_that_it_was_given_up(
+        self, first, objective_s
+    ):
+        async def scenario():
+            rows = [row(f"{n}{at}", f"s{at}") for at in range(2) for n in "ab"]
+            site = build_site([gather_route(2)], rows)
+            site.servers.behaviours |= dict.fromkeys(("a0", "b0"), first)
+            started = asyncio.get_running_loop().time()
+            payload = encode(self.delegated(objective_s))
+            await site.gateway.serve_delegated(None, payload, lambda item: None)
+            arrivals = [
+                item.at - started
+                for item in site.servers.arrivals
+                if item.server.service == "s0"
+            ]
+            assert len(arrivals) == 2
+            assert arrivals[1] >= quiet_time(objective_s) > confirm_time(objective_s)
+
+        run_virtual(scenario())
+
+    def test_a_rejected_send_is_repeated_at_once(self):
+        """Guards against a wait where nothing has run."""
+
+        async def scenario():
+            rows = [row(f"{n}{at}", f"s{at}") for at in range(2) for n in "ab"]
+            site = build_site([gather_route(2)], rows)
+            site.servers.behaviours["a0"] = ending(ExchangeEnd.REFUSED)
+            loop = asyncio.get_running_loop()
+            started = loop.time()
+            payload = encode(self.delegated(1.0))
+            await site.gateway.serve_delegated(None, payload, lambda item: None)
+            assert loop.time() - started < 0.02
+
+        run_virtual(scenario())
+
+    @pytest.mark.parametrize("delay_s, sends", [(0.015, 6), (0.06, 0)])
+    def test_no_other_is_asked_once_a_relay_may_have_asked_two(self, delay_s, sends):
+        async def scenario():
+            site = None
+
+            def open_stream(address, payload, on_item, on_end):
+                loop = asyncio.get_running_loop()
+                loop.call_later(0.002, on_item, CONFIRMATION)
+                lost = Failure(Code.PEER_DISCONNECTED, "the connection was lost")
+                loop.call_later(delay_s, on_end, Err(lost))
+                return lambda: None
+
+            relay = FakeRelay()
+            relay.open_stream = open_stream
+            site = remote_site(relay, min_coverage=0.5)
+            await site.ask()
+            assert len(site.servers.arrivals) == 6 + sends
+
+        run_virtual(scenario())
