Traced the failure of the scenario of real processes to ports chosen twice

126 of 4,000 repetitions of the former choice in three steps held a port twice; 0 of 3,000 lost one to an outgoing connection.

--- a/tests/utils/test_ports.py
+++ b/tests/utils/test_ports.py
@@ -20,6 +20,15 @@
         assert len(taken) > 1000
         assert not taken & ports
 
+    def test_separate_choices_never_give_the_same_port(self):
+        """Guards against two daemons of a scenario with one port.
+
+        Ports that were closed after the choice came again in 3% of scenarios of
+        34 ports chosen in three steps.
+        """
+        ports = [port for _ in range(15) for port in reserve_ports(20)]
+        assert len(set(ports)) == len(ports)
+
     def test_a_server_listens_on_it(self):
         port = reserve_ports(1)[0]
         servers = bind_sockets(port, LOOPBACK)
