Widened the statements of daemons on the wire to 64 bits

Cause: since statements count from the incarnation, a wall clock in milliseconds, they no longer fit the 32 bits of the schema; no entry daemon of the product's own interface could speak. A test encodes what a real daemon sends.

--- a/src/bramleyrouter/membership/membership.capnp
+++ b/src/bramleyrouter/membership/membership.capnp
@@ -4,7 +4,7 @@
 struct Entry {
   daemonId @0 :Text;
   incarnation @1 :UInt64;
-  statement @2 :UInt32;
+  statement @2 :UInt64;
   state @3 :UInt8;
   isControl @4 :Bool;
   dataCentre @5 :Text;
@@ -88,7 +88,7 @@
 struct Held {
   daemonId @0 :Text;
   incarnation @1 :UInt64;
-  statement @2 :UInt32;
+  statement @2 :UInt64;
   state @3 :UInt8;
   version @4 :UInt64;
 }
--- a/tests/membership/test_messages.py
+++ b/tests/membership/test_messages.py
@@ -49,6 +49,22 @@
 ]
 
 
+class TestSizes:
+    def test_incarnations_and_statements_of_a_wall_clock_fit(self):
+        """Guards against daemons that can't speak outside of tests.
+
+        Statements count from the incarnation, the wall clock in milliseconds,
+        and were 32 bits wide (features/real_processes.feature).
+        """
+        identity = make_identity("home", incarnation=1_796_396_706_865)
+        entry = own_entry(identity, True)
+        batch = Batch(scope=1, entries=(entry,))
+        assert decode(Batch, encode(batch)) == Ok(batch)
+        held = Held("home", entry.incarnation, entry.statement, entry.state, 3)
+        request = SyncRequest(wanted=(held,))
+        assert decode(SyncRequest, encode(request)) == Ok(request)
+
+
 class TestMembershipMessages:
     @pytest.mark.parametrize("message", SAMPLES)
     def test_message_survives_the_wire(self, message):
