--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -24,8 +24,8 @@
     ChoiceContext,
     ServerState,
     ServerTable,
+    clear_suspicion,
     cold_gap,
-    forgive,
 )
 from bramleyrouter.gateway.tables import Route, RouteIndex
 from bramleyrouter.ids import DataCentre, ServiceName
@@ -107,7 +107,7 @@
     for states in gateway.servers.by_service.values():
         for state in states.values():
             if state.row.data_centre == data_centre:
-                forgive(state)
+                clear_suspicion(state)
 
 
 OnGatewayReply = Callable[[GatewayReply], None]
--- a/src/bramleyrouter/gateway/servers.py
+++ b/src/bramleyrouter/gateway/servers.py
@@ -280,7 +280,7 @@
     state.in_flight = max(0, state.in_flight - 1)
 
 
-def forgive(state: ServerState) -> None:
+def clear_suspicion(state: ServerState) -> None:
     """Trust a server again that may only have been out of reach.
 
     One more failure is enough to suspect it anew.
