--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -112,6 +112,14 @@
     return site
 
 
+async def relay_site():
+    """Return a relay's site of six shards, and the query that it is asked."""
+    asked = FakeRelay()
+    await remote_site(asked).ask()
+    rows = [row(f"b{at}", f"s{at}") for at in range(6, 12)]
+    return build_site([gather_route(12)], rows), asked.queries[0]
+
+
 class TestDelegation:
     def test_remote_shards_travel_in_one_message(self):
         async def scenario():
@@ -210,13 +218,9 @@
 
     def test_a_relay_serves_with_its_own_servers(self):
         async def scenario():
-            asked = FakeRelay()
-            await remote_site(asked).ask()
-            rows = [row(f"b{at}", f"s{at}") for at in range(6, 12)]
-            site = build_site([gather_route(12)], rows)
+            site, query = await relay_site()
             sent = []
-            payload = encode(asked.queries[0])
-            await site.gateway.serve_delegated(None, payload, sent.append)
+            await site.gateway.serve_delegated(None, encode(query), sent.append)
             assert sent[0] == CONFIRMATION
             assert len(site.servers.arrivals) == 6
             first = site.servers.arrivals[0]
@@ -322,14 +326,10 @@
 
     def test_a_relay_tells_what_is_in_at_the_objective_and_the_rest_as_it_comes(self):
         async def scenario():
-            asked = FakeRelay()
-            await remote_site(asked).ask()
-            rows = [row(f"b{at}", f"s{at}") for at in range(6, 12)]
-            site = build_site([gather_route(12)], rows)
+            site, query = await relay_site()
             site.servers.behaviours |= {"b7": after(0.3), "b8": silent}
             sent = []
-            payload = encode(asked.queries[0])
-            await site.gateway.serve_delegated(None, payload, sent.append)
+            await site.gateway.serve_delegated(None, encode(query), sent.append)
             replies = [decode_reply(item).ok_value for item in sent[1:]]
             assert [reply.included for reply in replies[:2]] == [(0, 3, 4, 5), (1,)]
             assert [reply.is_last for reply in replies] == [False, False, True]
@@ -339,13 +339,9 @@
 
     def test_a_relay_with_everything_sends_one_reply(self):
         async def scenario():
-            asked = FakeRelay()
-            await remote_site(asked).ask()
-            rows = [row(f"b{at}", f"s{at}") for at in range(6, 12)]
-            site = build_site([gather_route(12)], rows)
+            site, query = await relay_site()
             sent = []
-            payload = encode(asked.queries[0])
-            await site.gateway.serve_delegated(None, payload, sent.append)
+            await site.gateway.serve_delegated(None, encode(query), sent.append)
             assert len(sent) == 2
             assert decode_reply(sent[1]).ok_value.is_last
 
--- a/tests/gateway/test_shedding.py
+++ b/tests/gateway/test_shedding.py
@@ -32,6 +32,15 @@
     return build_site(routes, rows)
 
 
+def site_with_full_shard():
+    """Return a site of eight shards, the last of which has servers without room."""
+    rows = [row(f"{name}{at}", f"s{at}") for at in range(8) for name in "ab"]
+    site = build_site([gather_route(8)], rows)
+    full = lambda arrival: (0.002, ServerReply(ExchangeEnd.REFUSED, 503))
+    site.servers.behaviours |= {"a7": full, "b7": full}
+    return site
+
+
 class TestServersThatHang:
     def test_the_least_urgent_are_refused_first_and_all_kinds_return(self):
         """Replays 60 requests a second for 10 s at servers that hang.
@@ -74,10 +83,7 @@
         """Guards against a query that fails, or waits, for one full shard."""
 
         async def scenario():
-            rows = [row(f"{name}{at}", f"s{at}") for at in range(8) for name in "ab"]
-            site = build_site([gather_route(8)], rows)
-            full = lambda arrival: (0.002, ServerReply(ExchangeEnd.REFUSED, 503))
-            site.servers.behaviours |= {"a7": full, "b7": full}
+            site = site_with_full_shard()
             loop = asyncio.get_running_loop()
             started = loop.time()
             reply = await site.ask()
@@ -90,10 +96,7 @@
 
     def test_one_that_has_room_again_is_asked_again(self):
         async def scenario():
-            rows = [row(f"{name}{at}", f"s{at}") for at in range(8) for name in "ab"]
-            site = build_site([gather_route(8)], rows)
-            full = lambda arrival: (0.002, ServerReply(ExchangeEnd.REFUSED, 503))
-            site.servers.behaviours |= {"a7": full, "b7": full}
+            site = site_with_full_shard()
             await site.ask()
             site.servers.behaviours |= {"a7": after(0.01), "b7": after(0.01)}
             await asyncio.sleep(0.1)
