Recorded each attempt of a gather and the gathers that relays give up

Change: gather_ended lists the attempts that the daemon sent (shard, server, time, purpose, number of possible runs) and for which daemon it worked; a cancelled gather writes gather_cancelled with the same fields. Lines of gathers with repeats are not rate-limited. No decision changes.

--- a/src/bramleyrouter/gateway/delegated_shards.py
+++ b/src/bramleyrouter/gateway/delegated_shards.py
@@ -19,7 +19,12 @@
     get_tracked_servers,
     mark_data_centre_reachable,
 )
-from bramleyrouter.gateway.gather_runs import Delegation, GatherRun, ShardRun
+from bramleyrouter.gateway.gather_runs import (
+    AttemptPurpose,
+    Delegation,
+    GatherRun,
+    ShardRun,
+)
 from bramleyrouter.gateway.servers import find_best_data_centres
 from bramleyrouter.gateway.shard_attempts import send_attempt, send_first_attempt
 from bramleyrouter.ids import DataCentre
@@ -176,5 +181,5 @@
         may_send = possible_runs < run.route.attempts and try_consume_extra_send(
             run.gateway.budget, shard.service
         )
-        if not may_send or not send_attempt(run, shard):
+        if not may_send or not send_attempt(run, shard, AttemptPurpose.RETRY):
             shard.is_missing = True
--- a/src/bramleyrouter/gateway/gather_runs.py
+++ b/src/bramleyrouter/gateway/gather_runs.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
 
 from bramleyrouter.gateway.attempts import Attempt
 from bramleyrouter.gateway.exchanges import CallerRequest, ServerReply
@@ -12,6 +14,28 @@
 from bramleyrouter.ids import DataCentre, ServerId, ServiceName
 
 
+class AttemptPurpose(Enum):
+    """Enumerate why an attempt of a gather is sent."""
+
+    FIRST = "first"
+    RETRY = "retry"
+    HEDGE = "hedge"
+
+
+class SentAttempt(NamedTuple):
+    """Describe one attempt for the log.
+
+    ``sent_ms`` counts from the arrival of the gather at this daemon. ``run_number`` is
+    the number of servers at which the shard may have run then, this one included.
+    """
+
+    shard: ServiceName
+    server: ServerId
+    sent_ms: int
+    purpose: AttemptPurpose
+    run_number: int
+
+
 @dataclass(eq=False)
 class ShardRun:
     """Hold the state of one shard of a gather.
@@ -75,6 +99,9 @@
     # Loop time until which no shard is sent to a second server.
     single_attempt_until: float = 0.0
     delegations: list[Delegation] = field(default_factory=list)
+    # Address of the entry daemon that delegated the gather; empty if a caller sent it.
+    requested_by: str = ""
+    sent_attempts: list[SentAttempt] = field(default_factory=list)
 
 
 def cancel_delegations(run: GatherRun) -> None:
--- a/src/bramleyrouter/gateway/gathers.py
+++ b/src/bramleyrouter/gateway/gathers.py
@@ -38,6 +38,7 @@
     send_hedges,
 )
 from bramleyrouter.gateway.tables import Route
+from bramleyrouter.telemetry.events import RecordEvent
 
 # Limit on the checks for stragglers per gather. Later checks retry the shards for which
 # an earlier one had no budget or no server.
@@ -53,12 +54,13 @@
     request: CallerRequest,
     on_reply: OnGatewayReply,
     on_part: OnGatewayReply | None = None,
+    requested_by: str = "",
 ) -> Cancel:
     """Run a gather and return the closure that cancels it.
 
     ``on_reply`` is called once unless the gather is cancelled. A relay passes
-    ``on_part``, which may be called earlier with some of the results; a relay's gather
-    is not delegated again.
+    ``on_part``, which may be called earlier with some of the results, and the address
+    of the requesting daemon; a relay's gather is not delegated again.
     """
     now = gateway.loop.time()
     deadline_s = compute_time_limit(route, request)
@@ -66,6 +68,7 @@
         gateway, route, request, now, now + deadline_s, on_reply, _reply_if_due
     )
     run.on_part = on_part
+    run.requested_by = requested_by
     if on_part is not None:
         run.single_attempt_until = now + compute_single_attempt_time(route.objective_s)
     run.shards = [ShardRun(service) for service in route.shards]
@@ -319,16 +322,28 @@
 
 
 def _record_end(run: GatherRun, reply: GatewayReply) -> None:
-    index = run.gateway.index
     is_complete = reply.kind is ReplyKind.GATHERED and not reply.missing
-    record = run.gateway.record_rate_limited if is_complete else run.gateway.record
+    has_repeats = len(run.sent_attempts) > len(
+        {attempt.shard for attempt in run.sent_attempts}
+    )
+    is_routine = is_complete and not has_repeats
+    record = run.gateway.record_rate_limited if is_routine else run.gateway.record
+    _record_outcome(run, record, "gather_ended", reply.kind.value, reply.reason)
+
+
+def _record_outcome(
+    run: GatherRun, record: RecordEvent, event: str, outcome: str, reason: str
+) -> None:
+    """Record the end of a gather with each attempt that this daemon sent for it."""
+    index = run.gateway.index
     record(
         "gateway",
-        "gather_ended",
+        event,
         id=run.request.request_id,
+        requested_by=run.requested_by,
         route=run.route.name,
         version=index.table.version if index else None,
-        outcome=reply.kind.value,
+        outcome=outcome,
         included=sum(shard.reply is not None for shard in run.shards),
         shards=len(run.shards),
         hedges=run.hedges,
@@ -336,12 +351,15 @@
         waited_ms=round(1000 * (run.gateway.loop.time() - run.arrived_at)),
         objective_ms=round(1000 * run.route.objective_s),
         missing=[s.service for s in run.shards if s.reply is None][:5],
-        reason=reply.reason,
+        attempts=run.sent_attempts,
+        reason=reason,
     )
 
 
 def _cancel(run: GatherRun) -> None:
-    """Cancel all work because the caller has disconnected."""
+    """Cancel all work because the caller or the requesting daemon needs no reply."""
+    if run.is_finished:
+        return
     run.is_finished = True
     if run.timer is not None:
         run.timer.cancel()
@@ -350,3 +368,4 @@
         for attempt in shard.pending:
             cancel_attempt(attempt)
         shard.pending.clear()
+    _record_outcome(run, run.gateway.record, "gather_cancelled", "cancelled", "")
--- a/src/bramleyrouter/gateway/relaying.py
+++ b/src/bramleyrouter/gateway/relaying.py
@@ -80,6 +80,7 @@
             lambda part: send(
                 encode_message(build_delegated_reply(query, part, is_last=False))
             ),
+            peer.address,
         )
         try:
             reply = await fut
--- a/src/bramleyrouter/gateway/shard_attempts.py
+++ b/src/bramleyrouter/gateway/shard_attempts.py
@@ -15,7 +15,12 @@
     get_latency_window,
     get_tracked_servers,
 )
-from bramleyrouter.gateway.gather_runs import GatherRun, ShardRun
+from bramleyrouter.gateway.gather_runs import (
+    AttemptPurpose,
+    GatherRun,
+    SentAttempt,
+    ShardRun,
+)
 from bramleyrouter.gateway.servers import (
     TrackedServer,
     choose_server,
@@ -32,7 +37,7 @@
 def send_first_attempt(run: GatherRun, shard: ShardRun) -> None:
     """Send a shard's first attempt; without a server the shard is missing."""
     count_request(run.gateway.budget, shard.service)
-    if not send_attempt(run, shard):
+    if not send_attempt(run, shard, AttemptPurpose.FIRST):
         shard.is_missing = True
 
 
@@ -50,7 +55,7 @@
     return choose_server(servers, context, shard.tried)
 
 
-def send_attempt(run: GatherRun, shard: ShardRun) -> bool:
+def send_attempt(run: GatherRun, shard: ShardRun, purpose: AttemptPurpose) -> bool:
     """Send or queue the request for the best untried server.
 
     Return false if there is no such server or less than ``MIN_ATTEMPT_S`` is left.
@@ -63,6 +68,7 @@
     shard.tried.add(server.row.server_id)
     shard.attempt_count += 1
     shard.possible_runs += 1
+    _note_sent(run, shard, server, purpose)
     context = build_choice_context(gateway, shard.service)
     attempt = start_attempt(
         gateway,
@@ -78,6 +84,21 @@
     return True
 
 
+def _note_sent(
+    run: GatherRun, shard: ShardRun, server: TrackedServer, purpose: AttemptPurpose
+) -> None:
+    waited_s = run.gateway.loop.time() - run.arrived_at
+    run.sent_attempts.append(
+        SentAttempt(
+            shard.service,
+            server.row.server_id,
+            round(1000 * waited_s),
+            purpose,
+            shard.possible_runs,
+        )
+    )
+
+
 def _handle_reply(
     run: GatherRun, shard: ShardRun, attempt: Attempt, reply: ServerReply
 ) -> None:
@@ -133,7 +154,7 @@
     may_send = shard.possible_runs < run.route.attempts and try_consume_extra_send(
         run.gateway.budget, shard.service
     )
-    if not may_send or not send_attempt(run, shard):
+    if not may_send or not send_attempt(run, shard, AttemptPurpose.RETRY):
         shard.is_missing = True
     run.reply_if_due(run)
 
@@ -155,7 +176,7 @@
     )
     if may_send and shard.has_arrived:
         may_send = try_consume_extra_send(run.gateway.budget, shard.service)
-    if not may_send or not send_attempt(run, shard):
+    if not may_send or not send_attempt(run, shard, AttemptPurpose.RETRY):
         shard.is_missing = True
 
 
@@ -170,4 +191,4 @@
             continue
         if try_consume_extra_send(gateway.budget, shard.service, is_hedge=True):
             run.hedges += 1
-            send_attempt(run, shard)
+            send_attempt(run, shard, AttemptPurpose.HEDGE)
--- a/tests/docs/test_operations.py
+++ b/tests/docs/test_operations.py
@@ -10,6 +10,7 @@
 )
 EVENTS = (
     "gather_ended",
+    "gather_cancelled",
     "request_ended",
     "shard_failed",
     "send_failed",
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -22,6 +22,9 @@
     split_shards,
 )
 from bramleyrouter.gateway.exchanges import ExchangeOutcome, ReplyKind
+from bramleyrouter.gateway.gather_runs import AttemptPurpose
+from bramleyrouter.ids import DaemonId
+from bramleyrouter.wire.network import Peer
 from tests.support.gateway_fakes import (
     ELSEWHERE,
     HERE,
@@ -37,6 +40,8 @@
 )
 from tests.support.virtual_time import run_virtual
 
+REQUESTING_PEER = Peer(DaemonId("requesting"), HERE, "10.9.0.1:7380")
+
 
 class FakeRelay:
     """Simulate a relay that confirms, replies, fails or stays silent, as configured."""
@@ -227,7 +232,7 @@
             harness, query = await build_relay_harness()
             sent = []
             await harness.gateway.serve_delegated(
-                None, encode_message(query), sent.append
+                REQUESTING_PEER, encode_message(query), sent.append
             )
             assert sent[0] == CONFIRMATION
             assert len(harness.servers.arrivals) == 6
@@ -238,6 +243,46 @@
         run_virtual(scenario())
 
 
+class TestLogOfAttempts:
+    """Guard against delegated gathers and attempts that leave no line in the log."""
+
+    def test_a_cancelled_relay_records_for_whom_it_sent_what(self):
+        async def scenario():
+            harness, query = await build_relay_harness()
+            harness.servers.behaviours |= {"b6": never_answer}
+            serving = asyncio.get_running_loop().create_task(
+                harness.gateway.serve_delegated(
+                    REQUESTING_PEER, encode_message(query), lambda item: None
+                )
+            )
+            await asyncio.sleep(0.02)
+            serving.cancel()
+            await asyncio.sleep(0.001)
+            fields = dict(harness.events)["gather_cancelled"]
+            assert fields["id"] == "q1"
+            assert fields["requested_by"] == REQUESTING_PEER.address
+            assert len(fields["attempts"]) == 6
+            assert ("s6", "b6", 0, AttemptPurpose.FIRST, 1) in fields["attempts"]
+
+        run_virtual(scenario())
+
+    def test_a_hedge_is_recorded_with_its_run_number(self):
+        async def scenario():
+            rows = [build_row("a0", "s0"), build_row("b0", "s0")]
+            harness = build_harness([build_gather_route(1)], rows)
+            harness.servers.behaviours["a0"] = never_answer
+            await harness.send_request()
+            attempts = dict(harness.events)["gather_ended"]["attempts"]
+            assert [item[1] for item in attempts] == ["a0", "b0"]
+            assert [item.purpose for item in attempts] == [
+                AttemptPurpose.FIRST,
+                AttemptPurpose.HEDGE,
+            ]
+            assert [item.run_number for item in attempts] == [1, 2]
+
+        run_virtual(scenario())
+
+
 class TestSplitShards:
     def test_one_message_if_one_data_centre_has_all_shards(self):
         candidates = [{THERE, ELSEWHERE}] * 6
@@ -346,7 +391,7 @@
             harness.servers.behaviours |= {"b7": answer_after(0.3), "b8": never_answer}
             sent = []
             await harness.gateway.serve_delegated(
-                None, encode_message(query), sent.append
+                REQUESTING_PEER, encode_message(query), sent.append
             )
             replies = [decode_reply(item).ok_value for item in sent[1:]]
             assert [reply.included for reply in replies[:2]] == [(0, 3, 4, 5), (1,)]
@@ -360,7 +405,7 @@
             harness, query = await build_relay_harness()
             sent = []
             await harness.gateway.serve_delegated(
-                None, encode_message(query), sent.append
+                REQUESTING_PEER, encode_message(query), sent.append
             )
             assert len(sent) == 2
             assert decode_reply(sent[1]).ok_value.is_last
@@ -443,7 +488,9 @@
             harness.servers.behaviours |= dict.fromkeys(("a0", "b0"), first)
             started_at = asyncio.get_running_loop().time()
             payload = encode_message(self.build_query(objective_s))
-            await harness.gateway.serve_delegated(None, payload, lambda item: None)
+            await harness.gateway.serve_delegated(
+                REQUESTING_PEER, payload, lambda item: None
+            )
             arrivals = [
                 item.at - started_at
                 for item in harness.servers.arrivals
@@ -468,7 +515,9 @@
             loop = asyncio.get_running_loop()
             started_at = loop.time()
             payload = encode_message(self.build_query(1.0))
-            await harness.gateway.serve_delegated(None, payload, lambda item: None)
+            await harness.gateway.serve_delegated(
+                REQUESTING_PEER, payload, lambda item: None
+            )
             assert loop.time() - started_at < 0.02
 
         run_virtual(scenario())
