--- a/src/bramleyrouter/daemons/fleet_entry.py
+++ b/src/bramleyrouter/daemons/fleet_entry.py
@@ -106,6 +106,7 @@
     )
     bounds, metrics = cfg.bounds, GatewayMetrics()
     gateway = build_gateway(
+        loop,
         GatewayLimits(
             cfg.data_centre,
             cfg.internal_address,
--- a/src/bramleyrouter/gateway/build.py
+++ b/src/bramleyrouter/gateway/build.py
@@ -63,6 +63,7 @@
 
 
 def build_gateway(
+    loop: asyncio.AbstractEventLoop,
     limits: GatewayLimits,
     extra_limits: ExtraLimits,
     send_to_server: SendToServer,
@@ -75,8 +76,7 @@
     open_stream: OpenStream,
     is_stopping: Callable[[], bool],
 ) -> GatewayHandle:
-    """Build the gateway on the running event loop."""
-    loop = asyncio.get_running_loop()
+    """Build the gateway on an event loop."""
     gateway = Gateway(
         limits,
         loop,
--- a/tests/support/gateway_fakes.py
+++ b/tests/support/gateway_fakes.py
@@ -221,6 +221,7 @@
         raise AssertionError("no relay is known")
 
     gateway = build_gateway(
+        loop,
         GatewayLimits(
             HERE,
             OWN_ADDRESS,
