--- a/src/bramleyrouter/daemons/fleet_entry.py
+++ b/src/bramleyrouter/daemons/fleet_entry.py
@@ -127,9 +127,13 @@
         lambda address, payload, on_item, on_end: network.stream(
             address, MessageKind.GATHER_SHARDS, payload, on_item, on_end
         ),
+        lambda address, payload: network.send(
+            address, MessageKind.GRANT_ATTEMPTS, payload
+        ),
         lambda: "stopping" in board.readiness.reasons,
     )
     network.serve_stream(MessageKind.GATHER_SHARDS, gateway.serve_delegated)
+    network.serve(MessageKind.GRANT_ATTEMPTS, gateway.handle_grant)
 
     def update_reachability() -> None:
         reasons = board.readiness.reasons
--- a/src/bramleyrouter/gateway/budgets.py
+++ b/src/bramleyrouter/gateway/budgets.py
@@ -111,14 +111,19 @@
     Hedges may use only ``HEDGE_SHARE`` of the allowance, so that retries remain
     possible.
     """
-    counts, bucket = _get_counts(budget, service), _get_bucket_number(budget)
+    if not has_allowance(budget, service, is_hedge):
+        return False
+    _increment(_get_counts(budget, service).extras, _get_bucket_number(budget))
+    return True
+
+
+def has_allowance(budget: ExtraBudget, service: ServiceName, is_hedge: bool) -> bool:
+    """Return whether the budget allows an extra send now."""
     remaining = compute_remaining_allowance(budget, service)
     if is_hedge:
+        counts, bucket = _get_counts(budget, service), _get_bucket_number(budget)
         used = sum(
             n for at, n in counts.extras.items() if at >= bucket - BUCKETS_PER_WINDOW
         )
         remaining -= (1.0 - HEDGE_SHARE) * (remaining + used)
-    if remaining < 1.0:
-        return False
-    _increment(counts.extras, bucket)
-    return True
+    return remaining >= 1.0
--- a/src/bramleyrouter/gateway/build.py
+++ b/src/bramleyrouter/gateway/build.py
@@ -8,7 +8,12 @@
 from bramleyrouter.fleet.records import ServerRow
 from bramleyrouter.gateway.budgets import ExtraBudget, ExtraLimits
 from bramleyrouter.gateway.data_centre_contacts import build_contacts
-from bramleyrouter.gateway.delegation import OpenStream, Relays, set_relays
+from bramleyrouter.gateway.delegation import (
+    OpenStream,
+    Relays,
+    SendGrant,
+    set_relays,
+)
 from bramleyrouter.gateway.exchanges import (
     CallerRequest,
     GatewayReply,
@@ -26,7 +31,10 @@
 )
 from bramleyrouter.gateway.gathers import start_gather
 from bramleyrouter.gateway.reachability import is_cut_off
-from bramleyrouter.gateway.relaying import build_delegated_handler
+from bramleyrouter.gateway.relaying import (
+    build_delegated_handler,
+    build_grant_handler,
+)
 from bramleyrouter.gateway.rotation import Rotation, record_readiness_probe
 from bramleyrouter.gateway.servers import set_servers
 from bramleyrouter.gateway.single_requests import start_single_request
@@ -34,7 +42,7 @@
 from bramleyrouter.ids import DataCentre, ServiceName
 from bramleyrouter.telemetry.events import RecordEvent
 from bramleyrouter.telemetry.gateway_metrics import ObserveRequest
-from bramleyrouter.wire.network import StreamHandler
+from bramleyrouter.wire.network import Handler, StreamHandler
 
 # Retry-After of a refusal before the first route table has arrived.
 NO_TABLE_RETRY_S = 0.5
@@ -55,6 +63,7 @@
     set_servers: Callable[[ServiceName, Collection[ServerRow]], None]
     set_relays: Callable[[Collection[tuple[str, DataCentre]]], None]
     serve_delegated: StreamHandler
+    handle_grant: Handler
     mark_data_centre_reachable: Callable[[DataCentre], None]
     is_cut_off: Callable[[], bool]
     record_readiness_probe: Callable[[bool], None]
@@ -74,6 +83,7 @@
     get_data_centres_out: Callable[[], Collection[DataCentre]],
     count_entry_daemons: Callable[[], int],
     open_stream: OpenStream,
+    send_grant: SendGrant,
     is_stopping: Callable[[], bool],
 ) -> GatewayHandle:
     """Build the gateway on an event loop."""
@@ -97,6 +107,7 @@
         Rotation(loop.time()),
         Relays(limits.own_address),
         open_stream,
+        send_grant,
     )
 
     def set_table(table: RouteTable) -> None:
@@ -114,6 +125,7 @@
         set_servers=update_servers,
         set_relays=lambda known: set_relays(gateway.relays, known),
         serve_delegated=build_delegated_handler(gateway, is_stopping),
+        handle_grant=build_grant_handler(gateway),
         mark_data_centre_reachable=lambda data_centre: mark_data_centre_reachable(
             gateway, data_centre
         ),
--- a/src/bramleyrouter/gateway/delegated_shards.py
+++ b/src/bramleyrouter/gateway/delegated_shards.py
@@ -1,14 +1,19 @@
 """Delegate shards of a gather to relays and handle their replies."""
 
+from bramleyrouter.gateway.attempts import discard_unsent
 from bramleyrouter.gateway.budgets import try_consume_extra_send
 from bramleyrouter.gateway.delegation import (
     MARGIN_PER_RELAY_S,
     MIN_SHARED_SHARDS,
     RELAY_REPLY_MARGIN_S,
+    AttemptGrant,
     DelegatedQuery,
     DelegatedReply,
+    DelegationCallbacks,
     Relay,
     assign_shards,
+    compute_delegated_attempts,
+    encode_message,
     get_usable_relays,
     split_shards,
     start_delegated_query,
@@ -29,6 +34,10 @@
 from bramleyrouter.gateway.shard_attempts import send_attempt, send_first_attempt
 from bramleyrouter.ids import DataCentre
 
+# Grants are addressed by a random number, so that one that is delayed beyond a restart
+# of either daemon matches no other delegation.
+GRANT_ID_BITS = 63
+
 
 def delegate_shards(run: GatherRun) -> None:
     """Delegate to relays the shards that other data centres serve better.
@@ -88,98 +97,171 @@
 
 
 def _start_delegation(run: GatherRun, relay: Relay, shards: list[ShardRun]) -> None:
-    delegation = Delegation(relay.address, relay.data_centre, shards)
+    attempts = compute_delegated_attempts(run.route.attempts)
+    has_reserve = attempts < run.route.attempts
+    delegation = Delegation(
+        relay.address,
+        relay.data_centre,
+        shards,
+        run.gateway.rng.getrandbits(GRANT_ID_BITS) if has_reserve else 0,
+        [attempts] * len(shards),
+    )
     run.delegations.append(delegation)
     for shard in shards:
         shard.is_delegated = True
+        shard.possible_runs += attempts
+
+    def confirm() -> None:
+        delegation.is_confirmed = True
+
     delegation.cancel = start_delegated_query(
         run.gateway.loop,
         run.gateway.open_stream,
         relay,
-        _build_delegated_query(run, shards),
-        lambda reply, possible_runs: _handle_relay_reply(
-            run, delegation, reply, possible_runs
+        _build_delegated_query(run, delegation, attempts),
+        DelegationCallbacks(
+            lambda reply: _handle_relay_reply(run, delegation, reply),
+            confirm,
+            lambda: _handle_unconfirmed(run, delegation),
+            lambda is_not_run: _handle_relay_failure(run, delegation, is_not_run),
         ),
     )
 
 
-def _build_delegated_query(run: GatherRun, shards: list[ShardRun]) -> DelegatedQuery:
+def _build_delegated_query(
+    run: GatherRun, delegation: Delegation, attempts: int
+) -> DelegatedQuery:
     route, now = run.route, run.gateway.loop.time()
     reply_margin_s = RELAY_REPLY_MARGIN_S + MARGIN_PER_RELAY_S * len(run.delegations)
     return DelegatedQuery(
         run.request,
         route.name,
-        tuple(shard.service for shard in shards),
+        tuple(shard.service for shard in delegation.shards),
         run.deadline_at - now - reply_margin_s,
         route.objective_s - (now - run.arrived_at) - reply_margin_s,
-        route.attempts,
+        attempts,
         route.priority,
         route.top_records,
+        delegation.grant_id,
     )
 
 
 def _handle_relay_reply(
-    run: GatherRun,
-    delegation: Delegation,
-    reply: DelegatedReply | None,
-    possible_runs: int,
+    run: GatherRun, delegation: Delegation, reply: DelegatedReply
 ) -> None:
-    delegation.is_open = reply is not None and not reply.is_last
+    delegation.is_open = not reply.is_last
+    if reply.wanted:
+        _decide_on_attempts(run, delegation, reply.wanted)
     if run.is_finished:
         return
-    if reply is None:
-        _handle_relay_failure(run, delegation, possible_runs)
-    else:
-        mark_data_centre_reachable(run.gateway, delegation.data_centre)
-        _apply_relay_reply(delegation.shards, reply)
+    mark_data_centre_reachable(run.gateway, delegation.data_centre)
+    _apply_relay_reply(delegation, reply)
     run.reply_if_due(run)
 
 
-def _apply_relay_reply(shards: list[ShardRun], reply: DelegatedReply) -> None:
+def _decide_on_attempts(
+    run: GatherRun, delegation: Delegation, wanted: tuple[int, ...]
+) -> None:
+    """Grant a relay the attempts that are left for the shards; deny the others.
+
+    A granted attempt is counted before the message leaves and stays counted if the
+    message is lost.
+    """
+    for position in wanted:
+        shard = delegation.shards[position]
+        if run.is_finished or not shard.is_open:
+            continue
+        if shard.possible_runs < shard.max_runs:
+            shard.possible_runs += 1
+            delegation.granted[position] += 1
+    totals = tuple(delegation.granted[position] for position in wanted)
+    grant = AttemptGrant(delegation.grant_id, wanted, totals)
+    run.gateway.send_grant(delegation.address, encode_message(grant))
+
+
+def _apply_relay_reply(delegation: Delegation, reply: DelegatedReply) -> None:
     """Apply a relay's reply to the delegated shards.
 
-    After the relay's last reply, shards without a result are missing. The reply holds
-    the merged records of all its shards; they are stored with the first one, because
-    merging the greatest records again gives the same result.
+    The reply holds the merged records of all its shards; they are stored with the first
+    one, because merging the greatest records again gives the same result. A result of
+    this daemon's own attempt is replaced, as its records would count twice otherwise.
+
+    After the relay's last reply, shards without a result or an attempt in flight are
+    missing.
     """
     records = reply.records
     for position, signature in zip(reply.included, reply.signatures, strict=True):
-        shard = shards[position]
+        shard = delegation.shards[position]
         shard.reply = ServerReply(
             ExchangeOutcome.ANSWERED, 200, body=records, signature=signature
         )
         records = b""
+        discard_unsent(shard.pending)
     if not reply.is_last:
         return
-    for shard in shards:
+    for shard, granted in zip(delegation.shards, delegation.granted, strict=True):
+        shard.is_delegated = False
         if shard.reply is None:
-            shard.is_missing = True
-            shard.possible_runs += int(reply.may_have_run)
+            shard.is_missing = not shard.pending
+            if not reply.may_have_run:
+                shard.possible_runs -= granted
+
+
+def _handle_unconfirmed(run: GatherRun, delegation: Delegation) -> None:
+    """Send the shards of a late relay directly as well, as far as attempts are left."""
+    if run.is_finished:
+        return
+    _record_relay_failure(run, delegation, "unconfirmed")
+    for shard in delegation.shards:
+        if shard.is_open:
+            shard.has_arrived = True
+            _send_instead_of_relay(run, shard)
+    run.reply_if_due(run)
 
 
 def _handle_relay_failure(
-    run: GatherRun, delegation: Delegation, possible_runs: int
+    run: GatherRun, delegation: Delegation, is_not_run: bool
 ) -> None:
-    """Send the shards directly; runs that the relay may have caused are counted."""
+    """Send the shards of a failed relay directly, as far as attempts are left.
+
+    Attempts that were handed over count as used unless the relay certainly ran nothing.
+    """
+    delegation.is_open = False
+    if run.is_finished:
+        return
+    _record_relay_failure(run, delegation, "not run" if is_not_run else "failed")
+    for shard, granted in zip(delegation.shards, delegation.granted, strict=True):
+        shard.is_delegated = False
+        if is_not_run:
+            shard.possible_runs -= granted
+        else:
+            shard.has_arrived = True
+        if not shard.is_open or shard.pending:
+            continue
+        if is_not_run and not shard.attempt_count:
+            send_first_attempt(run, shard)
+        elif not _send_instead_of_relay(run, shard):
+            shard.is_missing = True
+    run.reply_if_due(run)
+
+
+def _send_instead_of_relay(run: GatherRun, shard: ShardRun) -> bool:
+    """Send one more attempt if the shard's attempts and the budget allow it."""
+    return (
+        shard.possible_runs < shard.max_runs
+        and try_consume_extra_send(run.gateway.budget, shard.service)
+        and send_attempt(run, shard, AttemptPurpose.RETRY)
+    )
+
+
+def _record_relay_failure(run: GatherRun, delegation: Delegation, how: str) -> None:
     run.gateway.record(
         "gateway",
         "relay_failed",
         id=run.request.request_id,
         relay=delegation.address,
-        ran=possible_runs,
+        how=how,
+        shards=len(delegation.shards),
+        granted=max(delegation.granted),
         waited_ms=round(1000 * (run.gateway.loop.time() - run.arrived_at)),
     )
-    for shard in delegation.shards:
-        shard.is_delegated = False
-        if shard.reply is not None:
-            continue
-        if not possible_runs:
-            send_first_attempt(run, shard)
-            continue
-        shard.possible_runs = possible_runs
-        shard.has_arrived = True
-        may_send = possible_runs < run.route.attempts and try_consume_extra_send(
-            run.gateway.budget, shard.service
-        )
-        if not may_send or not send_attempt(run, shard, AttemptPurpose.RETRY):
-            shard.is_missing = True
--- a/src/bramleyrouter/gateway/delegation.py
+++ b/src/bramleyrouter/gateway/delegation.py
@@ -7,12 +7,19 @@
 A gather over a hundred shards occupies one small VM for longer than its objective
 allows. The entry daemons of a data centre therefore share the work. Each part of the
 shards has a preferred daemon, so that few daemons connect to any one server.
+
+A route bounds the number of servers to which each shard may be sent. The requesting
+daemon holds this number of attempts and hands a part of them over with a delegation.
+What it handed over it never uses itself, unless the relay certainly won't either. A
+relay that needs more asks for it. The bound therefore holds however late a query, a
+grant or a cancellation is, and whichever daemon pauses or restarts.
 """
 
 import math
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass, field
 from functools import lru_cache
+from typing import NamedTuple
 
 import msgspec
 from result import Err, Ok, Result
@@ -30,12 +37,6 @@
 # so one that exceeds the limit is frozen, unreachable or overloaded.
 CONFIRM_TIMEOUT_SHARE = 0.25
 MIN_CONFIRM_TIMEOUT_S, MAX_CONFIRM_TIMEOUT_S = 0.012, 0.03
-# Time after the confirmation timeout, in seconds, during which a relay still sends each
-# shard to one server only. A requesting daemon that cancels an unconfirmed relay may
-# then try one more server itself without exceeding the allowed attempts of a shard.
-SINGLE_ATTEMPT_MARGIN_S = 0.006
-# Part of the margin reserved for the cancellation to reach the relay.
-CANCEL_LATENCY_S = 0.002
 # Backoff after a relay's failure, in seconds; it doubles with each failure.
 FIRST_BACKOFF_S = 1.0
 MAX_BACKOFF_S = 5.0
@@ -51,7 +52,12 @@
 
 
 class DelegatedQuery(msgspec.Struct, frozen=True, array_like=True):
-    """Request shards from a relay; times are the seconds left when it is sent."""
+    """Request shards from a relay; times are the seconds left when it is sent.
+
+    ``attempts`` is the number of servers to which the relay may send each shard.
+    ``grant_id`` addresses grants of further attempts; it is 0 if the requesting daemon
+    has none left.
+    """
 
     request: CallerRequest
     route: str
@@ -61,13 +67,15 @@
     attempts: int
     priority: int
     top_records: int
+    grant_id: int = 0
 
 
 class DelegatedReply(msgspec.Struct, frozen=True, array_like=True):
     """Report the results gathered since the previous reply to the same query.
 
     ``included`` holds positions in the query's ``services``, each with its signature.
-    ``records`` are the greatest records of these shards. More replies may follow until
+    ``records`` are the greatest records of these shards. ``wanted`` holds the positions
+    for which the relay asks for one more attempt. More replies may follow until
     ``is_last`` is set.
     """
 
@@ -77,17 +85,32 @@
     # False only if it is certain that no server ran anything.
     may_have_run: bool = True
     is_last: bool = True
+    wanted: tuple[int, ...] = ()
+
+
+class AttemptGrant(msgspec.Struct, frozen=True, array_like=True):
+    """Reply to a relay that wants more attempts for some shards.
+
+    ``attempts`` is the total that the relay may use for each of ``positions``. It is a
+    total, so that a duplicate grants nothing; if it has not grown, the attempt is
+    denied.
+    """
+
+    grant_id: int
+    positions: tuple[int, ...]
+    attempts: tuple[int, ...]
 
 
 _ENCODER = msgspec.msgpack.Encoder()
 _QUERY_DECODER = msgspec.msgpack.Decoder(DelegatedQuery)
 _REPLY_DECODER = msgspec.msgpack.Decoder(DelegatedReply)
+_GRANT_DECODER = msgspec.msgpack.Decoder(AttemptGrant)
 # First item of the stream: the relay received the query.
 CONFIRMATION = b""
 
 
-def encode_message(message: DelegatedQuery | DelegatedReply) -> bytes:
-    """Encode a delegated query or reply."""
+def encode_message(message: DelegatedQuery | DelegatedReply | AttemptGrant) -> bytes:
+    """Encode a delegated query, a reply or a grant."""
     return _ENCODER.encode(message)
 
 
@@ -101,6 +124,11 @@
     return _decode(_REPLY_DECODER, payload)
 
 
+def decode_grant(payload: bytes) -> Result[AttemptGrant, Failure]:
+    """Decode a grant; fail with ``WIRE_MALFORMED``."""
+    return _decode(_GRANT_DECODER, payload)
+
+
 def _decode(decoder, payload: bytes):
     try:
         return Ok(decoder.decode(payload))
@@ -117,9 +145,13 @@
     )
 
 
-def compute_single_attempt_time(objective_s: float) -> float:
-    """Return how long a relay sends each shard to only one server, in seconds."""
-    return compute_confirm_timeout(objective_s) + SINGLE_ATTEMPT_MARGIN_S
+def compute_delegated_attempts(attempts: int) -> int:
+    """Return how many of a shard's attempts are handed over with a delegation.
+
+    One attempt is kept, if there is more than one, so that the requesting daemon can
+    reach the shard without the relay.
+    """
+    return max(1, attempts - 1)
 
 
 @dataclass(eq=False)
@@ -242,51 +274,72 @@
 ]
 
 
+# ``send_grant(address, payload)`` sends a grant to a relay; it may be lost.
+SendGrant = Callable[[str, bytes], None]
+
+
+class DelegationCallbacks(NamedTuple):
+    """Bundle what a requesting daemon does when a relay replies, is late or fails.
+
+    ``on_unconfirmed()`` is called once if the relay has not confirmed in time; its
+    replies may still follow. ``on_failure(is_known_not_run)`` ends a delegation whose
+    relay failed; its argument is true only if no server ran anything or will.
+    """
+
+    on_reply: Callable[[DelegatedReply], None]
+    on_confirmed: Callable[[], None]
+    on_unconfirmed: Callable[[], None]
+    on_failure: Callable[[bool], None]
+
+
 def start_delegated_query(
     loop,
     open_stream: OpenStream,
     relay: Relay,
     query: DelegatedQuery,
-    on_reply: Callable[[DelegatedReply | None, int], None],
+    callbacks: DelegationCallbacks,
 ) -> Callable[[], None]:
     """Send a query to a relay; return the closure that cancels it.
 
-    ``on_reply(reply, possible_runs)`` is called for each reply unless cancelled. If
-    ``reply`` is none, the relay failed and no further call follows; ``possible_runs``
-    is then the number of servers at which each shard may have run.
+    The callbacks are called until the last reply or the failure, unless cancelled.
     """
-    started_at = loop.time()
-    is_confirmed, is_finished = False, False
+    is_confirmed, is_late, is_finished = False, False, False
 
-    def finish(reply: DelegatedReply | None, possible_runs: int) -> None:
+    def fail(is_known_not_run: bool) -> None:
         nonlocal is_finished
         if is_finished:
             return
         is_finished = True
         timer.cancel()
-        if reply is None:
+        if not is_late:
             record_relay_failure(relay, loop.time())
-        else:
-            record_relay_success(relay)
-        on_reply(reply, possible_runs)
-
-    def may_have_run() -> int:
-        """Return at how many servers the relay may have run each shard so far."""
-        single_attempt_s = (
-            compute_single_attempt_time(query.objective_s) - CANCEL_LATENCY_S
-        )
-        return 1 if loop.time() - started_at <= single_attempt_s else query.attempts
+        callbacks.on_failure(is_known_not_run)
 
-    def on_item(payload: bytes) -> None:
+    def confirm() -> None:
         nonlocal is_confirmed
-        if payload == CONFIRMATION:
+        if not is_confirmed:
             is_confirmed = True
+            callbacks.on_confirmed()
+
+    def on_item(payload: bytes) -> None:
+        nonlocal is_finished
+        if is_finished:
+            return
+        if payload == CONFIRMATION:
+            confirm()
             return
         reply = decode_reply(payload).ok()
-        if reply is None or reply.is_last:
-            finish(reply, query.attempts)
-        elif not is_finished:
-            on_reply(reply, query.attempts)
+        if reply is None:
+            fail(is_known_not_run=False)
+            return
+        # Without order between frames, a reply may overtake the confirmation.
+        confirm()
+        if reply.is_last:
+            is_finished = True
+            timer.cancel()
+            if not is_late:
+                record_relay_success(relay)
+        callbacks.on_reply(reply)
 
     def on_end(outcome: Result[None, Failure]) -> None:
         is_known_not_run = isinstance(outcome, Err) and outcome.err_value.code in (
@@ -294,12 +347,14 @@
             Code.STOPPING,
             Code.UNKNOWN_MESSAGE_KIND,
         )
-        finish(None, 0 if is_known_not_run else may_have_run())
+        fail(is_known_not_run)
 
     def on_confirm_timeout() -> None:
+        nonlocal is_late
         if not is_confirmed and not is_finished:
-            cancel_stream()
-            finish(None, may_have_run())
+            is_late = True
+            record_relay_failure(relay, loop.time())
+            callbacks.on_unconfirmed()
 
     def cancel() -> None:
         nonlocal is_finished
--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -4,14 +4,14 @@
 import random
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from bramleyrouter.gateway.budgets import ExtraBudget
 from bramleyrouter.gateway.data_centre_contacts import (
     DataCentreContacts,
     record_contact,
 )
-from bramleyrouter.gateway.delegation import OpenStream, Relays
+from bramleyrouter.gateway.delegation import OpenStream, Relays, SendGrant
 from bramleyrouter.gateway.exchanges import (
     CallerRequest,
     GatewayReply,
@@ -35,6 +35,9 @@
 from bramleyrouter.telemetry.events import RecordEvent
 from bramleyrouter.telemetry.gateway_metrics import ObserveRequest
 
+if TYPE_CHECKING:
+    from bramleyrouter.gateway.gather_runs import GatherRun
+
 # An attempt with less time left than this, in seconds, is not worth sending.
 MIN_ATTEMPT_S = 0.004
 # Time before the deadline at which a request gets its final reply, in seconds, so that
@@ -93,6 +96,7 @@
     rotation: Rotation
     relays: Relays
     open_stream: OpenStream
+    send_grant: SendGrant
     index: RouteIndex | None = None
     servers: TrackedServers = field(default_factory=TrackedServers)
     windows: dict[str, LatencyWindow] = field(default_factory=dict)
@@ -100,6 +104,8 @@
     in_flight: int = 0
     # Loop time of the next trial gather, by route.
     next_trial_at: dict[str, float] = field(default_factory=dict)
+    # Gathers that this daemon runs as a relay, by the id that addresses grants.
+    relayed_gathers: dict[int, "GatherRun"] = field(default_factory=dict)
 
 
 def mark_data_centre_reachable(gateway: Gateway, data_centre: DataCentre) -> None:
--- a/src/bramleyrouter/gateway/gather_runs.py
+++ b/src/bramleyrouter/gateway/gather_runs.py
@@ -36,16 +36,26 @@
     run_number: int
 
 
+class GrantState(Enum):
+    """Enumerate the states of a relay's request for one more attempt of a shard."""
+
+    NOT_REQUESTED = "not requested"
+    REQUESTED = "requested"
+    DECIDED = "decided"
+
+
 @dataclass(eq=False)
 class ShardRun:
     """Hold the state of one shard of a gather.
 
-    ``attempt_count`` counts all attempts, ``possible_runs`` those that may have run.
-    ``has_arrived`` is set once an attempt has reached a server; every later attempt is
-    then an extra send.
+    ``attempt_count`` counts all attempts of this daemon. ``possible_runs`` counts the
+    servers at which the shard may have run or may yet run, also by a relay. It never
+    exceeds ``max_runs``, the attempts that this daemon holds. ``has_arrived`` is set
+    once an attempt has reached a server; every later attempt is then an extra send.
     """
 
     service: ServiceName
+    max_runs: int
     tried: set[ServerId] = field(default_factory=set)
     pending: list[Attempt] = field(default_factory=list)
     reply: ServerReply | None = None
@@ -53,7 +63,9 @@
     attempt_count: int = 0
     possible_runs: int = 0
     has_arrived: bool = False
+    # Whether a relay may still report a result.
     is_delegated: bool = False
+    grant: GrantState = GrantState.NOT_REQUESTED
     # Whether the result was already sent to the requesting daemon.
     is_reported: bool = False
 
@@ -65,13 +77,32 @@
 
 @dataclass(eq=False)
 class Delegation:
-    """Hold the shards delegated to one relay; open until the relay has finished."""
+    """Hold the shards delegated to one relay; open until the relay has finished.
+
+    ``granted`` holds, for each shard, the attempts that were handed over to the relay.
+    """
 
     address: str
     data_centre: DataCentre
     shards: list[ShardRun]
+    grant_id: int
+    granted: list[int]
     cancel: Cancel = lambda: None
     is_open: bool = True
+    is_confirmed: bool = False
+
+
+class RequestingDaemon(NamedTuple):
+    """Bundle how a relay reaches the daemon that delegated a gather to it.
+
+    ``report`` is called with the results available at the objective and with each later
+    one, before the last reply. ``request_attempts`` asks for one more attempt for the
+    shards at some positions of the query, or is none if there is none to grant.
+    """
+
+    address: str
+    report: OnGatewayReply
+    request_attempts: Callable[[tuple[int, ...]], None] | None
 
 
 @dataclass(eq=False)
@@ -93,20 +124,19 @@
     is_finished: bool = False
     are_late_servers_recorded: bool = False
     is_started: bool = False
-    # Set if this daemon is a relay. Called with the results available at the objective
-    # and with each later one, before ``on_reply`` gets the last.
-    on_part: OnGatewayReply | None = None
-    # Loop time until which no shard is sent to a second server.
-    single_attempt_until: float = 0.0
+    # Set if this daemon is a relay.
+    requesting_daemon: RequestingDaemon | None = None
+    # Shards for which the requesting daemon will be asked for one more attempt.
+    wanted: list[ShardRun] = field(default_factory=list)
     delegations: list[Delegation] = field(default_factory=list)
-    # Address of the entry daemon that delegated the gather; empty if a caller sent it.
-    requested_by: str = ""
     sent_attempts: list[SentAttempt] = field(default_factory=list)
 
 
-def cancel_delegations(run: GatherRun) -> None:
+def cancel_delegations(run: GatherRun, only_unconfirmed: bool = False) -> None:
     """Cancel the delegations that are still open."""
     for delegation in run.delegations:
+        if only_unconfirmed and delegation.is_confirmed:
+            continue
         if delegation.is_open:
             delegation.is_open = False
             delegation.cancel()
--- a/src/bramleyrouter/gateway/gathers.py
+++ b/src/bramleyrouter/gateway/gathers.py
@@ -2,7 +2,6 @@
 
 from bramleyrouter.gateway.attempts import cancel_attempt, discard_unsent
 from bramleyrouter.gateway.delegated_shards import delegate_shards
-from bramleyrouter.gateway.delegation import compute_single_attempt_time
 from bramleyrouter.gateway.exchanges import CallerRequest, GatewayReply, ReplyKind
 from bramleyrouter.gateway.gateways import (
     DEADLINE_MARGIN_S,
@@ -23,6 +22,8 @@
 )
 from bramleyrouter.gateway.gather_runs import (
     GatherRun,
+    GrantState,
+    RequestingDaemon,
     ShardRun,
     cancel_delegations,
     compute_progress,
@@ -53,25 +54,40 @@
     route: Route,
     request: CallerRequest,
     on_reply: OnGatewayReply,
-    on_part: OnGatewayReply | None = None,
-    requested_by: str = "",
 ) -> Cancel:
     """Run a gather and return the closure that cancels it.
 
-    ``on_reply`` is called once unless the gather is cancelled. A relay passes
-    ``on_part``, which may be called earlier with some of the results, and the address
-    of the requesting daemon; a relay's gather is not delegated again.
+    ``on_reply`` is called once unless the gather is cancelled.
     """
+    run = build_gather_run(gateway, route, request, on_reply)
+    return run_gather(run)
+
+
+def build_gather_run(
+    gateway: Gateway,
+    route: Route,
+    request: CallerRequest,
+    on_reply: OnGatewayReply,
+    requesting_daemon: RequestingDaemon | None = None,
+) -> GatherRun:
+    """Build the state of a gather; ``requesting_daemon`` is given by a relay."""
     now = gateway.loop.time()
     deadline_s = compute_time_limit(route, request)
     run = GatherRun(
         gateway, route, request, now, now + deadline_s, on_reply, _reply_if_due
     )
-    run.on_part = on_part
-    run.requested_by = requested_by
-    if on_part is not None:
-        run.single_attempt_until = now + compute_single_attempt_time(route.objective_s)
-    run.shards = [ShardRun(service) for service in route.shards]
+    run.requesting_daemon = requesting_daemon
+    run.shards = [ShardRun(service, route.attempts) for service in route.shards]
+    return run
+
+
+def run_gather(run: GatherRun) -> Cancel:
+    """Start a gather and return the closure that cancels it.
+
+    A relay's gather is not delegated again.
+    """
+    gateway, route = run.gateway, run.route
+    deadline_s = run.deadline_at - run.arrived_at
     unserved = [
         shard for shard in run.shards if choose_shard_server(run, shard) is None
     ]
@@ -87,7 +103,7 @@
         build_reply = build_cut_off_refusal if is_cut_off else build_refusal
         _finish(run, build_reply(gateway, reason, deadline_s / 3))
         return lambda: None
-    if on_part is None:
+    if run.requesting_daemon is None:
         delegate_shards(run)
     for shard in run.shards:
         if not shard.is_delegated:
@@ -132,9 +148,7 @@
     delay_s = compute_hedge_delay(
         get_latency_window(run.gateway, run.route), run.route.objective_s
     )
-    return max(
-        run.single_attempt_until, run.arrived_at + delay_s * (run.hedge_checks + 1)
-    )
+    return run.arrived_at + delay_s * (run.hedge_checks + 1)
 
 
 def _schedule_timer(run: GatherRun) -> None:
@@ -171,17 +185,25 @@
 def _count_expected_shards(run: GatherRun) -> int:
     """Count the open shards that are still expected to get a result.
 
-    After the objective, a shard that waits only for suspected servers is abandoned.
+    After the objective, a shard is abandoned that waits only for suspected servers or
+    for a relay that has not confirmed.
     """
     now = run.gateway.loop.time()
     is_past_objective = now >= run.arrived_at + run.route.objective_s
+    confirmed = {
+        shard
+        for delegation in run.delegations
+        if delegation.is_open and delegation.is_confirmed
+        for shard in (delegation.shards if is_past_objective else ())
+    }
     count = 0
     for shard in run.shards:
         if not shard.is_open:
             continue
         is_abandoned = (
             is_past_objective
-            and not shard.is_delegated
+            and shard not in confirmed
+            and shard.grant is not GrantState.REQUESTED
             and all(item.server.suspect_until > now for item in shard.pending)
         )
         count += not is_abandoned
@@ -208,10 +230,10 @@
     """Reply if the gather is due."""
     if run.is_finished:
         return
-    if run.on_part is None:
+    if run.requesting_daemon is None:
         _reply_to_caller_if_due(run)
     else:
-        _report_results_if_due(run, run.on_part)
+        _report_results_if_due(run, run.requesting_daemon.report)
 
 
 def _reply_to_caller_if_due(run: GatherRun) -> None:
@@ -246,7 +268,7 @@
         _finish(run, _build_deadline_reply(run, progress))
 
 
-def _report_results_if_due(run: GatherRun, on_part: OnGatewayReply) -> None:
+def _report_results_if_due(run: GatherRun, report: OnGatewayReply) -> None:
     """Send the requesting daemon the available results; finish if no more are expected.
 
     Only the requesting daemon can decide whether the coverage is enough: if ten parts
@@ -269,7 +291,7 @@
     elif unreported and now >= _compute_reply_time(run):
         for shard in unreported:
             shard.is_reported = True
-        on_part(_build_gathered_reply(run, unreported))
+        report(_build_gathered_reply(run, unreported))
 
 
 def _build_deadline_reply(run: GatherRun, progress: GatherProgress) -> GatewayReply:
@@ -310,11 +332,10 @@
     run.is_finished = True
     if run.timer is not None:
         run.timer.cancel()
-    if reply.kind is not ReplyKind.GATHERED:
-        # Relays are cancelled only if no gathered reply is sent. After a gathered
-        # reply, late relays finish their work, because cancelling closes their servers'
-        # connections.
-        cancel_delegations(run)
+    # After a gathered reply, relays that are at work finish it, because cancelling
+    # closes their servers' connections. A relay that has not confirmed is cancelled
+    # before it starts, if possible.
+    cancel_delegations(run, only_unconfirmed=reply.kind is ReplyKind.GATHERED)
     for shard in run.shards:
         discard_unsent(shard.pending)
     _record_end(run, reply)
@@ -340,7 +361,7 @@
         "gateway",
         event,
         id=run.request.request_id,
-        requested_by=run.requested_by,
+        requested_by=run.requesting_daemon.address if run.requesting_daemon else "",
         route=run.route.name,
         version=index.table.version if index else None,
         outcome=outcome,
--- a/src/bramleyrouter/gateway/relaying.py
+++ b/src/bramleyrouter/gateway/relaying.py
@@ -11,14 +11,17 @@
     CONFIRMATION,
     DelegatedQuery,
     DelegatedReply,
+    decode_grant,
     decode_query,
     encode_message,
 )
 from bramleyrouter.gateway.exchanges import GatewayReply, ReplyKind
 from bramleyrouter.gateway.gateways import Gateway
-from bramleyrouter.gateway.gathers import start_gather
+from bramleyrouter.gateway.gather_runs import RequestingDaemon
+from bramleyrouter.gateway.gathers import build_gather_run, run_gather
+from bramleyrouter.gateway.shard_attempts import apply_grant
 from bramleyrouter.gateway.tables import RequestKind, Route
-from bramleyrouter.wire.network import Peer, StreamHandler
+from bramleyrouter.wire.network import Handler, Peer, StreamHandler
 
 
 def build_relay_route(query: DelegatedQuery) -> Route:
@@ -72,23 +75,50 @@
                 fut.set_result(reply)
 
         request = query.request._replace(deadline_s=query.deadline_s)
-        cancel = start_gather(
-            gateway,
-            build_relay_route(query),
-            request,
-            finish,
-            lambda part: send(
-                encode_message(build_delegated_reply(query, part, is_last=False))
-            ),
-            peer.address,
+
+        def report(part: GatewayReply) -> None:
+            send(encode_message(build_delegated_reply(query, part, is_last=False)))
+
+        def request_attempts(positions: tuple[int, ...]) -> None:
+            send(encode_message(DelegatedReply(is_last=False, wanted=positions)))
+
+        requesting_daemon = RequestingDaemon(
+            peer.address, report, request_attempts if query.grant_id else None
         )
+        route = build_relay_route(query)
+        run = build_gather_run(gateway, route, request, finish, requesting_daemon)
+        if query.grant_id:
+            gateway.relayed_gathers[query.grant_id] = run
+        cancel = run_gather(run)
         try:
             reply = await fut
         except asyncio.CancelledError:
             # The requesting daemon or its caller has disconnected.
             cancel()
             raise
+        finally:
+            gateway.relayed_gathers.pop(query.grant_id, None)
         send(encode_message(build_delegated_reply(query, reply, is_last=True)))
         return Ok(None)
 
     return serve
+
+
+def build_grant_handler(gateway: Gateway) -> Handler:
+    """Return the handler of grants of further attempts."""
+
+    async def apply(peer: Peer, payload: bytes) -> Result[bytes, Failure]:
+        decoded = decode_grant(payload)
+        if isinstance(decoded, Err):
+            return decoded
+        grant = decoded.ok_value
+        run = gateway.relayed_gathers.get(grant.grant_id)
+        if run is None:
+            # The gather has ended.
+            return Ok(b"")
+        for position, attempts in zip(grant.positions, grant.attempts, strict=True):
+            apply_grant(run, position, attempts)
+        run.reply_if_due(run)
+        return Ok(b"")
+
+    return apply
--- a/src/bramleyrouter/gateway/shard_attempts.py
+++ b/src/bramleyrouter/gateway/shard_attempts.py
@@ -1,7 +1,11 @@
 """Send one shard's request to its servers, with retries and hedges."""
 
 from bramleyrouter.gateway.attempts import Attempt, discard_unsent, start_attempt
-from bramleyrouter.gateway.budgets import count_request, try_consume_extra_send
+from bramleyrouter.gateway.budgets import (
+    count_request,
+    has_allowance,
+    try_consume_extra_send,
+)
 from bramleyrouter.gateway.exchanges import (
     NOT_ARRIVED,
     NOT_RUN,
@@ -18,6 +22,7 @@
 from bramleyrouter.gateway.gather_runs import (
     AttemptPurpose,
     GatherRun,
+    GrantState,
     SentAttempt,
     ShardRun,
 )
@@ -138,27 +143,9 @@
         shard.possible_runs -= 1
     if shard.pending:
         return
-    now = run.gateway.loop.time()
-    if shard.possible_runs > 0 and now < run.single_attempt_until:
-        run.gateway.loop.call_at(
-            run.single_attempt_until, _retry_after_single_attempt, run, shard
-        )
-        return
     _retry(run, shard, attempt, reply)
 
 
-def _retry_after_single_attempt(run: GatherRun, shard: ShardRun) -> None:
-    """Retry a shard after the time in which a relay may use only one server."""
-    if run.is_finished or not shard.is_open or shard.pending:
-        return
-    may_send = shard.possible_runs < run.route.attempts and try_consume_extra_send(
-        run.gateway.budget, shard.service
-    )
-    if not may_send or not send_attempt(run, shard, AttemptPurpose.RETRY):
-        shard.is_missing = True
-    run.reply_if_due(run)
-
-
 def _retry(
     run: GatherRun, shard: ShardRun, attempt: Attempt, reply: ServerReply
 ) -> None:
@@ -170,14 +157,17 @@
         # capacity again.
         shard.tried.clear()
         shard.tried.add(attempt.server.row.server_id)
+    if _request_attempt(run, shard, is_hedge=False):
+        return
     may_send = (
-        shard.possible_runs < run.route.attempts
+        shard.possible_runs < shard.max_runs
         and shard.attempt_count < MAX_ATTEMPTS_PER_SHARD
     )
     if may_send and shard.has_arrived:
         may_send = try_consume_extra_send(run.gateway.budget, shard.service)
     if not may_send or not send_attempt(run, shard, AttemptPurpose.RETRY):
-        shard.is_missing = True
+        # A relay that is late may still report a result.
+        shard.is_missing = not shard.is_delegated
 
 
 def send_hedges(run: GatherRun) -> None:
@@ -185,10 +175,68 @@
     gateway = run.gateway
     for shard in run.shards:
         is_straggler = shard.is_open and len(shard.pending) == 1
-        if not is_straggler or shard.possible_runs >= run.route.attempts:
+        if not is_straggler or _request_attempt(run, shard, is_hedge=True):
+            continue
+        if shard.possible_runs >= shard.max_runs:
             continue
         if choose_shard_server(run, shard) is None:
             continue
         if try_consume_extra_send(gateway.budget, shard.service, is_hedge=True):
             run.hedges += 1
             send_attempt(run, shard, AttemptPurpose.HEDGE)
+
+
+def _request_attempt(run: GatherRun, shard: ShardRun, is_hedge: bool) -> bool:
+    """Ask the requesting daemon for one more attempt, once per shard.
+
+    Return true if the shard now waits for the decision, and false if this daemon still
+    holds an attempt, is no relay, or could not use a further attempt.
+    """
+    if run.requesting_daemon is None or shard.possible_runs < shard.max_runs:
+        return False
+    if shard.grant is not GrantState.NOT_REQUESTED:
+        return shard.grant is GrantState.REQUESTED
+    if (
+        run.requesting_daemon.request_attempts is None
+        or shard.attempt_count >= MAX_ATTEMPTS_PER_SHARD
+        or choose_shard_server(run, shard) is None
+        or not has_allowance(run.gateway.budget, shard.service, is_hedge)
+    ):
+        return False
+    shard.grant = GrantState.REQUESTED
+    if not run.wanted:
+        # The requests of one loop iteration share a message.
+        run.gateway.loop.call_soon(_send_attempt_requests, run)
+    run.wanted.append(shard)
+    return True
+
+
+def _send_attempt_requests(run: GatherRun) -> None:
+    wanted, run.wanted = run.wanted, []
+    daemon = run.requesting_daemon
+    if run.is_finished or daemon is None or daemon.request_attempts is None:
+        return
+    daemon.request_attempts(tuple(run.shards.index(shard) for shard in wanted))
+
+
+def apply_grant(run: GatherRun, position: int, attempts: int) -> None:
+    """Apply the requesting daemon's decision on one more attempt for a shard.
+
+    ``attempts`` is the total that this daemon may use.
+    """
+    shard = run.shards[position]
+    shard.max_runs = max(shard.max_runs, attempts)
+    if shard.grant is not GrantState.REQUESTED:
+        return
+    shard.grant = GrantState.DECIDED
+    if run.is_finished or not shard.is_open:
+        return
+    is_hedge = bool(shard.pending)
+    may_send = shard.possible_runs < shard.max_runs and try_consume_extra_send(
+        run.gateway.budget, shard.service, is_hedge
+    )
+    purpose = AttemptPurpose.HEDGE if is_hedge else AttemptPurpose.RETRY
+    if may_send and send_attempt(run, shard, purpose):
+        run.hedges += int(is_hedge)
+    elif not is_hedge:
+        shard.is_missing = True
--- a/src/bramleyrouter/wire/kinds.py
+++ b/src/bramleyrouter/wire/kinds.py
@@ -44,3 +44,4 @@
     FETCH_ROUTES = 91
     GATHER_SHARDS = 92
     DESCRIBE = 93
+    GRANT_ATTEMPTS = 94
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -11,11 +11,11 @@
 from bramleyrouter.gateway.budgets import ExtraLimits
 from bramleyrouter.gateway.delegation import (
     CONFIRMATION,
+    AttemptGrant,
     DelegatedQuery,
     DelegatedReply,
     assign_shards,
-    compute_confirm_timeout,
-    compute_single_attempt_time,
+    decode_grant,
     decode_query,
     decode_reply,
     encode_message,
@@ -28,6 +28,7 @@
 from tests.support.gateway_fakes import (
     ELSEWHERE,
     HERE,
+    RECORD,
     THERE,
     answer_after,
     build_answer,
@@ -464,14 +465,53 @@
 class TestAttemptsPerShard:
     """Guard against a shard that runs at more servers than its route allows.
 
-    It happens if a slow relay confirms late and has already sent hedges when the
-    requesting daemon cancels it and sends the shard to a third server.
+    It happens if a relay and the requesting daemon that gave it up each use the same
+    attempt, for example because a cancellation arrives late.
     """
 
-    def build_query(self, objective_s):
-        return DelegatedQuery(
-            build_request(), "r", ("s0", "s1"), 1.0, objective_s, 2, 1, 5
+    GRANT_ID = 7
+
+    async def serve(self, first, objective_s, grants=()):
+        """Serve a query of two shards with one attempt; return what was sent.
+
+        ``grants`` are handled when the relay asks for more attempts. The result is the
+        harness, the items that the relay sent, and the time that it took in seconds.
+        """
+        rows = [build_row(f"{n}{at}", f"s{at}") for at in range(2) for n in "abc"]
+        harness = build_harness([build_gather_route(2)], rows)
+        servers = [f"{n}{at}" for at in range(2) for n in "ab"]
+        harness.servers.behaviours |= dict.fromkeys(servers, first)
+        loop = asyncio.get_running_loop()
+        query = DelegatedQuery(
+            build_request(),
+            "r",
+            ("s0", "s1"),
+            1.0,
+            objective_s,
+            1,
+            1,
+            5,
+            self.GRANT_ID,
+        )
+        items = []
+
+        def receive(item):
+            items.append(item)
+            if item != CONFIRMATION and decode_reply(item).ok_value.wanted:
+                for grant in grants:
+                    payload = encode_message(grant)
+                    loop.create_task(harness.gateway.handle_grant(None, payload))
+
+        started_at = loop.time()
+        await harness.gateway.serve_delegated(
+            REQUESTING_PEER, encode_message(query), receive
         )
+        return harness, items, loop.time() - started_at
+
+    def count_arrivals(self, harness):
+        """Return the number of attempts of the shards s0 and s1."""
+        services = [item.server.service for item in harness.servers.arrivals]
+        return services.count("s0"), services.count("s1")
 
     @pytest.mark.parametrize(
         "first",
@@ -479,29 +519,45 @@
         ids=["silent", "lost", "slow"],
     )
     @pytest.mark.parametrize("objective_s", [0.05, 0.1, 0.25, 1.0])
-    def test_a_relay_uses_one_server_per_shard_until_it_would_be_cancelled(
-        self, first, objective_s
-    ):
+    def test_a_relay_uses_only_the_attempts_that_it_got(self, first, objective_s):
         async def scenario():
-            rows = [build_row(f"{n}{at}", f"s{at}") for at in range(2) for n in "ab"]
-            harness = build_harness([build_gather_route(2)], rows)
-            harness.servers.behaviours |= dict.fromkeys(("a0", "b0"), first)
-            started_at = asyncio.get_running_loop().time()
-            payload = encode_message(self.build_query(objective_s))
-            await harness.gateway.serve_delegated(
-                REQUESTING_PEER, payload, lambda item: None
-            )
-            arrivals = [
-                item.at - started_at
-                for item in harness.servers.arrivals
-                if item.server.service == "s0"
-            ]
-            assert len(arrivals) == 2
-            assert (
-                arrivals[1]
-                >= compute_single_attempt_time(objective_s)
-                > compute_confirm_timeout(objective_s)
-            )
+            harness, items, _ = await self.serve(first, objective_s)
+            assert self.count_arrivals(harness) == (1, 1)
+            wanted = [decode_reply(item).ok_value.wanted for item in items[1:]]
+            assert sorted(at for part in wanted for at in part) == [0, 1]
+
+        run_virtual(scenario())
+
+    @pytest.mark.parametrize(
+        "first",
+        [never_answer, end_with(ExchangeOutcome.LOST)],
+        ids=["silent", "lost"],
+    )
+    def test_a_duplicated_grant_allows_one_more_attempt(self, first):
+        async def scenario():
+            grant = AttemptGrant(self.GRANT_ID, (0, 1), (2, 1))
+            harness, _, _ = await self.serve(first, 0.1, [grant, grant])
+            assert self.count_arrivals(harness) == (2, 1)
+
+        run_virtual(scenario())
+
+    def test_a_grant_for_another_gather_allows_nothing(self):
+        async def scenario():
+            grant = AttemptGrant(self.GRANT_ID + 1, (0, 1), (2, 2))
+            harness, _, _ = await self.serve(never_answer, 0.1, [grant])
+            assert self.count_arrivals(harness) == (1, 1)
+
+        run_virtual(scenario())
+
+    def test_a_denied_retry_ends_the_relays_gather_at_once(self):
+        """Guard against a relay that waits until its deadline for a denied attempt."""
+
+        async def scenario():
+            grant = AttemptGrant(self.GRANT_ID, (0, 1), (1, 1))
+            lost = end_with(ExchangeOutcome.LOST)
+            _, items, waited_s = await self.serve(lost, 1.0, [grant])
+            assert waited_s < 0.02
+            assert decode_reply(items[-1]).ok_value == DelegatedReply()
 
         run_virtual(scenario())
 
@@ -509,37 +565,172 @@
         """Guard against waiting although nothing has run."""
 
         async def scenario():
-            rows = [build_row(f"{n}{at}", f"s{at}") for at in range(2) for n in "ab"]
-            harness = build_harness([build_gather_route(2)], rows)
-            harness.servers.behaviours["a0"] = end_with(ExchangeOutcome.REFUSED)
-            loop = asyncio.get_running_loop()
-            started_at = loop.time()
-            payload = encode_message(self.build_query(1.0))
-            await harness.gateway.serve_delegated(
-                REQUESTING_PEER, payload, lambda item: None
+            refused = end_with(ExchangeOutcome.REFUSED)
+            harness, items, waited_s = await self.serve(refused, 1.0)
+            assert waited_s < 0.02
+            assert self.count_arrivals(harness) == (3, 3)
+            assert len(items) == 2
+
+        run_virtual(scenario())
+
+
+class ScriptedRelay(FakeRelay):
+    """Simulate a relay that sends given items, or ends with a failure, at given times.
+
+    ``script`` maps a query to a list of delays in seconds, each with an item or a
+    failure code.
+    """
+
+    def __init__(self, script):
+        super().__init__()
+        self._script = script
+        self.grants = []
+
+    def open_stream(self, address, payload, on_item, on_end):
+        loop = asyncio.get_running_loop()
+        query = decode_query(payload).ok_value
+        self.queries.append(query)
+        for delay_s, step in self._script(query):
+            if isinstance(step, Code):
+                loop.call_later(delay_s, on_end, Err(Failure(step, "failed")))
+            else:
+                loop.call_later(delay_s, on_item, step)
+
+        def cancel():
+            self.cancelled += 1
+
+        return cancel
+
+    def send_grant(self, address, payload):
+        """Record a grant."""
+        self.grants.append(decode_grant(payload).ok_value)
+
+    async def play(self, **fields):
+        """Send a request with this relay; return the harness and the reply."""
+        harness = build_remote_harness(self, send_grant=self.send_grant, **fields)
+        return harness, await harness.send_request()
+
+
+WANT_ALL = encode_message(DelegatedReply(is_last=False, wanted=tuple(range(6))))
+
+
+class TestRequestingDaemon:
+    """Guard against attempts that are used twice or lost when a relay is late."""
+
+    @pytest.mark.parametrize("delay_s", [0.015, 0.06])
+    def test_the_attempt_that_was_kept_is_used_when_a_relay_fails(self, delay_s):
+        async def scenario():
+            relay = ScriptedRelay(
+                lambda _: [(0.002, CONFIRMATION), (delay_s, Code.PEER_DISCONNECTED)]
             )
-            assert loop.time() - started_at < 0.02
+            harness, reply = await relay.play(min_coverage=0.5)
+            assert len(harness.servers.arrivals) == 12
+            assert reply.missing == 0
 
         run_virtual(scenario())
 
-    @pytest.mark.parametrize("delay_s, attempt_count", [(0.015, 6), (0.06, 0)])
-    def test_no_direct_attempt_once_a_relay_may_have_used_two_servers(
-        self, delay_s, attempt_count
-    ):
+    def test_a_granted_attempt_is_not_used_again_when_the_relay_fails(self):
         async def scenario():
-            harness = None
+            relay = ScriptedRelay(
+                lambda _: [
+                    (0.002, CONFIRMATION),
+                    (0.01, WANT_ALL),
+                    (0.015, Code.PEER_DISCONNECTED),
+                ]
+            )
+            harness, _ = await relay.play(min_coverage=0.5)
+            assert len(harness.servers.arrivals) == 6
+            assert [grant.attempts for grant in relay.grants] == [(2,) * 6]
 
-            def open_stream(address, payload, on_item, on_end):
-                loop = asyncio.get_running_loop()
-                loop.call_later(0.002, on_item, CONFIRMATION)
-                lost = Failure(Code.PEER_DISCONNECTED, "the connection was lost")
-                loop.call_later(delay_s, on_end, Err(lost))
-                return lambda: None
+        run_virtual(scenario())
 
-            relay = FakeRelay()
-            relay.open_stream = open_stream
-            harness = build_remote_harness(relay, min_coverage=0.5)
+    def test_no_attempt_is_granted_after_it_was_used_instead_of_the_relay(self):
+        async def scenario():
+            relay = ScriptedRelay(lambda _: [(0.04, CONFIRMATION), (0.05, WANT_ALL)])
+            harness = build_remote_harness(relay, send_grant=relay.send_grant)
+            names = [f"{name}{at}" for at in range(6, 12) for name in "bc"]
+            slow = answer_after(0.07)
+            harness.servers.behaviours |= dict.fromkeys(names, slow)
+            await harness.send_request()
+            assert len(harness.servers.arrivals) == 12
+            assert [grant.attempts for grant in relay.grants] == [(1,) * 6]
+
+        run_virtual(scenario())
+
+    def test_all_attempts_are_left_when_a_relay_was_not_reached(self):
+        async def scenario():
+            relay = ScriptedRelay(lambda _: [(0.001, Code.PEER_UNREACHABLE)])
+            harness = build_remote_harness(relay)
+            names = [f"{name}{at}" for at in range(6, 12) for name in "bc"]
+            lost = end_with(ExchangeOutcome.LOST)
+            harness.servers.behaviours |= dict.fromkeys(names, lost)
             await harness.send_request()
-            assert len(harness.servers.arrivals) == 6 + attempt_count
+            assert len(harness.servers.arrivals) == 6 + 12
+
+        run_virtual(scenario())
+
+    def test_a_route_with_one_attempt_keeps_none(self):
+        async def scenario():
+            relay = ScriptedRelay(lambda _: [])
+            rows = [build_row(f"b{at}", f"s{at}", THERE) for at in range(6)]
+            harness = build_harness(
+                [build_gather_route(6, attempts=1)],
+                rows,
+                open_stream=relay.open_stream,
+                send_grant=relay.send_grant,
+            )
+            harness.gateway.set_relays([("10.2.0.1:7380", THERE)])
+            await harness.send_request()
+            assert harness.servers.arrivals == []
+            assert (relay.queries[0].attempts, relay.queries[0].grant_id) == (1, 0)
+
+        run_virtual(scenario())
+
+    def test_a_late_result_is_used_if_no_direct_attempt_was_allowed(self):
+        """Guard against missing shards whose relay confirms late."""
+
+        async def scenario():
+            def script(query):
+                signatures = tuple(f"sig-{service}" for service in query.services)
+                reply = DelegatedReply(tuple(range(6)), signatures, b"z" * 16)
+                return [(0.04, CONFIRMATION), (0.06, encode_message(reply))]
+
+            relay = ScriptedRelay(script)
+            harness, reply = await relay.play(extra=ExtraLimits(0.0, 0.0, 10.0))
+            assert len(harness.servers.arrivals) == 6
+            assert reply.missing == 0
+
+        run_virtual(scenario())
+
+    def test_a_shard_with_two_results_counts_once(self):
+        """Guard against the records of a shard twice in one merged body."""
+
+        async def scenario():
+            def script(query):
+                signatures = tuple(f"sig-{service}" for service in query.services)
+                part = DelegatedReply((0,), signatures[:1], b"z" * 16, is_last=False)
+                rest = DelegatedReply(tuple(range(1, 6)), signatures[1:], b"y" * 16)
+                parts = encode_message(part), encode_message(rest)
+                return [(0.045, parts[0]), (0.06, parts[1])]
+
+            relay = ScriptedRelay(script)
+            harness = build_remote_harness(relay)
+            harness.servers.behaviours["a0"] = answer_after(0.07)
+            reply = await harness.send_request()
+            assert len(harness.servers.arrivals) == 12
+            assert len(set(reply.signatures)) == 12
+            # The relay's results replace those of the six direct attempts.
+            assert reply.body.count(b"z" * 16) == 1
+            assert reply.body.count(b"y" * 16) == 1
+            assert reply.body.count(RECORD) == 3
+
+        run_virtual(scenario())
+
+    def test_a_shard_waits_for_its_direct_attempt_after_the_relays_last_reply(self):
+        async def scenario():
+            last = encode_message(DelegatedReply())
+            relay = ScriptedRelay(lambda _: [(0.034, CONFIRMATION), (0.036, last)])
+            _, reply = await relay.play()
+            assert reply.missing == 0
 
         run_virtual(scenario())
--- a/tests/support/delegation_schedules.py
+++ b/tests/support/delegation_schedules.py
@@ -22,6 +22,7 @@
 from bramleyrouter.gateway.gather_deadlines import compute_request_overhead
 from bramleyrouter.gateway.tables import RouteTable, Service
 from bramleyrouter.ids import DaemonId, DataCentre, ServiceName, TableVersion
+from bramleyrouter.wire.envelopes import Envelope, FrameType
 from bramleyrouter.wire.kinds import MessageKind
 from bramleyrouter.wire.links import HandlerTable, Link
 from bramleyrouter.wire.network import Peer
@@ -258,6 +259,10 @@
         link = schedule.get_link(address, target)
         return link.open_stream(MessageKind.GATHER_SHARDS, payload, on_item, on_end)
 
+    def send_grant(target, payload):
+        frame = Envelope(FrameType.ONE_WAY, MessageKind.GRANT_ATTEMPTS, 0, payload)
+        schedule.get_link(address, target).write(frame)
+
     started_at = loop.time()
     # The gateway starts one budget window in the past, so that its budget is full.
     loop.virtual_now -= DEFAULT_EXTRA.window_s
@@ -281,10 +286,12 @@
         frozenset,
         lambda: len(DAEMONS),
         open_stream,
+        send_grant,
         lambda: False,
     )
     loop.virtual_now = started_at
     handlers.streams[MessageKind.GATHER_SHARDS] = gateway.serve_delegated
+    handlers.calls[MessageKind.GRANT_ATTEMPTS] = gateway.handle_grant
     services = tuple(Service(ServiceName(f"s{at}"), 64) for at in range(SHARDS))
     route = build_gather_route(SHARDS, attempts=schedule.attempts, min_coverage=0.6)
     gateway.set_table(RouteTable(TableVersion(1), (route,), services))
--- a/tests/support/gateway_fakes.py
+++ b/tests/support/gateway_fakes.py
@@ -202,6 +202,7 @@
     entry_daemons=1,
     out=(),
     open_stream=None,
+    send_grant=None,
 ) -> GatewayHarness:
     """Build a gateway with fake servers on the running event loop.
 
@@ -242,6 +243,7 @@
         lambda: frozenset(out),
         lambda: entry_daemons,
         open_stream or fail_on_stream,
+        send_grant or (lambda address, payload: None),
         lambda: False,
     )
     names = {name for item in routes for name in item.shards}
