--- a/tests/platform/test_server_transport.py
+++ b/tests/platform/test_server_transport.py
@@ -4,6 +4,8 @@
 import socket
 import struct
 
+import pytest
+
 from bramleyrouter.gateway.exchanges import CallerRequest, ExchangeOutcome
 from bramleyrouter.platform.server_transport import build_server_transport
 from tests.support.gateway_fakes import build_row
@@ -272,3 +274,108 @@
         outcomes = asyncio.run(asyncio.wait_for(scenario(), 5.0))
         answered = ExchangeOutcome.ANSWERED
         assert outcomes == [answered, answered, ExchangeOutcome.UNSENT]
+
+
+async def _write_until_closed(writer, first, repeated):
+    """Write ``first`` and then ``repeated`` until the peer closes the connection."""
+    writer.write(first)
+    while True:
+        writer.write(repeated)
+        await writer.drain()
+
+
+def build_endless_script(first, repeated):
+    async def script(request, writer):
+        await _write_until_closed(writer, first, repeated)
+
+    return script
+
+
+OK_LINE = b"HTTP/1.1 200 OK\r\n"
+CHUNKED_HEAD = OK_LINE + SEAL.encode() + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+class TestEndlessReplies:
+    """Guard against a reply without end that fills the memory until its timeout."""
+
+    @pytest.mark.parametrize(
+        "first, repeated",
+        [
+            (OK_LINE, b"X-Filler: " + b"f" * 1000 + b"\r\n"),
+            (OK_LINE + b"X-Filler: ", b"f" * 1000),
+            (b"", b"f" * 1000),
+            (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 40),
+            (b"", b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" * 40),
+        ],
+        ids=["lines", "one line", "no status line", "interim", "early hints"],
+    )
+    def test_a_head_without_end_is_lost(self, first, repeated):
+        replies, _ = run(
+            build_endless_script(first, repeated), build_request(), timeout_s=20.0
+        )
+        assert replies[0].outcome is ExchangeOutcome.LOST
+
+    @pytest.mark.parametrize(
+        "first, repeated",
+        [
+            (OK_LINE + SEAL.encode() + b"\r\n", b"f" * 4096),
+            (CHUNKED_HEAD, b"400\r\n" + b"f" * 1024 + b"\r\n"),
+            (OK_LINE + SEAL.encode() + b"Content-Length: 99999999999\r\n\r\n", b"f"),
+            (CHUNKED_HEAD + b"0\r\n", b"X-Filler: " + b"f" * 1000 + b"\r\n"),
+        ],
+        ids=["no length", "chunked", "declared", "trailers"],
+    )
+    def test_a_body_without_end_is_lost(self, first, repeated):
+        replies, _ = run(
+            build_endless_script(first, repeated), build_request(), timeout_s=20.0
+        )
+        assert replies[0].outcome is ExchangeOutcome.LOST
+
+    def test_a_chunk_extension_without_end_lasts_until_the_timeout(self):
+        """Guard against a request that never ends; the extension is not stored."""
+        script = build_endless_script(CHUNKED_HEAD + b"1;", b"x=y;" * 250)
+        replies, _ = run(script, build_request(), timeout_s=0.3)
+        assert replies[0].outcome is ExchangeOutcome.TIMED_OUT
+
+
+WHOLE_HEAD = OK_LINE + SEAL.encode() + b"Bramleyrouter-Request-Id: q1\r\n\r\n"
+
+
+class TestCutHead:
+    """Guard against a head that stops in the middle and is taken for a whole one."""
+
+    @pytest.mark.parametrize("is_reset", [False, True], ids=["closed", "reset"])
+    @pytest.mark.parametrize("has_length", [False, True], ids=["no length", "length"])
+    def test_a_reply_cut_off_in_its_head_is_lost(self, has_length, is_reset):
+        head = WHOLE_HEAD
+        if has_length:
+            head = head[:-2] + b"Content-Length: 0\r\n\r\n"
+        taken = []
+        for size in range(1, len(head)):
+            reply = self.receive(head[:size], is_reset)
+            if reply.outcome is not ExchangeOutcome.LOST:
+                taken.append((head[:size], reply))
+        assert not taken
+        if not is_reset:
+            assert self.receive(head, is_reset).is_success
+
+    @pytest.mark.parametrize("is_reset", [False, True], ids=["closed", "reset"])
+    def test_a_head_cut_off_after_an_interim_reply_is_lost(self, is_reset):
+        interim = b"HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
+        for size in range(len(WHOLE_HEAD)):
+            reply = self.receive(interim + WHOLE_HEAD[:size], is_reset)
+            assert reply.outcome is ExchangeOutcome.LOST, WHOLE_HEAD[:size]
+
+    def receive(self, data, is_reset):
+        """Return the reply read from ``data``, after which the connection ends."""
+
+        async def script(request, writer):
+            writer.write(data)
+            await writer.drain()
+            if is_reset:
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            return False
+
+        replies, _ = run(script, build_request())
+        return replies[0]
