Left trailers of a chunked reply out of its head

What callers saw: a whole reply with trailers counted as one with a cut head, was taken for lost and cost a second attempt. Cause: curl passes trailers to the same callback as the head, so the last line was not the empty one. Lines after the final head's empty line are left out.

--- a/src/bramleyrouter/edges/servers/curl_exchanges.py
+++ b/src/bramleyrouter/edges/servers/curl_exchanges.py
@@ -23,6 +23,10 @@
 FORWARD_CONNECT_TIMEOUT_MS = 300
 
 
+# A complete head ends with an empty line.
+END_OF_HEAD = (b"\r\n", b"\n")
+
+
 class HttpResult(NamedTuple):
     """Describe the result of an exchange.
 
@@ -273,10 +277,14 @@
 
 def _read_head_line(exchange: Exchange, line: bytes) -> int | None:
     """Store a line of the reply's head; return -1 to close the connection."""
-    if line.startswith(b"HTTP/"):
-        # A status line starts a new head; lines of an interim reply are discarded.
-        exchange.head.clear()
-    exchange.head.append(line)
+    head = exchange.head
+    if head and head[-1] in END_OF_HEAD:
+        if not head[0].split(b" ", 1)[-1].startswith(b"1"):
+            # Trailers of a chunked body are no part of the head.
+            return None
+        # The head of an interim reply is discarded.
+        head.clear()
+    head.append(line)
     if exchange.accepts_line is not None and not exchange.accepts_line(line):
         return -1
     return None
--- a/src/bramleyrouter/platform/server_transport.py
+++ b/src/bramleyrouter/platform/server_transport.py
@@ -6,6 +6,7 @@
 import pycurl
 
 from bramleyrouter.edges.servers.curl_exchanges import (
+    END_OF_HEAD,
     ForwardedRequest,
     HttpResult,
     ServerMulti,
@@ -31,7 +32,6 @@
 _REQUEST_ID_PREFIX = f"{names.REQUEST_ID}:".lower().encode()
 # Headers that curl would add by default.
 _ADDED_BY_CURL = ("Accept", "User-Agent", "Expect", "Content-Type")
-_END_OF_HEAD = (b"\r\n", b"\n")
 _IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
 
@@ -99,7 +99,7 @@
         is_timeout = result.error == pycurl.E_OPERATION_TIMEDOUT
         outcome = ExchangeOutcome.TIMED_OUT if is_timeout else ExchangeOutcome.LOST
         return ServerReply(outcome, text=result.text)
-    if not result.head or result.head[-1] not in _END_OF_HEAD:
+    if not result.head or result.head[-1] not in END_OF_HEAD:
         # curl reports no error if the connection closes before the head is complete,
         # even within the line break of its last line.
         return ServerReply(
--- a/tests/platform/test_server_transport.py
+++ b/tests/platform/test_server_transport.py
@@ -123,6 +123,23 @@
         replies, _ = run(build_script(data), build_request())
         assert replies[0].body == b"hello"
 
+    def test_chunked_reply_with_trailers(self):
+        """Guard against a whole reply that is taken for one with a cut head."""
+        chunks = b"5\r\nhello\r\n0\r\nX-Checksum: 1\r\n\r\n"
+        replies, server = run(
+            build_script(CHUNKED_HEAD + chunks), build_request(), build_request()
+        )
+        for item in replies:
+            assert (item.outcome, item.body) == (ExchangeOutcome.ANSWERED, b"hello")
+            assert "X-Checksum" not in dict(item.headers)
+        assert server.connections == 1
+
+    def test_final_reply_after_interim_replies(self):
+        interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nA: b\r\n\r\n"
+        replies, _ = run(build_script(interim + reply()), build_request())
+        assert replies[0].is_success
+        assert "A" not in dict(replies[0].headers)
+
     def test_truncated_reply_is_lost(self):
         for data in (reply(length=9), reply()[:20], b"", b"no http at all"):
             replies, _ = run(build_script(data, stays_open=False), build_request())
