Bounded the bodies that probes, metrics and control calls may have

What callers saw: nothing yet; a body without end was read up to 100 MB per connection, three of which exceed the memory of a control VM. Cause: the HTTP library's default limit. Callers' listeners set one, the others did not. Change: probes and scrapes may have 1 kB, control calls as much as a manifest.

--- a/src/bramleyrouter/platform/listeners.py
+++ b/src/bramleyrouter/platform/listeners.py
@@ -12,6 +12,8 @@
 from bramleyrouter.platform import names
 from bramleyrouter.utils.addresses import split_address
 
+# Probes and scrapes have no body.
+MAX_PROBE_BODY_BYTES = 1024
 JSON_TYPE = "application/json"
 
 
@@ -52,7 +54,9 @@
         content, _ = render(registry, [])
         write_reply(req, PlatformReply(200, content), "text/plain; version=0.0.4")
 
-    server = HTTPServer(on_request, idle_connection_timeout=60.0)
+    server = HTTPServer(
+        on_request, idle_connection_timeout=60.0, max_body_size=MAX_PROBE_BODY_BYTES
+    )
     host, port = split_address(address)
     server.listen(port, host)
     return server
@@ -65,7 +69,9 @@
         is_ready_path = req.path == names.READY_PATH
         write_reply(req, PlatformReply(200 if is_ready_path and is_ready() else 503))
 
-    server = HTTPServer(on_request, idle_connection_timeout=60.0)
+    server = HTTPServer(
+        on_request, idle_connection_timeout=60.0, max_body_size=MAX_PROBE_BODY_BYTES
+    )
     host, port = split_address(address)
     server.listen(port, host)
     return server
--- a/src/bramleyrouter/platform/operators.py
+++ b/src/bramleyrouter/platform/operators.py
@@ -10,6 +10,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPServerRequest
 
+from bramleyrouter.conf.defaults import MAX_MANIFEST_BYTES
 from bramleyrouter.control.messages import (
     OperatorResult,
     PublishRoutes,
@@ -210,7 +211,9 @@
         tasks.add(task)
         task.add_done_callback(tasks.discard)
 
-    server = HTTPServer(on_request, idle_connection_timeout=60.0)
+    server = HTTPServer(
+        on_request, idle_connection_timeout=60.0, max_body_size=MAX_MANIFEST_BYTES
+    )
     host, port = split_address(address)
     server.listen(port, host, backlog=1024)
     return server
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from bramleyrouter.gateway.exchanges import (
     ExchangeOutcome,
     GatewayReply,
@@ -15,6 +17,7 @@
     stop_listening,
 )
 from bramleyrouter.utils.ports import reserve_address
+from tests.support.endless import MAX_WRITTEN_BYTES, write_until_closed
 
 HEAD = (
     "{method} /a/x?q=1 HTTP/1.1\r\nHost: h.example:80\r\n"
@@ -162,6 +165,41 @@
         run(scenario)
 
 
+class TestEndlessRequests:
+    """Guard against a request without end that fills the daemon's memory."""
+
+    @pytest.mark.parametrize(
+        "first, repeated",
+        [
+            ("GET /a/x HTTP/1.1\r\n", "X-Filler: " + "f" * 1000 + "\r\n"),
+            ("GET /a/x HTTP/1.1\r\nX-Filler: ", "f" * 1000),
+            ("GET /a/", "f" * 1000),
+            (
+                HEAD.format(method="POST") + "Transfer-Encoding: chunked\r\n\r\n",
+                "400\r\n" + "f" * 1024 + "\r\n",
+            ),
+            (
+                HEAD.format(method="POST") + "Content-Length: 99999999999\r\n\r\n",
+                "f" * 1024,
+            ),
+            (
+                HEAD.format(method="POST") + "Transfer-Encoding: chunked\r\n\r\n1;",
+                "x=y;" * 250,
+            ),
+        ],
+        ids=["lines", "one line", "path", "chunked", "declared", "chunk extension"],
+    )
+    def test_the_connection_is_closed(self, first, repeated):
+        async def scenario(handler, listener, reader, writer):
+            written = await write_until_closed(
+                writer, first.encode(), repeated.encode()
+            )
+            assert written < MAX_WRITTEN_BYTES
+            assert not handler.requests
+
+        run(scenario)
+
+
 class TestStopping:
     """Guard against requests that are lost when a daemon stops."""
 
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -31,8 +31,8 @@
     async def read(self, timeout_s):
         return self.table if self.table is not None else NO_MAJORITY
 
-    def call(self, method, path, body=b""):
-        calls = ControlCalls(
+    def build_calls(self):
+        return ControlCalls(
             publish=self.operate,
             set_availability=self.operate,
             read_routes=self.read,
@@ -49,7 +49,9 @@
                 (call, status)
             ),
         )
-        return asyncio.run(handle_call(calls, method, path, body))
+
+    def call(self, method, path, body=b""):
+        return asyncio.run(handle_call(self.build_calls(), method, path, body))
 
 
 class TestRouteTables:
