Replied to every request before a stopped entry daemon closes its connections

What callers saw: a request that came late in the grace of a planned stop and took longer than the rest of it ended with a closed connection and no reply; so did one whose body was late, and a reply that was not yet written completely was cut off. Cause: after the wait the daemon closed its connections whatever they were doing, and a connection counted as idle from the moment at which its reply was handed to the socket. Change: requests that are still open get 502, or 503 with Retry-After if their bodies are incomplete and they certainly did not run; replies that are being written are waited for.

--- a/src/bramleyrouter/platform/callers.py
+++ b/src/bramleyrouter/platform/callers.py
@@ -20,7 +20,7 @@
     GatewayReply,
     ReplyKind,
 )
-from bramleyrouter.gateway.gateways import Cancel, OnGatewayReply
+from bramleyrouter.gateway.gateways import MIN_RETRY_AFTER_S, Cancel, OnGatewayReply
 from bramleyrouter.gateway.tables import CallerLimits
 from bramleyrouter.platform import names
 from bramleyrouter.utils.addresses import split_address
@@ -30,6 +30,8 @@
 # limit. The daemon closes idle connections this much later than configured, so that
 # it does not close one that a caller is about to reuse.
 IDLE_MARGIN_S = 5.0
+# Time to write the replies of requests that are ended early, in seconds.
+LAST_REPLIES_S = 0.15
 _STATUS_BY_KIND = {
     ReplyKind.GATHERED: 200,
     ReplyKind.REFUSED: 503,
@@ -53,12 +55,13 @@
 class CallerServerState:
     """Store the open connections of callers and the handler of their requests.
 
-    ``busy`` holds those with a request that was read but not yet answered.
+    ``busy`` holds, by connection, the requests whose head was read and whose reply is
+    not yet written completely.
     """
 
     handle: HandleCallerRequest
     connections: set = field(default_factory=set)
-    busy: set = field(default_factory=set)
+    busy: dict[object, "_RequestDelegate"] = field(default_factory=dict)
     closes_after_replies: bool = False
 
 
@@ -136,7 +139,7 @@
     def headers_received(self, start_line, headers):
         """Store the head of the request and mark the connection as busy."""
         self._start_line, self._headers = start_line, headers
-        self._state.busy.add(self._server_conn)
+        self._state.busy[self._server_conn] = self
 
     def data_received(self, chunk):
         """Store one chunk of the body."""
@@ -157,7 +160,6 @@
         if self._is_finished:
             return
         self._is_finished = True
-        self._state.busy.discard(self._server_conn)
         status, headers, body = encode_reply(reply, request_id)
         should_close = self._state.closes_after_replies
         if should_close:
@@ -166,13 +168,37 @@
         written = self._conn.write_headers(line, headers, body)
         # Retrieving the exception prevents a log entry if the caller disconnected.
         written.add_done_callback(lambda fut: fut.exception())
+        written.add_done_callback(lambda _: self._mark_ended())
         if should_close:
             written.add_done_callback(lambda _: self._conn.close())
         self._conn.finish()
 
+    def _mark_ended(self) -> None:
+        # The next request of the connection may have taken the place of this one.
+        if self._state.busy.get(self._server_conn) is self:
+            del self._state.busy[self._server_conn]
+
+    def end_early(self) -> None:
+        """Reply now because the daemon stops; a reply that is being written goes on.
+
+        A request whose body is incomplete is refused, since it certainly did not run.
+        """
+        if self._is_finished:
+            return
+        if self._cancel is not None:
+            cancel, self._cancel = self._cancel, None
+            reply = GatewayReply(ReplyKind.FAILED)
+            cancel()
+        else:
+            reply = GatewayReply(ReplyKind.REFUSED, retry_after_s=MIN_RETRY_AFTER_S)
+        request_id = ""
+        if self._headers is not None:
+            request_id = self._headers.get(names.REQUEST_ID, "")
+        self._send_reply(request_id, reply)
+
     def on_connection_close(self):
         """Cancel the request when its caller disconnects."""
-        self._state.busy.discard(self._server_conn)
+        self._mark_ended()
         self._is_finished = True
         if self._cancel is not None:
             self._cancel()
@@ -200,7 +226,7 @@
     def on_close(self, server_conn):
         """Remove a closed connection."""
         self._state.connections.discard(server_conn)
-        self._state.busy.discard(server_conn)
+        self._state.busy.pop(server_conn, None)
 
 
 @dataclass
@@ -245,13 +271,22 @@
 async def stop_listening(listener: CallerListener, timeout_s: float) -> None:
     """Stop accepting connections, close idle ones and wait for busy ones.
 
-    The wait ends after ``timeout_s`` seconds.
+    Requests that are open after ``timeout_s`` seconds get a failure, or a refusal if
+    their bodies are incomplete, so that no connection ends without a reply.
     """
     listener.server.stop()
-    loop = asyncio.get_running_loop()
-    deadline = loop.time() + timeout_s
     state = listener.state
-    for conn in state.connections - state.busy:
+    state.closes_after_replies = True
+    for conn in state.connections - state.busy.keys():
         conn.stream.close()
+    await _wait_until_idle(state, timeout_s)
+    for request in list(state.busy.values()):
+        request.end_early()
+    await _wait_until_idle(state, LAST_REPLIES_S)
+
+
+async def _wait_until_idle(state: CallerServerState, timeout_s: float) -> None:
+    loop = asyncio.get_running_loop()
+    deadline = loop.time() + timeout_s
     while state.busy and loop.time() < deadline:
         await asyncio.sleep(0.02)
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -220,6 +220,55 @@
 
         run(scenario)
 
+    def test_a_request_that_outlasts_the_stop_gets_a_failure(self):
+        """Guard against a connection that ends without a reply to its request."""
+
+        async def scenario(handler, listener, reader, writer):
+            writer.write((HEAD.format(method="GET") + "\r\n").encode())
+            await wait_until(lambda: handler.requests)
+            await stop_listening(listener, 0.05)
+            status, fields, _ = await read_reply(reader)
+            assert (status, fields["Connection"]) == (502, "close")
+            assert fields["Bramleyrouter-Request-Id"] == "q1"
+            assert await reader.read() == b""
+            assert handler.cancelled == 1
+
+        run(scenario)
+
+    def test_a_request_whose_body_is_late_is_refused(self):
+        """Guard against a cut connection of a request that certainly did not run."""
+
+        async def scenario(handler, listener, reader, writer):
+            head = HEAD.format(method="POST") + "Content-Length: 10\r\n\r\nhello"
+            writer.write(head.encode())
+            await wait_until(lambda: listener.state.busy)
+            await stop_listening(listener, 0.05)
+            status, fields, _ = await read_reply(reader)
+            assert (status, fields["Connection"]) == (503, "close")
+            assert float(fields["Retry-After"]) > 0
+            assert await reader.read() == b""
+            assert not handler.requests
+
+        run(scenario)
+
+    def test_the_stop_waits_until_a_reply_is_written(self):
+        """Guard against a reply that is cut off because the process ends."""
+
+        async def scenario(handler, listener, reader, writer):
+            body = b"x" * 32_000_000
+            handler.reply = GatewayReply(ReplyKind.GATHERED, body=body)
+            set_close_after_replies(listener, True)
+            writer.write((HEAD.format(method="GET") + "\r\n").encode())
+            await wait_until(lambda: handler.requests)
+            stopping = asyncio.ensure_future(stop_listening(listener, 4.0))
+            await asyncio.sleep(0.1)
+            assert not stopping.done()
+            _, _, received = await read_reply(reader)
+            assert received == body
+            await stopping
+
+        run(scenario)
+
     def test_requests_are_still_served_before_the_listener_closes(self):
         async def scenario(handler, listener, reader, writer):
             handler.reply = GatewayReply(ReplyKind.FAILED)
