Assumed no number of entry daemons before one is known

Cause: a started daemon divided the shared bounds (extra sends, connections, cold servers) by 16 until a control daemon reported the number. In a fleet of 84 that knows none, as after a loss of power, the parts of the constant add up to 4.2 times the bound; the new test measures it with the old number and failed: 168 extra sends, 40 allowed. Change: without a number a daemon uses no part of the constant, one connection a server and one request for a cold server. The share of its own requests needs no number. TestCounts asserted that a number of at least 3 is assumed for 3 daemons, which holds for small fleets only; it asserts now that none is.

--- a/src/bramleyrouter/fleet/watcher.py
+++ b/src/bramleyrouter/fleet/watcher.py
@@ -40,10 +40,8 @@
 # Seconds for which the stream of a remote control daemon is opened directly after a
 # local one failed to forward it.
 DIRECT_STREAM_S = 10.0
-# Seconds for which a count of entry daemons stays in use, and the count that is
-# assumed until a control daemon reports one.
+# Seconds for which a count of entry daemons stays in use.
 COUNT_WINDOW_S = 20.0
-ASSUMED_ENTRY_DAEMONS = 16
 
 
 @dataclass
@@ -94,13 +92,14 @@
 class FleetWatcher(NamedTuple):
     """Bundle what ``start_fleet_watcher`` returns.
 
-    ``entry_daemons()`` returns the number of entry daemons, at least 1.
+    ``entry_daemons()`` returns the number of entry daemons, at least 1, or none until a
+    control daemon has reported it.
     ``silence_s()`` returns the seconds since the last update of any control daemon.
     """
 
     state: WatcherState
     set_seeds: Callable[[tuple[str, ...]], None]
-    entry_daemons: Callable[[], int]
+    entry_daemons: Callable[[], int | None]
     silence_s: Callable[[], float]
     close: Callable[[], None]
 
@@ -142,18 +141,17 @@
         _schedule_table_fetch(state, source, update.table_version)
 
 
-def get_max_entry_daemon_count(state: WatcherState) -> int:
+def get_max_entry_daemon_count(state: WatcherState) -> int | None:
     """Return the largest total number of entry daemons in ``COUNT_WINDOW_S``.
 
     Budgets that all entry daemons share are divided by it. A number that is too
-    small would exceed a budget; one that is too large only leaves a part unused.
+    small would exceed a budget; one that is too large only leaves a part unused. Until
+    a number is known it is none: no assumed number is large enough for all fleets.
     """
     oldest = state.clock() - COUNT_WINDOW_S
     while len(state.total_counts) > 1 and state.total_counts[0][0] < oldest:
         state.total_counts.popleft()
-    return max(
-        (count for _, count in state.total_counts), default=ASSUMED_ENTRY_DAEMONS
-    )
+    return max((count for _, count in state.total_counts), default=None)
 
 
 def _sum_entry_daemons(counts: Iterable[dict[DataCentre, int]]) -> int:
--- a/src/bramleyrouter/gateway/attempts.py
+++ b/src/bramleyrouter/gateway/attempts.py
@@ -152,8 +152,13 @@
             cancel_attempt(attempt)
 
 
-def compute_connection_share(max_connections: int, entry_daemons: int) -> int:
-    """Return this daemon's share of the connections that a server accepts."""
+def compute_connection_share(max_connections: int, entry_daemons: int | None) -> int:
+    """Return this daemon's share of the connections that a server accepts.
+
+    It is 1 while the number of entry daemons is unknown.
+    """
+    if entry_daemons is None:
+        return 1
     return max(1, int(USED_CONNECTION_SHARE * max_connections / max(1, entry_daemons)))
 
 
--- a/src/bramleyrouter/gateway/budgets.py
+++ b/src/bramleyrouter/gateway/budgets.py
@@ -48,7 +48,7 @@
 
     limits: ExtraLimits
     clock: Callable[[], float]
-    count_entry_daemons: Callable[[], int]
+    count_entry_daemons: Callable[[], int | None]
     started_at: float
     services: dict[ServiceName, _Counts] = field(default_factory=dict)
 
@@ -94,12 +94,10 @@
     # The extra sends before a restart are not stored, so the daemon's part of the
     # constant grows from 0 to its full value over the first window.
     elapsed_share = min(1.0, (budget.clock() - budget.started_at) / limits.window_s)
-    slack = (
-        elapsed_share
-        * limits.slack
-        * USED_SLACK_SHARE
-        / max(1, budget.count_entry_daemons())
-    )
+    entry_daemons = budget.count_entry_daemons()
+    slack = elapsed_share * limits.slack * USED_SLACK_SHARE
+    # While the number of daemons is unknown, no part of the constant is used.
+    slack = slack / max(1, entry_daemons) if entry_daemons is not None else 0.0
     return USED_RATIO_SHARE * limits.ratio * requests + slack - extras
 
 
--- a/src/bramleyrouter/gateway/build.py
+++ b/src/bramleyrouter/gateway/build.py
@@ -81,7 +81,7 @@
     record_rate_limited: RecordEvent,
     observe: ObserveRequest,
     get_data_centres_out: Callable[[], Collection[DataCentre]],
-    count_entry_daemons: Callable[[], int],
+    count_entry_daemons: Callable[[], int | None],
     open_stream: OpenStream,
     send_grant: SendGrant,
     is_stopping: Callable[[], bool],
--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -91,7 +91,7 @@
     record_rate_limited: RecordEvent
     observe: ObserveRequest
     get_data_centres_out: Callable[[], Collection[DataCentre]]
-    count_entry_daemons: Callable[[], int]
+    count_entry_daemons: Callable[[], int | None]
     contacts: DataCentreContacts
     rotation: Rotation
     relays: Relays
--- a/src/bramleyrouter/gateway/servers.py
+++ b/src/bramleyrouter/gateway/servers.py
@@ -121,15 +121,18 @@
 
 
 def compute_cold_interval(
-    rate: float, factor: float, slack: float, entry_daemons: int
+    rate: float, factor: float, slack: float, entry_daemons: int | None
 ) -> float:
     """Return the seconds between two requests of one daemon to a cold server.
 
     All entry daemons together stay below ``rate * factor + slack`` per second. A
     service without a declared rate has no limit: its cold servers are only slower.
+    While the number of entry daemons is unknown, the interval is infinite.
     """
     if rate <= 0:
         return 0.0
+    if entry_daemons is None:
+        return float("inf")
     allowed = USED_COLD_RATE_SHARE * (rate * factor + slack) / max(1, entry_daemons)
     return 1.0 / allowed if allowed > 0 else float("inf")
 
--- a/src/bramleyrouter/platform/entry.py
+++ b/src/bramleyrouter/platform/entry.py
@@ -58,7 +58,7 @@
         state.set({"value": "servers"}, len(view.merged))
         state.set({"value": "control_daemons"}, len(watcher_state.last_contact_at))
         state.set({"value": "control_silence_s"}, parts.watcher.silence_s())
-        state.set({"value": "entry_daemons"}, parts.watcher.entry_daemons())
+        state.set({"value": "entry_daemons"}, parts.watcher.entry_daemons() or 0)
         state.set({"value": "in_flight"}, parts.gateway.in_flight())
         state.set({"value": "ready"}, int(not reasons))
 
--- a/tests/fleet/test_streams.py
+++ b/tests/fleet/test_streams.py
@@ -175,9 +175,9 @@
     async def test_number_of_entry_daemons_is_streamed(self):
         """Guards against budgets that are divided by a wrong number."""
         cluster, entries = await start_cluster(3)
-        # Until a count is received a large one is assumed: budgets are divided by
-        # it and must not be exceeded.
-        assert entries[0].watcher.entry_daemons() >= 3
+        # No number is assumed until a count is received: in a larger fleet the parts of
+        # a budget would exceed it.
+        assert entries[0].watcher.entry_daemons() is None
         await asyncio.sleep(5.0)
         assert [entry.watcher.entry_daemons() for entry in entries] == [3, 3, 3]
 
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -63,6 +63,25 @@
                 extras.append(now[0])
         assert_bounded(requests, extras)
 
+    def test_daemons_that_do_not_know_their_number_stay_within_the_constant(self):
+        """Guard against an assumed number that is smaller than the fleet."""
+        now = [5.0]
+        daemons = [
+            ExtraBudget(LIMITS, lambda: now[0], lambda: None, -10.0) for _ in range(84)
+        ]
+        extras = sum(
+            try_consume_extra_send(budget, SERVICE)
+            for budget in daemons
+            for _ in range(10)
+        )
+        assert extras <= LIMITS.slack
+
+    def test_the_share_of_requests_needs_no_number_of_daemons(self):
+        budget = ExtraBudget(LIMITS, lambda: 5.0, lambda: None, -10.0)
+        for _ in range(100):
+            count_request(budget, SERVICE)
+        assert try_consume_extra_send(budget, SERVICE)
+
     def test_hedges_leave_budget_for_retries(self):
         budget = ExtraBudget(LIMITS, lambda: 1.0, lambda: 1, -10.0)
         while try_consume_extra_send(budget, SERVICE, is_hedge=True):
