--- a/tests/mutation_list.py
+++ b/tests/mutation_list.py
@@ -170,4 +170,42 @@
         "if True:",
         (GUARANTEES + "planned_stops.feature", "tests/homes/test_exclusive_homes.py"),
     ),
+    Mutation(
+        "leave handed over attempts with the requesting daemon",
+        "gateway/delegated_shards.py",
+        "        shard.possible_runs += attempts\n",
+        "",
+        ("tests/gateway/test_delegation_schedules.py",),
+    ),
+    Mutation(
+        "grant an attempt without counting it",
+        "gateway/delegated_shards.py",
+        "            shard.possible_runs += 1\n",
+        "",
+        ("tests/gateway/test_delegation_schedules.py",),
+    ),
+    Mutation(
+        "hand over all attempts and keep one",
+        "gateway/delegation.py",
+        "return max(1, attempts - 1)",
+        "return attempts",
+        ("tests/gateway/test_delegation.py",),
+    ),
+    Mutation(
+        "take back the attempts of a relay that failed",
+        "gateway/delegated_shards.py",
+        "        if is_not_run:\n            shard.possible_runs -= granted",
+        "        if True:\n            shard.possible_runs -= granted",
+        ("tests/gateway/test_delegation_schedules.py",),
+    ),
+    Mutation(
+        "add up duplicated grants",
+        "gateway/shard_attempts.py",
+        "shard.max_runs = max(shard.max_runs, attempts)",
+        "shard.max_runs += 1",
+        (
+            "tests/gateway/test_delegation.py",
+            "tests/gateway/test_delegation_schedules.py",
+        ),
+    ),
 )
