Described the state of a delegation by an enumeration instead of two flags

No change of behaviour; a shard refers to its delegation, so that the check for relays that confirmed needs no search.

--- a/src/bramleyrouter/gateway/delegated_shards.py
+++ b/src/bramleyrouter/gateway/delegated_shards.py
@@ -27,6 +27,7 @@
 from bramleyrouter.gateway.gather_runs import (
     AttemptPurpose,
     Delegation,
+    DelegationState,
     GatherRun,
     ShardRun,
 )
@@ -108,11 +109,11 @@
     )
     run.delegations.append(delegation)
     for shard in shards:
-        shard.is_delegated = True
+        shard.delegation = delegation
         shard.possible_runs += attempts
 
     def confirm() -> None:
-        delegation.is_confirmed = True
+        delegation.state = DelegationState.CONFIRMED
 
     delegation.cancel = start_delegated_query(
         run.gateway.loop,
@@ -149,7 +150,8 @@
 def _handle_relay_reply(
     run: GatherRun, delegation: Delegation, reply: DelegatedReply
 ) -> None:
-    delegation.is_open = not reply.is_last
+    if reply.is_last:
+        delegation.state = DelegationState.ENDED
     if reply.wanted:
         _decide_on_attempts(run, delegation, reply.wanted)
     if run.is_finished:
@@ -200,7 +202,6 @@
     if not reply.is_last:
         return
     for shard, granted in zip(delegation.shards, delegation.granted, strict=True):
-        shard.is_delegated = False
         if shard.reply is None:
             shard.is_missing = not shard.pending
             if not reply.may_have_run:
@@ -226,12 +227,11 @@
 
     Attempts that were handed over count as used unless the relay certainly ran nothing.
     """
-    delegation.is_open = False
+    delegation.state = DelegationState.ENDED
     if run.is_finished:
         return
     _record_relay_failure(run, delegation, "not run" if is_not_run else "failed")
     for shard, granted in zip(delegation.shards, delegation.granted, strict=True):
-        shard.is_delegated = False
         if is_not_run:
             shard.possible_runs -= granted
         else:
--- a/src/bramleyrouter/gateway/gather_runs.py
+++ b/src/bramleyrouter/gateway/gather_runs.py
@@ -1,7 +1,7 @@
 """State of one gather while it runs."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
@@ -63,8 +63,7 @@
     attempt_count: int = 0
     possible_runs: int = 0
     has_arrived: bool = False
-    # Whether a relay may still report a result.
-    is_delegated: bool = False
+    delegation: "Delegation | None" = None
     grant: GrantState = GrantState.NOT_REQUESTED
     # Whether the result was already sent to the requesting daemon.
     is_reported: bool = False
@@ -74,10 +73,37 @@
         """Return whether the shard may still get a result."""
         return self.reply is None and not self.is_missing
 
+    @property
+    def is_delegated(self) -> bool:
+        """Return whether a relay may still report a result."""
+        return (
+            self.delegation is not None
+            and self.delegation.state is not DelegationState.ENDED
+        )
+
+    @property
+    def has_confirmed_relay(self) -> bool:
+        """Return whether a relay that confirmed may still report a result."""
+        return (
+            self.delegation is not None
+            and self.delegation.state is DelegationState.CONFIRMED
+        )
+
+
+class DelegationState(Enum):
+    """Enumerate the states of a delegation.
+
+    It has ended after the relay's last reply, its failure or its cancellation.
+    """
+
+    UNCONFIRMED = "unconfirmed"
+    CONFIRMED = "confirmed"
+    ENDED = "ended"
+
 
 @dataclass(eq=False)
 class Delegation:
-    """Hold the shards delegated to one relay; open until the relay has finished.
+    """Hold the shards delegated to one relay.
 
     ``granted`` holds, for each shard, the attempts that were handed over to the relay.
     """
@@ -88,8 +114,7 @@
     grant_id: int
     granted: list[int]
     cancel: Cancel = lambda: None
-    is_open: bool = True
-    is_confirmed: bool = False
+    state: DelegationState = DelegationState.UNCONFIRMED
 
 
 class RequestingDaemon(NamedTuple):
@@ -132,13 +157,11 @@
     sent_attempts: list[SentAttempt] = field(default_factory=list)
 
 
-def cancel_delegations(run: GatherRun, only_unconfirmed: bool = False) -> None:
-    """Cancel the delegations that are still open."""
+def cancel_delegations(run: GatherRun, states: Collection[DelegationState]) -> None:
+    """Cancel the delegations that are in one of these states."""
     for delegation in run.delegations:
-        if only_unconfirmed and delegation.is_confirmed:
-            continue
-        if delegation.is_open:
-            delegation.is_open = False
+        if delegation.state in states:
+            delegation.state = DelegationState.ENDED
             delegation.cancel()
 
 
--- a/src/bramleyrouter/gateway/gathers.py
+++ b/src/bramleyrouter/gateway/gathers.py
@@ -21,6 +21,7 @@
     should_reply,
 )
 from bramleyrouter.gateway.gather_runs import (
+    DelegationState,
     GatherRun,
     GrantState,
     RequestingDaemon,
@@ -47,6 +48,8 @@
 # A server that takes longer than this multiple of the median latency is recorded as
 # late at the objective.
 LATE_SERVER_FACTOR = 2.0
+_NOT_STARTED = (DelegationState.UNCONFIRMED,)
+_NOT_ENDED = (DelegationState.UNCONFIRMED, DelegationState.CONFIRMED)
 
 
 def start_gather(
@@ -190,19 +193,13 @@
     """
     now = run.gateway.loop.time()
     is_past_objective = now >= run.arrived_at + run.route.objective_s
-    confirmed = {
-        shard
-        for delegation in run.delegations
-        if delegation.is_open and delegation.is_confirmed
-        for shard in (delegation.shards if is_past_objective else ())
-    }
     count = 0
     for shard in run.shards:
         if not shard.is_open:
             continue
         is_abandoned = (
             is_past_objective
-            and shard not in confirmed
+            and not shard.has_confirmed_relay
             and shard.grant is not GrantState.REQUESTED
             and all(item.server.suspect_until > now for item in shard.pending)
         )
@@ -319,7 +316,7 @@
     unanswered = [shard for shard in run.shards if shard.reply is None]
     reason = f"{len(unanswered)} of {progress.total} shards did not answer: "
     reason += "; ".join(format_shard_servers(run, shard) for shard in unanswered[:3])
-    is_delegation_open = any(item.is_open for item in run.delegations)
+    is_delegation_open = any(item.state in _NOT_ENDED for item in run.delegations)
     has_run = any(
         shard.possible_runs > 0 or shard.reply is not None for shard in run.shards
     )
@@ -332,10 +329,10 @@
     run.is_finished = True
     if run.timer is not None:
         run.timer.cancel()
-    # After a gathered reply, relays that are at work finish it, because cancelling
-    # closes their servers' connections. A relay that has not confirmed is cancelled
-    # before it starts, if possible.
-    cancel_delegations(run, only_unconfirmed=reply.kind is ReplyKind.GATHERED)
+    # After a gathered reply, relays that confirmed finish their work, because
+    # cancelling closes their servers' connections. The others may not have started.
+    is_gathered = reply.kind is ReplyKind.GATHERED
+    cancel_delegations(run, _NOT_STARTED if is_gathered else _NOT_ENDED)
     for shard in run.shards:
         discard_unsent(shard.pending)
     _record_end(run, reply)
@@ -384,7 +381,7 @@
     run.is_finished = True
     if run.timer is not None:
         run.timer.cancel()
-    cancel_delegations(run)
+    cancel_delegations(run, _NOT_ENDED)
     for shard in run.shards:
         for attempt in shard.pending:
             cancel_attempt(attempt)
