Replied to every request before the product's listener closes

What callers saw: requests that were running when a drained daemon closed its listener, for example late ones on kept connections, ended without a reply; the closure's comment said that it waits, but the library closes all connections at once. Evidence: tests of the listener as of the commit on the entry daemon of the platform: a running request, one that outlasts the stop, a late body, a reply that is being written. Change: the listener counts the requests whose replies are not written completely, waits for them for a second, then ends them with OUTCOME_UNKNOWN, or with STOPPING if their bodies are incomplete and they did not run. Replies of a stopping listener close their connection.

--- a/src/bramleyrouter/edges/http.py
+++ b/src/bramleyrouter/edges/http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -55,6 +56,14 @@
     findings: tuple[str, ...] = ()
 
 
+@dataclass
+class RunningRequests:
+    """Hold the requests of a listener whose replies are not yet written completely."""
+
+    handlers: set["EndpointHandler"] = field(default_factory=set)
+    is_stopping: bool = False
+
+
 HandleRequest = Callable[[HTTPServerRequest, bytes], Awaitable[HttpReply]]
 
 
@@ -102,13 +111,15 @@
     return HttpReply(get_http_status(code), msgspec.json.encode(body))
 
 
-def build_tornado_routes(specs: list[EndpointSpec]) -> list[tuple]:
+def build_tornado_routes(
+    specs: list[EndpointSpec], running: RunningRequests
+) -> list[tuple]:
     """Build Tornado's routes, one for each path with all its methods."""
     by_path: dict[str, dict[str, EndpointSpec]] = {}
     for spec in specs:
         by_path.setdefault(spec.path, {})[spec.method] = spec
     return [
-        (path, EndpointHandler, {"specs": specs_by_method})
+        (path, EndpointHandler, {"specs": specs_by_method, "running": running})
         for path, specs_by_method in by_path.items()
     ]
 
@@ -119,15 +130,17 @@
 
     SUPPORTED_METHODS = ("GET", "POST")
 
-    def initialize(self, specs: dict[str, EndpointSpec]):
+    def initialize(self, specs: dict[str, EndpointSpec], running: RunningRequests):
         """Store the endpoint's specs by method."""
         self._specs = specs
+        self._running = running
         self._chunks: list[bytes] = []
         self._size = 0
         self._task: asyncio.Task | None = None
 
     def prepare(self):
         """Refuse a wrong method, a failed check or an oversized body early."""
+        self._running.handlers.add(self)
         spec = self._specs.get(self.request.method or "")
         if spec is None:
             self.set_status(405)
@@ -161,6 +174,25 @@
         self.set_header("Content-Type", reply.content_type)
         self.finish(reply.body)
 
+    def finish(self, chunk=None):
+        """Write the reply; the request is running until it is written completely."""
+        if self._running.is_stopping:
+            self.set_header("Connection", "close")
+        written = super().finish(chunk)
+        written.add_done_callback(lambda _: self._running.handlers.discard(self))
+        return written
+
+    def end_early(self):
+        """Reply now because the daemon stops; a reply that is being written goes on."""
+        if self._finished:
+            return
+        if self._task is None:
+            failure = Failure(Code.STOPPING, "This daemon stops.")
+        else:
+            self._task.cancel()
+            failure = Failure(Code.OUTCOME_UNKNOWN, "This daemon stops.")
+        self._write_reply(build_failure_reply(failure))
+
     async def _run(self):
         if self._finished:
             return
@@ -179,6 +211,7 @@
 
     def on_connection_close(self):
         """Cancel the handler of a disconnected client if its endpoint allows it."""
+        self._running.handlers.discard(self)
         spec = self._specs.get(self.request.method or "")
         if spec and spec.cancel_on_close and self._task:
             self._task.cancel()
--- a/tests/edges/test_http.py
+++ b/tests/edges/test_http.py
@@ -54,3 +54,102 @@
         status, body = post("/echo", b"x" * 11)
         assert status == 413
         assert msgspec.json.decode(body)["code"] == Code.BODY_TOO_LARGE
+
+
+POST_HEAD = "POST {} HTTP/1.1\r\nHost: h\r\nContent-Length: {}\r\n\r\n"
+
+
+class TestStopping:
+    """Guard against requests late in a planned stop that get no reply."""
+
+    def run(self, handle, scenario):
+        """Run ``scenario`` with the closure that stops a listener, and a connection."""
+
+        async def run_with_listener():
+            address = reserve_address()
+            specs = [EndpointSpec("/a", "POST", handle, 10)]
+            stop = listen_http(address, specs, last_replies_s=0.3)
+            host, port = address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            await asyncio.wait_for(scenario(stop, reader, writer), 5.0)
+            writer.close()
+
+        asyncio.run(run_with_listener())
+
+    async def read_reply(self, reader):
+        """Return status, headers and body of a reply."""
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        lines = head.split("\r\n")
+        fields = dict(line.split(": ", 1) for line in lines[1:] if line)
+        body = await reader.readexactly(int(fields["Content-Length"]))
+        return int(lines[0].split()[1]), fields, body
+
+    def test_a_running_request_is_answered(self):
+        async def reply_later(req, body):
+            await asyncio.sleep(0.1)
+            return HttpReply(200, b"{}")
+
+        async def scenario(stop, reader, writer):
+            writer.write(POST_HEAD.format("/a", 0).encode())
+            await asyncio.sleep(0.05)
+            stopping = asyncio.ensure_future(stop())
+            status, fields, _ = await self.read_reply(reader)
+            assert (status, fields["Connection"]) == (200, "close")
+            await stopping
+
+        self.run(reply_later, scenario)
+
+    def test_a_request_that_outlasts_the_stop_gets_a_failure(self):
+        async def hang(req, body):
+            await asyncio.sleep(60.0)
+
+        async def scenario(stop, reader, writer):
+            writer.write(POST_HEAD.format("/a", 0).encode())
+            await asyncio.sleep(0.05)
+            stopping = asyncio.ensure_future(stop())
+            _, fields, body = await self.read_reply(reader)
+            error = msgspec.json.decode(body)
+            assert error["code"] == Code.OUTCOME_UNKNOWN and not error["not_run"]
+            assert fields["Connection"] == "close"
+            await stopping
+
+        self.run(hang, scenario)
+
+    def test_a_request_whose_body_is_late_did_not_run(self):
+        async def scenario(stop, reader, writer):
+            writer.write(POST_HEAD.format("/a", 10).encode() + b"half")
+            await asyncio.sleep(0.05)
+            stopping = asyncio.ensure_future(stop())
+            status, _, body = await self.read_reply(reader)
+            error = msgspec.json.decode(body)
+            assert (status, error["code"]) == (503, Code.STOPPING) and error["not_run"]
+            await stopping
+
+        self.run(echo, scenario)
+
+    def test_the_stop_waits_until_a_reply_is_written(self):
+        body = b"x" * 32_000_000
+
+        async def reply_much(req, _):
+            return HttpReply(200, body)
+
+        async def scenario(stop, reader, writer):
+            writer.write(POST_HEAD.format("/a", 0).encode())
+            await asyncio.sleep(0.05)
+            stopping = asyncio.ensure_future(stop())
+            await asyncio.sleep(0.05)
+            assert not stopping.done()
+            _, _, received = await self.read_reply(reader)
+            assert received == body
+            await stopping
+
+        self.run(reply_much, scenario)
+
+    def test_an_idle_connection_is_closed(self):
+        async def scenario(stop, reader, writer):
+            writer.write(POST_HEAD.format("/a", 0).encode())
+            await self.read_reply(reader)
+            await stop()
+            assert await reader.read() == b""
+
+        self.run(echo, scenario)
