--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 
+import msgspec
 import pytest
 from result import Err, Ok
 
@@ -21,9 +22,9 @@
     encode_message,
     split_shards,
 )
-from bramleyrouter.gateway.exchanges import ExchangeOutcome, ReplyKind
+from bramleyrouter.gateway.exchanges import CallerRequest, ExchangeOutcome, ReplyKind
 from bramleyrouter.gateway.gather_runs import AttemptPurpose
-from bramleyrouter.ids import DaemonId
+from bramleyrouter.ids import DaemonId, ServiceName
 from bramleyrouter.wire.network import Peer
 from tests.support.gateway_fakes import (
     ELSEWHERE,
@@ -734,3 +735,48 @@
             assert reply.missing == 0
 
         run_virtual(scenario())
+
+
+class QueryOf030(msgspec.Struct, frozen=True, array_like=True):
+    """Repeat the query of release 0.3.0."""
+
+    request: CallerRequest
+    route: str
+    services: tuple[ServiceName, ...]
+    deadline_s: float
+    objective_s: float
+    attempts: int
+    priority: int
+    top_records: int
+
+
+class ReplyOf030(msgspec.Struct, frozen=True, array_like=True):
+    """Repeat the reply of release 0.3.0."""
+
+    included: tuple[int, ...] = ()
+    signatures: tuple[str, ...] = ()
+    records: bytes = b""
+    may_have_run: bool = True
+    is_last: bool = True
+
+
+class TestFormerRelease:
+    """Guard against messages that daemons of two releases can't exchange."""
+
+    FIELDS = (build_request(), "r", ("s0",), 1.0, 0.1, 1, 1, 5)
+
+    def test_a_query_of_the_former_release_grants_nothing_more(self):
+        payload = msgspec.msgpack.encode(QueryOf030(*self.FIELDS))
+        query = decode_query(payload).ok_value
+        assert (query.attempts, query.grant_id) == (1, 0)
+
+    def test_the_former_release_reads_a_query(self):
+        payload = encode_message(DelegatedQuery(*self.FIELDS, grant_id=7))
+        query = msgspec.msgpack.decode(payload, type=QueryOf030)
+        assert query.attempts == 1
+
+    def test_replies_are_read_by_both_releases(self):
+        payload = encode_message(DelegatedReply((0,), ("sig",), b"z" * 16))
+        assert msgspec.msgpack.decode(payload, type=ReplyOf030).included == (0,)
+        payload = msgspec.msgpack.encode(ReplyOf030((0,), ("sig",), b"z" * 16))
+        assert decode_reply(payload).ok_value.wanted == ()
