Tested cut and endless replies on the product's own transport

The tests of the users' platform cover its transport only; home daemons decode replies by themselves. A submission's reply that is cut off after any byte, closed or reset, with or without a length, stays unknown, also where the whole one would be a refusal. Heads and bodies without end are cut off.

--- a/tests/edges/servers/test_curl_transport.py
+++ b/tests/edges/servers/test_curl_transport.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import random
+import socket
+import struct
 
 import msgspec
 import pytest
@@ -14,6 +16,7 @@
 from bramleyrouter.standins.behaviours import Behaviour, Latency
 from bramleyrouter.standins.servers import build_standin
 from bramleyrouter.states import Outcome
+from tests.support.raw_server import start_raw_server
 
 DECLARED_CONNECTIONS = 4
 HOLDINGS = (ServiceHolding("sheets", {"a": ("v1",), "b": ("v1",)}),)
@@ -271,3 +274,94 @@
             server.close()
 
         self.run(work)
+
+
+WHOLE_REPLIES = {
+    "answer": (b"200 OK", b'{"request_id":"x1","answer":1}', Outcome.DONE),
+    "refusal": (b"503 Busy", b'{"code":"not_run","reason":"full"}', Outcome.NOT_RUN),
+}
+# SO_LINGER with a timeout of 0 s: the socket sends a reset when it is closed.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+ENDLESS_REPLIES = {
+    "lines": (b"HTTP/1.1 200 OK\r\n", b"X-Filler: " + b"f" * 1000 + b"\r\n"),
+    "one line": (b"HTTP/1.1 200 OK\r\nX-Filler: ", b"f" * 1000),
+    "no status line": (b"", b"f" * 1000),
+    "interim": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 40),
+    "no length": (b"HTTP/1.1 200 OK\r\n\r\n", b"f" * 4096),
+    "chunked": (
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"400\r\n" + b"f" * 1024 + b"\r\n",
+    ),
+}
+
+
+def run_with_raw_server(script, work):
+    """Run ``work(fixture)`` with a server that writes what ``script`` says."""
+
+    async def scenario():
+        server = await start_raw_server(script)
+        fixture = TransportFixture()
+        fixture.target = fixture.target._replace(address=server.address)
+        await asyncio.wait_for(work(fixture), 20.0)
+        fixture.transport.close()
+        server.server.close()
+
+    asyncio.run(scenario())
+
+
+class TestCutReplies:
+    """Guard against a reply that stops in the middle and is taken for a whole one."""
+
+    @pytest.mark.parametrize("is_reset", [False, True], ids=["closed", "reset"])
+    @pytest.mark.parametrize("has_length", [False, True], ids=["no length", "length"])
+    @pytest.mark.parametrize("name", WHOLE_REPLIES)
+    def test_a_submission_whose_reply_is_cut_off_is_unknown(
+        self, name, has_length, is_reset
+    ):
+        status, body, outcome = WHOLE_REPLIES[name]
+        length = b"Content-Length: %d\r\n" % len(body) if has_length else b""
+        data = b"HTTP/1.1 " + status + b"\r\n" + length + b"\r\n" + body
+        size = 0
+
+        async def script(request, writer):
+            writer.write(data[:size])
+            await writer.drain()
+            if is_reset:
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            return False
+
+        async def work(fixture):
+            nonlocal size
+            taken = []
+            for size in range(len(data)):
+                result = await fixture.submit()
+                if result.outcome is not Outcome.UNKNOWN:
+                    taken.append((data[:size], result))
+            assert not taken
+            size = len(data)
+            if not is_reset:
+                assert (await fixture.submit()).outcome is outcome
+
+        run_with_raw_server(script, work)
+
+
+class TestEndlessReplies:
+    """Guard against a reply without end that fills the memory until its timeout."""
+
+    @pytest.mark.parametrize("name", ENDLESS_REPLIES)
+    def test_a_reply_without_end_is_cut_off(self, name):
+        first, repeated = ENDLESS_REPLIES[name]
+
+        async def script(request, writer):
+            writer.write(first)
+            while True:
+                writer.write(repeated)
+                await writer.drain()
+
+        async def work(fixture):
+            result = await fixture.query(timeout_s=15.0)
+            assert result.code is Code.SHARD_CONNECTION_LOST
+            assert (await fixture.submit(timeout_s=15.0)).outcome is Outcome.UNKNOWN
+
+        run_with_raw_server(script, work)
