--- a/tests/gateway/test_delegation_schedules.py
+++ b/tests/gateway/test_delegation_schedules.py
@@ -16,11 +16,12 @@
     server as well.
     """
 
+    @pytest.mark.parametrize("restarts", [0, 3])
     @pytest.mark.parametrize("attempts", [1, 2, 3])
-    def test_no_schedule_exceeds_the_attempts_of_a_route(self, attempts):
+    def test_no_schedule_exceeds_the_attempts_of_a_route(self, attempts, restarts):
         broken = {}
         for seed in SEEDS:
-            schedule = run_virtual(play(seed, attempts))
+            schedule = run_virtual(play(seed, attempts, restarts))
             excess = [
                 (key, servers)
                 for key, servers in schedule.runs.items()
--- a/tests/support/delegation_schedules.py
+++ b/tests/support/delegation_schedules.py
@@ -304,8 +304,14 @@
     return gateway
 
 
-async def play(seed: int, attempts: int = 2) -> Schedule:
-    """Send requests while the daemons are disturbed; return what happened."""
+async def play(
+    seed: int, attempts: int = 2, restarts_of_requesting_daemon: int = 0
+) -> Schedule:
+    """Send requests while the daemons are disturbed; return what happened.
+
+    All requests are sent to the first daemon. A restart of it leaves the callers of
+    that time without a reply.
+    """
     schedule = Schedule(seed, attempts)
     rng, loop = schedule.rng, schedule.loop
     addresses = list(DAEMONS)
@@ -322,9 +328,11 @@
         pair = tuple(rng.sample(addresses, 2))
         loop.call_at(loop.time() + rng.uniform(0, end), schedule.break_links, pair)
     if rng.random() < 0.3:
-        # The first daemon is not restarted, because its callers would get no reply.
         name = rng.choice(addresses[1:])
         loop.call_at(loop.time() + rng.uniform(0, end), schedule.start, name)
+    for _ in range(restarts_of_requesting_daemon):
+        at = loop.time() + rng.uniform(0, end)
+        loop.call_at(at, schedule.start, addresses[0])
     for number in range(REQUESTS):
         _send(schedule, f"q{number}", addresses[0])
         await asyncio.sleep(REQUEST_INTERVAL_S)
