Sent a shard once for requesting daemons that can't grant attempts

What callers saw: nothing yet; found while looking where two processes split a bound. Evidence: the new test, with 2 and 3 attempts, failed before. Change: a query without a grant id allows one attempt. Queries of this release without one have one attempt anyway, so nothing changes between daemons of the same release.

--- a/src/bramleyrouter/gateway/relaying.py
+++ b/src/bramleyrouter/gateway/relaying.py
@@ -25,7 +25,12 @@
 
 
 def build_relay_route(query: DelegatedQuery) -> Route:
-    """Build the route by which a relay runs a delegated query."""
+    """Build the route by which a relay runs a delegated query.
+
+    A query with several attempts and no grant id is one of release 0.3.0, whose
+    requesting daemons may use all attempts but one themselves.
+    """
+    attempts = query.attempts if query.grant_id else 1
     return Route(
         name=query.route,
         host=query.request.host,
@@ -34,7 +39,7 @@
         timeout_s=query.deadline_s,
         objective_s=query.objective_s,
         priority=query.priority,
-        attempts=query.attempts,
+        attempts=attempts,
         shards=query.services,
         top_records=query.top_records,
         # The requesting daemon decides whether the coverage is enough.
--- a/tests/gateway/test_delegation.py
+++ b/tests/gateway/test_delegation.py
@@ -761,10 +761,34 @@
 
 
 class TestFormerRelease:
-    """Guard against messages that daemons of two releases can't exchange."""
+    """Guard against daemons of two releases that can't serve together."""
 
     FIELDS = (build_request(), "r", ("s0",), 1.0, 0.1, 1, 1, 5)
 
+    @pytest.mark.parametrize("attempts", [1, 2, 3])
+    def test_a_relay_of_a_requesting_daemon_that_grants_nothing_sends_once(
+        self, attempts
+    ):
+        """Guard against a shard that runs at more servers than its route allows.
+
+        A requesting daemon of 0.3.0 gives a late relay up after one possible run and
+        uses all other attempts itself.
+        """
+
+        async def scenario():
+            rows = [build_row(name, "s0") for name in ("a0", "b0", "c0", "d0")]
+            harness = build_harness([build_gather_route(1)], rows)
+            harness.servers.behaviours |= dict.fromkeys(
+                ("a0", "b0", "c0", "d0"), end_with(ExchangeOutcome.LOST)
+            )
+            query = QueryOf030(build_request(), "r", ("s0",), 1.0, 0.1, attempts, 1, 5)
+            await harness.gateway.serve_delegated(
+                REQUESTING_PEER, msgspec.msgpack.encode(query), lambda item: None
+            )
+            assert len(harness.servers.arrivals) == 1
+
+        run_virtual(scenario())
+
     def test_a_query_of_the_former_release_grants_nothing_more(self):
         payload = msgspec.msgpack.encode(QueryOf030(*self.FIELDS))
         query = decode_query(payload).ok_value
