--- a/src/bramleyrouter/gateway/budgets.py
+++ b/src/bramleyrouter/gateway/budgets.py
@@ -12,8 +12,8 @@
 
 from bramleyrouter.ids import ServiceName
 
-# Extra sends are summed over one bucket more than the
-# window, requests over one fewer, so that the bound holds wherever a window starts.
+# Extra sends are summed over one bucket more than the window, requests over one fewer,
+# so that the bound holds wherever a window starts.
 BUCKETS_PER_WINDOW = 20
 # Share of the constant that is used. It is below 1 because a daemon's count of entry
 # daemons may be out of date.
