Counted an extra send until one window after its exchange has ended

A service could get more retries and hedges in a window than are allowed (BUDGET), and callers were refused a retry because of retries that had never been sent.

Cause: an extra send was counted in the window in which a daemon decided on it. The bound counts arrivals. Extra sends that waited for a connection, or that the network held back, arrived together with those of the next window. The shares kept back covered that only while waits are short.

Evidence: one daemon with a constant of 10, of which it uses 8, sent 15 extra requests in one window of 10 s while a server stalled. Seven others that expired unsent used up the allowance of seven callers. Both new tests of TestExtraSends failed on (15 <= 10; 0 == 7).

Why this works: an exchange that was sent can reach its server only until it has ended, and one that was never sent can't. So the extra sends that may arrive in the window that ends now are those that have not ended, and those that ended within it. No wait is assumed. An extra send is now counted after its server was chosen, so none is counted that finds no server.

The tests of the budget alone now end each extra send at once, which is what they assumed before; they check the same bounds.

Measured: the tests of tests/gateway pass; the new mutation, which counts only extra sends that have ended, is caught by tests/gateway/test_budgets.py.

--- a/src/bramleyrouter/gateway/attempts.py
+++ b/src/bramleyrouter/gateway/attempts.py
@@ -3,7 +3,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from bramleyrouter.gateway.exchanges import CallerRequest, ExchangeOutcome, ServerReply
+from bramleyrouter.gateway.budgets import end_extra_send
+from bramleyrouter.gateway.exchanges import (
+    NOT_ARRIVED,
+    CallerRequest,
+    ExchangeOutcome,
+    ServerReply,
+)
 from bramleyrouter.gateway.gateways import Gateway, mark_data_centre_reachable
 from bramleyrouter.gateway.latencies import LatencyWindow, add_sample
 from bramleyrouter.gateway.queues import (
@@ -36,8 +42,9 @@
 class Attempt:
     """Hold one request to one server that waits for a connection or is in flight.
 
-    ``expires_at`` is the loop time until which the result is needed. ``cancel``
-    cancels the exchange or the timer of the wait.
+    ``expires_at`` is the loop time until which the result is needed. ``is_extra`` is
+    set if it was counted as an extra send. ``cancel`` cancels the exchange or the timer
+    of the wait.
     """
 
     gateway: Gateway
@@ -46,6 +53,7 @@
     expires_at: float
     window: LatencyWindow
     on_end: "OnAttemptEnd"
+    is_extra: bool
     queued: QueuedRequest = field(init=False)
     sent_at: float = 0.0
     cancel: Callable[[], None] = lambda: None
@@ -66,14 +74,17 @@
     urgency: Urgency,
     window: LatencyWindow,
     on_end: OnAttemptEnd,
+    is_extra: bool,
 ) -> Attempt:
     """Send a request to a server and record the result in the server's state.
 
     The request waits while all connections to the server are in use, at most until the
     loop time ``expires_at``. ``on_end`` is called once unless the attempt is cancelled.
+    If ``is_extra`` is set, the caller has consumed an extra send of the budget, which
+    ends with the attempt.
     """
     record_sent(server, context)
-    attempt = Attempt(gateway, server, request, expires_at, window, on_end)
+    attempt = Attempt(gateway, server, request, expires_at, window, on_end, is_extra)
     attempt.queued = QueuedRequest(urgency, lambda: _send_now(attempt))
     if not acquire_connection(
         server.queue, attempt.queued, compute_connection_limit(gateway, server)
@@ -104,9 +115,16 @@
     )
 
 
+def _mark_ended(attempt: Attempt, may_have_arrived: bool) -> None:
+    attempt.has_ended = True
+    if attempt.is_extra:
+        service = attempt.server.row.service
+        end_extra_send(attempt.gateway.budget, service, may_have_arrived)
+
+
 def _finish_attempt(attempt: Attempt, reply: ServerReply) -> None:
     gateway, server = attempt.gateway, attempt.server
-    attempt.has_ended = True
+    _mark_ended(attempt, reply.outcome not in NOT_ARRIVED)
     now = gateway.loop.time()
     release_connection(server.queue, now)
     latency_s = now - attempt.sent_at
@@ -124,7 +142,7 @@
     """End an attempt that got no connection in time."""
     server, now = attempt.server, attempt.gateway.loop.time()
     remove_waiting(server.queue, attempt.queued)
-    attempt.has_ended = True
+    _mark_ended(attempt, may_have_arrived=False)
     reply = ServerReply(ExchangeOutcome.UNSENT, text="no connection became free")
     record_reply(server, reply, 0.0, 0.0, now)
     attempt.on_end(attempt, reply)
@@ -134,7 +152,7 @@
     """Cancel an attempt whose result is not needed; ``on_end`` is not called."""
     if attempt.has_ended:
         return
-    attempt.has_ended = True
+    _mark_ended(attempt, may_have_arrived=attempt.is_started)
     attempt.cancel()
     queue = attempt.server.queue
     if attempt.is_started:
--- a/src/bramleyrouter/gateway/budgets.py
+++ b/src/bramleyrouter/gateway/budgets.py
@@ -4,6 +4,10 @@
 share of its requests plus a constant. Each daemon applies the share to its own requests
 and uses an equal part of the constant, so that the bound holds even while the daemons
 can't communicate.
+
+An extra send may reach its server at any time until its exchange has ended. So it
+counts from the decision on it until one window after that end, and not at all if it
+was never sent.
 """
 
 from collections.abc import Callable
@@ -36,10 +40,15 @@
 
 @dataclass
 class _Counts:
-    """Count the requests and extra sends of a service by bucket number."""
+    """Count the requests and extra sends of a service by bucket number.
+
+    ``extras`` holds the extra sends that have ended, and ``open_extras`` the number of
+    those that have not.
+    """
 
     requests: dict[int, int] = field(default_factory=dict)
     extras: dict[int, int] = field(default_factory=dict)
+    open_extras: int = 0
 
 
 @dataclass
@@ -88,9 +97,6 @@
     requests = sum(
         n for at, n in counts.requests.items() if at > bucket - BUCKETS_PER_WINDOW + 1
     )
-    extras = sum(
-        n for at, n in counts.extras.items() if at >= bucket - BUCKETS_PER_WINDOW
-    )
     # The extra sends before a restart are not stored, so the daemon's part of the
     # constant grows from 0 to its full value over the first window.
     elapsed_share = min(1.0, (budget.clock() - budget.started_at) / limits.window_s)
@@ -98,7 +104,17 @@
     slack = elapsed_share * limits.slack * USED_SLACK_SHARE
     # While the number of daemons is unknown, no part of the constant is used.
     slack = slack / max(1, entry_daemons) if entry_daemons is not None else 0.0
-    return USED_RATIO_SHARE * limits.ratio * requests + slack - extras
+    used = _count_extras(budget, service)
+    return USED_RATIO_SHARE * limits.ratio * requests + slack - used
+
+
+def _count_extras(budget: ExtraBudget, service: ServiceName) -> int:
+    """Count the extra sends that may reach the service in the current window."""
+    counts, bucket = _get_counts(budget, service), _get_bucket_number(budget)
+    ended = sum(
+        n for at, n in counts.extras.items() if at >= bucket - BUCKETS_PER_WINDOW
+    )
+    return counts.open_extras + ended
 
 
 def try_consume_extra_send(
@@ -107,21 +123,28 @@
     """Count an extra send if the budget allows one; return whether it does.
 
     Hedges may use only ``HEDGE_SHARE`` of the allowance, so that retries remain
-    possible.
+    possible. If it returns true, the caller must call ``end_extra_send`` later.
     """
     if not has_allowance(budget, service, is_hedge):
         return False
-    _increment(_get_counts(budget, service).extras, _get_bucket_number(budget))
+    _get_counts(budget, service).open_extras += 1
     return True
 
 
+def end_extra_send(
+    budget: ExtraBudget, service: ServiceName, may_have_arrived: bool
+) -> None:
+    """Record that the exchange of an extra send has ended, or was never started."""
+    counts = _get_counts(budget, service)
+    counts.open_extras -= 1
+    if may_have_arrived:
+        _increment(counts.extras, _get_bucket_number(budget))
+
+
 def has_allowance(budget: ExtraBudget, service: ServiceName, is_hedge: bool) -> bool:
     """Return whether the budget allows an extra send now."""
     remaining = compute_remaining_allowance(budget, service)
     if is_hedge:
-        counts, bucket = _get_counts(budget, service), _get_bucket_number(budget)
-        used = sum(
-            n for at, n in counts.extras.items() if at >= bucket - BUCKETS_PER_WINDOW
-        )
+        used = _count_extras(budget, service)
         remaining -= (1.0 - HEDGE_SHARE) * (remaining + used)
     return remaining >= 1.0
--- a/src/bramleyrouter/gateway/delegated_shards.py
+++ b/src/bramleyrouter/gateway/delegated_shards.py
@@ -1,7 +1,6 @@
 """Delegate shards of a gather to relays and handle their replies."""
 
 from bramleyrouter.gateway.attempts import discard_unsent
-from bramleyrouter.gateway.budgets import try_consume_extra_send
 from bramleyrouter.gateway.delegation import (
     MARGIN_PER_RELAY_S,
     MIN_SHARED_SHARDS,
@@ -247,10 +246,8 @@
 
 def _send_instead_of_relay(run: GatherRun, shard: ShardRun) -> bool:
     """Send one more attempt if the shard's attempts and the budget allow it."""
-    return (
-        shard.possible_runs < shard.max_runs
-        and try_consume_extra_send(run.gateway.budget, shard.service)
-        and send_attempt(run, shard, AttemptPurpose.RETRY)
+    return shard.possible_runs < shard.max_runs and send_attempt(
+        run, shard, AttemptPurpose.RETRY, is_extra=True
     )
 
 
--- a/src/bramleyrouter/gateway/shard_attempts.py
+++ b/src/bramleyrouter/gateway/shard_attempts.py
@@ -42,7 +42,7 @@
 def send_first_attempt(run: GatherRun, shard: ShardRun) -> None:
     """Send a shard's first attempt; without a server the shard is missing."""
     count_request(run.gateway.budget, shard.service)
-    if not send_attempt(run, shard, AttemptPurpose.FIRST):
+    if not send_attempt(run, shard, AttemptPurpose.FIRST, is_extra=False):
         shard.is_missing = True
 
 
@@ -60,16 +60,22 @@
     return choose_server(servers, context, shard.tried)
 
 
-def send_attempt(run: GatherRun, shard: ShardRun, purpose: AttemptPurpose) -> bool:
+def send_attempt(
+    run: GatherRun, shard: ShardRun, purpose: AttemptPurpose, is_extra: bool
+) -> bool:
     """Send or queue the request for the best untried server.
 
-    Return false if there is no such server or less than ``MIN_ATTEMPT_S`` is left.
+    Return false if there is no such server, if less than ``MIN_ATTEMPT_S`` is left, or
+    if ``is_extra`` is set and the budget allows no extra send.
     """
     gateway = run.gateway
     remaining_s = run.deadline_at - gateway.loop.time()
     server = choose_shard_server(run, shard)
     if server is None or remaining_s < MIN_ATTEMPT_S:
         return False
+    is_hedge = purpose is AttemptPurpose.HEDGE
+    if is_extra and not try_consume_extra_send(gateway.budget, shard.service, is_hedge):
+        return False
     shard.tried.add(server.row.server_id)
     shard.attempt_count += 1
     shard.possible_runs += 1
@@ -84,6 +90,7 @@
         compute_urgency(run.route, run.arrived_at),
         get_latency_window(gateway, run.route),
         lambda attempt, reply: _handle_reply(run, shard, attempt, reply),
+        is_extra,
     )
     shard.pending.append(attempt)
     return True
@@ -163,27 +170,23 @@
         shard.possible_runs < shard.max_runs
         and shard.attempt_count < MAX_ATTEMPTS_PER_SHARD
     )
-    if may_send and shard.has_arrived:
-        may_send = try_consume_extra_send(run.gateway.budget, shard.service)
-    if not may_send or not send_attempt(run, shard, AttemptPurpose.RETRY):
+    if not may_send or not send_attempt(
+        run, shard, AttemptPurpose.RETRY, is_extra=shard.has_arrived
+    ):
         # A relay that is late may still report a result.
         shard.is_missing = not shard.is_delegated
 
 
 def send_hedges(run: GatherRun) -> None:
     """Send a hedge for each shard that still waits for its only attempt."""
-    gateway = run.gateway
     for shard in run.shards:
         is_straggler = shard.is_open and len(shard.pending) == 1
         if not is_straggler or _request_attempt(run, shard, is_hedge=True):
             continue
         if shard.possible_runs >= shard.max_runs:
             continue
-        if choose_shard_server(run, shard) is None:
-            continue
-        if try_consume_extra_send(gateway.budget, shard.service, is_hedge=True):
+        if send_attempt(run, shard, AttemptPurpose.HEDGE, is_extra=True):
             run.hedges += 1
-            send_attempt(run, shard, AttemptPurpose.HEDGE)
 
 
 def _request_attempt(run: GatherRun, shard: ShardRun, is_hedge: bool) -> bool:
@@ -232,11 +235,9 @@
     if run.is_finished or not shard.is_open:
         return
     is_hedge = bool(shard.pending)
-    may_send = shard.possible_runs < shard.max_runs and try_consume_extra_send(
-        run.gateway.budget, shard.service, is_hedge
-    )
+    may_send = shard.possible_runs < shard.max_runs
     purpose = AttemptPurpose.HEDGE if is_hedge else AttemptPurpose.RETRY
-    if may_send and send_attempt(run, shard, purpose):
+    if may_send and send_attempt(run, shard, purpose, is_extra=True):
         run.hedges += int(is_hedge)
     elif not is_hedge:
         shard.is_missing = True
--- a/src/bramleyrouter/gateway/single_requests.py
+++ b/src/bramleyrouter/gateway/single_requests.py
@@ -120,7 +120,7 @@
         _finish(run, build_refusal_until(gateway, reason, lateness_s, deadline_s / 3))
         return lambda: None
     count_request(gateway.budget, service)
-    if not _send_attempt(run):
+    if not _send_attempt(run, is_extra=False):
         servers = get_tracked_servers(gateway, service)
         servers_text = format_servers(servers, build_choice_context(gateway, service))
         reason = f'service "{service}" has no server that may be asked ({servers_text})'
@@ -153,12 +153,21 @@
     )
 
 
-def _send_attempt(run: SingleRequestRun) -> bool:
+def _send_attempt(
+    run: SingleRequestRun, is_extra: bool, is_hedge: bool = False
+) -> bool:
+    """Send or queue the request for the best untried server.
+
+    Return false if there is no such server, if less than ``MIN_ATTEMPT_S`` is left, or
+    if ``is_extra`` is set and the budget allows no extra send.
+    """
     gateway = run.gateway
     remaining_s = run.deadline_at - gateway.loop.time()
     server = _choose_server(run)
     if server is None or remaining_s < MIN_ATTEMPT_S:
         return False
+    if is_extra and not try_consume_extra_send(gateway.budget, run.service, is_hedge):
+        return False
     run.tried.add(server.row.server_id)
     run.attempt_count += 1
     run.possible_runs += 1
@@ -172,6 +181,7 @@
         compute_urgency(run.route, run.arrived_at),
         get_latency_window(gateway, run.route),
         lambda attempt, reply: _handle_reply(run, attempt, reply),
+        is_extra,
     )
     run.pending.append(attempt)
     return True
@@ -217,24 +227,18 @@
     run.has_arrived |= reply.outcome not in NOT_ARRIVED
     if run.pending:
         return
-    if _may_retry(run, reply) and _send_attempt(run):
+    if _may_retry(run) and _send_attempt(run, is_extra=run.has_arrived):
         return
     _finish(run, _build_final_reply(run, reply))
 
 
-def _may_retry(run: SingleRequestRun, reply: ServerReply) -> bool:
+def _may_retry(run: SingleRequestRun) -> bool:
     if (
         run.attempt_count >= MAX_ATTEMPTS_PER_REQUEST
         or run.possible_runs >= run.route.attempts
     ):
         return False
-    if run.possible_runs > 0 and not run.is_idempotent:
-        return False
-    if _choose_server(run) is None:
-        return False
-    return not run.has_arrived or try_consume_extra_send(
-        run.gateway.budget, run.service
-    )
+    return run.possible_runs <= 0 or run.is_idempotent
 
 
 def _build_final_reply(run: SingleRequestRun, reply: ServerReply) -> GatewayReply:
@@ -275,9 +279,8 @@
     if now >= run.deadline_at - DEADLINE_MARGIN_S:
         _finish(run, GatewayReply(ReplyKind.DEADLINE, "no server answered in time"))
         return
-    if _may_hedge(run) and _choose_server(run) is not None:
-        if try_consume_extra_send(run.gateway.budget, run.service, is_hedge=True):
-            _send_attempt(run)
+    if _may_hedge(run):
+        _send_attempt(run, is_extra=True, is_hedge=True)
     run.timer = run.gateway.loop.call_at(
         run.deadline_at - DEADLINE_MARGIN_S, _on_timer, run
     )
--- a/tests/gateway/test_budgets.py
+++ b/tests/gateway/test_budgets.py
@@ -6,6 +6,7 @@
     ExtraBudget,
     ExtraLimits,
     count_request,
+    end_extra_send,
     try_consume_extra_send,
 )
 from bramleyrouter.ids import ServiceName
@@ -22,6 +23,14 @@
         assert extra_count <= LIMITS.ratio * request_count + LIMITS.slack
 
 
+def send_extra(budget):
+    """Return whether an extra send is allowed; if so, its exchange ends at once."""
+    is_allowed = try_consume_extra_send(budget, SERVICE)
+    if is_allowed:
+        end_extra_send(budget, SERVICE, may_have_arrived=True)
+    return is_allowed
+
+
 class TestExtraBudget:
     def test_extra_sends_of_all_daemons_stay_bounded_in_every_window(self):
         # Eight daemons that can't communicate, with bursts of requests and an attempt
@@ -38,7 +47,7 @@
             budget = rng.choice(daemons)
             count_request(budget, SERVICE)
             requests.append(now[0])
-            if try_consume_extra_send(budget, SERVICE):
+            if send_extra(budget):
                 extras.append(now[0])
         assert len(extras) > 0.15 * len(requests)
         assert_bounded(requests, extras)
@@ -59,7 +68,7 @@
             budget = rng.choice(running)
             count_request(budget, SERVICE)
             requests.append(now[0])
-            if try_consume_extra_send(budget, SERVICE):
+            if send_extra(budget):
                 extras.append(now[0])
         assert_bounded(requests, extras)
 
@@ -97,12 +106,34 @@
     def test_the_budget_is_restored_after_the_window(self):
         now = [0.0]
         budget = ExtraBudget(LIMITS, lambda: now[0], lambda: 1, -10.0)
-        while try_consume_extra_send(budget, SERVICE):
+        while send_extra(budget):
             pass
         now[0] = 9.9
-        assert not try_consume_extra_send(budget, SERVICE)
+        assert not send_extra(budget)
         now[0] = 10.6
+        assert send_extra(budget)
+
+    def test_an_extra_send_counts_until_a_window_after_its_end(self):
+        # An extra send may arrive until its exchange has ended.
+        now = [0.0]
+        budget = ExtraBudget(LIMITS, lambda: now[0], lambda: 1, -10.0)
+        while try_consume_extra_send(budget, SERVICE):
+            pass
+        now[0] = 30.0
+        assert not try_consume_extra_send(budget, SERVICE)
+        end_extra_send(budget, SERVICE, may_have_arrived=True)
+        now[0] = 39.9
+        assert not try_consume_extra_send(budget, SERVICE)
+        now[0] = 40.6
+        assert try_consume_extra_send(budget, SERVICE)
+
+    def test_an_extra_send_that_did_not_arrive_is_available_again(self):
+        budget = ExtraBudget(LIMITS, lambda: 1.0, lambda: 1, -10.0)
+        while try_consume_extra_send(budget, SERVICE):
+            pass
+        end_extra_send(budget, SERVICE, may_have_arrived=False)
         assert try_consume_extra_send(budget, SERVICE)
+        assert not try_consume_extra_send(budget, SERVICE)
 
     def test_a_restart_does_not_grant_the_constant_again(self):
         # A restarted daemon has lost the record of its earlier extra sends, so restarts
--- a/tests/gateway/test_shared_bounds.py
+++ b/tests/gateway/test_shared_bounds.py
@@ -1,8 +1,13 @@
-"""Tests of bounds that all entry daemons share, summed over a large fleet."""
+"""Tests of bounds that all entry daemons share, also over a large fleet."""
+
+import asyncio
+from collections import Counter
 
 import pytest
 
 from bramleyrouter.gateway.attempts import compute_connection_share
+from bramleyrouter.gateway.budgets import ExtraLimits
+from bramleyrouter.gateway.exchanges import ExchangeOutcome, ReplyKind, ServerReply
 from bramleyrouter.gateway.servers import (
     ChoiceContext,
     TrackedServer,
@@ -10,9 +15,25 @@
     compute_cold_interval,
     record_sent,
 )
-from tests.support.gateway_fakes import HERE, build_row
+from bramleyrouter.gateway.tables import Service
+from bramleyrouter.ids import ServiceName
+from tests.support.gateway_fakes import (
+    HERE,
+    THERE,
+    build_answer,
+    build_harness,
+    build_request,
+    build_row,
+    build_single_route,
+)
+from tests.support.virtual_time import run_virtual
 
 COLD_RATE, COLD_FACTOR, COLD_SLACK = 10.0, 1.5, 5.0
+EXTRA = ExtraLimits(ratio=0.0, slack=10.0, window_s=10.0)
+# Time in seconds for which one exchange occupies the only connection to its server.
+STALL_S = 3.8
+REQUESTS = 12
+REQUEST_INTERVAL_S = 0.06
 
 
 class TestConnections:
@@ -52,3 +73,89 @@
     def test_the_first_second_of_a_large_fleet(self):
         allowed = COLD_RATE * COLD_FACTOR + COLD_SLACK
         assert count_cold_requests(65, 1.0) <= allowed
+
+
+class ExtraSends:
+    """Hold a gateway whose servers refuse each request once, and its extra sends.
+
+    Each server accepts one connection. ``stall_s`` is how long the first repeated
+    request takes; the others take 5 ms.
+    """
+
+    def __init__(self, stall_s):
+        self._seen: Counter = Counter()
+        self._stalls_s = [stall_s]
+        rows = [build_row("a"), build_row("b", data_centre=THERE)]
+        self.harness = build_harness(
+            [build_single_route(timeout_s=4.0, objective_s=0.4)],
+            rows,
+            (Service(ServiceName("s0"), 1),),
+            EXTRA,
+        )
+        self.harness.servers.behaviours = {row.server_id: self._reply for row in rows}
+
+    def _reply(self, arrival):
+        request_id = arrival.request.request_id
+        self._seen[request_id] += 1
+        if self._seen[request_id] == 1:
+            return 0.001, ServerReply(ExchangeOutcome.REFUSED)
+        delay_s = self._stalls_s.pop() if self._stalls_s else 0.005
+        return delay_s, build_answer(arrival.server)
+
+    async def send_batch(self, name, count=REQUESTS, deadline_s=4.0):
+        """Send requests in short intervals; return their replies."""
+        loop = asyncio.get_running_loop()
+        tasks = []
+        for number in range(count):
+            req = build_request(request_id=f"{name}{number}", deadline_s=deadline_s)
+            tasks.append(loop.create_task(self.harness.send_request(req)))
+            await asyncio.sleep(REQUEST_INTERVAL_S)
+        return await asyncio.gather(*tasks)
+
+    def list_arrivals(self):
+        """Return the times at which repeated requests reached a server."""
+        seen, times = set(), []
+        for arrival in self.harness.servers.arrivals:
+            if arrival.request.request_id in seen:
+                times.append(arrival.at)
+            seen.add(arrival.request.request_id)
+        return times
+
+
+def count_served(replies):
+    return sum(reply.kind is ReplyKind.SERVER for reply in replies)
+
+
+class TestExtraSends:
+    """Guard against extra sends that reach a service later than they were counted."""
+
+    def test_extra_sends_that_waited_share_a_window_with_later_ones(self):
+        # Repeats were counted when they were decided on. Those that waited for a
+        # connection arrived in one window with the repeats of the next one.
+        async def scenario():
+            sends = ExtraSends(STALL_S)
+            await sends.send_batch("q")
+            await asyncio.sleep(10.6 - asyncio.get_running_loop().time())
+            await sends.send_batch("r")
+            times = sends.list_arrivals()
+            assert max(times) > STALL_S
+            for start in times:
+                assert sum(start <= at < start + EXTRA.window_s for at in times) <= 10
+            await asyncio.sleep(EXTRA.window_s)
+            assert count_served(await sends.send_batch("s")) == 8
+
+        run_virtual(scenario())
+
+    def test_extra_sends_that_never_left_are_available_again(self):
+        # Repeats that found no free connection until their deadline used up the
+        # allowance of requests that could have been served.
+        async def scenario():
+            sends = ExtraSends(STALL_S)
+            stalled = asyncio.ensure_future(sends.send_batch("p", count=1))
+            await asyncio.sleep(REQUEST_INTERVAL_S)
+            await sends.send_batch("q", deadline_s=1.0)
+            assert len(sends.list_arrivals()) == 1
+            await stalled
+            assert count_served(await sends.send_batch("r")) == 7
+
+        run_virtual(scenario())
--- a/tests/mutation_list.py
+++ b/tests/mutation_list.py
@@ -208,4 +208,11 @@
             "tests/gateway/test_delegation_schedules.py",
         ),
     ),
+    Mutation(
+        "count an extra send only until it was sent",
+        "gateway/budgets.py",
+        "    return counts.open_extras + ended\n",
+        "    return ended\n",
+        ("tests/gateway/test_budgets.py",),
+    ),
 )
