Let callers leave and all daemons ask in the schedules that count servers and extra sends

The schedules in virtual time had one requesting daemon, callers that always wait, and no look at extra sends.

The tests of the budget alone never had two daemons send for one request.

The schedules of the older tests are unchanged, as callers have their own random numbers.

--- a/tests/mutation_list.py
+++ b/tests/mutation_list.py
@@ -215,4 +215,11 @@
         "    return ended\n",
         ("tests/gateway/test_budgets.py",),
     ),
+    Mutation(
+        "let each daemon use the whole constant of extra sends",
+        "gateway/budgets.py",
+        "slack = slack / max(1, entry_daemons) if entry_daemons is not None else 0.0",
+        "pass",
+        ("tests/gateway/test_delegation_schedules.py",),
+    ),
 )
--- a/tests/support/delegation_schedules.py
+++ b/tests/support/delegation_schedules.py
@@ -9,10 +9,13 @@
 import random
 from collections import Counter
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from bramleyrouter.fleet.records import ServerRow
+from bramleyrouter.gateway.budgets import ExtraLimits
 from bramleyrouter.gateway.build import GatewayHandle, build_gateway
 from bramleyrouter.gateway.exchanges import (
+    NOT_ARRIVED,
     NOT_RUN,
     ExchangeOutcome,
     GatewayReply,
@@ -50,6 +53,34 @@
 # Probability of each fault of a frame; the others arrive within 2 ms.
 DELAYED_SHARE, LOST_SHARE = 0.25, 0.05
 MAX_DELAY_S = 0.3
+# Longest time after which a caller that does not wait for its reply leaves.
+MAX_PATIENCE_S = 0.15
+
+
+class Load(NamedTuple):
+    """Describe the requests of a run.
+
+    They are sent to the first ``daemons`` daemons in turn, at an interval in seconds.
+    Each caller leaves before the end of its request with a probability of
+    ``leaving_share``. ``extra`` is the bound on extra sends.
+    """
+
+    requests: int = REQUESTS
+    interval_s: float = REQUEST_INTERVAL_S
+    daemons: int = 1
+    leaving_share: float = 0.0
+    extra: ExtraLimits = DEFAULT_EXTRA
+
+
+DEFAULT_LOAD = Load()
+
+
+class ServerArrival(NamedTuple):
+    """Describe a request that reached a server; ``at`` is a loop time in seconds."""
+
+    at: float
+    service: ServiceName
+    request_id: str
 
 
 @dataclass
@@ -130,24 +161,30 @@
     """Hold the daemons of one seeded run, and what reached the servers.
 
     ``runs`` holds the servers at which a shard of a request ran, by request id and
-    shard. ``replies`` counts the replies that callers got.
+    shard. ``replies`` counts the replies that callers got, and ``requested_at`` holds
+    the loop times at which they sent their requests.
     """
 
     seed: int
     attempts: int = 2
+    load: Load = DEFAULT_LOAD
     rng: random.Random = field(init=False)
+    caller_rng: random.Random = field(init=False)
     loop: asyncio.AbstractEventLoop = field(default_factory=asyncio.get_running_loop)
     processes: dict[str, Process] = field(default_factory=dict)
     gateways: dict[str, GatewayHandle] = field(default_factory=dict)
     handlers: dict[str, HandlerTable] = field(default_factory=dict)
     links: dict[tuple[str, str], tuple[Link, Link]] = field(default_factory=dict)
     runs: dict[tuple[str, str], set[str]] = field(default_factory=dict)
+    arrivals: list[ServerArrival] = field(default_factory=list)
+    requested_at: list[float] = field(default_factory=list)
     replies: Counter = field(default_factory=Counter)
     kinds: Counter = field(default_factory=Counter)
     events: Counter = field(default_factory=Counter)
 
     def __post_init__(self):
         self.rng = random.Random(self.seed)
+        self.caller_rng = random.Random(f"callers {self.seed}")
         self.is_ordered = self.rng.random() < 0.5
         for address in DAEMONS:
             self.start(address)
@@ -212,6 +249,9 @@
 
         def send_to_server(server, request, timeout_s, max_connections, on_reply):
             outcome, delay_s = _choose_outcome(self.rng)
+            if outcome not in NOT_ARRIVED:
+                now, request_id = self.loop.time(), request.request_id
+                self.arrivals.append(ServerArrival(now, server.service, request_id))
             if outcome not in NOT_RUN:
                 key = (request.request_id, server.service)
                 self.runs.setdefault(key, set()).add(server.server_id)
@@ -265,7 +305,7 @@
 
     started_at = loop.time()
     # The gateway starts one budget window in the past, so that its budget is full.
-    loop.virtual_now -= DEFAULT_EXTRA.window_s
+    loop.virtual_now -= schedule.load.extra.window_s
     gateway = build_gateway(
         PausableLoop(process),
         GatewayLimits(
@@ -277,7 +317,7 @@
             1.5,
             5.0,
         ),
-        DEFAULT_EXTRA,
+        schedule.load.extra,
         schedule.build_send_to_server(process),
         random.Random(schedule.rng.random()),
         lambda part, event, **fields: schedule.events.update([event]),
@@ -305,17 +345,19 @@
 
 
 async def play(
-    seed: int, attempts: int = 2, restarts_of_requesting_daemon: int = 0
+    seed: int,
+    attempts: int = 2,
+    restarts_of_requesting_daemon: int = 0,
+    load: Load = DEFAULT_LOAD,
 ) -> Schedule:
     """Send requests while the daemons are disturbed; return what happened.
 
-    All requests are sent to the first daemon. A restart of it leaves the callers of
-    that time without a reply.
+    A restart of the first daemon leaves its callers of that time without a reply.
     """
-    schedule = Schedule(seed, attempts)
+    schedule = Schedule(seed, attempts, load)
     rng, loop = schedule.rng, schedule.loop
     addresses = list(DAEMONS)
-    end = REQUESTS * REQUEST_INTERVAL_S
+    end = load.requests * load.interval_s
 
     def pause(address, duration_s):
         process = schedule.processes[address]
@@ -333,9 +375,9 @@
     for _ in range(restarts_of_requesting_daemon):
         at = loop.time() + rng.uniform(0, end)
         loop.call_at(at, schedule.start, addresses[0])
-    for number in range(REQUESTS):
-        _send(schedule, f"q{number}", addresses[0])
-        await asyncio.sleep(REQUEST_INTERVAL_S)
+    for number in range(load.requests):
+        _send(schedule, f"q{number}", addresses[number % load.daemons])
+        await asyncio.sleep(load.interval_s)
     await asyncio.sleep(3.0)
     return schedule
 
@@ -345,7 +387,21 @@
         schedule.replies[request_id] += 1
         schedule.kinds[reply.kind] += 1
 
-    request = build_request(request_id=request_id)
-    schedule.processes[address].run(
-        schedule.gateways[address].handle, request, on_reply
-    )
+    process, request = schedule.processes[address], build_request(request_id=request_id)
+    cancels = []
+
+    def start() -> None:
+        handle = schedule.gateways[address].handle
+        cancels.append(handle(request, on_reply))
+
+    def leave() -> None:
+        # Without an entry, the caller left before the daemon read its request.
+        for cancel in cancels:
+            cancel()
+
+    schedule.requested_at.append(schedule.loop.time())
+    process.run(start)
+    rng = schedule.caller_rng
+    if rng.random() < schedule.load.leaving_share:
+        patience_s = rng.uniform(0.0, MAX_PATIENCE_S)
+        schedule.loop.call_later(patience_s, process.run, leave)
