Counted an extra send until the last send of its request has ended

Callers: nothing they saw. A service could get more extra sends in a window than are allowed (BUDGET).

Cause: a hedge was counted until one window after its own end. If the first send still waited for a connection then, the hedge was the first arrival and the first send, which arrived later, was the extra one.

Why this works: of the sends of one request in this daemon, all arrivals but one are extra. An extra send that ends passes its count on to a send of the same request that is still open, so the counts that have not ended are never fewer than the extra arrivals that may still come. If the send that gets the count never leaves, nothing was extra, and the count is given back.

test_only_the_first_arrival_consumes_no_budget expected that no send follows a refused hedge whose first send did not arrive; there the refused hedge was the first arrival, so one extra send is allowed. The test has a further server now and checks that exactly one of the two last ones is asked. It fails, as before, if a refused hedge doesn't count as an arrival.

--- a/src/bramleyrouter/gateway/attempts.py
+++ b/src/bramleyrouter/gateway/attempts.py
@@ -42,9 +42,10 @@
 class Attempt:
     """Hold one request to one server that waits for a connection or is in flight.
 
-    ``expires_at`` is the loop time until which the result is needed. ``is_extra`` is
-    set if it was counted as an extra send. ``cancel`` cancels the exchange or the timer
-    of the wait.
+    ``expires_at`` is the loop time until which the result is needed. ``siblings`` holds
+    the open attempts of the same request. ``is_extra`` is set if an extra send of the
+    budget ends with this attempt. ``cancel`` cancels the exchange or the timer of the
+    wait.
     """
 
     gateway: Gateway
@@ -53,6 +54,7 @@
     expires_at: float
     window: LatencyWindow
     on_end: "OnAttemptEnd"
+    siblings: "list[Attempt]"
     is_extra: bool
     queued: QueuedRequest = field(init=False)
     sent_at: float = 0.0
@@ -74,17 +76,20 @@
     urgency: Urgency,
     window: LatencyWindow,
     on_end: OnAttemptEnd,
+    siblings: list[Attempt],
     is_extra: bool,
 ) -> Attempt:
     """Send a request to a server and record the result in the server's state.
 
     The request waits while all connections to the server are in use, at most until the
     loop time ``expires_at``. ``on_end`` is called once unless the attempt is cancelled.
-    If ``is_extra`` is set, the caller has consumed an extra send of the budget, which
-    ends with the attempt.
+    If ``is_extra`` is set, the caller has consumed an extra send of the budget. It ends
+    with this attempt, or with one of its ``siblings`` that ends later.
     """
     record_sent(server, context)
-    attempt = Attempt(gateway, server, request, expires_at, window, on_end, is_extra)
+    attempt = Attempt(
+        gateway, server, request, expires_at, window, on_end, siblings, is_extra
+    )
     attempt.queued = QueuedRequest(urgency, lambda: _send_now(attempt))
     if not acquire_connection(
         server.queue, attempt.queued, compute_connection_limit(gateway, server)
@@ -117,9 +122,17 @@
 
 def _mark_ended(attempt: Attempt, may_have_arrived: bool) -> None:
     attempt.has_ended = True
-    if attempt.is_extra:
-        service = attempt.server.row.service
-        end_extra_send(attempt.gateway.budget, service, may_have_arrived)
+    if not attempt.is_extra:
+        return
+    if may_have_arrived:
+        # An earlier attempt that is still open, for example because it waits for a
+        # connection, arrives after this one and is then the extra arrival.
+        for sibling in attempt.siblings:
+            if not sibling.has_ended and not sibling.is_extra:
+                sibling.is_extra = True
+                return
+    service = attempt.server.row.service
+    end_extra_send(attempt.gateway.budget, service, may_have_arrived)
 
 
 def _finish_attempt(attempt: Attempt, reply: ServerReply) -> None:
--- a/src/bramleyrouter/gateway/budgets.py
+++ b/src/bramleyrouter/gateway/budgets.py
@@ -5,9 +5,9 @@
 and uses an equal part of the constant, so that the bound holds even while the daemons
 can't communicate.
 
-An extra send may reach its server at any time until its exchange has ended. So it
-counts from the decision on it until one window after that end, and not at all if it
-was never sent.
+An extra send may reach its server at any time until its exchange has ended, and the
+other sends of its request may arrive after it. So it counts from the decision on it
+until one window after the last of them has ended, and not at all if it never left.
 """
 
 from collections.abc import Callable
--- a/src/bramleyrouter/gateway/shard_attempts.py
+++ b/src/bramleyrouter/gateway/shard_attempts.py
@@ -90,6 +90,7 @@
         compute_urgency(run.route, run.arrived_at),
         get_latency_window(gateway, run.route),
         lambda attempt, reply: _handle_reply(run, shard, attempt, reply),
+        shard.pending,
         is_extra,
     )
     shard.pending.append(attempt)
--- a/src/bramleyrouter/gateway/single_requests.py
+++ b/src/bramleyrouter/gateway/single_requests.py
@@ -181,6 +181,7 @@
         compute_urgency(run.route, run.arrived_at),
         get_latency_window(gateway, run.route),
         lambda attempt, reply: _handle_reply(run, attempt, reply),
+        run.pending,
         is_extra,
     )
     run.pending.append(attempt)
--- a/tests/gateway/test_gathers.py
+++ b/tests/gateway/test_gathers.py
@@ -128,10 +128,11 @@
 
     def test_only_the_first_arrival_consumes_no_budget(self):
         # Guards against counting a second arrival as the first one. A hedge is refused,
-        # so it has arrived, while the first attempt still waits for its connection.
-        # Every later attempt is then an extra send.
+        # so it has arrived, while the first attempt still waits for its connection and
+        # never arrives. Every later attempt is then an extra send, and one is allowed.
         async def scenario():
-            rows = [*build_two_rows_each(4), build_row("c1", "s1", ELSEWHERE)]
+            more = [build_row(name, "s1", ELSEWHERE) for name in ("c1", "d1")]
+            rows = [*build_two_rows_each(4), *more]
             harness = build_harness(
                 [build_gather_route(4)], rows, extra=ExtraLimits(0.0, 1.9, 10.0)
             )
@@ -139,10 +140,13 @@
                 "a1": end_with(ExchangeOutcome.UNREACHED, 0.06),
                 "b1": end_with(ExchangeOutcome.MISDIRECTED),
                 "c1": end_with(ExchangeOutcome.MISDIRECTED),
+                "d1": end_with(ExchangeOutcome.MISDIRECTED),
             }
             reply = await harness.send_request()
             assert reply.missing == 1
-            assert len(harness.servers.arrivals) == 5
+            sent = [item.server.server_id for item in harness.servers.arrivals]
+            assert len(sent) == 6
+            assert len({"c1", "d1"} & set(sent)) == 1
 
         run_virtual(scenario())
 
