--- a/tests/gateway/test_delegation_schedules.py
+++ b/tests/gateway/test_delegation_schedules.py
@@ -9,7 +9,7 @@
 from tests.support.virtual_time import run_virtual
 
 SEEDS = range(60)
-# A window that is hardly longer than a delay, a pause and a time limit together.
+# The window is as long as the time limit of a request, so that waits matter.
 EXTRA = ExtraLimits(ratio=0.2, slack=2.0, window_s=1.0)
 BUSY = Load(requests=80, interval_s=0.025, daemons=5, extra=EXTRA)
 
