--- a/src/bramleyrouter/commands/explain.py
+++ b/src/bramleyrouter/commands/explain.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bramleyrouter.commands.exits import Exit
+from bramleyrouter.utils.decoding import DECODE_ERRORS
 
 # These fields are printed first, in this order.
 _LEADING_FIELDS = ("at", "daemon", "part", "event")
@@ -39,7 +40,7 @@
             continue
         try:
             event = decoder.decode(line[start:])
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             continue
         if event.get("id") == request_id:
             yield event
--- a/src/bramleyrouter/commands/requests.py
+++ b/src/bramleyrouter/commands/requests.py
@@ -11,6 +11,7 @@
 from bramleyrouter.codes import Code
 from bramleyrouter.commands.arguments import ConnectionOptions
 from bramleyrouter.commands.exits import RETRYABLE_CODES
+from bramleyrouter.utils.decoding import DECODE_ERRORS
 
 # Timeouts of one attempt, and the pause after an attempt failed at every daemon.
 CONNECT_TIMEOUT_S = 2.0
@@ -110,6 +111,6 @@
             raise ValueError("internal server error")
         fields = msgspec.json.decode(response.body)
         return Reply(int(fields["code"]), fields)
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+    except (KeyError, TypeError, *DECODE_ERRORS):
         text = f'"{request.url}" answered HTTP status {response.code} unexpectedly.'
         return Reply(int(Code.PEER_REFUSED), {"text": text})
--- a/src/bramleyrouter/conf/checks.py
+++ b/src/bramleyrouter/conf/checks.py
@@ -5,6 +5,7 @@
 from bramleyrouter.conf.settings import Settings
 from bramleyrouter.failures import Finding
 from bramleyrouter.utils.addresses import split_address
+from bramleyrouter.utils.decoding import DECODE_ERRORS
 
 MIN_SECRET_CHARACTERS = 16
 LOG_LEVELS = ("debug", "info", "warning", "error")
@@ -35,7 +36,7 @@
             continue
         try:
             msgspec.convert(raw[name], type=field.type)
-        except msgspec.ValidationError as exc:
+        except DECODE_ERRORS as exc:
             text = f"The value has the wrong type: {exc}."
             findings.append(Finding("settings.E005", "error", name, text))
     return tuple(findings)
--- a/src/bramleyrouter/conf/settings.py
+++ b/src/bramleyrouter/conf/settings.py
@@ -8,6 +8,7 @@
 from bramleyrouter.codes import Code
 from bramleyrouter.conf import defaults
 from bramleyrouter.failures import Failure, Finding
+from bramleyrouter.utils.decoding import DECODE_ERRORS
 
 
 class ClassSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -64,7 +65,7 @@
 
     try:
         raw = msgspec.json.decode(text)
-    except msgspec.DecodeError as exc:
+    except DECODE_ERRORS as exc:
         finding = Finding("settings.E001", "error", "file", f"Not valid JSON: {exc}.")
         return _build_invalid_settings((finding,))
     findings = find_type_errors(raw)
--- a/src/bramleyrouter/consensus/codec.py
+++ b/src/bramleyrouter/consensus/codec.py
@@ -26,6 +26,7 @@
 )
 from bramleyrouter.failures import Failure
 from bramleyrouter.ids import LogIndex, MemberId, Term
+from bramleyrouter.utils.decoding import DECODE_ERRORS
 
 PROTOCOL_VERSION = 1
 # Fits one entry of the largest size, or a batch of entries, with their fields.
@@ -178,7 +179,7 @@
             if root.protocolVersion != PROTOCOL_VERSION:
                 return _build_version_failure(root.protocolVersion)
             return Ok(read(root))
-    except (capnp.KjException, ValueError) as exc:
+    except (capnp.KjException, *DECODE_ERRORS) as exc:
         # Only the first line is the reason; the following lines of the library's
         # text are code addresses (a stack trace).
         reason = str(exc).partition("\n")[0]
--- a/src/bramleyrouter/consensus/storage.py
+++ b/src/bramleyrouter/consensus/storage.py
@@ -30,6 +30,7 @@
 )
 from bramleyrouter.failures import Failure
 from bramleyrouter.ids import LogIndex, MemberId
+from bramleyrouter.utils.decoding import DECODE_ERRORS
 
 MEMBER_FILE = "member"
 TERM_FILE = "term"
@@ -108,7 +109,7 @@
         return Err(build_corrupt_failure(name, 0, "the checksum is wrong"))
     try:
         return Ok(msgspec.msgpack.decode(body, type=value_type))
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         return Err(build_corrupt_failure(name, 0, str(exc)))
 
 
@@ -124,7 +125,7 @@
         if body is not None:
             return Ok(msgspec.msgpack.decode(body, type=Snapshot))
         reason = "the checksum is wrong"
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         reason = str(exc)
     text = f'"{SNAPSHOT_FILE}" of {len(data)} bytes is corrupt: {reason}.'
     return Err(Failure(Code.SNAPSHOT_CORRUPT, text))
--- a/src/bramleyrouter/control/capnp_messages.py
+++ b/src/bramleyrouter/control/capnp_messages.py
@@ -5,11 +5,11 @@
 from typing import Any, TypeVar
 
 import capnp
-import msgspec
 from result import Err, Ok, Result
 
 from bramleyrouter.codes import Code
 from bramleyrouter.failures import Failure
+from bramleyrouter.utils.decoding import DECODE_ERRORS
 from bramleyrouter.wire.envelopes import PROTOCOL_VERSION
 
 T = TypeVar("T")
@@ -45,7 +45,7 @@
                 )
                 return Err(Failure(Code.WIRE_VERSION, text))
             return Ok(convert(message))
-    except (capnp.KjException, ValueError, RuntimeError, msgspec.MsgspecError) as exc:
+    except (capnp.KjException, RuntimeError, *DECODE_ERRORS) as exc:
         # pycapnp raises a plain RuntimeError for an unknown enumerant.
         text = f"The message can't be decoded: {exc}."
         return Err(Failure(Code.WIRE_MALFORMED, text))
--- a/src/bramleyrouter/control/manifests.py
+++ b/src/bramleyrouter/control/manifests.py
@@ -13,6 +13,7 @@
 from bramleyrouter.control.limits import MAX_NAME_CHARACTERS
 from bramleyrouter.failures import Failure, Finding
 from bramleyrouter.ids import Generation
+from bramleyrouter.utils.decoding import DECODE_ERRORS
 
 MAX_SERVICES = 10_000
 MAX_SHARDS = 100_000
@@ -69,7 +70,7 @@
     """Parse the JSON text of a manifest."""
     try:
         raw = msgspec.json.decode(text)
-    except (msgspec.DecodeError, ValueError, RecursionError) as exc:
+    except DECODE_ERRORS as exc:
         finding = _build_error("E001", "manifest", f"Not valid JSON: {exc}.")
         return Err(build_manifest_failure((finding,)))
     return decode_manifest(raw)
@@ -126,7 +127,7 @@
         value = raw[field.name]
         try:
             msgspec.convert(value, type=field.type)
-        except msgspec.ValidationError as exc:
+        except DECODE_ERRORS as exc:
             text = f"The value has the wrong type: {exc}."
             yield _build_error("E003", f"{place}.{field.name}", text)
             continue
--- a/src/bramleyrouter/dissemination/store.py
+++ b/src/bramleyrouter/dissemination/store.py
@@ -26,6 +26,7 @@
     Update,
 )
 from bramleyrouter.ids import Revision
+from bramleyrouter.utils.decoding import DECODE_ERRORS
 
 # Bounds of the changes that are retained for daemons that reconnect. A daemon that
 # needs older changes receives the whole state.
@@ -202,7 +203,7 @@
                 apply_state(store, _decode_state(change), may_replace=may_replace)
             return True
         return all(_apply_change(store, change) for change in update.changes)
-    except (msgspec.MsgspecError, KeyError) as exc:
+    except (KeyError, *DECODE_ERRORS) as exc:
         logging.error("dissemination: can't decode a manifest: %s", exc)
         return False
 
--- a/src/bramleyrouter/edges/callers/formats.py
+++ b/src/bramleyrouter/edges/callers/formats.py
@@ -22,6 +22,7 @@
     SubmissionAnswer,
 )
 from bramleyrouter.states import CoverageMode
+from bramleyrouter.utils.decoding import DECODE_ERRORS
 
 MAX_NAME_CHARACTERS = 128
 MAX_TARGETS = 1000
@@ -187,7 +188,7 @@
     """
     try:
         body = _query_decoder.decode(text)
-    except (msgspec.MsgspecError, RecursionError) as exc:
+    except DECODE_ERRORS as exc:
         return _build_malformed_error(f"The body can't be decoded: {exc}.")
     common = _read_common_fields(body, now, cfg)
     if isinstance(common, Err):
@@ -219,7 +220,7 @@
     """Decode a submission; the caller's request id is its identity."""
     try:
         body = _submit_decoder.decode(text)
-    except (msgspec.MsgspecError, RecursionError) as exc:
+    except DECODE_ERRORS as exc:
         return _build_malformed_error(f"The body can't be decoded: {exc}.")
     common = _read_common_fields(body, now, cfg)
     if isinstance(common, Err):
--- a/src/bramleyrouter/edges/operators/formats.py
+++ b/src/bramleyrouter/edges/operators/formats.py
@@ -28,6 +28,7 @@
     ServerId,
 )
 from bramleyrouter.utils.addresses import split_address
+from bramleyrouter.utils.decoding import DECODE_ERRORS
 
 
 class _ChangeBody(msgspec.Struct, forbid_unknown_fields=True):
@@ -134,7 +135,7 @@
 def _decode(body: bytes, struct: type) -> Result[Any, Failure]:
     try:
         fields: Any = msgspec.json.decode(body, type=struct)
-    except (msgspec.MsgspecError, ValueError, RecursionError) as exc:
+    except DECODE_ERRORS as exc:
         return _build_malformed_error(f"The body can't be decoded: {exc}.")
     if isinstance(fields, _ChangeBody):
         for field_name in ("request_id", "operator"):
--- a/src/bramleyrouter/edges/servers/formats.py
+++ b/src/bramleyrouter/edges/servers/formats.py
@@ -19,6 +19,7 @@
     ShardName,
 )
 from bramleyrouter.states import Outcome
+from bramleyrouter.utils.decoding import DECODE_ERRORS
 
 # The server's deadline is this much before the home's timeout, so that its reply
 # can still arrive and its slot is free by then.
@@ -161,7 +162,7 @@
 def _decode_error(body: bytes) -> ServerErrorBody:
     try:
         return _error_decoder.decode(body)
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return ServerErrorBody()
 
 
@@ -175,7 +176,7 @@
         return _read_query_error(status, body)
     try:
         reply = _query_decoder.decode(body)
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         return QueryResult(Code.SHARD_TRUNCATED, f"The reply can't be decoded: {exc}.")
     if reply.request_id != call.request_id or reply.attempt != call.attempt:
         text = (
@@ -216,7 +217,7 @@
         return build_unknown_result(f'The server answered with status "{status}".')
     try:
         reply = _submit_decoder.decode(body)
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         return build_unknown_result(f"The reply can't be decoded: {exc}.")
     if reply.request_id != call.request_id:
         return build_unknown_result(f'The reply is for "{reply.request_id[:64]}".')
@@ -234,7 +235,7 @@
         return False
     try:
         return _health_decoder.decode(body).healthy
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return False
 
 
@@ -244,5 +245,5 @@
         return ProbeResult(True)
     try:
         return ProbeResult(True, max(0, _load_decoder.decode(body).queued))
-    except msgspec.MsgspecError:
+    except DECODE_ERRORS:
         return ProbeResult(True)
--- a/src/bramleyrouter/edges/servers/handlers.py
+++ b/src/bramleyrouter/edges/servers/handlers.py
@@ -9,6 +9,7 @@
 from bramleyrouter.homes.interfaces import Homes
 from bramleyrouter.homes.messages import Announcement
 from bramleyrouter.ids import ServerId, ServerIncarnation
+from bramleyrouter.utils.decoding import DECODE_ERRORS
 
 # Enough for about 2,000 shards with a few versions each.
 MAX_ANNOUNCEMENT_BYTES = 256 * 1024
@@ -55,7 +56,7 @@
             return None
         try:
             return decoder.decode(body)
-        except msgspec.MsgspecError as exc:
+        except DECODE_ERRORS as exc:
             text = f"The body can't be decoded: {exc}."
             self.write_failure(Failure(Code.MALFORMED_REQUEST, text))
             return None
--- a/src/bramleyrouter/fleet/control_peers.py
+++ b/src/bramleyrouter/fleet/control_peers.py
@@ -16,6 +16,7 @@
 from bramleyrouter.failures import Failure
 from bramleyrouter.ids import DataCentre
 from bramleyrouter.utils.calls import call_with_timeout
+from bramleyrouter.utils.decoding import DECODE_ERRORS
 from bramleyrouter.wire.kinds import MessageKind
 from bramleyrouter.wire.network import Network, Peer
 
@@ -93,7 +94,7 @@
             return
         try:
             control_peers.replies[address] = (decoder.decode(reply.ok_value), clock())
-        except msgspec.MsgspecError:
+        except DECODE_ERRORS:
             control_peers.replies.pop(address, None)
 
     while True:
--- a/src/bramleyrouter/fleet/messages.py
+++ b/src/bramleyrouter/fleet/messages.py
@@ -3,13 +3,17 @@
 They are encoded as MessagePack arrays, which are compact for many small rows.
 """
 
+from collections.abc import Iterable, Iterator
+from typing import NamedTuple
+
 import msgspec
 from result import Err, Ok, Result
 
 from bramleyrouter.codes import Code
 from bramleyrouter.failures import Failure
-from bramleyrouter.fleet.records import ServerRow
+from bramleyrouter.fleet.records import ServerRow, check_row
 from bramleyrouter.ids import DataCentre, Revision, TableVersion
+from bramleyrouter.utils.decoding import DECODE_ERRORS
 
 
 class Update(msgspec.Struct, frozen=True, array_like=True):
@@ -38,14 +42,29 @@
     relays: tuple[tuple[str, DataCentre], ...] | None = None
 
 
+class DecodedUpdate(NamedTuple):
+    """Hold an update and why some of its rows were left out."""
+
+    update: Update
+    row_errors: tuple[Failure, ...]
+
+
 # Payload of a subscription. An entry daemon sends DIRECT for the control daemon's own
 # stream, or the address of another control daemon whose stream is to be forwarded. A
 # control daemon sends MIRROR for a stream that it forwards to entry daemons.
 DIRECT = b""
 MIRROR = b"mirror"
 
+
+class _UpdateFrame(Update, frozen=True, array_like=True):
+    """Hold an update whose rows are not decoded yet."""
+
+    rows: tuple[msgspec.Raw, ...] = ()  # type: ignore[assignment]
+
+
 _ENCODER = msgspec.msgpack.Encoder()
-_UPDATE_DECODER = msgspec.msgpack.Decoder(Update)
+_FRAME_DECODER = msgspec.msgpack.Decoder(_UpdateFrame)
+_ROW_DECODER = msgspec.msgpack.Decoder(ServerRow)
 
 
 def encode_update(update: Update) -> bytes:
@@ -53,10 +72,45 @@
     return _ENCODER.encode(update)
 
 
-def decode_update(payload: bytes) -> Result[Update, Failure]:
-    """Decode an update; fail with ``WIRE_MALFORMED``."""
+def encode_updates(
+    rows: tuple[ServerRow, ...], all_fields: Iterable[dict]
+) -> Iterator[bytes]:
+    """Encode updates that have their rows in common; each row is encoded once."""
+    encoded = tuple(msgspec.Raw(_ENCODER.encode(row)) for row in rows)
+    unchanged = _ENCODER.encode(_UpdateFrame(rows=encoded))
+    for fields in all_fields:
+        if fields:
+            yield _ENCODER.encode(_UpdateFrame(rows=encoded, **fields))
+        else:
+            yield unchanged
+
+
+def decode_update(payload: bytes) -> Result[DecodedUpdate, Failure]:
+    """Decode an update; fail with ``WIRE_MALFORMED``.
+
+    A row that can't be read or whose fields are out of range is left out, so that it
+    doesn't cost the other servers their changes.
+    """
     try:
-        return Ok(_UPDATE_DECODER.decode(payload))
-    except msgspec.MsgspecError as exc:
+        frame = _FRAME_DECODER.decode(payload)
+    except DECODE_ERRORS as exc:
         text = f"The fleet update can't be decoded: {exc}."
         return Err(Failure(Code.WIRE_MALFORMED, text))
+    fields = {
+        name: getattr(frame, name)
+        for name in Update.__struct_fields__
+        if name != "rows"
+    }
+    decoded = [_decode_row(raw) for raw in frame.rows]
+    rows = tuple(item.ok_value for item in decoded if isinstance(item, Ok))
+    errors = tuple(item.err_value for item in decoded if isinstance(item, Err))
+    return Ok(DecodedUpdate(Update(rows=rows, **fields), errors))
+
+
+def _decode_row(raw: msgspec.Raw) -> Result[ServerRow, Failure]:
+    try:
+        row = _ROW_DECODER.decode(raw)
+    except DECODE_ERRORS as exc:
+        text = f"A row can't be decoded: {exc}."
+        return Err(Failure(Code.INVALID_ANNOUNCEMENT, text))
+    return check_row(row)
--- a/src/bramleyrouter/fleet/mirrors.py
+++ b/src/bramleyrouter/fleet/mirrors.py
@@ -120,13 +120,14 @@
     ended: asyncio.Future[None] = loop.create_future()
 
     def on_item(payload: bytes) -> None:
-        update = decode_update(payload).ok()
-        if update is None:
+        decoded = decode_update(payload).ok()
+        if decoded is None:
             # The entry daemons then open a stream to the remote control daemon
             # directly and record the failure.
             on_end(None)
             return
-        apply_update(mirror, update, loop.time())
+        # The entry daemons record the rows that were left out.
+        apply_update(mirror, decoded.update, loop.time())
         for send in list(mirror.subscribers):
             send(payload)
 
--- a/src/bramleyrouter/fleet/publishing.py
+++ b/src/bramleyrouter/fleet/publishing.py
@@ -18,11 +18,17 @@
 from bramleyrouter.control.messages import PublishRoutes
 from bramleyrouter.control.state_machine import ControlStateMachine
 from bramleyrouter.failures import Failure
-from bramleyrouter.fleet.messages import DIRECT, MIRROR, Update, encode_update
+from bramleyrouter.fleet.messages import (
+    DIRECT,
+    MIRROR,
+    Update,
+    encode_update,
+    encode_updates,
+)
 from bramleyrouter.fleet.mirrors import Mirrors, forward_stream
 from bramleyrouter.fleet.records import ServerRow
 from bramleyrouter.fleet.registry import ServerRegistry, list_rows, sweep
-from bramleyrouter.ids import DaemonId, DataCentre
+from bramleyrouter.ids import DaemonId, DataCentre, Revision, TableVersion
 from bramleyrouter.utils.tasks import (
     BackgroundTasks,
     cancel_all,
@@ -87,6 +93,23 @@
     timer: asyncio.TimerHandle | None = None
 
 
+class _Snapshot(NamedTuple):
+    """Hold the current values of what updates carry besides rows.
+
+    ``entry_daemons`` is none while not all entry daemons have subscribed.
+    ``relays_for_local`` are named to subscribers in this data centre.
+    """
+
+    table_version: TableVersion | None
+    revision: Revision
+    data_centres_out: tuple[DataCentre, ...]
+    members_index: int
+    members: tuple[str, ...]
+    entry_daemons: dict[DataCentre, int] | None
+    relays: tuple[tuple[str, DataCentre], ...]
+    relays_for_local: tuple[tuple[str, DataCentre], ...]
+
+
 class FleetPublisher(NamedTuple):
     """Bundle what ``start_fleet_publisher`` returns."""
 
@@ -107,37 +130,56 @@
     return dict(sorted(Counter(name for _, name in last_subscribed.values()).items()))
 
 
+def _take_snapshot(publisher: FleetPublisherState) -> _Snapshot:
+    """Collect the values of all subscribers' updates, once for all of them."""
+    routes = publisher.state_machine.routes()
+    config = publisher.state_machine.config()
+    status = publisher.log.status()
+    counts = _update_entry_daemon_counts(publisher)
+    is_complete = publisher.clock() - publisher.started_at >= COUNT_STARTUP_DELAY_S
+    by_data_centre: dict[DataCentre, list[str]] = {}
+    for subscriber in publisher.subscribers.values():
+        peer = subscriber.peer
+        by_data_centre.setdefault(peer.data_centre, []).append(peer.address)
+    return _Snapshot(
+        routes.version if routes.document else None,
+        config.revision,
+        tuple(config.data_centres_out),
+        status.commit_index,
+        tuple(sorted(member.address for member in status.members)),
+        counts if is_complete else None,
+        _list_relays(by_data_centre, None),
+        _list_relays(by_data_centre, publisher.data_centre),
+    )
+
+
 def _collect_changed_fields(
-    publisher: FleetPublisherState, subscriber: Subscriber
+    publisher: FleetPublisherState, subscriber: Subscriber, snapshot: _Snapshot
 ) -> dict:
     """Return the fields that changed since the last update to this subscriber.
 
     The values count as sent from then on.
     """
     fields: dict = {}
-    routes = publisher.state_machine.routes()
-    if routes.document and subscriber.sent_version != routes.version:
-        subscriber.sent_version = routes.version
-        fields["table_version"] = routes.version
-    config = publisher.state_machine.config()
-    if subscriber.sent_revision != config.revision:
-        subscriber.sent_revision = config.revision
-        fields["revision"] = config.revision
-        fields["data_centres_out"] = config.data_centres_out
-    status = publisher.log.status()
-    members = tuple(sorted(member.address for member in status.members))
+    version = snapshot.table_version
+    if version is not None and subscriber.sent_version != version:
+        subscriber.sent_version = version
+        fields["table_version"] = version
+    if subscriber.sent_revision != snapshot.revision:
+        subscriber.sent_revision = snapshot.revision
+        fields["revision"] = snapshot.revision
+        fields["data_centres_out"] = snapshot.data_centres_out
+    members = snapshot.members
     if members and subscriber.sent_members != members:
         subscriber.sent_members = members
-        fields["members_index"] = status.commit_index
+        fields["members_index"] = snapshot.members_index
         fields["members"] = members
-    entry_counts = _update_entry_daemon_counts(publisher)
-    is_count_complete = (
-        publisher.clock() - publisher.started_at >= COUNT_STARTUP_DELAY_S
-    )
-    if is_count_complete and subscriber.sent_entry_counts != entry_counts:
-        subscriber.sent_entry_counts = entry_counts
-        fields["entry_daemons"] = entry_counts
-    relays = _list_relays(publisher, subscriber.peer.data_centre)
+    counts = snapshot.entry_daemons
+    if counts is not None and subscriber.sent_entry_counts != counts:
+        subscriber.sent_entry_counts = counts
+        fields["entry_daemons"] = counts
+    is_local = subscriber.peer.data_centre == publisher.data_centre
+    relays = snapshot.relays_for_local if is_local else snapshot.relays
     if subscriber.sent_relays != relays:
         subscriber.sent_relays = relays
         fields["relays"] = relays
@@ -145,47 +187,41 @@
 
 
 def _list_relays(
-    publisher: FleetPublisherState, data_centre: DataCentre
+    by_data_centre: dict[DataCentre, list[str]], complete: DataCentre | None
 ) -> tuple[tuple[str, DataCentre], ...]:
-    """List the relays for entry daemons of ``data_centre``.
+    """List a few entry daemons of each data centre, and all those of ``complete``.
 
-    These are a few entry daemons of each data centre and all of ``data_centre``
-    itself, which share the work of large queries. As the list of all is long, only
-    control daemons of the same data centre send it. Sorting makes the list the same
-    as long as the subscribers are, so that it is sent only when they change.
+    Subscribers in the control daemon's own data centre get all of its entry daemons,
+    which share the work of large queries. As the list of all is long, only control
+    daemons of the same data centre send it. Sorting makes the list the same as long as
+    the subscribers are, so that it is sent only when they change.
     """
-    by_data_centre: dict[DataCentre, list[str]] = {}
-    for subscriber in publisher.subscribers.values():
-        peer = subscriber.peer
-        by_data_centre.setdefault(peer.data_centre, []).append(peer.address)
     return tuple(
         (address, name)
         for name, addresses in sorted(by_data_centre.items())
         for address in sorted(addresses)[
-            : _choose_relay_limit(publisher, name, data_centre)
+            : None if name == complete else NAMED_RELAYS_PER_DATA_CENTRE
         ]
     )
 
 
-def _choose_relay_limit(
-    publisher: FleetPublisherState,
-    relay_data_centre: DataCentre,
-    subscriber_data_centre: DataCentre,
-) -> int | None:
-    """Return how many relays of one data centre to name; None stands for all."""
-    is_local = relay_data_centre == subscriber_data_centre == publisher.data_centre
-    return None if is_local else NAMED_RELAYS_PER_DATA_CENTRE
-
-
 def _send_updates(publisher: FleetPublisherState, is_keepalive: bool = False) -> None:
     """Send each subscriber the queued rows and the fields that changed."""
-    rows = tuple(publisher.queued_rows.values())
-    publisher.queued_rows.clear()
     publisher.timer = None
-    for subscriber in [*publisher.subscribers.values(), *publisher.mirrors]:
-        fields = _collect_changed_fields(publisher, subscriber)
+    rows = tuple(publisher.queued_rows.values())
+    subscribers = [*publisher.subscribers.values(), *publisher.mirrors]
+    snapshot = _take_snapshot(publisher)
+    all_fields = [
+        _collect_changed_fields(publisher, subscriber, snapshot)
+        for subscriber in subscribers
+    ]
+    updates = encode_updates(rows, all_fields)
+    for subscriber, fields, payload in zip(
+        subscribers, all_fields, updates, strict=True
+    ):
         if rows or fields or is_keepalive:
-            subscriber.send(encode_update(Update(rows=rows, **fields)))
+            subscriber.send(payload)
+    publisher.queued_rows.clear()
 
 
 def _queue_row(publisher: FleetPublisherState, row: ServerRow) -> None:
@@ -230,7 +266,8 @@
             # without having been closed.
             publisher.subscribers[peer.daemon_id] = subscriber
         rows = tuple(list_rows(registry, clock()))
-        fields = _collect_changed_fields(publisher, subscriber)
+        snapshot = _take_snapshot(publisher)
+        fields = _collect_changed_fields(publisher, subscriber, snapshot)
         fields["data_centre"] = data_centre
         send(encode_update(Update(rows=rows, is_full=True, **fields)))
         try:
--- a/src/bramleyrouter/fleet/records.py
+++ b/src/bramleyrouter/fleet/records.py
@@ -1,10 +1,15 @@
 """Rows of the fleet stream: one backend server each, and the order of its versions."""
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
+from result import Err, Ok, Result
 
+from bramleyrouter.codes import Code
+from bramleyrouter.failures import Failure
 from bramleyrouter.ids import DataCentre, ServerId, ServerIncarnation, ServiceName
+from bramleyrouter.utils.addresses import check_peer_address
 
 
 class ServerPhase(Enum):
@@ -15,6 +20,22 @@
     GONE = "gone"
 
 
+# Largest incarnation or sequence number: the largest integer that all messages carry.
+MAX_VERSION_NUMBER = 2**63 - 1
+# Largest number of slots that a server may declare.
+MAX_SLOTS = 10_000
+# Longest time for which a server may declare to stay cold, in seconds.
+MAX_COLD_S = 3600.0
+# Largest number of characters of a name.
+MAX_NAME_CHARACTERS = 200
+
+VersionNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION_NUMBER)]
+SlotCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
+ColdSeconds = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_COLD_S)]
+# Names are sent in HTTP headers and paths, so they hold printable ASCII only.
+Name = Annotated[str, msgspec.Meta(pattern="^[!-~]*$", max_length=MAX_NAME_CHARACTERS)]
+
+
 class ServerRow(msgspec.Struct, frozen=True, array_like=True):
     """Describe a backend server by its latest announcement.
 
@@ -35,6 +56,35 @@
     is_silent: bool = False
 
 
+class _RowFields(msgspec.Struct, frozen=True, array_like=True):
+    """Declare the ranges of a row's fields; msgspec checks them only in decoding."""
+
+    server_id: Name
+    incarnation: VersionNumber
+    sequence: VersionNumber
+    service: Name
+    address: Name
+    data_centre: Name
+    slots: SlotCount
+    phase: ServerPhase = ServerPhase.READY
+    cold_s: ColdSeconds = 0.0
+    is_silent: bool = False
+
+
+def check_row(row: ServerRow) -> Result[ServerRow, Failure]:
+    """Return the row; fail with ``INVALID_ANNOUNCEMENT`` if a field is out of range."""
+    try:
+        msgspec.convert(msgspec.structs.astuple(row), _RowFields)
+        if not row.server_id:
+            raise ValueError("The server id is empty.")
+        if row.phase is not ServerPhase.GONE:
+            check_peer_address(row.address)
+    except (msgspec.ValidationError, ValueError, OverflowError) as exc:
+        text = f'The row of "{row.server_id[:MAX_NAME_CHARACTERS]}" is invalid: {exc}.'
+        return Err(Failure(Code.INVALID_ANNOUNCEMENT, text))
+    return Ok(row)
+
+
 def version_key(row: ServerRow) -> tuple[int, int]:
     """Return the sort key that orders the announcements of one server id."""
     return row.incarnation, row.sequence
--- a/src/bramleyrouter/fleet/registry.py
+++ b/src/bramleyrouter/fleet/registry.py
@@ -38,6 +38,19 @@
     cold_until: float
 
 
+@dataclass
+class OutdatedAnnouncements:
+    """Hold the announcements of one server that were refused as out of date.
+
+    ``since`` is the loop time of the first one and ``sequence`` that of the latest one.
+    """
+
+    incarnation: ServerIncarnation
+    since: float
+    sequence: int
+    count: int = 1
+
+
 @dataclass
 class ServerRegistry:
     """Hold the servers by id and the callbacks that are notified of each change.
@@ -47,6 +60,7 @@
 
     heartbeat_s: float
     servers: dict[ServerId, RegisteredServer] = field(default_factory=dict)
+    outdated: dict[ServerId, OutdatedAnnouncements] = field(default_factory=dict)
     by_address: dict[str, ServerId] = field(default_factory=dict)
     on_change: list[Callable[[ServerRow], None]] = field(default_factory=list)
 
@@ -75,26 +89,69 @@
 
     An announcement is out of date if its incarnation is gone, if a later one was
     applied before it, or if a server with a newer incarnation has its address. It
-    was then delayed on its way.
+    was then delayed on its way, unless the newer announcement was that of another
+    writer, see ``_is_disproved``.
     """
     current = registry.servers.get(row.server_id)
-    if current is not None:
-        is_gone = current.row.phase is ServerPhase.GONE
-        if is_gone and row.incarnation <= current.row.incarnation:
-            return False
-        if version_key(row) <= version_key(current.row):
-            return False
     holder_id = registry.by_address.get(row.address)
     holder = registry.servers.get(holder_id) if holder_id else None
-    if holder is not None and holder_id != row.server_id:
-        if holder.row.incarnation > row.incarnation:
-            return False
-        if holder.row.phase is not ServerPhase.GONE:
-            apply_withdrawal(registry, holder.row.server_id, None, now)
+    if holder_id == row.server_id:
+        holder = None
+    newer = _find_newer(row, current, holder)
+    if newer is not None and not _is_disproved(registry, row, newer, now):
+        return False
+    registry.outdated.pop(row.server_id, None)
+    if holder is not None and holder.row.phase is not ServerPhase.GONE:
+        apply_withdrawal(registry, holder.row.server_id, None, now)
     _store(registry, row, now)
     return True
 
 
+def _find_newer(
+    row: ServerRow, current: RegisteredServer | None, holder: RegisteredServer | None
+) -> RegisteredServer | None:
+    """Return the entry by which an announcement is out of date, if there is one."""
+    if current is not None:
+        is_gone = current.row.phase is ServerPhase.GONE
+        if is_gone and row.incarnation <= current.row.incarnation:
+            return current
+        if version_key(row) <= version_key(current.row):
+            return current
+    if holder is not None and holder.row.incarnation > row.incarnation:
+        return holder
+    return None
+
+
+def _is_disproved(
+    registry: ServerRegistry, row: ServerRow, newer: RegisteredServer, now: float
+) -> bool:
+    """Return whether a server goes on announcing itself against a newer entry.
+
+    An entry that another writer left with a high number would shut out the true
+    server. It is overruled if it was not repeated for as long as a silent server, while
+    the true one announced itself all the time. Announcements that were delayed on their
+    way arrive together. A server that has withdrawn never returns.
+    """
+    if newer.row.phase is ServerPhase.GONE:
+        return False
+    seen = registry.outdated.get(row.server_id)
+    if seen is None or seen.incarnation != row.incarnation:
+        registry.outdated[row.server_id] = OutdatedAnnouncements(
+            ServerIncarnation(row.incarnation), now, row.sequence
+        )
+        return False
+    if row.sequence <= seen.sequence:
+        return False
+    seen.sequence = row.sequence
+    seen.count += 1
+    silent_s = SILENT_INTERVALS * registry.heartbeat_s
+    return (
+        seen.count > SILENT_INTERVALS
+        and now - seen.since >= silent_s
+        and now - newer.last_contact_at >= silent_s
+    )
+
+
 def apply_withdrawal(
     registry: ServerRegistry,
     server_id: ServerId,
@@ -128,6 +185,9 @@
 def sweep(registry: ServerRegistry, now: float) -> None:
     """Mark servers whose heartbeats stopped as silent, and expire old entries."""
     silent_after = SILENT_INTERVALS * registry.heartbeat_s
+    for server_id, outdated in list(registry.outdated.items()):
+        if now - outdated.since > RETENTION_S:
+            del registry.outdated[server_id]
     for server_id, registered in list(registry.servers.items()):
         age = now - registered.last_contact_at
         row = registered.row
--- a/src/bramleyrouter/fleet/views.py
+++ b/src/bramleyrouter/fleet/views.py
@@ -34,23 +34,22 @@
     """Merge the rows of one server id; return None if all are of gone incarnations.
 
     The latest announcement decides. A server is silent only if every control
-    daemon that has a row of this incarnation misses its heartbeats.
+    daemon that has a row of this incarnation misses its heartbeats. An incarnation that
+    is silent gives way to an older one that announces itself: the number of the newer
+    one was that of another writer.
     """
     candidates = [row for row in rows if row.incarnation > gone_incarnation]
     if not candidates:
         return None
-    latest = max(candidates, key=version_key)
-    if not latest.is_silent:
-        return latest
-    not_silent = [
-        row
-        for row in candidates
-        if row.incarnation == latest.incarnation and not row.is_silent
-    ]
+    not_silent = [row for row in candidates if not row.is_silent]
     if not not_silent:
-        return latest
-    # Another control daemon still receives heartbeats; every other field, such as
-    # the phase, comes from the latest announcement.
+        return max(candidates, key=version_key)
+    incarnation = max(row.incarnation for row in not_silent)
+    # One control daemon still receives heartbeats; every other field, such as the
+    # phase, comes from the latest announcement.
+    latest = max(
+        (row for row in candidates if row.incarnation == incarnation), key=version_key
+    )
     return msgspec.structs.replace(latest, is_silent=False)
 
 
--- a/src/bramleyrouter/fleet/watcher.py
+++ b/src/bramleyrouter/fleet/watcher.py
@@ -295,7 +295,16 @@
         if not received_at:
             state.record("fleet", "control_heard", source=address)
         received_at[:] = [loop.time()]
-        apply_update(state, address, decoded.ok_value)
+        update, row_errors = decoded.ok_value
+        if row_errors:
+            state.record(
+                "fleet",
+                "bad_rows",
+                source=address,
+                count=len(row_errors),
+                reason=row_errors[0].text,
+            )
+        apply_update(state, address, update)
         if stream_source == address and choose_stream_source(state, address) != address:
             # A local control daemon can forward this stream by now. The event
             # "control_moved" below records that it is opened again through it.
--- a/src/bramleyrouter/gateway/delegation.py
+++ b/src/bramleyrouter/gateway/delegation.py
@@ -27,7 +27,8 @@
 from bramleyrouter.codes import Code
 from bramleyrouter.failures import Failure
 from bramleyrouter.gateway.exchanges import CallerRequest
-from bramleyrouter.ids import DataCentre, ServiceName
+from bramleyrouter.ids import DataCentre, ServerId, ServerIncarnation, ServiceName
+from bramleyrouter.utils.decoding import DECODE_ERRORS
 from bramleyrouter.utils.rendezvous import rank_by_rendezvous_hash
 
 # Fewer shards than this are sent directly, because a delegation would save nothing.
@@ -75,8 +76,9 @@
 
     ``included`` holds positions in the query's ``services``, each with its signature.
     ``records`` are the greatest records of these shards. ``wanted`` holds the positions
-    for which the relay asks for one more attempt. More replies may follow until
-    ``is_last`` is set.
+    for which the relay asks for one more attempt. ``leaving`` holds the servers that
+    told the relay that they leave, with the positions of their shards. More replies may
+    follow until ``is_last`` is set.
     """
 
     included: tuple[int, ...] = ()
@@ -86,6 +88,7 @@
     may_have_run: bool = True
     is_last: bool = True
     wanted: tuple[int, ...] = ()
+    leaving: tuple[tuple[int, ServerId, ServerIncarnation], ...] = ()
 
 
 class AttemptGrant(msgspec.Struct, frozen=True, array_like=True):
@@ -132,11 +135,20 @@
 def _decode(decoder, payload: bytes):
     try:
         return Ok(decoder.decode(payload))
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         text = f"The delegated message can't be decoded: {exc}."
         return Err(Failure(Code.WIRE_MALFORMED, text))
 
 
+def is_reply_to(query: DelegatedQuery, reply: DelegatedReply) -> bool:
+    """Return whether a reply names only shards of its query, each result once."""
+    count = len(query.services)
+    positions = [*reply.included, *reply.wanted, *(item[0] for item in reply.leaving)]
+    return len(reply.signatures) == len(reply.included) == len(
+        set(reply.included)
+    ) and all(0 <= position < count for position in positions)
+
+
 def compute_confirm_timeout(objective_s: float) -> float:
     """Return the time within which a relay must confirm a query, in seconds."""
     return min(
@@ -329,8 +341,10 @@
             confirm()
             return
         reply = decode_reply(payload).ok()
-        if reply is None:
+        if reply is None or not is_reply_to(query, reply):
+            # The relay may go on working, but its results can't be used.
             fail(is_known_not_run=False)
+            cancel_stream()
             return
         # Without order between frames, a reply may overtake the confirmation.
         confirm()
--- a/src/bramleyrouter/homes/codecs.py
+++ b/src/bramleyrouter/homes/codecs.py
@@ -26,6 +26,7 @@
 )
 from bramleyrouter.ids import ServerId, ServerIncarnation
 from bramleyrouter.states import Outcome, ServerState
+from bramleyrouter.utils.decoding import DECODE_ERRORS
 
 PROTOCOL_VERSION = 1
 # Slightly less than the largest frame on the wire.
@@ -75,7 +76,7 @@
                 )
                 return Err(Failure(Code.WIRE_VERSION, text))
             return Ok(read(message))
-    except (capnp.KjException, ValueError, UnicodeDecodeError) as exc:
+    except (capnp.KjException, *DECODE_ERRORS) as exc:
         text = f"The message can't be decoded: {str(exc)[:200]}"
         return Err(Failure(Code.WIRE_MALFORMED, text))
 
--- a/src/bramleyrouter/platform/announcements.py
+++ b/src/bramleyrouter/platform/announcements.py
@@ -10,11 +10,19 @@
 
 from bramleyrouter.codes import Code
 from bramleyrouter.failures import Failure
-from bramleyrouter.fleet.records import ServerPhase, ServerRow
+from bramleyrouter.fleet.records import (
+    ServerPhase,
+    ServerRow,
+    VersionNumber,
+    check_row,
+)
 from bramleyrouter.ids import DataCentre, ServerId, ServerIncarnation, ServiceName
-from bramleyrouter.utils.addresses import split_address
+from bramleyrouter.utils.decoding import DECODE_ERRORS
 
 MS_PER_SECOND = 1000.0
+# Largest difference by which a server's clock may be ahead of this VM's, in seconds.
+# An incarnation further in the future would shut out the server's true one.
+MAX_CLOCK_LEAD_S = 3600.0
 _PHASES = {"ready": ServerPhase.READY, "draining": ServerPhase.DRAINING}
 
 
@@ -27,13 +35,13 @@
     slots: int
     state: str
     warmup_left_ms: float
-    seq: int
+    seq: VersionNumber
     # The start of the server in Unix milliseconds.
-    born: int = 0
+    born: VersionNumber = 0
 
 
 class _Withdrawal(msgspec.Struct):
-    born: int | None = None
+    born: VersionNumber | None = None
 
 
 _HEARTBEAT_DECODER = msgspec.json.Decoder(_Heartbeat)
@@ -44,17 +52,21 @@
     return Err(Failure(Code.INVALID_ANNOUNCEMENT, text))
 
 
+def _is_in_future(born_ms: int, now_s: float) -> bool:
+    return born_ms > (now_s + MAX_CLOCK_LEAD_S) * MS_PER_SECOND
+
+
 def decode_heartbeat(
-    server_id: str, body: bytes, data_centres: Collection[str]
+    server_id: str, body: bytes, data_centres: Collection[str], now_s: float
 ) -> Result[ServerRow, Failure]:
     """Decode a heartbeat; fail with ``INVALID_ANNOUNCEMENT``.
 
-    An empty ``data_centres`` accepts any data centre.
+    An empty ``data_centres`` accepts any data centre. ``now_s`` is the time of day in
+    Unix seconds.
     """
     try:
         heartbeat = _HEARTBEAT_DECODER.decode(body)
-        split_address(heartbeat.addr)
-    except (msgspec.MsgspecError, UnicodeDecodeError, ValueError) as exc:
+    except DECODE_ERRORS as exc:
         return _build_invalid_announcement(
             f'The heartbeat of "{server_id}" can\'t be read: {exc}.'
         )
@@ -67,16 +79,15 @@
         return _build_invalid_announcement(
             f'"{server_id}" names the unknown data centre "{heartbeat.zone}".'
         )
-    if (
-        heartbeat.slots <= 0
-        or heartbeat.seq < 0
-        or heartbeat.warmup_left_ms < 0
-        or heartbeat.born < 0
-    ):
+    if heartbeat.slots <= 0:
+        return _build_invalid_announcement(
+            f'"{server_id}" declares "{heartbeat.slots}" slots; 1 or more are expected.'
+        )
+    if _is_in_future(heartbeat.born, now_s):
         return _build_invalid_announcement(
-            f'A number in the heartbeat of "{server_id}" is negative.'
+            f'"{server_id}" claims to start in the future, at "{heartbeat.born}" ms.'
         )
-    return Ok(
+    return check_row(
         ServerRow(
             ServerId(server_id),
             ServerIncarnation(heartbeat.born),
@@ -91,16 +102,23 @@
     )
 
 
-def decode_withdrawal(body: bytes) -> ServerIncarnation | None:
-    """Return the incarnation named in a server's withdrawal, or None.
+def decode_withdrawal(
+    body: bytes, now_s: float
+) -> Result[ServerIncarnation | None, Failure]:
+    """Return the incarnation named in a server's withdrawal, or none if it names none.
 
-    A body that can't be decoded names no incarnation; the withdrawal then applies
-    to the registered one.
+    Fail with ``INVALID_ANNOUNCEMENT`` if a body is there that can't be read: it names
+    no server to remove. ``now_s`` is the time of day in Unix seconds.
     """
     if not body:
-        return None
+        return Ok(None)
     try:
         withdrawal = _WITHDRAWAL_DECODER.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return None
-    return None if withdrawal.born is None else ServerIncarnation(withdrawal.born)
+    except DECODE_ERRORS as exc:
+        return _build_invalid_announcement(f"The withdrawal can't be read: {exc}.")
+    if withdrawal.born is None:
+        return Ok(None)
+    if _is_in_future(withdrawal.born, now_s):
+        text = f'The withdrawal names the future start "{withdrawal.born}" ms.'
+        return _build_invalid_announcement(text)
+    return Ok(ServerIncarnation(withdrawal.born))
--- a/src/bramleyrouter/platform/control.py
+++ b/src/bramleyrouter/platform/control.py
@@ -1,6 +1,7 @@
 """Run the control daemon on the platform."""
 
 import asyncio
+import time
 
 from result import Err
 
@@ -45,6 +46,7 @@
         ),
         recommend_control_address=parts.recommend_control_address,
         data_centres=cfg.data_centres,
+        wall_clock=time.time,
         record=lambda part, event, **fields: record(log, part, event, **fields),
         observe=build_observe_call(metrics),
     )
--- a/src/bramleyrouter/platform/operators.py
+++ b/src/bramleyrouter/platform/operators.py
@@ -17,7 +17,7 @@
     SetAvailability,
 )
 from bramleyrouter.failures import Failure
-from bramleyrouter.fleet.records import ServerRow
+from bramleyrouter.fleet.records import MAX_NAME_CHARACTERS, ServerRow
 from bramleyrouter.gateway.checks import check_table
 from bramleyrouter.ids import (
     DataCentre,
@@ -38,13 +38,15 @@
 OPERATION_TIMEOUT_S = 0.9
 OPERATOR_NAME = "platform"
 _REQUEST_ID_BYTES = 8
+MAX_LOGGED_CHARACTERS = 300
 _PUT, _DELETE, _POST, _GET = "PUT", "DELETE", "POST", "GET"
 
 
 class ControlCalls(NamedTuple):
     """Bundle what the HTTP calls of operators and backend servers need.
 
-    ``data_centres`` are the known data centres. ``record`` writes a log event, and
+    ``data_centres`` are the known data centres, and ``wall_clock`` returns the time of
+    day in Unix seconds. ``record`` writes a log event, and
     ``observe`` updates the metrics of calls.
     """
 
@@ -59,6 +61,7 @@
     recommend_control_address: Callable[[DataCentre], str]
     withdraw: Callable[[ServerId, ServerIncarnation | None], None]
     data_centres: tuple[DataCentre, ...]
+    wall_clock: Callable[[], float]
     record: RecordEvent
     observe: ObserveCall
 
@@ -99,8 +102,7 @@
         if method == _PUT:
             return _handle_heartbeat(calls, server_id, body)
         if method == _DELETE:
-            calls.withdraw(ServerId(server_id), decode_withdrawal(body))
-            return PlatformReply(200)
+            return _handle_withdrawal(calls, server_id, body)
     if path == names.CONFIG_PATH and method == _PUT:
         return await _handle_publish(calls, body)
     if path == names.CONFIG_PATH and method == _GET:
@@ -114,10 +116,9 @@
 def _handle_heartbeat(
     calls: ControlCalls, server_id: str, body: bytes
 ) -> PlatformReply:
-    decoded = decode_heartbeat(server_id, body, calls.data_centres)
+    decoded = decode_heartbeat(server_id, body, calls.data_centres, calls.wall_clock())
     if isinstance(decoded, Err):
-        calls.record("registry", "bad_heartbeat", server=server_id)
-        return _build_refusal(400, decoded.err_value)
+        return _refuse_announcement(calls, "bad_heartbeat", server_id, decoded)
     row = decoded.ok_value
     calls.announce(row)
     address = calls.recommend_control_address(row.data_centre)
@@ -127,6 +128,26 @@
     )
 
 
+def _handle_withdrawal(
+    calls: ControlCalls, server_id: str, body: bytes
+) -> PlatformReply:
+    decoded = decode_withdrawal(body, calls.wall_clock())
+    if isinstance(decoded, Err):
+        return _refuse_announcement(calls, "bad_withdrawal", server_id, decoded)
+    calls.withdraw(ServerId(server_id), decoded.ok_value)
+    return PlatformReply(200)
+
+
+def _refuse_announcement(
+    calls: ControlCalls, event: str, server_id: str, failure: Err[Failure]
+) -> PlatformReply:
+    reason = failure.err_value.text[:MAX_LOGGED_CHARACTERS]
+    calls.record(
+        "registry", event, server=server_id[:MAX_NAME_CHARACTERS], reason=reason
+    )
+    return _build_refusal(400, failure.err_value)
+
+
 async def _handle_publish(calls: ControlCalls, body: bytes) -> PlatformReply:
     decoded = decode_route_table(body)
     if isinstance(decoded, Err):
--- a/src/bramleyrouter/platform/route_documents.py
+++ b/src/bramleyrouter/platform/route_documents.py
@@ -1,10 +1,13 @@
 """Decode the JSON documents of operators into route tables."""
 
+from typing import Annotated
+
 import msgspec
 from result import Err, Ok, Result
 
 from bramleyrouter.codes import Code
 from bramleyrouter.failures import Failure
+from bramleyrouter.fleet.records import VersionNumber
 from bramleyrouter.gateway.tables import (
     CallerLimits,
     RequestKind,
@@ -14,10 +17,15 @@
     WeightedService,
 )
 from bramleyrouter.ids import ServiceName, TableVersion
+from bramleyrouter.utils.decoding import DECODE_ERRORS
 
 MS_PER_SECOND = 1000.0
 
 
+# Numbers of a table are also sent in messages, which hold no larger ones.
+Int32 = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31 - 1)]
+
+
 class _SplitTarget(msgspec.Struct):
     service: str
     weight: float
@@ -32,35 +40,35 @@
     name: str = ""
     # The latency objective; 0 means that the timeout is the objective.
     slo_ms: float = 0
-    priority: int = 0
-    attempts: int = 1
+    priority: Int32 = 0
+    attempts: Int32 = 1
     service: str | None = None
     traffic_split: list[_SplitTarget] | None = None
     # The services whose servers hold the shards of a scatter-gather request.
     gather: list[str] | None = None
     # The number of records in a reply.
-    top_k: int = 0
+    top_k: Int32 = 0
     min_coverage: float = 1.0
 
 
 class _Service(msgspec.Struct, rename="camel"):
     name: str
     # The limit of connections to one server, for all callers together.
-    max_conns: int = 16
+    max_conns: Int32 = 16
     warmup_s: float = 0.0
     # The requests per second that one cold server can handle.
     warmup_per_s: float = 0.0
 
 
 class _CallerLimits(msgspec.Struct, rename="camel"):
-    max_header_bytes: int = 16384
-    max_body_bytes: int = 1024 * 1024
+    max_header_bytes: Int32 = 16384
+    max_body_bytes: Int32 = 1024 * 1024
     header_timeout_ms: float = 5000
     idle_timeout_ms: float = 60000
 
 
 class _Document(msgspec.Struct):
-    version: int
+    version: VersionNumber
     routes: list[_Route]
     services: list[_Service]
     limits: _CallerLimits = msgspec.field(default_factory=_CallerLimits)
@@ -73,7 +81,7 @@
     """Decode a route table; fail with ``INVALID_MANIFEST``."""
     try:
         document = _DOCUMENT_DECODER.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as exc:
+    except DECODE_ERRORS as exc:
         text = f"The route table can't be read: {exc}."
         return Err(Failure(Code.INVALID_MANIFEST, text))
     return Ok(
--- a/src/bramleyrouter/platform/settings.py
+++ b/src/bramleyrouter/platform/settings.py
@@ -11,6 +11,7 @@
 from bramleyrouter.failures import Failure
 from bramleyrouter.ids import DaemonId, DataCentre
 from bramleyrouter.platform.names import SETTINGS_VARIABLE
+from bramleyrouter.utils.decoding import DECODE_ERRORS
 
 MS_PER_SECOND = 1000.0
 # Must match deploy/system.toml, which sets the same port for every VM.
@@ -78,12 +79,12 @@
     try:
         with open(path, "rb") as file:
             fields = tomllib.load(file)
-    except (OSError, tomllib.TOMLDecodeError) as exc:
+    except (OSError, *DECODE_ERRORS) as exc:
         text = f'"{path}" can\'t be read: {exc}.'
         return Err(Failure(Code.SETTINGS_UNREADABLE, text))
     try:
         return Ok(_build_settings(msgspec.convert(fields, _SettingsFile, strict=False)))
-    except (msgspec.ValidationError, IndexError) as exc:
+    except (IndexError, *DECODE_ERRORS) as exc:
         text = f'"{path}" holds no valid settings: {exc}.'
         return Err(Failure(Code.SETTINGS_INVALID, text))
 
--- a/src/bramleyrouter/standins/announcers.py
+++ b/src/bramleyrouter/standins/announcers.py
@@ -16,6 +16,7 @@
 from bramleyrouter.homes.messages import Announcement, AnnouncementReply, LeaseToken
 from bramleyrouter.ids import DataCentre, Registration, ServerId, ServerIncarnation
 from bramleyrouter.states import ServerState
+from bramleyrouter.utils.decoding import DECODE_ERRORS
 
 # A home that fails this often in a row is given up.
 FAILURES_TO_MOVE = 2
@@ -125,7 +126,7 @@
         if status == 200:
             return msgspec.json.decode(body, type=AnnouncementReply)
         return Code(msgspec.json.decode(body, type=_ErrorBody).code)
-    except (msgspec.MsgspecError, ValueError):
+    except DECODE_ERRORS:
         return None
 
 
--- a/src/bramleyrouter/utils/addresses.py
+++ b/src/bramleyrouter/utils/addresses.py
@@ -1,16 +1,27 @@
 """Parse addresses of the form "ip:port"."""
 
 import ipaddress
+import re
+
+MAX_PORT = 65535
+# ``int`` alone also accepts signs, underscores and the digits of other scripts.
+_PORT = re.compile(r"[0-9]{1,5}")
 
 
 def split_address(address: str) -> tuple[str, int]:
     """Return the host, without brackets, and the port of "ip:port".
 
-    Raises ``ValueError`` if the host is no IP address or the port is invalid.
+    Port 0 stands for any free port of a listener. Raises ``ValueError`` if the host is
+    no IP address or the port is invalid.
     """
     host, _, port = address.rpartition(":")
     ipaddress.ip_address(host.strip("[]"))
-    port_number = int(port)
-    if not 0 <= port_number <= 65535:
-        raise ValueError(f'Port "{port}" is not between 0 and 65535.')
-    return host.strip("[]"), port_number
+    if not _PORT.fullmatch(port) or int(port) > MAX_PORT:
+        raise ValueError(f'Port "{port[:20]}" is not between 0 and {MAX_PORT}.')
+    return host.strip("[]"), int(port)
+
+
+def check_peer_address(address: str) -> None:
+    """Raise ``ValueError`` unless a connection can be opened to "ip:port"."""
+    if split_address(address)[1] == 0:
+        raise ValueError("Port 0 can't be connected to.")
--- a/src/bramleyrouter/wire/handshakes.py
+++ b/src/bramleyrouter/wire/handshakes.py
@@ -16,6 +16,7 @@
 from bramleyrouter.codes import Code
 from bramleyrouter.failures import Failure
 from bramleyrouter.ids import DaemonId, DataCentre
+from bramleyrouter.utils.decoding import DECODE_ERRORS
 from bramleyrouter.wire.network import Peer
 
 NONCE_BYTES = 32
@@ -88,7 +89,7 @@
         )
     try:
         hello = msgspec.msgpack.decode(encoded_hello, type=Hello)
-    except msgspec.MsgspecError as exc:
+    except DECODE_ERRORS as exc:
         return _build_auth_failure(f"The greeting can't be decoded: {exc}.")
     await stream.write(_compute_mac(key, b"accept", peer_nonce, own_nonce))
     return Ok(Peer(hello.daemon_id, hello.data_centre, hello.address))
--- a/src/bramleyrouter/wire/tcp.py
+++ b/src/bramleyrouter/wire/tcp.py
@@ -125,6 +125,11 @@
                 return
     except StreamClosedError:
         pass
+    except Exception:
+        # One message that a handler can't process must not leave the connection open
+        # without a reader, as its peer would wait for replies without end.
+        logging.exception("wire: the connection to %s is closed.", link.peer)
+        stream.close()
     finally:
         state.io_streams.discard(stream)
         link.close()
--- a/tests/fleet/test_registry.py
+++ b/tests/fleet/test_registry.py
@@ -126,3 +126,58 @@
         apply_announcement(registry, build_row("a", cold_s=3.0), 0.0)
         assert list_rows(registry, 1.0)[0].cold_s == 2.0
         assert list_rows(registry, 9.0)[0].cold_s == 0.0
+
+
+class TestOddEntries:
+    """Guard against an entry of another writer that shuts the true server out."""
+
+    def announce(self, registry, now, sequence, **fields):
+        row = build_row("a", sequence=sequence, **fields)
+        return apply_announcement(registry, row, now)
+
+    def test_the_true_server_overrules_an_odd_entry(self):
+        registry, _ = make_registry()
+        odd = {"incarnation": 9_000, "address": "10.9.9.9:9"}
+        assert self.announce(registry, 0.0, 2**60, **odd)
+        accepted = [
+            self.announce(registry, 1.2 * at, at, incarnation=5) for at in range(1, 8)
+        ]
+        assert accepted[:3] == [False] * 3
+        assert accepted[-1]
+        assert registry.servers["a"].row.incarnation == 5
+
+    def test_a_sequence_that_is_too_high_is_overruled(self):
+        registry, _ = make_registry()
+        assert self.announce(registry, 0.0, 2**60)
+        accepted = [self.announce(registry, 1.2 * at, at) for at in range(1, 8)]
+        assert accepted[-1]
+
+    def test_delayed_announcements_overrule_nothing(self):
+        registry, _ = make_registry()
+        assert self.announce(registry, 0.0, 1, incarnation=7)
+        for at in range(1, 30):
+            assert not self.announce(registry, 10.0, at, incarnation=5)
+
+    def test_a_live_server_is_not_overruled(self):
+        registry, _ = make_registry()
+        for at in range(1, 30):
+            assert self.announce(registry, 1.2 * at, at, incarnation=7)
+            assert not self.announce(registry, 1.2 * at + 0.1, at, incarnation=5)
+
+    def test_a_withdrawn_server_does_not_return(self):
+        registry, _ = make_registry()
+        assert self.announce(registry, 0.0, 1, incarnation=5)
+        apply_withdrawal(registry, "a", 5, 0.5)
+        for at in range(2, 30):
+            assert not self.announce(registry, 1.2 * at, at, incarnation=5)
+
+    def test_an_odd_holder_of_the_address_is_overruled(self):
+        registry, _ = make_registry()
+        address = build_row("a").address
+        odd = build_row("odd", incarnation=9_000, address=address)
+        assert apply_announcement(registry, odd, 0.0)
+        accepted = [
+            self.announce(registry, 1.2 * at, at, incarnation=5) for at in range(1, 8)
+        ]
+        assert accepted[-1]
+        assert registry.by_address[address] == "a"
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -10,7 +10,7 @@
 from bramleyrouter.failures import Failure
 from bramleyrouter.ids import DataCentre, Generation, Revision, TableVersion
 from bramleyrouter.platform.operators import ControlCalls, handle_call
-from tests.platform.test_announcements import HEARTBEAT
+from tests.platform.test_announcements import HEARTBEAT, NOW_S
 from tests.platform.test_route_documents import ROUTE, document
 
 ACCEPTED = Ok(OperatorResult(Revision(1), Generation(7)))
@@ -44,6 +44,7 @@
                 (name, incarnation)
             ),
             data_centres=(DataCentre("se-a"), DataCentre("se-b")),
+            wall_clock=lambda: NOW_S,
             record=lambda part, event, **fields: None,
             observe=lambda call, status, latency_s: self.observed.append(
                 (call, status)
@@ -121,6 +122,12 @@
         assert control.call("PUT", "/v1/replicas/i-1", b"{").status == 400
         assert control.rows == []
 
+    def test_unreadable_withdrawal_removes_no_server(self):
+        control = Control()
+        reply = control.call("DELETE", "/v1/replicas/i-1", b'{"born": ' + b"[" * 99999)
+        assert reply.status == 400
+        assert control.withdrawn == []
+
     def test_withdrawal_is_applied(self):
         control = Control()
         assert control.call("DELETE", "/v1/replicas/i-1").status == 200
