Left servers alone that leave or ask for a pause

Cause: nothing read Server-Leaving or a server's Retry-After. A refusal of another request (a late copy) counted as a refusal of this one, which promises "not run". Targets with a fragment or bytes that are no text were changed or raised in curl.

Change: each tracked server has a back-off: is_leaving, never reset within one incarnation, and retry_at, which only grows. is_usable is the one decision for first sends, queues, hedges, retries, trials, delegated shards and relays' choices. Waiting requests go to another server at once. Back-offs outlive the removal of a server from the view. A request that no server can take is refused at once with the time when the first server (or enough shards) is back. Logs: server_backed_off, and backed_off in request_ended and gather_ended.

--- a/src/bramleyrouter/edges/servers/curl_exchanges.py
+++ b/src/bramleyrouter/edges/servers/curl_exchanges.py
@@ -47,14 +47,15 @@
 class ForwardedRequest(NamedTuple):
     """Describe a request that is forwarded unchanged.
 
-    ``headers`` are complete lines. ``accepts_line`` checks each line of the reply's
-    head. If it returns false, the reply belongs to another request and the
-    connection is closed.
+    ``target`` is the path with its query string. ``headers`` are complete lines. Both
+    are bytes, since callers may send bytes that are no text. ``accepts_line`` checks
+    each line of the reply's head. If it returns false, the reply belongs to another
+    request and the connection is closed.
     """
 
     method: str
-    path: str
-    headers: list[str]
+    target: bytes
+    headers: list[bytes]
     body: bytes | None
     accepts_line: Callable[[bytes], bool]
 
@@ -71,6 +72,7 @@
     on_end: OnEnd | None = None
     send_count: int = 0
     path: str = ""
+    target: bytes = b""
     is_repeatable: bool = True
     # Loop time after which the request must no longer be sent.
     send_deadline: float = 0.0
@@ -294,7 +296,7 @@
     exchange = _build_exchange(state)
     exchange.is_forwarded = True
     curl = exchange.curl
-    curl.setopt(pycurl.PATH_AS_IS, 1)
+    curl.setopt(pycurl.URL, f"http://{state.address}/")
     curl.setopt(pycurl.HEADERFUNCTION, lambda line: _read_head_line(exchange, line))
     return exchange
 
@@ -323,9 +325,10 @@
     exchange.head.clear()
     exchange.accepts_line = call.accepts_line
     curl = exchange.curl
-    if call.path != exchange.path:
-        exchange.path = call.path
-        curl.setopt(pycurl.URL, f"http://{state.address}{call.path}")
+    if call.target != exchange.target:
+        exchange.target = call.target
+        # In a URL, curl would remove a fragment and reject spaces.
+        curl.setopt(pycurl.REQUEST_TARGET, call.target)
     curl.setopt(pycurl.HTTPHEADER, call.headers)
     curl.setopt(pycurl.FRESH_CONNECT, 1 if needs_new_connection else 0)
     timeout_ms = max(1, int(timeout_s * 1000))
--- a/src/bramleyrouter/gateway/attempts.py
+++ b/src/bramleyrouter/gateway/attempts.py
@@ -15,6 +15,7 @@
 from bramleyrouter.gateway.queues import (
     QueuedRequest,
     Urgency,
+    abandon_waiting,
     acquire_connection,
     compute_expected_wait,
     release_connection,
@@ -36,6 +37,7 @@
 # Connections beyond a server's slots, so that a late reply does not delay the next
 # request.
 SPARE_CONNECTIONS = 2
+UNUSABLE_TEXT = "the server left or wants no requests"
 
 
 @dataclass(eq=False)
@@ -60,6 +62,8 @@
     sent_at: float = 0.0
     cancel: Callable[[], None] = lambda: None
     is_started: bool = False
+    # Whether it was removed from the queue because its server wants no requests.
+    is_abandoned: bool = False
     has_ended: bool = False
 
 
@@ -90,7 +94,9 @@
     attempt = Attempt(
         gateway, server, request, expires_at, window, on_end, siblings, is_extra
     )
-    attempt.queued = QueuedRequest(urgency, lambda: _send_now(attempt))
+    attempt.queued = QueuedRequest(
+        urgency, lambda: _send_now(attempt), lambda: _abandon_waiting(attempt)
+    )
     if not acquire_connection(
         server.queue, attempt.queued, compute_connection_limit(gateway, server)
     ):
@@ -106,9 +112,9 @@
     attempt.cancel()
     attempt.is_started = True
     attempt.sent_at = gateway.loop.time()
-    if not is_usable(server, gateway.get_data_centres_out()):
+    if not is_usable(server, gateway.get_data_centres_out(), attempt.sent_at):
         # The server became unusable while the request waited.
-        unsent = ServerReply(ExchangeOutcome.UNSENT, text="the server has left")
+        unsent = ServerReply(ExchangeOutcome.UNSENT, text=UNUSABLE_TEXT)
         attempt.cancel = gateway.loop.call_soon(_finish_attempt, attempt, unsent).cancel
         return
     attempt.cancel = gateway.send_to_server(
@@ -139,9 +145,12 @@
     gateway, server = attempt.gateway, attempt.server
     _mark_ended(attempt, reply.outcome not in NOT_ARRIVED)
     now = gateway.loop.time()
-    release_connection(server.queue, now)
     latency_s = now - attempt.sent_at
     record_reply(server, reply, latency_s, attempt.window.median_s, now)
+    if reply.is_leaving or reply.retry_after_s:
+        _record_backoff(attempt, reply)
+        abandon_waiting(server.queue)
+    release_connection(server.queue, now)
     # A reply has a status only if a response came back from the server. The outcome
     # alone does not show this: a refusal may come from this daemon's connection pool.
     if reply.status:
@@ -151,13 +160,42 @@
     attempt.on_end(attempt, reply)
 
 
+def _record_backoff(attempt: Attempt, reply: ServerReply) -> None:
+    """Record why a server gets no further requests from this daemon."""
+    attempt.gateway.record_rate_limited(
+        "gateway",
+        "server_backed_off",
+        id=attempt.request.request_id,
+        service=attempt.server.row.service,
+        server=attempt.server.row.server_id,
+        is_leaving=attempt.server.backoff.is_leaving,
+        for_s=round(reply.retry_after_s, 3),
+    )
+
+
 def _expire_waiting(attempt: Attempt) -> None:
     """End an attempt that got no connection in time."""
-    server, now = attempt.server, attempt.gateway.loop.time()
-    remove_waiting(server.queue, attempt.queued)
+    remove_waiting(attempt.server.queue, attempt.queued)
+    _end_unsent(attempt, "no connection became free")
+
+
+def _abandon_waiting(attempt: Attempt) -> None:
+    """End an attempt that its queue has given up; its request goes elsewhere.
+
+    The result is reported in the next loop iteration, because the request may choose
+    another server, and the current reply is not processed completely yet.
+    """
+    attempt.cancel()
+    attempt.is_abandoned = True
+    attempt.cancel = attempt.gateway.loop.call_soon(
+        _end_unsent, attempt, UNUSABLE_TEXT
+    ).cancel
+
+
+def _end_unsent(attempt: Attempt, text: str) -> None:
     _mark_ended(attempt, may_have_arrived=False)
-    reply = ServerReply(ExchangeOutcome.UNSENT, text="no connection became free")
-    record_reply(server, reply, 0.0, 0.0, now)
+    reply = ServerReply(ExchangeOutcome.UNSENT, text=text)
+    record_reply(attempt.server, reply, 0.0, 0.0, attempt.gateway.loop.time())
     attempt.on_end(attempt, reply)
 
 
@@ -170,7 +208,7 @@
     queue = attempt.server.queue
     if attempt.is_started:
         release_connection(queue, attempt.gateway.loop.time())
-    else:
+    elif not attempt.is_abandoned:
         remove_waiting(queue, attempt.queued)
     record_cancelled(attempt.server)
 
--- a/src/bramleyrouter/gateway/delegated_shards.py
+++ b/src/bramleyrouter/gateway/delegated_shards.py
@@ -30,7 +30,7 @@
     GatherRun,
     ShardRun,
 )
-from bramleyrouter.gateway.servers import find_best_data_centres
+from bramleyrouter.gateway.servers import find_best_data_centres, record_leaving
 from bramleyrouter.gateway.shard_attempts import send_attempt, send_first_attempt
 from bramleyrouter.ids import DataCentre
 
@@ -153,6 +153,9 @@
         delegation.state = DelegationState.ENDED
     if reply.wanted:
         _decide_on_attempts(run, delegation, reply.wanted)
+    for position, server_id, incarnation in reply.leaving:
+        service = delegation.shards[position].service
+        record_leaving(run.gateway.servers, service, server_id, incarnation)
     if run.is_finished:
         return
     mark_data_centre_reachable(run.gateway, delegation.data_centre)
--- a/src/bramleyrouter/gateway/exchanges.py
+++ b/src/bramleyrouter/gateway/exchanges.py
@@ -63,7 +63,9 @@
     """Hold the outcome of an exchange, and the server's response if there is one.
 
     ``signature`` identifies the server that replied and is empty if it sent none.
-    ``cold_s`` is how long the server reports to stay cold, in seconds.
+    ``cold_s`` is how long the server reports to stay cold, in seconds. ``is_leaving``
+    is set if the server reports that it leaves, and ``retry_after_s`` is the time for
+    which it asks this daemon for no further requests, in seconds.
     """
 
     outcome: ExchangeOutcome
@@ -73,6 +75,8 @@
     signature: str = ""
     cold_s: float = 0.0
     text: str = ""
+    is_leaving: bool = False
+    retry_after_s: float = 0.0
 
     @property
     def is_success(self) -> bool:
--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -29,9 +29,11 @@
     TrackedServers,
     clear_suspicion,
     compute_cold_interval,
+    compute_wait_for_server,
+    find_backed_off,
 )
 from bramleyrouter.gateway.tables import Route, RouteIndex
-from bramleyrouter.ids import DataCentre, ServiceName
+from bramleyrouter.ids import DataCentre, ServerId, ServiceName
 from bramleyrouter.telemetry.events import RecordEvent
 from bramleyrouter.telemetry.gateway_metrics import ObserveRequest
 
@@ -151,6 +153,22 @@
     return gateway.servers.by_service.get(service, {}).values()
 
 
+def find_backed_off_ids(gateway: Gateway, service: ServiceName) -> list[ServerId]:
+    """Return the servers of a service that get nothing because they said so."""
+    servers = get_tracked_servers(gateway, service)
+    return [
+        server.row.server_id for server in find_backed_off(servers, gateway.loop.time())
+    ]
+
+
+def compute_wait_for_service(gateway: Gateway, service: ServiceName) -> float | None:
+    """Return the seconds until a server of a service wants requests, if known."""
+    servers = get_tracked_servers(gateway, service)
+    return compute_wait_for_server(
+        servers, gateway.get_data_centres_out(), gateway.loop.time()
+    )
+
+
 def get_latency_window(gateway: Gateway, route: Route) -> LatencyWindow:
     """Return the latency window of a route; create it if there is none."""
     window = gateway.windows.get(route.name)
--- a/src/bramleyrouter/gateway/gather_deadlines.py
+++ b/src/bramleyrouter/gateway/gather_deadlines.py
@@ -5,6 +5,7 @@
 results that have arrived are worth more than a complete reply would be later.
 """
 
+from collections.abc import Iterable
 from typing import NamedTuple
 
 # Network time of a request, in seconds: from the caller's start to the arrival here,
@@ -40,6 +41,23 @@
     return included > 0 and included >= min_coverage * total - 1e-9
 
 
+def compute_wait_for_coverage(
+    served: int, total: int, min_coverage: float, waits: Iterable[float | None]
+) -> float | None:
+    """Return the seconds until enough shards of a refused gather have a server.
+
+    ``waits`` holds, for each shard without a server, the seconds until one of its
+    servers wants requests again, or none. The result is none if too few will return.
+    For example, with 17 of 20 shards served, a minimum of 0.9 and waits of 0.4 s, 2 s
+    and none, it is 0.4 s.
+    """
+    for wait_s in sorted(wait_s for wait_s in waits if wait_s is not None):
+        served += 1
+        if has_enough_coverage(served, total, min_coverage):
+            return wait_s
+    return None
+
+
 def should_reply(
     progress: GatherProgress,
     min_coverage: float,
--- a/src/bramleyrouter/gateway/gather_runs.py
+++ b/src/bramleyrouter/gateway/gather_runs.py
@@ -11,7 +11,7 @@
 from bramleyrouter.gateway.gateways import Cancel, Gateway, OnGatewayReply
 from bramleyrouter.gateway.gather_deadlines import GatherProgress
 from bramleyrouter.gateway.tables import Route
-from bramleyrouter.ids import DataCentre, ServerId, ServiceName
+from bramleyrouter.ids import DataCentre, ServerId, ServerIncarnation, ServiceName
 
 
 class AttemptPurpose(Enum):
@@ -155,6 +155,11 @@
     wanted: list[ShardRun] = field(default_factory=list)
     delegations: list[Delegation] = field(default_factory=list)
     sent_attempts: list[SentAttempt] = field(default_factory=list)
+    # Servers that were not chosen because they leave or want no requests for a while.
+    backed_off: set[ServerId] = field(default_factory=set)
+    # Servers of this gather that were found to leave, with their position among the
+    # shards; a relay tells the requesting daemon.
+    leaving: list[tuple[int, ServerId, ServerIncarnation]] = field(default_factory=list)
 
 
 def cancel_delegations(run: GatherRun, states: Collection[DelegationState]) -> None:
--- a/src/bramleyrouter/gateway/gathers.py
+++ b/src/bramleyrouter/gateway/gathers.py
@@ -11,12 +11,15 @@
     OnGatewayReply,
     build_cut_off_refusal,
     build_refusal,
+    build_refusal_until,
     compute_time_limit,
+    compute_wait_for_service,
     get_latency_window,
 )
 from bramleyrouter.gateway.gather_deadlines import (
     MAX_LATE_FACTOR,
     GatherProgress,
+    compute_wait_for_coverage,
     has_enough_coverage,
     should_reply,
 )
@@ -48,6 +51,8 @@
 # A server that takes longer than this multiple of the median latency is recorded as
 # late at the objective.
 LATE_SERVER_FACTOR = 2.0
+# Number of servers that one log event names.
+MAX_LOGGED_SERVERS = 5
 _NOT_STARTED = (DelegationState.UNCONFIRMED,)
 _NOT_ENDED = (DelegationState.UNCONFIRMED, DelegationState.CONFIRMED)
 
@@ -98,7 +103,7 @@
     if not has_enough_coverage(served_count, len(run.shards), route.min_coverage):
         reason = f"{served_count} of {len(run.shards)} shards have a server; "
         reason += "; ".join(format_shard_servers(run, shard) for shard in unserved[:3])
-        _finish(run, build_refusal(gateway, reason, deadline_s / 3))
+        _finish(run, _build_unserved_refusal(run, unserved, reason))
         return lambda: None
     if not _may_start(run):
         reason = "too many shards have only suspected servers"
@@ -118,6 +123,24 @@
     return lambda: _cancel(run)
 
 
+def _build_unserved_refusal(
+    run: GatherRun, unserved: list[ShardRun], reason: str
+) -> GatewayReply:
+    """Build the refusal of a gather that too few shards can serve now.
+
+    If servers asked for a pause, the caller is told when enough of them have returned.
+    """
+    gateway, total = run.gateway, len(run.shards)
+    max_wait_s = (run.deadline_at - run.arrived_at) / 3
+    waits = [compute_wait_for_service(gateway, shard.service) for shard in unserved]
+    wait_s = compute_wait_for_coverage(
+        total - len(unserved), total, run.route.min_coverage, waits
+    )
+    if not wait_s:
+        return build_refusal(gateway, reason, max_wait_s)
+    return build_refusal_until(gateway, reason, wait_s, max_wait_s)
+
+
 def _may_start(run: GatherRun) -> bool:
     """Return whether the gather may start.
 
@@ -370,6 +393,7 @@
         objective_ms=round(1000 * run.route.objective_s),
         missing=[s.service for s in run.shards if s.reply is None][:5],
         attempts=run.sent_attempts,
+        backed_off=sorted(run.backed_off)[:MAX_LOGGED_SERVERS],
         reason=reason,
     )
 
--- a/src/bramleyrouter/gateway/queues.py
+++ b/src/bramleyrouter/gateway/queues.py
@@ -24,10 +24,14 @@
 
 @dataclass(eq=False)
 class QueuedRequest:
-    """Hold one waiting request; ``start`` sends it."""
+    """Hold one waiting request.
+
+    ``start`` sends it, and ``abandon`` ends it because its server wants no requests.
+    """
 
     urgency: Urgency
     start: Callable[[], None]
+    abandon: Callable[[], None] = lambda: None
 
 
 @dataclass
@@ -93,6 +97,13 @@
     queue.running -= 1
 
 
+def abandon_waiting(queue: ServerQueue) -> None:
+    """End all waiting requests, so that they go to other servers at once."""
+    waiting, queue.waiting = queue.waiting, []
+    for item in waiting:
+        item.abandon()
+
+
 def remove_waiting(queue: ServerQueue, item: QueuedRequest) -> None:
     """Remove a waiting request from the queue."""
     queue.waiting.remove(item)
--- a/src/bramleyrouter/gateway/relaying.py
+++ b/src/bramleyrouter/gateway/relaying.py
@@ -21,8 +21,12 @@
 from bramleyrouter.gateway.gathers import build_gather_run, run_gather
 from bramleyrouter.gateway.shard_attempts import apply_grant
 from bramleyrouter.gateway.tables import RequestKind, Route
+from bramleyrouter.ids import ServerId, ServerIncarnation
 from bramleyrouter.wire.network import Handler, Peer, StreamHandler
 
+# Servers that told the relay that they leave, as in ``DelegatedReply``.
+Leaving = tuple[tuple[int, ServerId, ServerIncarnation], ...]
+
 
 def build_relay_route(query: DelegatedQuery) -> Route:
     """Build the route by which a relay runs a delegated query.
@@ -48,14 +52,17 @@
 
 
 def build_delegated_reply(
-    query: DelegatedQuery, reply: GatewayReply, is_last: bool
+    query: DelegatedQuery, reply: GatewayReply, is_last: bool, leaving: Leaving = ()
 ) -> DelegatedReply:
     """Build the message to the requesting daemon from a reply of the gather."""
     if reply.kind is not ReplyKind.GATHERED:
-        return DelegatedReply(may_have_run=reply.kind is not ReplyKind.REFUSED)
+        has_run = reply.kind is not ReplyKind.REFUSED
+        return DelegatedReply(may_have_run=has_run, leaving=leaving)
     positions = {service: at for at, service in enumerate(query.services)}
     included = tuple(positions[service] for service in reply.included)
-    return DelegatedReply(included, reply.signatures, reply.body, is_last=is_last)
+    return DelegatedReply(
+        included, reply.signatures, reply.body, is_last=is_last, leaving=leaving
+    )
 
 
 def build_delegated_handler(
@@ -82,7 +89,9 @@
         request = query.request._replace(deadline_s=query.deadline_s)
 
         def report(part: GatewayReply) -> None:
-            send(encode_message(build_delegated_reply(query, part, is_last=False)))
+            leaving = take_leaving()
+            message = build_delegated_reply(query, part, is_last=False, leaving=leaving)
+            send(encode_message(message))
 
         def request_attempts(positions: tuple[int, ...]) -> None:
             send(encode_message(DelegatedReply(is_last=False, wanted=positions)))
@@ -92,6 +101,11 @@
         )
         route = build_relay_route(query)
         run = build_gather_run(gateway, route, request, finish, requesting_daemon)
+
+        def take_leaving() -> Leaving:
+            leaving, run.leaving = tuple(run.leaving), []
+            return leaving
+
         if query.grant_id:
             gateway.relayed_gathers[query.grant_id] = run
         cancel = run_gather(run)
@@ -103,7 +117,8 @@
             raise
         finally:
             gateway.relayed_gathers.pop(query.grant_id, None)
-        send(encode_message(build_delegated_reply(query, reply, is_last=True)))
+        last = build_delegated_reply(query, reply, is_last=True, leaving=take_leaving())
+        send(encode_message(last))
         return Ok(None)
 
     return serve
--- a/src/bramleyrouter/gateway/servers.py
+++ b/src/bramleyrouter/gateway/servers.py
@@ -11,7 +11,7 @@
 from bramleyrouter.fleet.records import ServerPhase, ServerRow
 from bramleyrouter.gateway.exchanges import ExchangeOutcome, ServerReply
 from bramleyrouter.gateway.queues import ServerQueue
-from bramleyrouter.ids import DataCentre, ServerId, ServiceName
+from bramleyrouter.ids import DataCentre, ServerId, ServerIncarnation, ServiceName
 
 # Weight of a new sample in the moving averages.
 SAMPLE_WEIGHT = 0.3
@@ -41,6 +41,21 @@
 # Default factor and constant that are applied to the declared rate to get the rate a
 # cold server can serve; the platform's settings may override them.
 DEFAULT_COLD_FACTOR, DEFAULT_COLD_SLACK = 1.5, 5.0
+# Number of removed servers whose back-offs are retained, in case a control daemon that
+# lost its registry announces them again.
+MAX_RETAINED_BACKOFFS = 4096
+
+
+@dataclass(eq=False)
+class ServerBackoff:
+    """Hold what one incarnation of a server said about further requests.
+
+    ``is_leaving`` is never reset, since only a new incarnation accepts requests again.
+    Until the loop time ``retry_at`` the server wants no requests from this daemon.
+    """
+
+    is_leaving: bool = False
+    retry_at: float = 0.0
 
 
 @dataclass(eq=False)
@@ -65,6 +80,7 @@
     next_cold_request_at: float = 0.0
     is_replaced: bool = False
     queue: ServerQueue = field(default_factory=ServerQueue)
+    backoff: ServerBackoff = field(default_factory=ServerBackoff)
 
 
 class ChoiceContext(NamedTuple):
@@ -82,11 +98,18 @@
 
 @dataclass
 class TrackedServers:
-    """Hold all tracked servers by service."""
+    """Hold all tracked servers by service.
+
+    ``backoffs`` also holds those of removed servers, so that a server that left is not
+    used again if it is announced again.
+    """
 
     by_service: dict[ServiceName, dict[ServerId, TrackedServer]] = field(
         default_factory=dict
     )
+    backoffs: dict[tuple[ServerId, ServerIncarnation], ServerBackoff] = field(
+        default_factory=dict
+    )
 
 
 def set_servers(
@@ -108,7 +131,7 @@
             and server.row.address == row.address
         )
         if server is None or not is_same:
-            server = TrackedServer(row)
+            server = TrackedServer(row, backoff=_get_backoff(tracked, row))
         server.row = row
         if row.cold_s:
             server.cold_until = max(server.cold_until, now + row.cold_s)
@@ -118,6 +141,27 @@
             # Requests that wait for this server are no longer sent.
             server.is_replaced = True
     tracked.by_service[service] = servers
+    _limit_backoffs(tracked)
+
+
+def _get_backoff(tracked: TrackedServers, row: ServerRow) -> ServerBackoff:
+    return tracked.backoffs.setdefault(
+        (row.server_id, row.incarnation), ServerBackoff()
+    )
+
+
+def _limit_backoffs(tracked: TrackedServers) -> None:
+    """Remove the oldest back-offs of servers that are no longer announced."""
+    current = {
+        (server.row.server_id, server.row.incarnation)
+        for servers in tracked.by_service.values()
+        for server in servers.values()
+    }
+    excess = len(tracked.backoffs) - len(current) - MAX_RETAINED_BACKOFFS
+    if excess > 0:
+        removed = [key for key in tracked.backoffs if key not in current]
+        for key in removed[:excess]:
+            del tracked.backoffs[key]
 
 
 def compute_cold_interval(
@@ -152,18 +196,59 @@
     return cost
 
 
-def is_usable(server: TrackedServer, data_centres_out: Collection[DataCentre]) -> bool:
-    """Return whether a server may receive any requests."""
-    is_out = server.row.data_centre in data_centres_out
+def is_usable(
+    server: TrackedServer, data_centres_out: Collection[DataCentre], now: float
+) -> bool:
+    """Return whether a server may receive any requests now.
+
+    Every way to a server depends on this: first attempts, retries, hedges, requests
+    that waited for a connection, and the choice of shards to delegate.
+    """
+    row, backoff = server.row, server.backoff
     return (
-        server.row.phase is ServerPhase.READY and not is_out and not server.is_replaced
+        row.phase is ServerPhase.READY
+        and row.data_centre not in data_centres_out
+        and not server.is_replaced
+        and not backoff.is_leaving
+        and backoff.retry_at <= now
+    )
+
+
+def find_backed_off(
+    servers: Iterable[TrackedServer], now: float
+) -> list[TrackedServer]:
+    """Return the announced servers that get nothing because they said so themselves."""
+    return [
+        server
+        for server in servers
+        if (server.backoff.is_leaving or server.backoff.retry_at > now)
+        and server.row.phase is ServerPhase.READY
+    ]
+
+
+def compute_wait_for_server(
+    servers: Iterable[TrackedServer],
+    data_centres_out: Collection[DataCentre],
+    now: float,
+) -> float | None:
+    """Return the seconds until a server of a service wants requests again.
+
+    It is 0 if one may receive them now, and none if no server is known to return.
+    """
+    return min(
+        (
+            max(0.0, server.backoff.retry_at - now)
+            for server in servers
+            if is_usable(server, data_centres_out, max(now, server.backoff.retry_at))
+        ),
+        default=None,
     )
 
 
 def _compute_rank(server: TrackedServer, context: ChoiceContext) -> int | None:
     """Return 0 for a good server, more for a doubtful one, none for an unusable one."""
     now, row = context.now, server.row
-    if not is_usable(server, context.data_centres_out):
+    if not is_usable(server, context.data_centres_out, now):
         return None
     is_cold = server.cold_until > now
     if is_cold and context.cold_interval_s > 0:
@@ -260,6 +345,7 @@
     ``median_s`` is the median latency of the route in seconds, 0 while it is unknown.
     """
     server.in_flight = max(0, server.in_flight - 1)
+    _update_backoff(server.backoff, reply, now)
     if reply.cold_s:
         server.cold_until = max(server.cold_until, now + reply.cold_s)
     if reply.outcome is ExchangeOutcome.UNSENT:
@@ -284,6 +370,31 @@
             _update_slowness(server, latency_s / median_s, now)
 
 
+def _update_backoff(backoff: ServerBackoff, reply: ServerReply, now: float) -> None:
+    """Record what a reply says about further requests.
+
+    Each Retry-After holds until its end, so a shorter one that arrives later does not
+    end an earlier one. A reply of another server at this address says nothing.
+    """
+    if reply.outcome is ExchangeOutcome.MISDIRECTED:
+        return
+    backoff.is_leaving |= reply.is_leaving
+    if reply.retry_after_s > 0:
+        backoff.retry_at = max(backoff.retry_at, now + reply.retry_after_s)
+
+
+def record_leaving(
+    tracked: TrackedServers,
+    service: ServiceName,
+    server_id: ServerId,
+    incarnation: ServerIncarnation,
+) -> None:
+    """Record that a server told another entry daemon that it leaves."""
+    server = tracked.by_service.get(service, {}).get(server_id)
+    if server is not None and server.row.incarnation == incarnation:
+        server.backoff.is_leaving = True
+
+
 def record_cancelled(server: TrackedServer) -> None:
     """Record that an exchange was cancelled."""
     server.in_flight = max(0, server.in_flight - 1)
@@ -313,6 +424,11 @@
             reason = f"{server.row.data_centre} is out"
         elif server.is_replaced:
             reason = "another server has its address"
+        elif server.backoff.is_leaving:
+            reason = "says that it leaves"
+        elif server.backoff.retry_at > context.now:
+            wait_s = server.backoff.retry_at - context.now
+            reason = f"wants no requests for {wait_s:.1f} s"
         elif server.cold_until > context.now:
             reason = f"cold for {server.cold_until - context.now:.1f} s"
         elif server.suspect_until > context.now:
--- a/src/bramleyrouter/gateway/shard_attempts.py
+++ b/src/bramleyrouter/gateway/shard_attempts.py
@@ -16,6 +16,7 @@
     MIN_ATTEMPT_S,
     build_choice_context,
     compute_urgency,
+    find_backed_off_ids,
     get_latency_window,
     get_tracked_servers,
 )
@@ -70,6 +71,7 @@
     """
     gateway = run.gateway
     remaining_s = run.deadline_at - gateway.loop.time()
+    run.backed_off.update(find_backed_off_ids(gateway, shard.service))
     server = choose_shard_server(run, shard)
     if server is None or remaining_s < MIN_ATTEMPT_S:
         return False
@@ -116,6 +118,10 @@
     run: GatherRun, shard: ShardRun, attempt: Attempt, reply: ServerReply
 ) -> None:
     shard.pending.remove(attempt)
+    if reply.is_leaving:
+        row = attempt.server.row
+        position = run.shards.index(shard)
+        run.leaving.append((position, row.server_id, row.incarnation))
     if run.is_finished or not shard.is_open:
         return
     if reply.is_success:
--- a/src/bramleyrouter/gateway/single_requests.py
+++ b/src/bramleyrouter/gateway/single_requests.py
@@ -31,6 +31,8 @@
     build_refusal_until,
     compute_time_limit,
     compute_urgency,
+    compute_wait_for_service,
+    find_backed_off_ids,
     get_latency_window,
     get_tracked_servers,
 )
@@ -67,6 +69,8 @@
     attempt_count: int = 0
     possible_runs: int = 0
     has_arrived: bool = False
+    # Servers that were not chosen because they leave or want no requests for a while.
+    backed_off: set[ServerId] = field(default_factory=set)
     timer: asyncio.TimerHandle | None = None
     is_finished: bool = False
 
@@ -124,7 +128,7 @@
         servers = get_tracked_servers(gateway, service)
         servers_text = format_servers(servers, build_choice_context(gateway, service))
         reason = f'service "{service}" has no server that may be asked ({servers_text})'
-        _finish(run, build_refusal(gateway, reason, deadline_s / 3))
+        _finish(run, _build_not_run_refusal(run, reason))
         return lambda: None
     _schedule_timer(run)
     return lambda: _cancel(run)
@@ -163,6 +167,7 @@
     """
     gateway = run.gateway
     remaining_s = run.deadline_at - gateway.loop.time()
+    run.backed_off.update(find_backed_off_ids(gateway, run.service))
     server = _choose_server(run)
     if server is None or remaining_s < MIN_ATTEMPT_S:
         return False
@@ -247,15 +252,22 @@
     if run.last_reply is not None:
         return GatewayReply(ReplyKind.SERVER, server=run.last_reply)
     if run.possible_runs <= 0:
-        max_wait_s = (run.deadline_at - run.gateway.loop.time()) / 3
-        return build_refusal(
-            run.gateway, f"last send: {reply.outcome.value}", max_wait_s
-        )
+        return _build_not_run_refusal(run, f"last send: {reply.outcome.value}")
     if reply.outcome is ExchangeOutcome.TIMED_OUT:
         return GatewayReply(ReplyKind.DEADLINE, "the server did not answer in time")
     return GatewayReply(ReplyKind.FAILED, f"last send: {reply.outcome.value}")
 
 
+def _build_not_run_refusal(run: SingleRequestRun, reason: str) -> GatewayReply:
+    """Build a refusal that names when a server wants requests again, if known."""
+    gateway = run.gateway
+    max_wait_s = (run.deadline_at - gateway.loop.time()) / 3
+    wait_s = compute_wait_for_service(gateway, run.service)
+    if not wait_s:
+        return build_refusal(gateway, reason, max_wait_s)
+    return build_refusal_until(gateway, reason, wait_s, max_wait_s)
+
+
 def _schedule_timer(run: SingleRequestRun) -> None:
     if run.is_finished:
         return
@@ -307,6 +319,7 @@
         status=reply.server.status if reply.server else None,
         sends=run.attempt_count,
         ran=run.possible_runs,
+        backed_off=sorted(run.backed_off),
         waited_ms=round(1000 * (run.gateway.loop.time() - run.arrived_at)),
         reason=reply.reason,
     )
--- a/src/bramleyrouter/platform/names.py
+++ b/src/bramleyrouter/platform/names.py
@@ -8,6 +8,9 @@
 NOT_EXECUTED = "Bramleyrouter-Not-Executed"
 # The time in milliseconds for which a server stays cold.
 WARMUP_MS = "Bramleyrouter-Warmup-Ms"
+# Set to "1" in all replies of a server that leaves.
+SERVER_LEAVING = "Server-Leaving"
+RETRY_AFTER = "Retry-After"
 PART_SEALS = "Bramleyrouter-Part-Seals"
 MISSING_PARTS = "Bramleyrouter-Missing-Parts"
 
--- a/src/bramleyrouter/platform/server_transport.py
+++ b/src/bramleyrouter/platform/server_transport.py
@@ -1,5 +1,6 @@
 """Forward requests to backend servers and report the outcome of each."""
 
+import re
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -29,9 +30,16 @@
 from bramleyrouter.platform import names
 
 MS_PER_SECOND = 1000.0
+# Maps each byte of a head to one character, as the callers' listener does.
+HEAD_ENCODING = "latin-1"
 _REQUEST_ID_PREFIX = f"{names.REQUEST_ID}:".lower().encode()
 # Headers that curl would add by default.
 _ADDED_BY_CURL = ("Accept", "User-Agent", "Expect", "Content-Type")
+# Longest time for which a server may ask for no requests, in seconds. A server that
+# sends a senseless time does not stay unused for good.
+MAX_RETRY_AFTER_S = 3600.0
+MAX_COLD_S = 3600.0
+_DECIMAL = re.compile(r"[0-9]{1,18}(\.[0-9]{0,18})?")
 _IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
 
@@ -82,7 +90,7 @@
 def _parse_head(head: tuple[bytes, ...]) -> Headers:
     headers = []
     for line in head[1:]:
-        name, _, value = line.decode("latin-1").partition(":")
+        name, _, value = line.decode(HEAD_ENCODING).partition(":")
         if value:
             headers.append((name.strip(), value.strip()))
     return tuple(headers)
@@ -108,18 +116,31 @@
     headers = _parse_head(result.head)
     fields = {name.lower(): value for name, value in headers}
     cold_s = _parse_cold_time(fields.get(names.WARMUP_MS.lower(), ""))
+    is_leaving = fields.get(names.SERVER_LEAVING.lower()) == "1"
+    retry_after_s = 0.0
+    if result.status == 503:
+        retry_after_s = _parse_retry_after(fields.get(names.RETRY_AFTER.lower(), ""))
+    if fields.get(names.REQUEST_ID.lower(), request_id) != request_id:
+        # Also a refusal, which then says nothing about this request.
+        text = "the reply is to another request"
+        return ServerReply(ExchangeOutcome.LOST, text=text, is_leaving=is_leaving)
     if result.status == 421:
         return ServerReply(ExchangeOutcome.MISDIRECTED, result.status)
     if names.NOT_EXECUTED.lower() in fields:
-        return ServerReply(ExchangeOutcome.REFUSED, result.status, cold_s=cold_s)
-    if fields.get(names.REQUEST_ID.lower(), request_id) != request_id:
-        return ServerReply(ExchangeOutcome.LOST, text="the reply is to another request")
+        return ServerReply(
+            ExchangeOutcome.REFUSED,
+            result.status,
+            cold_s=cold_s,
+            is_leaving=is_leaving,
+            retry_after_s=retry_after_s,
+        )
     forwarded = tuple(
         (name, value) for name, value in headers if name.lower() not in names.HOP_BY_HOP
     )
     signature = fields.get(names.SERVER_SEAL.lower(), "")
     if 200 <= result.status < 300 and not signature:
-        return ServerReply(ExchangeOutcome.LOST, text="a success without a signature")
+        text = "a success without a signature"
+        return ServerReply(ExchangeOutcome.LOST, text=text, is_leaving=is_leaving)
     return ServerReply(
         ExchangeOutcome.ANSWERED,
         result.status,
@@ -127,15 +148,30 @@
         result.body,
         signature,
         cold_s,
+        is_leaving=is_leaving,
+        retry_after_s=retry_after_s,
     )
 
 
+def _parse_retry_after(text: str) -> float:
+    """Return the seconds of a Retry-After, at most ``MAX_RETRY_AFTER_S``.
+
+    The platform sends a number of seconds. A text that is no such number is ignored,
+    and the reply counts as a refusal without a time.
+    """
+    if not _DECIMAL.fullmatch(text):
+        return 0.0
+    return min(float(text), MAX_RETRY_AFTER_S)
+
+
 def _parse_cold_time(text: str) -> float:
-    try:
-        return max(0.0, float(text) / MS_PER_SECOND) if text else 0.0
-    except ValueError:
-        # An invalid time is ignored: the server does not count as cold.
+    """Return the seconds for which a server stays cold, at most ``MAX_COLD_S``.
+
+    An invalid time is ignored: the server does not count as cold.
+    """
+    if not _DECIMAL.fullmatch(text):
         return 0.0
+    return min(float(text) / MS_PER_SECOND, MAX_COLD_S)
 
 
 def build_server_transport() -> tuple[SendToServer, Callable[[set[ServerId]], None]]:
@@ -154,7 +190,7 @@
         on_reply: OnReply,
     ) -> Callable[[], None]:
         multi = _get_pool(pools, server, max_connections)
-        own_id = request.request_id.encode()
+        own_id = request.request_id.encode(HEAD_ENCODING)
 
         def accepts_line(line: bytes) -> bool:
             if line[: len(_REQUEST_ID_PREFIX)].lower() != _REQUEST_ID_PREFIX:
@@ -163,8 +199,11 @@
 
         call = ForwardedRequest(
             request.method,
-            request.target,
-            build_header_lines(request, server.server_id, timeout_s),
+            request.target.encode(HEAD_ENCODING),
+            [
+                line.encode(HEAD_ENCODING)
+                for line in build_header_lines(request, server.server_id, timeout_s)
+            ],
             request.body if request.has_body else None,
             accepts_line,
         )
--- a/tests/platform/test_server_transport.py
+++ b/tests/platform/test_server_transport.py
@@ -396,3 +396,84 @@
 
         replies, _ = run(script, build_request())
         return replies[0]
+
+
+def refuse(extra):
+    return reply(b"", "503 Service Unavailable", extra)
+
+
+NOT_EXECUTED = "Bramleyrouter-Not-Executed: 1\r\n"
+
+
+class TestServerBackoff:
+    """Guard against ignored or misread statements about further requests."""
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            reply(extra=SEAL + "Server-Leaving: 1\r\n"),
+            reply(b"", "500 Error", SEAL + "Server-Leaving: 1\r\n"),
+            refuse(NOT_EXECUTED + "server-leaving: 1\r\n"),
+        ],
+        ids=["success", "failure", "refusal"],
+    )
+    def test_a_server_that_leaves_says_so_in_any_reply(self, data):
+        replies, _ = run(build_script(data), build_request())
+        assert replies[0].is_leaving
+
+    @pytest.mark.parametrize("value", ["0", "", "yes"])
+    def test_other_values_say_nothing(self, value):
+        data = reply(extra=SEAL + f"Server-Leaving: {value}\r\n")
+        replies, _ = run(build_script(data), build_request())
+        assert not replies[0].is_leaving
+
+    @pytest.mark.parametrize(
+        "text, expected_s",
+        [
+            ("2", 2.0),
+            ("0.25", 0.25),
+            ("99999999999", 3600.0),
+            ("", 0.0),
+            ("soon", 0.0),
+            ("-1", 0.0),
+            ("1e9", 0.0),
+            ("nan", 0.0),
+            ("Wed, 21 Oct 2026 07:28:00 GMT", 0.0),
+        ],
+    )
+    def test_retry_after_of_a_refusal(self, text, expected_s):
+        data = refuse(NOT_EXECUTED + f"Retry-After: {text}\r\n")
+        replies, _ = run(build_script(data), build_request())
+        assert replies[0].outcome is ExchangeOutcome.REFUSED
+        assert replies[0].retry_after_s == expected_s
+
+    def test_retry_after_of_another_status_says_nothing(self):
+        data = reply(extra=SEAL + "Retry-After: 5\r\n")
+        replies, _ = run(build_script(data), build_request())
+        assert replies[0].retry_after_s == 0.0
+
+    def test_a_refusal_of_another_request_is_no_refusal(self):
+        """Guards against "not run" for a request that may have run."""
+        data = refuse(NOT_EXECUTED + "Bramleyrouter-Request-Id: q0\r\n")
+        replies, _ = run(build_script(data), build_request("q1"))
+        assert replies[0].outcome is ExchangeOutcome.LOST
+
+
+class TestHeads:
+    """Guard against heads that the transport changes or can't send."""
+
+    @pytest.mark.parametrize(
+        "target", ["/a/x#y", "/a/\xe9", "//x/y", "/a/../b", "/a\\b"]
+    )
+    def test_the_target_is_sent_unchanged(self, target):
+        request = build_request()._replace(target=target)
+        replies, server = run(build_script(reply()), request)
+        assert replies[0].is_success
+        line = server.requests[0].split(b"\r\n")[0]
+        assert line == b"GET " + target.encode("latin-1") + b" HTTP/1.1"
+
+    def test_header_bytes_that_are_no_text_are_sent_unchanged(self):
+        request = build_request(headers=(("X-Own", "caf\xe9"),))
+        replies, server = run(build_script(reply()), request)
+        assert replies[0].is_success
+        assert b"X-Own: caf\xe9\r\n" in server.requests[0]
