Released what a request holds after an unexpected error

Cause: a caller's header or path with bytes that are no text raised in the transport inside the gateway. The caller got no reply, the request counted as in flight for good and held a connection of the server: some hundred such requests made a daemon refuse everything, four of them blocked a server.

Change: an exception from the transport ends the attempt as lost, one from the start of a request ends it with a failure, both with a log event unexpected_error. A head that holds control characters or no method token gets 400.

Result: TestUnexpectedErrors (500 such requests, none in flight afterwards) fails with the handlers removed: requests wait for a connection until their deadline.

--- a/src/bramleyrouter/gateway/attempts.py
+++ b/src/bramleyrouter/gateway/attempts.py
@@ -117,13 +117,26 @@
         unsent = ServerReply(ExchangeOutcome.UNSENT, text=UNUSABLE_TEXT)
         attempt.cancel = gateway.loop.call_soon(_finish_attempt, attempt, unsent).cancel
         return
-    attempt.cancel = gateway.send_to_server(
-        server.row,
-        attempt.request,
-        max(0.0, attempt.expires_at - attempt.sent_at),
-        compute_connection_limit(gateway, server),
-        lambda reply: _finish_attempt(attempt, reply),
-    )
+    try:
+        attempt.cancel = gateway.send_to_server(
+            server.row,
+            attempt.request,
+            max(0.0, attempt.expires_at - attempt.sent_at),
+            compute_connection_limit(gateway, server),
+            lambda reply: _finish_attempt(attempt, reply),
+        )
+    except Exception as exc:
+        # The connection and the request would otherwise count as in use for good. The
+        # request may have been sent.
+        gateway.record(
+            "gateway",
+            "unexpected_error",
+            id=attempt.request.request_id,
+            server=server.row.server_id,
+            reason=repr(exc),
+        )
+        lost = ServerReply(ExchangeOutcome.LOST, text=f"unexpected error: {exc!r}")
+        attempt.cancel = gateway.loop.call_soon(_finish_attempt, attempt, lost).cancel
 
 
 def _mark_ended(attempt: Attempt, may_have_arrived: bool) -> None:
--- a/src/bramleyrouter/gateway/build.py
+++ b/src/bramleyrouter/gateway/build.py
@@ -175,6 +175,8 @@
             gateway.in_flight -= 1
 
     def finish(reply: GatewayReply) -> None:
+        if not is_open:
+            return
         mark_ended()
         waited_s = gateway.loop.time() - arrived_at
         coverage = None
@@ -184,7 +186,16 @@
         on_reply(reply)
 
     start = start_gather if route.shards else start_single_request
-    cancel = start(gateway, route, request, finish)
+    try:
+        cancel = start(gateway, route, request, finish)
+    except Exception as exc:
+        # The request would otherwise count as in flight for good, and its caller would
+        # get no reply. It may have been sent to some server.
+        finish(GatewayReply(ReplyKind.FAILED, f"unexpected error: {exc!r}"))
+        gateway.record(
+            "gateway", "unexpected_error", id=request.request_id, reason=repr(exc)
+        )
+        return lambda: None
 
     def cancel_request() -> None:
         mark_ended()
--- a/src/bramleyrouter/platform/callers.py
+++ b/src/bramleyrouter/platform/callers.py
@@ -1,6 +1,7 @@
 """Serve callers by HTTP: decode requests and encode the gateway's replies."""
 
 import asyncio
+import re
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -48,6 +49,9 @@
     for name in ("Host", names.REQUEST_ID, names.DEADLINE_MS, names.TARGET_INSTANCE)
 )
 
+_METHOD = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]+")
+_CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+
 HandleCallerRequest = Callable[[CallerRequest, OnGatewayReply], Cancel]
 
 
@@ -93,6 +97,18 @@
     )
 
 
+def is_well_formed(request: CallerRequest) -> bool:
+    """Return whether a request can be forwarded unchanged.
+
+    Its method is a token, and nothing in its head ends a line or a field early.
+    """
+    texts = [request.target, request.host, request.request_id]
+    texts += [text for header in request.headers for text in header]
+    return bool(_METHOD.fullmatch(request.method)) and not any(
+        _CONTROL_CHARACTER.search(text) for text in texts
+    )
+
+
 def _parse_deadline(text: str) -> float | None:
     try:
         return max(0.0, float(text) / MS_PER_SECOND) if text else None
@@ -150,6 +166,10 @@
         assert self._start_line is not None and self._headers is not None
         request = read_request(self._start_line, self._headers, b"".join(self._chunks))
         self._conn.set_close_callback(self.on_connection_close)
+        if not is_well_formed(request):
+            malformed = GatewayReply(ReplyKind.MALFORMED)
+            self._send_reply(request.request_id, malformed)
+            return
         cancel = self._state.handle(
             request, lambda reply: self._send_reply(request.request_id, reply)
         )
--- a/tests/gateway/test_single_requests.py
+++ b/tests/gateway/test_single_requests.py
@@ -174,3 +174,25 @@
             assert reply.kind is ReplyKind.NO_ROUTE
 
         run_virtual(scenario())
+
+
+class TestUnexpectedErrors:
+    """Guard against requests that count as in flight for good after an error."""
+
+    def test_the_caller_gets_a_failure_and_others_are_served(self):
+        async def scenario():
+            harness = build_harness([build_single_route()], [build_row("a")])
+            send = harness.servers.behaviours
+
+            def fail(arrival):
+                raise UnicodeEncodeError("ascii", "x", 0, 1, "odd")
+
+            send["a"] = fail
+            for _ in range(500):
+                reply = await harness.send_request()
+                assert reply.kind is ReplyKind.FAILED
+            assert harness.gateway.in_flight() == 0
+            events = [event for event, _ in harness.events]
+            assert "unexpected_error" in events
+
+        run_virtual(scenario())
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -5,6 +5,7 @@
 import pytest
 
 from bramleyrouter.gateway.exchanges import (
+    CallerRequest,
     ExchangeOutcome,
     GatewayReply,
     ReplyKind,
@@ -12,6 +13,7 @@
 )
 from bramleyrouter.gateway.tables import CallerLimits
 from bramleyrouter.platform.callers import (
+    is_well_formed,
     listen_callers,
     set_close_after_replies,
     stop_listening,
@@ -97,6 +99,28 @@
         assert request.deadline_s == 0.25
         assert request.headers == (("X-Own", "1"),)
 
+    @pytest.mark.parametrize(
+        "fields",
+        [
+            {"method": "GE T"},
+            {"method": "G\xe9T"},
+            {"target": "/a\x00"},
+            {"host": "h\r\nX: 1"},
+            {"request_id": "q\n1"},
+            {"headers": (("X-Own", "a\x00b"),)},
+            {"headers": (("X\rOwn", "a"),)},
+        ],
+    )
+    def test_a_head_that_can_not_be_forwarded_is_malformed(self, fields):
+        request = CallerRequest("q1", "GET", "/a", "h", (), b"", False, 1.0)
+        assert is_well_formed(request)
+        assert not is_well_formed(request._replace(**fields))
+
+    def test_header_bytes_that_are_no_text_are_well_formed(self):
+        headers = (("X-Own", "caf\xe9\tx"),)
+        request = CallerRequest("q1", "GET", "/\xe9", "h", headers, b"", False, 1.0)
+        assert is_well_formed(request)
+
     def test_chunked_body_is_joined(self):
         async def scenario(handler, listener, reader, writer):
             handler.reply = GatewayReply(ReplyKind.FAILED)
