Forwarded requests over asyncio connections parsed by httptools

Change: edges/servers/forwarding.py keeps a bounded pool of connections for each server as asyncio protocols; httptools (llhttp) parses replies. Semantics as before: a request is written at most once, a reply to another id ends the connection, replies without a length end with theirs, heads, trailers and bodies are bounded, requests that may run once get a new connection. New: a connection isn't used beyond four fifths of the idle time that the server announced, nor after an early reply to a body that wasn't sent whole. The product's own interface stays on pycurl, whose forwarding part is removed.

--- a/src/bramleyrouter/edges/servers/curl_exchanges.py
+++ b/src/bramleyrouter/edges/servers/curl_exchanges.py
@@ -18,21 +18,13 @@
 from bramleyrouter.edges.servers.formats import MAX_REPLY_BYTES
 
 CONNECT_TIMEOUT_MS = 1000
-# Forwarded requests can go to another server, so connecting is abandoned early;
-# the timeout is still many round trips.
-FORWARD_CONNECT_TIMEOUT_MS = 300
-
-
-# A complete head ends with an empty line.
-END_OF_HEAD = (b"\r\n", b"\n")
 
 
 class HttpResult(NamedTuple):
     """Describe the result of an exchange.
 
     ``error`` is curl's error number, 0 for a complete reply. ``may_have_run`` is
-    false if no byte of the request can have left this process. ``was_queued`` is
-    true if all connections to the server were in use at the start.
+    false if no byte of the request can have left this process.
     """
 
     error: int
@@ -40,24 +32,6 @@
     status: int
     body: bytes
     may_have_run: bool
-    head: tuple[bytes, ...] = ()
-    was_queued: bool = False
-
-
-class ForwardedRequest(NamedTuple):
-    """Describe a request that is forwarded unchanged.
-
-    ``target`` is the path with its query string. ``headers`` are complete lines. Both
-    are bytes, since callers may send bytes that are no text. ``accepts_line`` checks
-    each line of the reply's head. If it returns false, the reply belongs to another
-    request and the connection is closed.
-    """
-
-    method: str
-    target: bytes
-    headers: list[bytes]
-    body: bytes | None
-    accepts_line: Callable[[bytes], bool]
 
 
 OnEnd = Callable[[HttpResult], None]
@@ -72,14 +46,9 @@
     on_end: OnEnd | None = None
     send_count: int = 0
     path: str = ""
-    target: bytes = b""
     is_repeatable: bool = True
     # Loop time after which the request must no longer be sent.
     send_deadline: float = 0.0
-    head: list[bytes] = field(default_factory=list)
-    accepts_line: Callable[[bytes], bool] | None = None
-    is_forwarded: bool = False
-    was_queued: bool = False
 
 
 @dataclass(eq=False)
@@ -90,8 +59,6 @@
     address: str
     loop: asyncio.AbstractEventLoop
     idle: list[Exchange] = field(default_factory=list)
-    # Idle handles whose options are set for forwarded requests.
-    idle_forwarding: list[Exchange] = field(default_factory=list)
     active: dict[pycurl.Curl, Exchange] = field(default_factory=dict)
     # The events for which the event loop watches each file descriptor, as curl's flags.
     watched_events: dict[int, int] = field(default_factory=dict)
@@ -212,15 +179,10 @@
         status,
         exchange.body.getvalue(),
         exchange.send_count > 0,
-        tuple(exchange.head),
-        exchange.was_queued,
     )
     on_end = exchange.on_end
     exchange.on_end = None
-    if not exchange.is_forwarded:
-        state.idle.append(exchange)
-    else:
-        state.idle_forwarding.append(exchange)
+    state.idle.append(exchange)
     if on_end is not None:
         on_end(result)
 
@@ -277,97 +239,6 @@
     state.multi.add_handle(curl)
 
 
-def _read_head_line(exchange: Exchange, line: bytes) -> int | None:
-    """Store a line of the reply's head; return -1 to close the connection."""
-    head = exchange.head
-    if head and head[-1] in END_OF_HEAD:
-        if not head[0].split(b" ", 1)[-1].startswith(b"1"):
-            # Trailers of a chunked body are no part of the head.
-            return None
-        # The head of an interim reply is discarded.
-        head.clear()
-    head.append(line)
-    if exchange.accepts_line is not None and not exchange.accepts_line(line):
-        return -1
-    return None
-
-
-def _build_forwarded_exchange(state: ServerMulti) -> Exchange:
-    exchange = _build_exchange(state)
-    exchange.is_forwarded = True
-    curl = exchange.curl
-    curl.setopt(pycurl.URL, f"http://{state.address}/")
-    curl.setopt(pycurl.HEADERFUNCTION, lambda line: _read_head_line(exchange, line))
-    return exchange
-
-
-def start_forwarded_request(
-    state: ServerMulti,
-    call: ForwardedRequest,
-    timeout_s: float,
-    on_end: OnEnd,
-    needs_new_connection: bool = False,
-) -> Exchange:
-    """Forward a request at most once; call ``on_end`` once unless cancelled.
-
-    curl would repeat a request on a new connection if a reused one turned out to be
-    closed. The check before sending aborts that, because the gateway decides on
-    retries. ``needs_new_connection`` forces a new connection.
-    """
-    idle = state.idle_forwarding
-    exchange = idle.pop() if idle else _build_forwarded_exchange(state)
-    exchange.on_end = on_end
-    exchange.send_count = 0
-    exchange.is_repeatable = False
-    exchange.send_deadline = state.loop.time() + timeout_s
-    exchange.body.seek(0)
-    exchange.body.truncate()
-    exchange.head.clear()
-    exchange.accepts_line = call.accepts_line
-    curl = exchange.curl
-    if call.target != exchange.target:
-        exchange.target = call.target
-        # In a URL, curl would remove a fragment and reject spaces.
-        curl.setopt(pycurl.REQUEST_TARGET, call.target)
-    curl.setopt(pycurl.HTTPHEADER, call.headers)
-    curl.setopt(pycurl.FRESH_CONNECT, 1 if needs_new_connection else 0)
-    timeout_ms = max(1, int(timeout_s * 1000))
-    curl.setopt(pycurl.TIMEOUT_MS, timeout_ms)
-    # curl includes the wait for a free connection in its connect timeout.
-    exchange.was_queued = len(state.active) >= state.max_connections
-    connect_ms = timeout_ms if exchange.was_queued else FORWARD_CONNECT_TIMEOUT_MS
-    curl.setopt(pycurl.CONNECTTIMEOUT_MS, connect_ms)
-    if call.body is None:
-        curl.setopt(pycurl.HTTPGET, 1)
-    else:
-        curl.setopt(pycurl.POSTFIELDS, call.body)
-    curl.setopt(pycurl.NOBODY, 1 if call.method == "HEAD" else 0)
-    curl.setopt(pycurl.CUSTOMREQUEST, call.method)
-    state.active[curl] = exchange
-    state.multi.add_handle(curl)
-    return exchange
-
-
-def cancel_exchange(state: ServerMulti, exchange: Exchange) -> None:
-    """Cancel an exchange without calling ``on_end``; its connection is closed."""
-    if state.is_closed or state.active.pop(exchange.curl, None) is None:
-        return
-    exchange.on_end = None
-    state.multi.remove_handle(exchange.curl)
-    if exchange.is_forwarded:
-        state.idle_forwarding.append(exchange)
-    else:
-        state.idle.append(exchange)
-
-
-def limit_connections(state: ServerMulti, max_connections: int) -> None:
-    """Set the limit of open connections."""
-    if max_connections != state.max_connections:
-        state.max_connections = max_connections
-        state.multi.setopt(pycurl.M_MAX_HOST_CONNECTIONS, max_connections)
-        state.multi.setopt(pycurl.M_MAXCONNECTS, max_connections)
-
-
 def _check_before_send(exchange: Exchange, loop: asyncio.AbstractEventLoop) -> int:
     """Abort a late or repeated request just before curl sends it."""
     if loop.time() >= exchange.send_deadline:
@@ -393,11 +264,10 @@
     for fd in list(state.watched_events):
         _unwatch(state, fd)
     _close_multi_handle(state.multi)
-    for exchange in [*state.active.values(), *state.idle, *state.idle_forwarding]:
+    for exchange in [*state.active.values(), *state.idle]:
         exchange.curl.close()
     state.active.clear()
     state.idle.clear()
-    state.idle_forwarding.clear()
     state.connections = 0
 
 
--- a/src/bramleyrouter/platform/server_transport.py
+++ b/src/bramleyrouter/platform/server_transport.py
@@ -4,24 +4,22 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-import pycurl
-
-from bramleyrouter.edges.servers.curl_exchanges import (
-    END_OF_HEAD,
+from bramleyrouter.edges.servers.forwarding import (
+    ExchangeEnd,
+    ForwardedReply,
     ForwardedRequest,
-    HttpResult,
-    ServerMulti,
+    Pool,
     cancel_exchange,
-    close_multi,
+    close_pool,
+    is_in_use,
     limit_connections,
-    open_multi,
-    start_forwarded_request,
+    open_pool,
+    start_exchange,
 )
 from bramleyrouter.fleet.records import ServerRow
 from bramleyrouter.gateway.exchanges import (
     CallerRequest,
     ExchangeOutcome,
-    Headers,
     OnReply,
     SendToServer,
     ServerReply,
@@ -32,101 +30,83 @@
 MS_PER_SECOND = 1000.0
 # Maps each byte of a head to one character, as the callers' listener does.
 HEAD_ENCODING = "latin-1"
-_REQUEST_ID_PREFIX = f"{names.REQUEST_ID}:".lower().encode()
-# Headers that curl would add by default.
-_ADDED_BY_CURL = ("Accept", "User-Agent", "Expect", "Content-Type")
+_REQUEST_ID = names.REQUEST_ID.lower().encode()
 # Longest time for which a server may ask for no requests, in seconds. A server that
 # sends a senseless time does not stay unused for good.
 MAX_RETRY_AFTER_S = 3600.0
 MAX_COLD_S = 3600.0
 _DECIMAL = re.compile(r"[0-9]{1,18}(\.[0-9]{0,18})?")
+_WARMUP_MS = names.WARMUP_MS.lower().encode()
+_SERVER_LEAVING = names.SERVER_LEAVING.lower().encode()
+_RETRY_AFTER = names.RETRY_AFTER.lower().encode()
+_NOT_EXECUTED = names.NOT_EXECUTED.lower().encode()
+_SERVER_SEAL = names.SERVER_SEAL.lower().encode()
+_HOP_BY_HOP = frozenset(name.encode() for name in names.HOP_BY_HOP)
 _IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
 
+_OUTCOMES = {
+    ExchangeEnd.UNSENT: ExchangeOutcome.UNSENT,
+    ExchangeEnd.UNREACHED: ExchangeOutcome.UNREACHED,
+    ExchangeEnd.LOST: ExchangeOutcome.LOST,
+    ExchangeEnd.TIMED_OUT: ExchangeOutcome.TIMED_OUT,
+}
+
+
 @dataclass
 class _ConnectionPools:
     """Store the address and connections of each server by its id."""
 
-    servers: dict[ServerId, tuple[str, ServerMulti]] = field(default_factory=dict)
+    servers: dict[ServerId, tuple[str, Pool]] = field(default_factory=dict)
 
 
-def _get_pool(
-    pools: _ConnectionPools, server: ServerRow, max_connections: int
-) -> ServerMulti:
+def _get_pool(pools: _ConnectionPools, server: ServerRow, max_connections: int) -> Pool:
     existing = pools.servers.get(server.server_id)
     if existing is not None and existing[0] == server.address:
-        limit_connections(existing[1], max_connections)
-        return existing[1]
+        pool = existing[1]
+        if pool.max_connections != max_connections:
+            limit_connections(pool, max_connections)
+        return pool
     if existing is not None:
-        close_multi(existing[1], "The server moved to another address.")
-    multi = open_multi(server.address, max_connections)
-    pools.servers[server.server_id] = (server.address, multi)
-    return multi
-
+        close_pool(existing[1], "The server moved to another address.")
+    pool = open_pool(server.address, max_connections)
+    pools.servers[server.server_id] = (server.address, pool)
+    return pool
 
-def build_header_lines(
-    request: CallerRequest, server_id: str, timeout_s: float
-) -> list[str]:
-    """Build the header lines of a request to a server.
 
-    A header that curl would add by default is suppressed unless the caller sent it.
-    curl sends a header without a value for a line that ends with a semicolon, and
-    suppresses the header for a line that ends with a colon.
-    """
-    lines = [f"Host: {request.host}"]
-    present_names = {"host"}
-    for name, value in request.headers:
-        lines.append(f"{name}: {value}" if value else f"{name};")
-        present_names.add(name.lower())
+def encode_request(request: CallerRequest, server_id: str, timeout_s: float) -> bytes:
+    """Encode a request to a server: the caller's headers, and the platform's own."""
+    lines = [f"{request.method} {request.target} HTTP/1.1", f"Host: {request.host}"]
+    lines += [f"{name}: {value}" for name, value in request.headers]
     lines.append(f"{names.REQUEST_ID}: {request.request_id}")
     lines.append(f"{names.DEADLINE_MS}: {max(1, int(timeout_s * MS_PER_SECOND))}")
     lines.append(f"{names.TARGET_INSTANCE}: {server_id}")
-    for name in _ADDED_BY_CURL:
-        if name.lower() not in present_names:
-            lines.append(f"{name}:")
-    return lines
-
+    if request.has_body:
+        lines.append(f"Content-Length: {len(request.body)}")
+    lines.append("\r\n")
+    head = "\r\n".join(lines).encode(HEAD_ENCODING)
+    return head + request.body if request.has_body else head
 
-def _parse_head(head: tuple[bytes, ...]) -> Headers:
-    headers = []
-    for line in head[1:]:
-        name, _, value = line.decode(HEAD_ENCODING).partition(":")
-        if value:
-            headers.append((name.strip(), value.strip()))
-    return tuple(headers)
 
-
-def read_reply(result: HttpResult, request_id: str) -> ServerReply:
+def read_reply(result: ForwardedReply, request_id: str) -> ServerReply:
     """Classify the result of an exchange by whether the request may have run."""
-    if result.error:
-        if not result.may_have_run and result.was_queued:
-            text = "no connection to the server became free"
-            return ServerReply(ExchangeOutcome.UNSENT, text=text)
-        if not result.may_have_run:
-            return ServerReply(ExchangeOutcome.UNREACHED, text=result.text)
-        is_timeout = result.error == pycurl.E_OPERATION_TIMEDOUT
-        outcome = ExchangeOutcome.TIMED_OUT if is_timeout else ExchangeOutcome.LOST
-        return ServerReply(outcome, text=result.text)
-    if not result.head or result.head[-1] not in END_OF_HEAD:
-        # curl reports no error if the connection closes before the head is complete,
-        # even within the line break of its last line.
-        return ServerReply(
-            ExchangeOutcome.LOST, text="the head of the reply is cut off"
-        )
-    headers = _parse_head(result.head)
-    fields = {name.lower(): value for name, value in headers}
-    cold_s = _parse_cold_time(fields.get(names.WARMUP_MS.lower(), ""))
-    is_leaving = fields.get(names.SERVER_LEAVING.lower()) == "1"
+    if result.end is not ExchangeEnd.COMPLETE:
+        return ServerReply(_OUTCOMES[result.end], text=result.text)
+    fields = {
+        name: value.decode(HEAD_ENCODING).strip() for name, value in result.headers
+    }
+    cold_s = _parse_cold_time(fields.get(_WARMUP_MS, ""))
+    is_leaving = fields.get(_SERVER_LEAVING) == "1"
     retry_after_s = 0.0
     if result.status == 503:
-        retry_after_s = _parse_retry_after(fields.get(names.RETRY_AFTER.lower(), ""))
-    if fields.get(names.REQUEST_ID.lower(), request_id) != request_id:
+        retry_after_s = _parse_retry_after(fields.get(_RETRY_AFTER, ""))
+    if fields.get(_REQUEST_ID, request_id) != request_id:
         # Also a refusal, which then says nothing about this request.
         text = "the reply is to another request"
         return ServerReply(ExchangeOutcome.LOST, text=text, is_leaving=is_leaving)
     if result.status == 421:
         return ServerReply(ExchangeOutcome.MISDIRECTED, result.status)
-    if names.NOT_EXECUTED.lower() in fields:
+    if _NOT_EXECUTED in fields:
         return ServerReply(
             ExchangeOutcome.REFUSED,
             result.status,
@@ -134,13 +114,15 @@
             is_leaving=is_leaving,
             retry_after_s=retry_after_s,
         )
-    forwarded = tuple(
-        (name, value) for name, value in headers if name.lower() not in names.HOP_BY_HOP
-    )
-    signature = fields.get(names.SERVER_SEAL.lower(), "")
+    signature = fields.get(_SERVER_SEAL, "")
     if 200 <= result.status < 300 and not signature:
         text = "a success without a signature"
         return ServerReply(ExchangeOutcome.LOST, text=text, is_leaving=is_leaving)
+    forwarded = tuple(
+        (name.decode(HEAD_ENCODING), value.decode(HEAD_ENCODING).strip())
+        for name, value in result.headers
+        if name not in _HOP_BY_HOP
+    )
     return ServerReply(
         ExchangeOutcome.ANSWERED,
         result.status,
@@ -189,38 +171,33 @@
         max_connections: int,
         on_reply: OnReply,
     ) -> Callable[[], None]:
-        multi = _get_pool(pools, server, max_connections)
+        pool = _get_pool(pools, server, max_connections)
         own_id = request.request_id.encode(HEAD_ENCODING)
 
-        def accepts_line(line: bytes) -> bool:
-            if line[: len(_REQUEST_ID_PREFIX)].lower() != _REQUEST_ID_PREFIX:
-                return True
-            return line[len(_REQUEST_ID_PREFIX) :].strip() == own_id
-
-        call = ForwardedRequest(
-            request.method,
-            request.target.encode(HEAD_ENCODING),
-            [
-                line.encode(HEAD_ENCODING)
-                for line in build_header_lines(request, server.server_id, timeout_s)
-            ],
-            request.body if request.has_body else None,
-            accepts_line,
+        def accepts_header(name: bytes, value: bytes) -> bool:
+            return name != _REQUEST_ID or value.strip() == own_id
+
+        forwarded = ForwardedRequest(
+            encode_request(request, server.server_id, timeout_s),
+            accepts_header,
+            is_head=request.method == "HEAD",
+            # The server may close a connection that was idle while the request is on
+            # its way, and a request that may run once can't be repeated then.
+            needs_new_connection=request.method not in _IDEMPOTENT_METHODS,
         )
-        exchange = start_forwarded_request(
-            multi,
-            call,
+        exchange = start_exchange(
+            pool,
+            forwarded,
             timeout_s,
             lambda result: on_reply(read_reply(result, request.request_id)),
-            needs_new_connection=request.method not in _IDEMPOTENT_METHODS,
         )
-        return lambda: cancel_exchange(multi, exchange)
+        return lambda: cancel_exchange(pool, exchange)
 
     def close_pools_except(server_ids: set[ServerId]) -> None:
         for server_id in set(pools.servers) - server_ids:
-            multi = pools.servers[server_id][1]
-            if not multi.active:
+            pool = pools.servers[server_id][1]
+            if not is_in_use(pool):
                 del pools.servers[server_id]
-                close_multi(multi, "The server is gone.")
+                close_pool(pool, "The server is gone.")
 
     return send_to_server, close_pools_except
--- a/tests/platform/test_server_transport.py
+++ b/tests/platform/test_server_transport.py
@@ -62,7 +62,7 @@
 
 
 class TestRequest:
-    """Guard against requests that the transport or curl changes."""
+    """Guard against requests that the transport changes."""
 
     def test_request_is_forwarded_unchanged(self):
         headers = (("X-Own", "1"), ("Content-Type", "text/x"))
@@ -78,12 +78,12 @@
         assert get_header(data, "Bramleyrouter-Target-Instance") == "i-1"
         assert 900 <= int(get_header(data, "Bramleyrouter-Deadline-Ms")) <= 1000
 
-    def test_curl_adds_no_headers(self):
+    def test_no_header_is_added(self):
         _, server = run(build_script(reply()), build_request())
         for name in ("Accept", "User-Agent", "Expect", "Accept-Encoding"):
             assert get_header(server.requests[0], name) is None
 
-    def test_curl_adds_no_content_type_to_a_body(self):
+    def test_no_content_type_is_added_to_a_body(self):
         _, server = run(build_script(reply()), build_request(method="PUT", body=b"x"))
         assert get_header(server.requests[0], "Content-Type") is None
 
@@ -209,9 +209,9 @@
 class TestConnections:
     """Guard against repeated requests and wrongly classified failures."""
 
-    def test_curl_never_repeats_a_request(self):
-        # By default curl repeats a request if a reused connection closes without
-        # a reply.
+    def test_no_request_is_repeated(self):
+        # HTTP clients usually repeat a request if a reused connection closes without
+        # a reply; here the gateway decides that.
         async def script(request, writer):
             if get_header(request, "Bramleyrouter-Request-Id") == "q1":
                 writer.write(reply())
@@ -477,3 +477,113 @@
         replies, server = run(build_script(reply()), request)
         assert replies[0].is_success
         assert b"X-Own: caf\xe9\r\n" in server.requests[0]
+
+
+class TestPool:
+    """Guard against more connections than allowed, and against unsound ones."""
+
+    def test_connections_stay_within_the_limit(self):
+        async def scenario():
+            open_now, most = 0, 0
+
+            async def script(request, writer):
+                nonlocal open_now, most
+                open_now += 1
+                most = max(most, open_now)
+                await asyncio.sleep(0.01)
+                open_now -= 1
+                writer.write(reply())
+                await writer.drain()
+                return True
+
+            server = await start_raw_server(script)
+            transport, _ = build_server_transport()
+            row = build_row("i-1", address=server.address)
+            futs = [asyncio.get_running_loop().create_future() for _ in range(9)]
+            for fut in futs:
+                transport(row, build_request(), 2.0, 3, fut.set_result)
+            replies = await asyncio.gather(*futs)
+            assert all(item.is_success for item in replies)
+            assert (most, server.connections) == (3, 3)
+            transport(row, build_request(), 2.0, 1, lambda result: None)
+            server.server.close()
+
+        asyncio.run(scenario())
+
+    def test_a_request_that_gets_no_connection_is_unsent(self):
+        async def scenario():
+            async def script(request, writer):
+                await asyncio.sleep(0.5)
+                return False
+
+            server = await start_raw_server(script)
+            transport, _ = build_server_transport()
+            row = build_row("i-1", address=server.address)
+            fut = asyncio.get_running_loop().create_future()
+            transport(row, build_request(), 2.0, 1, lambda result: None)
+            transport(row, build_request("q2"), 0.1, 1, fut.set_result)
+            result = await fut
+            assert result.outcome is ExchangeOutcome.UNSENT
+            assert len(server.requests) <= 1
+            server.server.close()
+
+        asyncio.run(scenario())
+
+    def test_a_connection_is_not_used_beyond_its_announced_idle_time(self):
+        data = reply(extra=SEAL + "Keep-Alive: timeout=0\r\n")
+        replies, server = run(build_script(data), build_request(), build_request())
+        assert all(item.is_success for item in replies)
+        assert server.connections == 2
+
+    def test_a_cancelled_request_closes_its_connection(self):
+        async def scenario():
+            async def script(request, writer):
+                if get_header(request, "Bramleyrouter-Request-Id") == "q1":
+                    return True
+                writer.write(reply())
+                await writer.drain()
+                return True
+
+            server = await start_raw_server(script)
+            transport, _ = build_server_transport()
+            row = build_row("i-1", address=server.address)
+            results = []
+            cancel = transport(row, build_request(), 5.0, 1, results.append)
+            while not server.requests:
+                await asyncio.sleep(0.005)
+            cancel()
+            assert (await exchange(transport, server, build_request("q2"))).is_success
+            assert results == []
+            assert (server.connections, server.closed_by_peer) == (2, 1)
+            server.server.close()
+
+        asyncio.run(scenario())
+
+    def test_an_early_reply_to_a_long_body_ends_the_connection(self):
+        """Guards against another request where the rest of the body is due."""
+
+        async def scenario():
+            heads = []
+
+            async def serve(reader, writer):
+                heads.append(await reader.readuntil(b"\r\n\r\n"))
+                writer.write(reply())
+                await writer.drain()
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            port = server.sockets[0].getsockname()[1]
+            transport, _ = build_server_transport()
+            row = build_row("i-1", address=f"127.0.0.1:{port}")
+            long = build_request("q1", method="PUT", body=b"x" * 20_000_000)
+            for request in (long, build_request("q2")):
+                fut = asyncio.get_running_loop().create_future()
+                transport(row, request, 2.0, 3, fut.set_result)
+                assert (await fut).is_success
+            # Each request has a connection of its own.
+            assert [get_header(item, "Bramleyrouter-Request-Id") for item in heads] == [
+                "q1",
+                "q2",
+            ]
+            server.close()
+
+        asyncio.run(scenario())
