Let servers of the product's interface leave or ask for a pause in any reply

Cause: a home learned that a server leaves from its announcements only; the "draining" refusal was forgotten with the request, and a server had no way to ask for a pause.

Change: replies carry "leaving" and refusals "retry_after_s" (0 to 3600, a number out of this range makes the body unreadable, which counts as a refusal without one). The stand-in servers send both.

Result: TestServerBackoff in tests/homes/test_dispatch.py; without the two lines in _handle_attempt_end its three tests fail (checked in this working tree).

--- a/src/bramleyrouter/edges/servers/formats.py
+++ b/src/bramleyrouter/edges/servers/formats.py
@@ -1,5 +1,7 @@
 """Encode requests to backend servers, and decode and check their replies."""
 
+from typing import Annotated
+
 import msgspec
 
 from bramleyrouter.codes import Code
@@ -39,6 +41,11 @@
 }
 
 
+# Longest time for which a server may ask for no requests, in seconds.
+MAX_RETRY_AFTER_S = 3600.0
+RetryAfter = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_RETRY_AFTER_S)]
+
+
 class QueryBody(msgspec.Struct, frozen=True):
     """Define the body of ``POST /shards/query``."""
 
@@ -60,6 +67,7 @@
     attempt: int
     version: str
     results: dict[str, msgspec.Raw]
+    leaving: bool = False
 
 
 class SubmitBody(msgspec.Struct, frozen=True):
@@ -79,6 +87,7 @@
 
     request_id: str
     answer: msgspec.Raw
+    leaving: bool = False
 
 
 class CancelBody(msgspec.Struct, frozen=True):
@@ -92,11 +101,14 @@
     """Define the body of an error reply.
 
     ``reason`` is a message for people; those in ``_REASON_CODES`` also select the
-    result code.
+    result code. ``leaving`` is set in all replies of a server that leaves, and
+    ``retry_after_s`` in the refusal of one that wants no requests for some seconds.
     """
 
     code: str = ""
     reason: str = ""
+    leaving: bool = False
+    retry_after_s: RetryAfter = 0.0
 
 
 class HealthBody(msgspec.Struct, frozen=True):
@@ -191,7 +203,7 @@
         results = {shard: bytes(reply.results[shard]) for shard in call.shards}
     except KeyError as exc:
         return QueryResult(Code.SHARD_TRUNCATED, f"The reply lacks shard {exc}.")
-    return QueryResult(Code.OK, "", results)
+    return QueryResult(Code.OK, "", results, is_leaving=reply.leaving)
 
 
 def _read_query_error(status: int, body: bytes) -> QueryResult:
@@ -199,11 +211,21 @@
     reason = error.reason[:MAX_REASON_CHARACTERS]
     if status == NOT_RUN_STATUS and error.code == NOT_RUN_CODE:
         code = _REASON_CODES.get(reason, Code.SERVER_REFUSED)
-        return QueryResult(code, f'The server refused: "{reason}".')
+        return QueryResult(
+            code,
+            f'The server refused: "{reason}".',
+            is_leaving=_is_leaving(error),
+            retry_after_s=error.retry_after_s,
+        )
     if error.code == CANCELLED_CODE:
-        return QueryResult(Code.SHARD_CANCELLED, "The server stopped the attempt.")
+        text = "The server stopped the attempt."
+        return QueryResult(Code.SHARD_CANCELLED, text, is_leaving=error.leaving)
     text = f'The server answered with status "{status}": "{reason}".'
-    return QueryResult(Code.SHARD_SERVER_ERROR, text)
+    return QueryResult(Code.SHARD_SERVER_ERROR, text, is_leaving=error.leaving)
+
+
+def _is_leaving(error: ServerErrorBody) -> bool:
+    return error.leaving or _REASON_CODES.get(error.reason) is Code.SERVER_LEAVING
 
 
 def read_submit_reply(call: SubmitCall, status: int, body: bytes) -> SubmitResult:
@@ -213,15 +235,23 @@
         reason = error.reason[:MAX_REASON_CHARACTERS]
         if status == NOT_RUN_STATUS and error.code == NOT_RUN_CODE:
             text = f'The server refused: "{reason}".'
-            return SubmitResult(Outcome.NOT_RUN, Code.SERVER_REFUSED, text)
-        return build_unknown_result(f'The server answered with status "{status}".')
+            return SubmitResult(
+                Outcome.NOT_RUN,
+                Code.SERVER_REFUSED,
+                text,
+                is_leaving=_is_leaving(error),
+                retry_after_s=error.retry_after_s,
+            )
+        text = f'The server answered with status "{status}".'
+        return build_unknown_result(text)._replace(is_leaving=error.leaving)
     try:
         reply = _submit_decoder.decode(body)
     except DECODE_ERRORS as exc:
         return build_unknown_result(f"The reply can't be decoded: {exc}.")
     if reply.request_id != call.request_id:
         return build_unknown_result(f'The reply is for "{reply.request_id[:64]}".')
-    return SubmitResult(Outcome.DONE, Code.OK, "", bytes(reply.answer))
+    answer = bytes(reply.answer)
+    return SubmitResult(Outcome.DONE, Code.OK, "", answer, is_leaving=reply.leaving)
 
 
 def build_unknown_result(text: str) -> SubmitResult:
--- a/src/bramleyrouter/edges/servers/transport.py
+++ b/src/bramleyrouter/edges/servers/transport.py
@@ -46,12 +46,16 @@
     """Describe the result of a query.
 
     ``code`` is ``OK``, from 200 to 299 (did not run) or from 400 to 499 (the reason why
-    the shards are missing; the query may have run).
+    the shards are missing; the query may have run). ``is_leaving`` is set if the server
+    says that it leaves, and ``retry_after_s`` is the time for which it wants no further
+    requests, in seconds.
     """
 
     code: Code
     text: str = ""
     results: dict[ShardName, bytes] = {}
+    is_leaving: bool = False
+    retry_after_s: float = 0.0
 
 
 class SubmitCall(NamedTuple):
@@ -69,13 +73,16 @@
 class SubmitResult(NamedTuple):
     """Describe the result of a submission.
 
-    ``outcome`` is ``NOT_RUN`` only if that is certain.
+    ``outcome`` is ``NOT_RUN`` only if that is certain. ``is_leaving`` and
+    ``retry_after_s`` are as in ``QueryResult``.
     """
 
     outcome: Outcome
     code: Code
     text: str = ""
     answer: bytes = b""
+    is_leaving: bool = False
+    retry_after_s: float = 0.0
 
 
 class ProbeResult(NamedTuple):
--- a/src/bramleyrouter/homes/dispatching.py
+++ b/src/bramleyrouter/homes/dispatching.py
@@ -197,6 +197,10 @@
     else:
         entry.running.discard(work)
     _record_attempt_result(entry, work, result, now, state.loop_lag_s)
+    entry.is_leaving |= result.is_leaving
+    if result.retry_after_s > 0:
+        wanted_at = now + result.retry_after_s
+        entry.wants_none_until = max(entry.wants_none_until, wanted_at)
     if state.entries.get(entry.target.server_id) is entry:
         schedule_row_update(state, entry)
     _finish_work(state, work, result)
--- a/src/bramleyrouter/homes/refusals.py
+++ b/src/bramleyrouter/homes/refusals.py
@@ -49,12 +49,17 @@
     registered = entry.registered
     if registered.is_withdrawn or registered.announcement.state is ServerState.DRAINING:
         return Code.SERVER_LEAVING, "The server drains or has withdrawn."
+    if entry.is_leaving:
+        return Code.SERVER_LEAVING, "The server says that it leaves."
     if registered.announcement.state is ServerState.STARTING:
         return Code.NOT_READY, "The server is starting."
     if not has_authority(registered, now):
         return Code.NO_AUTHORITY, "The home has no authority over the server now."
     if is_held_down(entry.hold_down, now):
         return Code.HELD_DOWN, "The server is held down."
+    if now < entry.wants_none_until:
+        wait_s = entry.wants_none_until - now
+        return Code.SERVER_REFUSED, f"The server wants no requests for {wait_s:.1f} s."
     if now < entry.retry_at:
         return Code.CONNECT_FAILED, "The server refused its last connection."
     return None
--- a/src/bramleyrouter/homes/server_entries.py
+++ b/src/bramleyrouter/homes/server_entries.py
@@ -125,6 +125,10 @@
         next_probe_at=now + PROBE_INTERVAL_S * (0.5 + state.rng.random()),
         published_row=previous.published_row if previous else None,
     )
+    if previous is not None and previous.target.incarnation == target.incarnation:
+        # Only a new incarnation of a server that leaves accepts requests again.
+        entry.is_leaving = previous.is_leaving
+        entry.wants_none_until = previous.wants_none_until
     state.entries[server_id] = entry
     return entry
 
--- a/src/bramleyrouter/homes/state.py
+++ b/src/bramleyrouter/homes/state.py
@@ -58,7 +58,8 @@
 
     ``slots`` and ``connection_limit`` are the lowest values that the server
     declared in this registration. Nothing is dispatched before ``retry_at``, which
-    is set after a failed connection, and while ``is_handing_over`` is true.
+    is set after a failed connection, and while ``is_handing_over`` is true. The server
+    itself may say that it leaves, or that it wants nothing before ``wants_none_until``.
     ``mean_service_s`` is a moving average in seconds.
     """
 
@@ -76,6 +77,8 @@
     retry_at: float = float("-inf")
     backoff_s: float = 0.0
     is_handing_over: bool = False
+    is_leaving: bool = False
+    wants_none_until: float = float("-inf")
     was_taken_out: bool = False
     published_row: ServerRecord | None = None
 
--- a/src/bramleyrouter/standins/behaviours.py
+++ b/src/bramleyrouter/standins/behaviours.py
@@ -24,8 +24,9 @@
 class Faults:
     """Switch faults on while a stand-in runs; shares are from 0 to 1.
 
-    ``refuses`` answers "not run". ``says_unhealthy`` and ``says_queued`` are
-    what the health and load endpoints claim, whatever is true.
+    ``refuses`` answers "not run", with ``retry_after_s`` if it is set, and
+    ``says_leaving`` says in all replies that the server leaves. ``says_unhealthy`` and
+    ``says_queued`` are what the health and load endpoints claim, whatever is true.
     """
 
     half_reply_share: float = 0.0
@@ -34,6 +35,8 @@
     refusal_share: float = 0.0
     error_share: float = 0.0
     refuses: bool = False
+    says_leaving: bool = False
+    retry_after_s: float = 0.0
     says_unhealthy: bool = False
     says_queued: int = 0
     ignores_cancel: bool = False
--- a/src/bramleyrouter/standins/handlers.py
+++ b/src/bramleyrouter/standins/handlers.py
@@ -56,7 +56,11 @@
     def refuse(self, reason: str) -> None:
         """Say that the request did not run."""
         self._state.metrics.refused += 1
-        self.write_json(ServerErrorBody(NOT_RUN_CODE, reason), NOT_RUN_STATUS)
+        faults = self._state.behaviour.faults
+        body = ServerErrorBody(
+            NOT_RUN_CODE, reason, faults.says_leaving, faults.retry_after_s
+        )
+        self.write_json(body, NOT_RUN_STATUS)
 
     def find_refusal(self, incarnation: int, registration: int) -> str | None:
         """Return why a request is refused before it runs."""
@@ -166,6 +170,7 @@
                 }
                 for shard in body.shards
             },
+            "leaving": faults.says_leaving,
         }
         if rng.random() < faults.wrong_identity_share:
             reply["request_id"] = body.request_id + "-other"
@@ -202,7 +207,11 @@
         state.metrics.last_work_at = asyncio.get_running_loop().time()
         await self.work((body.request_id, 0), body.deadline_ms)
         answer = {"run": runs[body.request_id], "operation": body.operation}
-        reply = {"request_id": body.request_id, "answer": answer}
+        reply = {
+            "request_id": body.request_id,
+            "answer": answer,
+            "leaving": state.behaviour.faults.says_leaving,
+        }
         if state.rng.random() < state.behaviour.faults.half_reply_share:
             self.write_half(reply)
         else:
--- a/tests/homes/fakes.py
+++ b/tests/homes/fakes.py
@@ -40,6 +40,8 @@
     latency_s: float = 0.01
     delay_s: float = 0.0
     code: Code = Code.OK
+    is_leaving: bool = False
+    retry_after_s: float = 0.0
     body: bytes = b"1"
     in_flight: int = 0
     peak_in_flight: int = 0
@@ -73,7 +75,7 @@
             if server.running.pop(key, None):
                 server.in_flight -= 1
                 server.last_ended_at = loop.time()
-                reply(result)
+                reply(result._replace(is_leaving=server.is_leaving))
 
         def arrive():
             server.started_count += 1
@@ -85,7 +87,12 @@
             loop.call_later(seconds, finish, timeout_result if is_late else ok_result)
 
         if server.code is not Code.OK:
-            loop.call_soon(reply, QueryResult(server.code))
+            refusal = QueryResult(
+                server.code,
+                is_leaving=server.is_leaving,
+                retry_after_s=server.retry_after_s,
+            )
+            loop.call_soon(reply, refusal)
         else:
             loop.call_later(server.delay_s, arrive)
             loop.call_later(timeout_s, reply, timeout_result)
--- a/tests/homes/test_dispatch.py
+++ b/tests/homes/test_dispatch.py
@@ -314,3 +314,45 @@
 
         centres = ("dc1", "dc1", "dc1", "dc2")
         run_scenario(scenario, names=("d1", "d2", "d3", "far"), data_centres=centres)
+
+
+class TestServerBackoff:
+    """Guard against requests to a server that said that it wants none."""
+
+    def test_nothing_is_sent_to_a_server_that_says_it_leaves(self):
+        async def scenario(cluster):
+            server = FakeServer(is_leaving=True)
+            await cluster.register_server(server=server)
+            assert await cluster.query_code(request="one") is Code.OK
+            for at in range(5):
+                code = await cluster.query_code(request=f"more-{at}")
+                assert code is Code.SERVER_LEAVING
+            assert server.started_count == 1
+
+        run_scenario(scenario)
+
+    def test_queued_work_of_such_a_server_is_refused(self):
+        async def scenario(cluster):
+            server = FakeServer(is_leaving=True, latency_s=0.05)
+            await cluster.register_server(server=server, slots=1)
+            tasks = [cluster.query_code(request=f"{at}") for at in range(5)]
+            codes = await asyncio.gather(*tasks)
+            assert codes.count(Code.OK) == server.started_count
+            assert codes.count(Code.SERVER_LEAVING) == 5 - server.started_count
+            assert server.started_count <= 2
+
+        run_scenario(scenario)
+
+    def test_nothing_is_sent_before_the_end_of_the_time_it_named(self):
+        async def scenario(cluster):
+            server = FakeServer(code=Code.SERVER_REFUSED, retry_after_s=0.8)
+            await cluster.register_server(server=server)
+            assert await cluster.query_code(request="one") is Code.SERVER_REFUSED
+            server.code = Code.OK
+            await asyncio.sleep(0.7)
+            assert await cluster.query_code(request="two") is Code.SERVER_REFUSED
+            assert server.started_count == 0
+            await asyncio.sleep(0.15)
+            assert await cluster.query_code(request="three") is Code.OK
+
+        run_scenario(scenario)
