Measured the network and the loop's lag in place of a fixed part of each objective

On busy half-core VMs the fixed part was too small instead: answers of 120 ms objectives left on time and arrived at 120.1 ms (p50), because requests were noticed and timers ran late.

Change: gateway/reply_times.py reserves the round trip of the caller's connection (TCP_INFO, twice for its first request), processing by the VM's cores, and twice the average lateness of the gathers' timers, at most 0.4 of the objective. The results of a gather are examined again only when they can end it, each shard's servers are looked at once before sending in place of three times. Metrics: loop_lag_s, and which servers asked for no requests and until when; bramleyctl explain also takes a server's id.

--- a/src/bramleyrouter/daemons/fleet_entry.py
+++ b/src/bramleyrouter/daemons/fleet_entry.py
@@ -21,7 +21,6 @@
 from bramleyrouter.gateway.build import GatewayHandle, build_gateway
 from bramleyrouter.gateway.exchanges import SendToServer
 from bramleyrouter.gateway.gateways import GatewayLimits
-from bramleyrouter.gateway.gather_deadlines import compute_request_overhead
 from bramleyrouter.gateway.tables import RouteTable
 from bramleyrouter.ids import ServiceName, TableVersion
 from bramleyrouter.telemetry.events import EventLog, record, record_rate_limited
@@ -112,7 +111,7 @@
             cfg.internal_address,
             cfg.data_centres,
             stream_times.keepalive_interval_s,
-            compute_request_overhead(cfg.cores),
+            cfg.cores,
             bounds.cold_factor,
             bounds.cold_slack,
         ),
--- a/src/bramleyrouter/gateway/attempts.py
+++ b/src/bramleyrouter/gateway/attempts.py
@@ -175,6 +175,7 @@
 
 def _record_backoff(attempt: Attempt, reply: ServerReply) -> None:
     """Record why a server gets no further requests from this daemon."""
+    attempt.gateway.servers.has_backoffs = True
     attempt.gateway.record_rate_limited(
         "gateway",
         "server_backed_off",
--- a/src/bramleyrouter/gateway/build.py
+++ b/src/bramleyrouter/gateway/build.py
@@ -35,8 +35,13 @@
     build_delegated_handler,
     build_grant_handler,
 )
+from bramleyrouter.gateway.reply_times import DEFAULT_NETWORK_S, estimate_lag
 from bramleyrouter.gateway.rotation import Rotation, record_readiness_probe
-from bramleyrouter.gateway.servers import set_servers
+from bramleyrouter.gateway.servers import (
+    BackedOffServer,
+    list_backed_off,
+    set_servers,
+)
 from bramleyrouter.gateway.single_requests import start_single_request
 from bramleyrouter.gateway.tables import RouteTable, build_index, match_route
 from bramleyrouter.ids import DataCentre, ServiceName
@@ -44,6 +49,10 @@
 from bramleyrouter.telemetry.gateway_metrics import ObserveRequest
 from bramleyrouter.wire.network import Handler, StreamHandler
 
+# ``handle(request, on_reply, network_s)`` runs a request and returns the closure that
+# cancels it. ``network_s`` is the network's part of the caller's latency, in seconds.
+HandleRequest = Callable[..., Cancel]
+
 # Retry-After of a refusal before the first route table has arrived.
 NO_TABLE_RETRY_S = 0.5
 
@@ -58,7 +67,7 @@
     reply to a readiness probe of the balancer.
     """
 
-    handle: Callable[[CallerRequest, OnGatewayReply], Cancel]
+    handle: HandleRequest
     set_table: Callable[[RouteTable], None]
     set_servers: Callable[[ServiceName, Collection[ServerRow]], None]
     set_relays: Callable[[Collection[tuple[str, DataCentre]]], None]
@@ -68,6 +77,8 @@
     is_cut_off: Callable[[], bool]
     record_readiness_probe: Callable[[bool], None]
     in_flight: Callable[[], int]
+    list_backed_off: Callable[[], list[BackedOffServer]]
+    estimate_lag: Callable[[], float]
     has_table: Callable[[], bool]
 
 
@@ -120,7 +131,9 @@
         set_servers(gateway.servers, service, rows, loop.time())
 
     return GatewayHandle(
-        handle=lambda request, on_reply: _handle_request(gateway, request, on_reply),
+        handle=lambda request, on_reply, network_s=DEFAULT_NETWORK_S: _handle_request(
+            gateway, request, on_reply, network_s
+        ),
         set_table=set_table,
         set_servers=update_servers,
         set_relays=lambda known: set_relays(gateway.relays, known),
@@ -134,12 +147,17 @@
             gateway.rotation, is_ready, loop.time()
         ),
         in_flight=lambda: gateway.in_flight,
+        list_backed_off=lambda: list_backed_off(gateway.servers, loop.time()),
+        estimate_lag=lambda: estimate_lag(gateway.lag, loop.time()),
         has_table=lambda: gateway.index is not None,
     )
 
 
 def _handle_request(
-    gateway: Gateway, request: CallerRequest, on_reply: OnGatewayReply
+    gateway: Gateway,
+    request: CallerRequest,
+    on_reply: OnGatewayReply,
+    network_s: float,
 ) -> Cancel:
     def reply_at_once(reply: GatewayReply) -> Cancel:
         gateway.record(
@@ -185,9 +203,11 @@
         gateway.observe(route.name, reply.kind.value, waited_s, coverage)
         on_reply(reply)
 
-    start = start_gather if route.shards else start_single_request
     try:
-        cancel = start(gateway, route, request, finish)
+        if route.shards:
+            cancel = start_gather(gateway, route, request, finish, network_s)
+        else:
+            cancel = start_single_request(gateway, route, request, finish)
     except Exception as exc:
         # The request would otherwise count as in flight for good, and its caller would
         # get no reply. It may have been sent to some server.
--- a/src/bramleyrouter/gateway/delegated_shards.py
+++ b/src/bramleyrouter/gateway/delegated_shards.py
@@ -1,5 +1,7 @@
 """Delegate shards of a gather to relays and handle their replies."""
 
+from collections.abc import Sequence
+
 from bramleyrouter.gateway.attempts import discard_unsent
 from bramleyrouter.gateway.delegation import (
     MARGIN_PER_RELAY_S,
@@ -18,19 +20,16 @@
     start_delegated_query,
 )
 from bramleyrouter.gateway.exchanges import ExchangeOutcome, ServerReply
-from bramleyrouter.gateway.gateways import (
-    build_choice_context,
-    get_tracked_servers,
-    mark_data_centre_reachable,
-)
+from bramleyrouter.gateway.gateways import mark_data_centre_reachable
 from bramleyrouter.gateway.gather_runs import (
     AttemptPurpose,
     Delegation,
     DelegationState,
     GatherRun,
     ShardRun,
+    has_open_shard,
 )
-from bramleyrouter.gateway.servers import find_best_data_centres, record_leaving
+from bramleyrouter.gateway.servers import record_leaving
 from bramleyrouter.gateway.shard_attempts import send_attempt, send_first_attempt
 from bramleyrouter.ids import DataCentre
 
@@ -39,9 +38,10 @@
 GRANT_ID_BITS = 63
 
 
-def delegate_shards(run: GatherRun) -> None:
+def delegate_shards(run: GatherRun, best: Sequence[set[DataCentre]]) -> None:
     """Delegate to relays the shards that other data centres serve better.
 
+    ``best`` holds, for each shard, the data centres that have a good server of it.
     If many shards have good servers in this data centre, they are distributed over the
     entry daemons of this data centre.
     """
@@ -53,16 +53,12 @@
     local: set[ShardRun] = set()
     remote: list[ShardRun] = []
     candidates: list[set[DataCentre]] = []
-    for shard in run.shards:
-        context = build_choice_context(gateway, shard.service)
-        best = find_best_data_centres(
-            get_tracked_servers(gateway, shard.service), context
-        )
-        if own in best:
+    for shard, data_centres in zip(run.shards, best, strict=True):
+        if own in data_centres:
             local.add(shard)
         else:
             remote.append(shard)
-            candidates.append(best)
+            candidates.append(data_centres)
     local_relays = {relay.address: relay for relay in usable_relays.pop(own, ())}
     if local_relays and len(local) >= MIN_SHARED_SHARDS:
         _share_with_peers(run, local_relays, local)
@@ -143,6 +139,7 @@
         route.priority,
         route.top_records,
         delegation.grant_id,
+        run.reply_at - now - reply_margin_s,
     )
 
 
@@ -160,7 +157,11 @@
         return
     mark_data_centre_reachable(run.gateway, delegation.data_centre)
     _apply_relay_reply(delegation, reply)
-    run.reply_if_due(run)
+    # Before the reply time, results end the gather only if they were the last ones.
+    is_complete = all(shard.reply is not None for shard in delegation.shards)
+    is_early = run.gateway.loop.time() < run.reply_at
+    if not (is_complete and is_early and has_open_shard(run)):
+        run.reply_if_due(run)
 
 
 def _decide_on_attempts(
--- a/src/bramleyrouter/gateway/delegation.py
+++ b/src/bramleyrouter/gateway/delegation.py
@@ -56,6 +56,8 @@
     """Request shards from a relay; times are the seconds left when it is sent.
 
     ``attempts`` is the number of servers to which the relay may send each shard.
+    Results that leave the relay within ``useful_s`` seconds meet the caller's
+    objective; a daemon of release 0.4.0 sends 0.
     ``grant_id`` addresses grants of further attempts; it is 0 if the requesting daemon
     has none left.
     """
@@ -69,6 +71,7 @@
     priority: int
     top_records: int
     grant_id: int = 0
+    useful_s: float = 0.0
 
 
 class DelegatedReply(msgspec.Struct, frozen=True, array_like=True):
--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -22,6 +22,7 @@
 from bramleyrouter.gateway.queues import (
     Urgency,
 )
+from bramleyrouter.gateway.reply_times import LoopLag
 from bramleyrouter.gateway.rotation import Rotation, compute_time_to_leave_rotation
 from bramleyrouter.gateway.servers import (
     ChoiceContext,
@@ -70,7 +71,7 @@
     own_address: str
     data_centres: tuple[DataCentre, ...]
     keepalive_interval_s: float
-    request_overhead_s: float
+    cores: float
     cold_factor: float
     cold_slack: float
 
@@ -104,6 +105,7 @@
     windows: dict[str, LatencyWindow] = field(default_factory=dict)
     split_credit: dict[str, dict[ServiceName, float]] = field(default_factory=dict)
     in_flight: int = 0
+    lag: LoopLag = field(default_factory=LoopLag)
     # Loop time of the next trial gather, by route.
     next_trial_at: dict[str, float] = field(default_factory=dict)
     # Gathers that this daemon runs as a relay, by the id that addresses grants.
@@ -133,11 +135,15 @@
 def build_choice_context(gateway: Gateway, service: ServiceName) -> ChoiceContext:
     """Build the context on which a choice among the servers of ``service`` depends."""
     declared = gateway.index.services.get(service) if gateway.index else None
-    rate = declared.cold_rate if declared else 0.0
     limits = gateway.limits
-    interval_s = compute_cold_interval(
-        rate, limits.cold_factor, limits.cold_slack, gateway.count_entry_daemons()
-    )
+    interval_s = 0.0
+    if declared is not None and declared.cold_rate > 0:
+        interval_s = compute_cold_interval(
+            declared.cold_rate,
+            limits.cold_factor,
+            limits.cold_slack,
+            gateway.count_entry_daemons(),
+        )
     return ChoiceContext(
         gateway.loop.time(),
         limits.own_data_centre,
@@ -155,6 +161,8 @@
 
 def find_backed_off_ids(gateway: Gateway, service: ServiceName) -> list[ServerId]:
     """Return the servers of a service that get nothing because they said so."""
+    if not gateway.servers.has_backoffs:
+        return []
     servers = get_tracked_servers(gateway, service)
     return [
         server.row.server_id for server in find_backed_off(servers, gateway.loop.time())
--- a/src/bramleyrouter/gateway/gather_deadlines.py
+++ b/src/bramleyrouter/gateway/gather_deadlines.py
@@ -8,12 +8,6 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-# Network time of a request, in seconds: from the caller's start to the arrival here,
-# and from the decision here to the receipt by the caller. It covers about 3 ms each way
-# and a connection that may have to be opened.
-NETWORK_OVERHEAD_S = 0.012
-# Processor time to read a request, merge and write the reply, in seconds of one core.
-PROCESSING_S = 0.002
 # A late reply waits for more coverage up to this multiple of the objective.
 MAX_LATE_FACTOR = 1.6
 
@@ -26,15 +20,6 @@
     total: int
 
 
-def compute_request_overhead(cores: float) -> float:
-    """Return the part of an objective needed for network and processing, in seconds.
-
-    ``cores`` is the number of processor cores of the VM, which may be a fraction. For
-    example, the overhead is 0.016 s on half a core.
-    """
-    return NETWORK_OVERHEAD_S + PROCESSING_S / cores
-
-
 def has_enough_coverage(included: int, total: int, min_coverage: float) -> bool:
     """Return whether ``included`` of ``total`` shards reach the minimum coverage."""
     # The epsilon compensates rounding errors of products such as 0.89 * 100.
@@ -63,19 +48,20 @@
     min_coverage: float,
     waited_s: float,
     objective_s: float,
-    request_overhead_s: float,
+    reserved_s: float,
 ) -> bool:
     """Return whether the gather replies now with the results that have arrived.
 
     For example, with 19 of 20 shards and a minimum of 0.89 it waits until the objective
-    is nearly reached, and replies then. Past the objective it waits again, up to
-    ``MAX_LATE_FACTOR`` times the objective.
+    is nearly reached, and replies then; ``reserved_s`` is the time that the reply needs
+    besides. Past the objective it waits again, up to ``MAX_LATE_FACTOR`` times the
+    objective.
     """
     if not progress.open_count:
         return True
     if not has_enough_coverage(progress.included, progress.total, min_coverage):
         return False
-    max_wait_s = objective_s - request_overhead_s
+    max_wait_s = objective_s - reserved_s
     if waited_s < max_wait_s:
         return False
     # After the objective the reply is late anyway and waits for more coverage.
--- a/src/bramleyrouter/gateway/gather_runs.py
+++ b/src/bramleyrouter/gateway/gather_runs.py
@@ -139,11 +139,15 @@
     request: CallerRequest
     arrived_at: float
     deadline_at: float
+    # Loop time at which a reply must leave to meet the objective.
+    reply_at: float
     on_reply: OnGatewayReply
     # Called after each change of a shard; sends the reply if it is due.
     reply_if_due: Callable[["GatherRun"], None]
     shards: list[ShardRun] = field(default_factory=list)
     timer: asyncio.TimerHandle | None = None
+    # Position before which no shard is open.
+    first_open: int = 0
     hedge_checks: int = 0
     hedges: int = 0
     is_finished: bool = False
@@ -162,6 +166,13 @@
     leaving: list[tuple[int, ServerId, ServerIncarnation]] = field(default_factory=list)
 
 
+def has_open_shard(run: GatherRun) -> bool:
+    """Return whether any shard may still get a result; closed shards stay closed."""
+    while run.first_open < len(run.shards) and not run.shards[run.first_open].is_open:
+        run.first_open += 1
+    return run.first_open < len(run.shards)
+
+
 def cancel_delegations(run: GatherRun, states: Collection[DelegationState]) -> None:
     """Cancel the delegations that are in one of these states."""
     for delegation in run.delegations:
--- a/src/bramleyrouter/gateway/gathers.py
+++ b/src/bramleyrouter/gateway/gathers.py
@@ -34,13 +34,18 @@
 )
 from bramleyrouter.gateway.latencies import compute_hedge_delay
 from bramleyrouter.gateway.merging import merge_greatest
-from bramleyrouter.gateway.reachability import count_trusted_shards
+from bramleyrouter.gateway.reply_times import (
+    DEFAULT_NETWORK_S,
+    compute_reserved_time,
+    estimate_lag,
+    record_lateness,
+)
 from bramleyrouter.gateway.servers import record_late
 from bramleyrouter.gateway.shard_attempts import (
-    choose_shard_server,
     format_shard_servers,
     send_first_attempt,
     send_hedges,
+    survey_shard_servers,
 )
 from bramleyrouter.gateway.tables import Route
 from bramleyrouter.telemetry.events import RecordEvent
@@ -62,13 +67,19 @@
     route: Route,
     request: CallerRequest,
     on_reply: OnGatewayReply,
+    network_s: float = DEFAULT_NETWORK_S,
 ) -> Cancel:
     """Run a gather and return the closure that cancels it.
 
-    ``on_reply`` is called once unless the gather is cancelled.
+    ``on_reply`` is called once unless the gather is cancelled. ``network_s`` is the
+    network's part of the caller's latency, in seconds.
     """
-    run = build_gather_run(gateway, route, request, on_reply)
-    return run_gather(run)
+    lag_s = estimate_lag(gateway.lag, gateway.loop.time())
+    reserved_s = compute_reserved_time(
+        route.objective_s, network_s, lag_s, gateway.limits.cores
+    )
+    useful_s = route.objective_s - reserved_s
+    return run_gather(build_gather_run(gateway, route, request, on_reply, useful_s))
 
 
 def build_gather_run(
@@ -76,13 +87,24 @@
     route: Route,
     request: CallerRequest,
     on_reply: OnGatewayReply,
+    useful_s: float,
     requesting_daemon: RequestingDaemon | None = None,
 ) -> GatherRun:
-    """Build the state of a gather; ``requesting_daemon`` is given by a relay."""
+    """Build the state of a gather; ``requesting_daemon`` is given by a relay.
+
+    A reply that leaves within ``useful_s`` seconds meets the objective.
+    """
     now = gateway.loop.time()
     deadline_s = compute_time_limit(route, request)
     run = GatherRun(
-        gateway, route, request, now, now + deadline_s, on_reply, _reply_if_due
+        gateway,
+        route,
+        request,
+        now,
+        now + deadline_s,
+        now + useful_s,
+        on_reply,
+        _reply_if_due,
     )
     run.requesting_daemon = requesting_daemon
     run.shards = [ShardRun(service, route.attempts) for service in route.shards]
@@ -96,8 +118,11 @@
     """
     gateway, route = run.gateway, run.route
     deadline_s = run.deadline_at - run.arrived_at
+    surveys = [survey_shard_servers(run, shard) for shard in run.shards]
     unserved = [
-        shard for shard in run.shards if choose_shard_server(run, shard) is None
+        shard
+        for shard, survey in zip(run.shards, surveys, strict=True)
+        if not survey.has_server
     ]
     served_count = len(run.shards) - len(unserved)
     if not has_enough_coverage(served_count, len(run.shards), route.min_coverage):
@@ -105,14 +130,15 @@
         reason += "; ".join(format_shard_servers(run, shard) for shard in unserved[:3])
         _finish(run, _build_unserved_refusal(run, unserved, reason))
         return lambda: None
-    if not _may_start(run):
+    trusted_count = sum(survey.is_trusted for survey in surveys)
+    if not _may_start(run, trusted_count):
         reason = "too many shards have only suspected servers"
         is_cut_off = gateway.contacts.is_cut_off
         build_reply = build_cut_off_refusal if is_cut_off else build_refusal
         _finish(run, build_reply(gateway, reason, deadline_s / 3))
         return lambda: None
     if run.requesting_daemon is None:
-        delegate_shards(run)
+        delegate_shards(run, [survey.data_centres for survey in surveys])
     for shard in run.shards:
         if not shard.is_delegated:
             send_first_attempt(run, shard)
@@ -141,7 +167,7 @@
     return build_refusal_until(gateway, reason, wait_s, max_wait_s)
 
 
-def _may_start(run: GatherRun) -> bool:
+def _may_start(run: GatherRun, trusted_count: int) -> bool:
     """Return whether the gather may start.
 
     It may if enough shards have trusted servers for the minimum coverage. When too few
@@ -149,7 +175,6 @@
     trial gather per ``TRIAL_INTERVAL_S`` is accepted to detect the servers' recovery.
     """
     gateway, route = run.gateway, run.route
-    trusted_count = count_trusted_shards(gateway, route.shards)
     if has_enough_coverage(trusted_count, len(route.shards), route.min_coverage):
         return True
     if gateway.contacts.is_cut_off:
@@ -162,13 +187,6 @@
     return True
 
 
-def _compute_reply_time(run: GatherRun) -> float:
-    """Return the loop time at which a reply must leave to meet the objective."""
-    return (
-        run.arrived_at + run.route.objective_s - run.gateway.limits.request_overhead_s
-    )
-
-
 def _compute_next_hedge_check(run: GatherRun) -> float:
     """Return the loop time of the next check for stragglers."""
     delay_s = compute_hedge_delay(
@@ -185,20 +203,22 @@
     if run.hedge_checks < MAX_HEDGE_CHECKS:
         times.append(_compute_next_hedge_check(run))
     decisions = (
-        _compute_reply_time(run),
+        run.reply_at,
         # At the objective, shards that wait only for suspected servers are abandoned.
         run.arrived_at + route.objective_s,
         run.arrived_at + MAX_LATE_FACTOR * route.objective_s,
     )
     times += [at for at in decisions if at > now]
-    run.timer = run.gateway.loop.call_at(min(times), _on_timer, run)
+    at = min(times)
+    run.timer = run.gateway.loop.call_at(at, _on_timer, run, at)
 
 
-def _on_timer(run: GatherRun) -> None:
+def _on_timer(run: GatherRun, at: float) -> None:
     run.timer = None
+    now = run.gateway.loop.time()
+    record_lateness(run.gateway.lag, now - at, now)
     if run.is_finished:
         return
-    now = run.gateway.loop.time()
     if run.hedge_checks < MAX_HEDGE_CHECKS and now >= _compute_next_hedge_check(run):
         run.hedge_checks += 1
         send_hedges(run)
@@ -236,7 +256,7 @@
     An unreachable server gives no other indication before the deadline.
     """
     now = run.gateway.loop.time()
-    if run.are_late_servers_recorded or now < _compute_reply_time(run):
+    if run.are_late_servers_recorded or now < run.reply_at:
         return
     run.are_late_servers_recorded = True
     late_s = LATE_SERVER_FACTOR * get_latency_window(run.gateway, run.route).median_s
@@ -259,10 +279,8 @@
 def _reply_to_caller_if_due(run: GatherRun) -> None:
     progress = compute_progress(run)
     route, now = run.route, run.gateway.loop.time()
-    waited_s, request_overhead_s = (
-        now - run.arrived_at,
-        run.gateway.limits.request_overhead_s,
-    )
+    waited_s = now - run.arrived_at
+    reserved_s = run.arrived_at + route.objective_s - run.reply_at
     has_enough = has_enough_coverage(
         progress.included, progress.total, route.min_coverage
     )
@@ -274,7 +292,7 @@
             route.min_coverage,
             waited_s,
             route.objective_s,
-            request_overhead_s,
+            reserved_s,
         )
     ):
         _finish(run, _build_gathered_reply(run, run.shards))
@@ -308,7 +326,7 @@
                 _build_deadline_reply if is_deadline_near else _build_failed_reply
             )
             _finish(run, build_reply(run, progress))
-    elif unreported and now >= _compute_reply_time(run):
+    elif unreported and now >= run.reply_at:
         for shard in unreported:
             shard.is_reported = True
         report(_build_gathered_reply(run, unreported))
@@ -391,6 +409,8 @@
         relays=[item.address for item in run.delegations],
         waited_ms=round(1000 * (run.gateway.loop.time() - run.arrived_at)),
         objective_ms=round(1000 * run.route.objective_s),
+        useful_ms=round(1000 * (run.reply_at - run.arrived_at)),
+        lag_ms=round(1000 * run.gateway.lag.average_s, 1),
         missing=[s.service for s in run.shards if s.reply is None][:5],
         attempts=run.sent_attempts,
         backed_off=sorted(run.backed_off)[:MAX_LOGGED_SERVERS],
--- a/src/bramleyrouter/gateway/relaying.py
+++ b/src/bramleyrouter/gateway/relaying.py
@@ -19,6 +19,7 @@
 from bramleyrouter.gateway.gateways import Gateway
 from bramleyrouter.gateway.gather_runs import RequestingDaemon
 from bramleyrouter.gateway.gathers import build_gather_run, run_gather
+from bramleyrouter.gateway.reply_times import DEFAULT_NETWORK_S, compute_reserved_time
 from bramleyrouter.gateway.shard_attempts import apply_grant
 from bramleyrouter.gateway.tables import RequestKind, Route
 from bramleyrouter.ids import ServerId, ServerIncarnation
@@ -100,7 +101,14 @@
             peer.address, report, request_attempts if query.grant_id else None
         )
         route = build_relay_route(query)
-        run = build_gather_run(gateway, route, request, finish, requesting_daemon)
+        useful_s = query.useful_s
+        if not useful_s:
+            useful_s = query.objective_s - compute_reserved_time(
+                query.objective_s, DEFAULT_NETWORK_S, 0.0, gateway.limits.cores
+            )
+        run = build_gather_run(
+            gateway, route, request, finish, useful_s, requesting_daemon
+        )
 
         def take_leaving() -> Leaving:
             leaving, run.leaving = tuple(run.leaving), []
--- a/src/bramleyrouter/gateway/servers.py
+++ b/src/bramleyrouter/gateway/servers.py
@@ -101,7 +101,8 @@
     """Hold all tracked servers by service.
 
     ``backoffs`` also holds those of removed servers, so that a server that left is not
-    used again if it is announced again.
+    used again if it is announced again. ``has_backoffs`` is set once a server asked for
+    one.
     """
 
     by_service: dict[ServiceName, dict[ServerId, TrackedServer]] = field(
@@ -110,6 +111,7 @@
     backoffs: dict[tuple[ServerId, ServerIncarnation], ServerBackoff] = field(
         default_factory=dict
     )
+    has_backoffs: bool = False
 
 
 def set_servers(
@@ -226,6 +228,32 @@
     ]
 
 
+class BackedOffServer(NamedTuple):
+    """Name a server that gets nothing because it said so, for the metrics.
+
+    ``wait_s`` is the time until it wants requests again, none if it leaves.
+    """
+
+    service: ServiceName
+    server_id: ServerId
+    wait_s: float | None
+
+
+def list_backed_off(tracked: TrackedServers, now: float) -> list[BackedOffServer]:
+    """Return all servers that get nothing because they said so."""
+    if not tracked.has_backoffs:
+        return []
+    return [
+        BackedOffServer(
+            service,
+            server.row.server_id,
+            None if server.backoff.is_leaving else server.backoff.retry_at - now,
+        )
+        for service, servers in tracked.by_service.items()
+        for server in find_backed_off(servers.values(), now)
+    ]
+
+
 def compute_wait_for_server(
     servers: Iterable[TrackedServer],
     data_centres_out: Collection[DataCentre],
@@ -260,22 +288,37 @@
     return 0
 
 
-def find_best_data_centres(
-    servers: Iterable[TrackedServer], context: ChoiceContext
-) -> set[DataCentre]:
-    """Return the data centres that have a server of the best rank available.
+class ServerSurvey(NamedTuple):
+    """Describe the servers of one service that may receive a request now.
 
-    The result is empty if all servers are suspected, gone, or cold with a declared
-    rate.
+    ``data_centres`` are those that have a server of the best rank. They are empty if
+    all servers are suspected, gone, or cold with a declared rate. ``is_trusted`` is set
+    if some server is not suspected.
     """
-    ranked = [
-        (server.row.data_centre, _compute_rank(server, context)) for server in servers
-    ]
-    ranks = [rank for _, rank in ranked if rank is not None]
-    best = min(ranks, default=SUSPECT_RANK)
-    if best >= SUSPECT_RANK:
-        return set()
-    return {data_centre for data_centre, rank in ranked if rank == best}
+
+    has_server: bool
+    is_trusted: bool
+    data_centres: set[DataCentre]
+
+
+def survey_servers(
+    servers: Iterable[TrackedServer], context: ChoiceContext
+) -> ServerSurvey:
+    """Return which servers of a service may receive a request."""
+    best_rank, data_centres, is_trusted = COLD_RANK + 1, set[DataCentre](), False
+    for server in servers:
+        rank = _compute_rank(server, context)
+        if rank is None:
+            continue
+        is_trusted |= server.suspect_until <= context.now
+        if rank < best_rank:
+            best_rank, data_centres = rank, {server.row.data_centre}
+        elif rank == best_rank:
+            data_centres.add(server.row.data_centre)
+    has_server = best_rank <= COLD_RANK
+    if best_rank >= SUSPECT_RANK:
+        data_centres = set()
+    return ServerSurvey(has_server, is_trusted, data_centres)
 
 
 def choose_server(
@@ -392,7 +435,7 @@
     """Record that a server told another entry daemon that it leaves."""
     server = tracked.by_service.get(service, {}).get(server_id)
     if server is not None and server.row.incarnation == incarnation:
-        server.backoff.is_leaving = True
+        server.backoff.is_leaving = tracked.has_backoffs = True
 
 
 def record_cancelled(server: TrackedServer) -> None:
--- a/src/bramleyrouter/gateway/shard_attempts.py
+++ b/src/bramleyrouter/gateway/shard_attempts.py
@@ -26,12 +26,16 @@
     GrantState,
     SentAttempt,
     ShardRun,
+    has_open_shard,
 )
 from bramleyrouter.gateway.servers import (
+    ChoiceContext,
+    ServerSurvey,
     TrackedServer,
     choose_server,
     format_servers,
     record_late,
+    survey_servers,
 )
 
 # Maximum number of attempts per shard, including those refused without running.
@@ -54,13 +58,21 @@
     return f'"{shard.service}" ({format_servers(servers, context)})'
 
 
-def choose_shard_server(run: GatherRun, shard: ShardRun) -> TrackedServer | None:
+def choose_shard_server(
+    run: GatherRun, shard: ShardRun, context: ChoiceContext | None = None
+) -> TrackedServer | None:
     """Return the best server that has not received this shard's request yet."""
-    context = build_choice_context(run.gateway, shard.service)
+    context = context or build_choice_context(run.gateway, shard.service)
     servers = get_tracked_servers(run.gateway, shard.service)
     return choose_server(servers, context, shard.tried)
 
 
+def survey_shard_servers(run: GatherRun, shard: ShardRun) -> ServerSurvey:
+    """Return which servers of a shard may receive a request."""
+    context = build_choice_context(run.gateway, shard.service)
+    return survey_servers(get_tracked_servers(run.gateway, shard.service), context)
+
+
 def send_attempt(
     run: GatherRun, shard: ShardRun, purpose: AttemptPurpose, is_extra: bool
 ) -> bool:
@@ -72,7 +84,8 @@
     gateway = run.gateway
     remaining_s = run.deadline_at - gateway.loop.time()
     run.backed_off.update(find_backed_off_ids(gateway, shard.service))
-    server = choose_shard_server(run, shard)
+    context = build_choice_context(gateway, shard.service)
+    server = choose_shard_server(run, shard, context)
     if server is None or remaining_s < MIN_ATTEMPT_S:
         return False
     is_hedge = purpose is AttemptPurpose.HEDGE
@@ -82,7 +95,6 @@
     shard.attempt_count += 1
     shard.possible_runs += 1
     _note_sent(run, shard, server, purpose)
-    context = build_choice_context(gateway, shard.service)
     attempt = start_attempt(
         gateway,
         server,
@@ -124,15 +136,17 @@
         run.leaving.append((position, row.server_id, row.incarnation))
     if run.is_finished or not shard.is_open:
         return
+    now = run.gateway.loop.time()
     if reply.is_success:
         shard.reply = reply
         discard_unsent(shard.pending)
-        now = run.gateway.loop.time()
         for other in shard.pending:
             record_late(other.server, now)
     else:
         _handle_failure(run, shard, attempt, reply)
-    if run.is_started:
+    # Before the reply time, a result ends the gather only if it was the last one.
+    is_waiting = reply.is_success and now < run.reply_at and has_open_shard(run)
+    if run.is_started and not is_waiting:
         run.reply_if_due(run)
 
 
--- a/src/bramleyrouter/platform/callers.py
+++ b/src/bramleyrouter/platform/callers.py
@@ -22,9 +22,11 @@
     ReplyKind,
 )
 from bramleyrouter.gateway.gateways import MIN_RETRY_AFTER_S, Cancel, OnGatewayReply
+from bramleyrouter.gateway.reply_times import compute_network_time
 from bramleyrouter.gateway.tables import CallerLimits
 from bramleyrouter.platform import names
 from bramleyrouter.utils.addresses import split_address
+from bramleyrouter.utils.round_trips import measure_round_trip
 
 MS_PER_SECOND = 1000.0
 # Callers reuse connections that were idle for up to four fifths of the callers' own
@@ -52,7 +54,7 @@
 _METHOD = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]+")
 _CONTROL_CHARACTER = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 
-HandleCallerRequest = Callable[[CallerRequest, OnGatewayReply], Cancel]
+HandleCallerRequest = Callable[[CallerRequest, OnGatewayReply, float], Cancel]
 
 
 @dataclass
@@ -66,6 +68,8 @@
     handle: HandleCallerRequest
     connections: set = field(default_factory=set)
     busy: dict[object, "_RequestDelegate"] = field(default_factory=dict)
+    # Connections that have carried a request before.
+    reused: set = field(default_factory=set)
     closes_after_replies: bool = False
 
 
@@ -171,11 +175,20 @@
             self._send_reply(request.request_id, malformed)
             return
         cancel = self._state.handle(
-            request, lambda reply: self._send_reply(request.request_id, reply)
+            request,
+            lambda reply: self._send_reply(request.request_id, reply),
+            self._measure_network_time(),
         )
         if not self._is_finished:
             self._cancel = cancel
 
+    def _measure_network_time(self) -> float:
+        """Return the network's part of the caller's latency, in seconds."""
+        is_new = self._server_conn not in self._state.reused
+        self._state.reused.add(self._server_conn)
+        round_trip_s = measure_round_trip(self._conn.stream.socket)
+        return compute_network_time(round_trip_s, is_new)
+
     def _send_reply(self, request_id: str, reply: GatewayReply) -> None:
         if self._is_finished:
             return
@@ -246,6 +259,7 @@
     def on_close(self, server_conn):
         """Remove a closed connection."""
         self._state.connections.discard(server_conn)
+        self._state.reused.discard(server_conn)
         self._state.busy.pop(server_conn, None)
 
 
--- a/src/bramleyrouter/platform/entry.py
+++ b/src/bramleyrouter/platform/entry.py
@@ -19,6 +19,7 @@
 from bramleyrouter.platform.route_documents import decode_route_table
 from bramleyrouter.platform.server_transport import build_server_transport
 from bramleyrouter.telemetry.events import EventLog, record
+from bramleyrouter.telemetry.gateway_metrics import set_backed_off
 from bramleyrouter.utils.tasks import BackgroundTasks, run_periodically, spawn
 
 # The balancer probes readiness once per second and removes a daemon after two
@@ -61,6 +62,8 @@
         state.set({"value": "entry_daemons"}, parts.watcher.entry_daemons() or 0)
         state.set({"value": "in_flight"}, parts.gateway.in_flight())
         state.set({"value": "ready"}, int(not reasons))
+        state.set({"value": "loop_lag_s"}, parts.gateway.estimate_lag())
+        set_backed_off(parts.metrics, parts.gateway.list_backed_off())
 
     async def start() -> None:
         parts.listen()
--- a/src/bramleyrouter/telemetry/gateway_metrics.py
+++ b/src/bramleyrouter/telemetry/gateway_metrics.py
@@ -1,6 +1,6 @@
 """Metrics of an entry daemon that serves by route table."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
@@ -11,6 +11,8 @@
 # routes does not make the metrics page grow without bound.
 MAX_ROUTE_LABELS = 50
 OTHER_LABEL = "other"
+# Number of servers that are named on the metrics page.
+MAX_SERVER_LABELS = 50
 
 # ``observe(route, outcome, latency_s, coverage)``; ``coverage`` is
 # ``None`` unless shards were gathered.
@@ -26,6 +28,7 @@
     coverage: Histogram = field(init=False)
     results: Counter = field(init=False)
     state: Gauge = field(init=False)
+    backed_off: Gauge = field(init=False)
     routes: set[str] = field(default_factory=set)
 
     def __post_init__(self):
@@ -52,6 +55,25 @@
             "What the daemon believes: table version, servers, control silence.",
             registry=registry,
         )
+        self.backed_off = Gauge(
+            "bramley_gateway_backed_off_seconds",
+            "Servers that asked for no requests, and for how much longer.",
+            registry=registry,
+        )
+
+
+def set_backed_off(
+    metrics: GatewayMetrics, servers: Iterable[tuple[str, str, float | None]]
+) -> None:
+    """Replace the servers that asked for no requests: service, id and seconds left.
+
+    Servers that leave have no end; they are shown with infinity. At most
+    ``MAX_SERVER_LABELS`` servers are shown.
+    """
+    metrics.backed_off.values.clear()
+    for service, server_id, wait_s in list(servers)[:MAX_SERVER_LABELS]:
+        labels = {"service": service, "server": server_id}
+        metrics.backed_off.set(labels, float("inf") if wait_s is None else wait_s)
 
 
 def build_observe_request(metrics: GatewayMetrics) -> ObserveRequest:
--- a/tests/commands/test_explain.py
+++ b/tests/commands/test_explain.py
@@ -33,6 +33,13 @@
             "2.5 front-1 gateway gather_ended: outcome=failed",
         ]
 
+    def test_prints_the_requests_that_name_a_server(self, tmp_path, capsys):
+        assert self.run(tmp_path, "i-1") == Exit.DONE
+        printed = capsys.readouterr().out.splitlines()
+        assert printed == [
+            "1.5 front-1 gateway shard_failed: id=q1 server=i-1 status=0"
+        ]
+
     def test_request_without_events_is_refused(self, tmp_path):
         assert self.run(tmp_path, "q9") == Exit.REFUSED
 
--- a/tests/gateway/test_gathers.py
+++ b/tests/gateway/test_gathers.py
@@ -6,10 +6,10 @@
 from bramleyrouter.gateway.exchanges import ExchangeOutcome, ReplyKind
 from bramleyrouter.gateway.gather_deadlines import (
     GatherProgress,
-    compute_request_overhead,
     has_enough_coverage,
     should_reply,
 )
+from bramleyrouter.gateway.reply_times import DEFAULT_NETWORK_S, compute_reserved_time
 from bramleyrouter.ids import DataCentre
 from tests.support.gateway_fakes import (
     ELSEWHERE,
@@ -231,19 +231,22 @@
         run_virtual(scenario())
 
 
-REQUEST_OVERHEAD_S = compute_request_overhead(1.0)
+OBJECTIVE_S = 0.118
+
+
+def compute_reserved(cores):
+    return compute_reserved_time(OBJECTIVE_S, DEFAULT_NETWORK_S, 0.0, cores)
+
+
+REQUEST_OVERHEAD_S = compute_reserved(1.0)
 
 
 class TestShouldReply:
     def test_a_slow_vm_replies_earlier(self):
         """Guard against late replies on half a core, where processing takes longer."""
         progress = GatherProgress(19, 1, 20)
-        assert not should_reply(
-            progress, 0.89, 0.1025, 0.118, compute_request_overhead(1.0)
-        )
-        assert should_reply(
-            progress, 0.89, 0.1025, 0.118, compute_request_overhead(0.5)
-        )
+        assert not should_reply(progress, 0.89, 0.1025, 0.118, compute_reserved(1.0))
+        assert should_reply(progress, 0.89, 0.1025, 0.118, compute_reserved(0.5))
 
     def test_complete_replies_are_sent_at_once(self):
         assert should_reply(
--- a/tests/gateway/test_server_backoffs.py
+++ b/tests/gateway/test_server_backoffs.py
@@ -344,3 +344,25 @@
             assert cancelled
 
         run_virtual(scenario())
+
+
+class TestList:
+    """Guard against metrics that do not show why a server gets nothing."""
+
+    def test_servers_are_listed_with_the_time_that_is_left(self):
+        async def scenario():
+            rows = [build_row("a"), build_row("b"), build_row("c")]
+            harness = build_harness([build_single_route()], rows)
+            assert harness.gateway.list_backed_off() == []
+            harness.servers.behaviours["a"] = refuse(3.0)
+            harness.servers.behaviours["b"] = answer_leaving()
+            for _ in range(4):
+                await harness.send_request()
+            listed = {
+                item.server_id: item.wait_s
+                for item in harness.gateway.list_backed_off()
+            }
+            assert listed["b"] is None
+            assert 2.5 < listed["a"] <= 3.0
+
+        run_virtual(scenario())
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -36,7 +36,7 @@
         self.cancelled = 0
         self.reply = None
 
-    def handle(self, request, on_reply):
+    def handle(self, request, on_reply, network_s):
         self.requests.append(request)
         self.replies.append(on_reply)
         if self.reply is not None:
--- a/tests/support/delegation_schedules.py
+++ b/tests/support/delegation_schedules.py
@@ -22,7 +22,6 @@
     ServerReply,
 )
 from bramleyrouter.gateway.gateways import GatewayLimits
-from bramleyrouter.gateway.gather_deadlines import compute_request_overhead
 from bramleyrouter.gateway.tables import RouteTable, Service
 from bramleyrouter.ids import DaemonId, DataCentre, ServiceName, TableVersion
 from bramleyrouter.wire.envelopes import Envelope, FrameType
@@ -313,7 +312,7 @@
             address,
             (HERE, THERE, ELSEWHERE),
             0.7,
-            compute_request_overhead(1.0),
+            1.0,
             1.5,
             5.0,
         ),
--- a/tests/support/gateway_fakes.py
+++ b/tests/support/gateway_fakes.py
@@ -15,7 +15,6 @@
     ServerReply,
 )
 from bramleyrouter.gateway.gateways import GatewayLimits
-from bramleyrouter.gateway.gather_deadlines import compute_request_overhead
 from bramleyrouter.gateway.tables import (
     RequestKind,
     Route,
@@ -228,7 +227,7 @@
             OWN_ADDRESS,
             (HERE, THERE, ELSEWHERE),
             KEEPALIVE_INTERVAL_S,
-            compute_request_overhead(1.0),
+            1.0,
             1.5,
             5.0,
         ),
