Answered requests that arrived just before a planned stop

Cause: at a stop, connections without a request that was read were closed. One whose bytes had arrived meanwhile was reset, so its caller got no answer (reported by other operators).

Change: a connection with unread bytes stays open, and its request is read, answered and the connection closed. The look at unread bytes is shared with the pool of connections to servers (utils/sockets.py).

--- a/src/bramleyrouter/edges/servers/forwarding.py
+++ b/src/bramleyrouter/edges/servers/forwarding.py
@@ -16,6 +16,7 @@
 
 from bramleyrouter.edges.servers.formats import MAX_REPLY_BYTES
 from bramleyrouter.utils.addresses import split_address
+from bramleyrouter.utils.sockets import peek
 
 # Forwarded requests can go to another server, so connecting is abandoned early;
 # the timeout is still many round trips.
@@ -286,14 +287,8 @@
         """Return whether an idle connection may be used again."""
         if self.sock is None or now >= self.idle_until:
             return False
-        try:
-            # The event loop may not have processed yet that the server closed it.
-            self.sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        # The event loop may not have processed yet that the server closed it.
+        return peek(self.sock) is None
 
 
 def _parse_idle_time(value: bytes) -> float:
--- a/src/bramleyrouter/platform/callers.py
+++ b/src/bramleyrouter/platform/callers.py
@@ -26,7 +26,7 @@
 from bramleyrouter.gateway.tables import CallerLimits
 from bramleyrouter.platform import names
 from bramleyrouter.utils.addresses import split_address
-from bramleyrouter.utils.round_trips import measure_round_trip
+from bramleyrouter.utils.sockets import measure_round_trip, peek
 
 MS_PER_SECOND = 1000.0
 # Callers reuse connections that were idle for up to four fifths of the callers' own
@@ -35,6 +35,8 @@
 IDLE_MARGIN_S = 5.0
 # Time to write the replies of requests that are ended early, in seconds.
 LAST_REPLIES_S = 0.15
+# Time in which the event loop reads what has arrived before a stop, in seconds.
+READ_ARRIVED_S = 0.02
 _STATUS_BY_KIND = {
     ReplyKind.GATHERED: 200,
     ReplyKind.REFUSED: 503,
@@ -312,7 +314,10 @@
     state = listener.state
     state.closes_after_replies = True
     for conn in state.connections - state.busy.keys():
-        conn.stream.close()
+        if not peek(conn.stream.socket):
+            conn.stream.close()
+    # Requests that have arrived and were not read yet are read and answered.
+    await asyncio.sleep(READ_ARRIVED_S)
     await _wait_until_idle(state, timeout_s)
     for request in list(state.busy.values()):
         request.end_early()
--- a/src/bramleyrouter/utils/round_trips.py
+++ b/src/bramleyrouter/utils/sockets.py
@@ -1,4 +1,4 @@
-"""Measure the round-trip time of a TCP connection."""
+"""Measure the round-trip time of a TCP connection, and look at its unread bytes."""
 
 import socket
 import struct
@@ -26,3 +26,16 @@
         return None
     round_trip_s = _ROUND_TRIP.unpack(info)[0] / 1e6
     return round_trip_s if 0 < round_trip_s <= MAX_ROUND_TRIP_S else None
+
+
+def peek(sock: socket.socket) -> bytes | None:
+    """Return the first unread byte of a non-blocking socket, none if there is none.
+
+    The result is empty if the peer has closed the connection.
+    """
+    try:
+        return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return None
+    except OSError:
+        return b""
--- a/tests/gateway/test_reply_times.py
+++ b/tests/gateway/test_reply_times.py
@@ -15,7 +15,7 @@
     estimate_lag,
     record_lateness,
 )
-from bramleyrouter.utils.round_trips import measure_round_trip
+from bramleyrouter.utils.sockets import measure_round_trip
 from tests.support.gateway_fakes import (
     answer_after,
     build_gather_route,
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -259,6 +259,23 @@
 
         run(scenario)
 
+    def test_a_request_that_has_just_arrived_is_answered(self):
+        """Guard against a reset in place of a reply to a request not read yet."""
+
+        async def scenario(handler, listener, reader, writer):
+            handler.reply = GatewayReply(ReplyKind.GATHERED, body=b"r" * 16)
+            await wait_until(lambda: listener.state.connections)
+            # The bytes are on their way before the event loop can read them.
+            writer.write((HEAD.format(method="GET") + "\r\n").encode())
+            stopping = asyncio.ensure_future(stop_listening(listener, 1.0))
+            status, fields, body = await read_reply(reader)
+            assert (status, fields["Connection"]) == (200, "close")
+            assert body == b"r" * 16
+            await stopping
+            assert await reader.read() == b""
+
+        run(scenario)
+
     def test_a_request_whose_body_is_late_is_refused(self):
         """Guard against a cut connection of a request that certainly did not run."""
 
