Tested that a reader that raises ends its connection and no other

Cause: an exception in the callback of a stream's item left the socket open without a reader, and the peer sent on.

--- a/tests/wire/test_networks.py
+++ b/tests/wire/test_networks.py
@@ -66,6 +66,42 @@
 
         assert_exercise_results(asyncio.run(scenario()))
 
+    def test_an_item_that_can_not_be_processed_ends_the_connection(self):
+        """Guards against a connection that stays open without a reader."""
+
+        async def scenario():
+            identity = make_identity("two", port=reserve_ports(1)[0])
+            first, _ = build_tcp_network(make_identity("one"), KEY)
+            second, listen = build_tcp_network(identity, KEY)
+            cancelled = asyncio.get_running_loop().create_future()
+
+            async def send_without_end(peer, payload, send_item):
+                send_item(b"odd")
+                try:
+                    await asyncio.get_running_loop().create_future()
+                finally:
+                    cancelled.set_result(True)
+
+            second.serve(MessageKind.CLAIM, echo)
+            second.serve_stream(MessageKind.SHARD_BATCH, send_without_end)
+            listen()
+            ended = asyncio.get_running_loop().create_future()
+
+            def fail(payload):
+                raise IndexError("odd item")
+
+            address = identity.internal_address
+            first.stream(address, MessageKind.SHARD_BATCH, b"", fail, ended.set_result)
+            outcome = await asyncio.wait_for(ended, 2.0)
+            assert outcome.err_value.code is Code.PEER_DISCONNECTED
+            assert await asyncio.wait_for(cancelled, 2.0)
+            reply = await first.call(address, MessageKind.CLAIM, b"x", 2.0)
+            assert reply == Ok(b"one:x")
+            await first.close()
+            await second.close()
+
+        asyncio.run(scenario())
+
     def test_peer_without_the_key_is_refused(self):
         async def scenario():
             identity = make_identity("two", port=reserve_ports(1)[0])
