Left out rows that can't be sent, and tested what subscribers are sent

Cause: since rows are cleared only after they were sent, a row that can't be encoded would stop all updates. Registries accept none, so nothing shows it today.

Change: control daemons leave out such a row and log it. tests/fleet/test_publishing.py pins that the work for all subscribers is done once per update.

--- a/src/bramleyrouter/fleet/publishing.py
+++ b/src/bramleyrouter/fleet/publishing.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from absl import logging
 from result import Err, Ok, Result
 
 from bramleyrouter.codes import Code
@@ -26,7 +27,7 @@
     encode_updates,
 )
 from bramleyrouter.fleet.mirrors import Mirrors, forward_stream
-from bramleyrouter.fleet.records import ServerRow
+from bramleyrouter.fleet.records import ServerRow, check_row
 from bramleyrouter.fleet.registry import ServerRegistry, list_rows, sweep
 from bramleyrouter.ids import DaemonId, DataCentre, Revision, TableVersion
 from bramleyrouter.utils.tasks import (
@@ -205,10 +206,18 @@
     )
 
 
+def _is_sendable(row: ServerRow) -> bool:
+    """Return whether a row can be sent; another one must not stop all updates."""
+    checked = check_row(row)
+    if isinstance(checked, Err):
+        logging.error("fleet: a row is left out: %s", checked.err_value)
+    return isinstance(checked, Ok)
+
+
 def _send_updates(publisher: FleetPublisherState, is_keepalive: bool = False) -> None:
     """Send each subscriber the queued rows and the fields that changed."""
     publisher.timer = None
-    rows = tuple(publisher.queued_rows.values())
+    rows = tuple(row for row in publisher.queued_rows.values() if _is_sendable(row))
     subscribers = [*publisher.subscribers.values(), *publisher.mirrors]
     snapshot = _take_snapshot(publisher)
     all_fields = [
--- /dev/null
+++ b/tests/fleet/test_publishing.py
@@ -0,0 +1,96 @@
+"""Tests of what a control daemon sends its subscribers, without a network."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from bramleyrouter.fleet.messages import decode_update
+from bramleyrouter.fleet.publishing import (
+    NAMED_RELAYS_PER_DATA_CENTRE,
+    FleetPublisherState,
+    Subscriber,
+    _send_updates,
+)
+from bramleyrouter.fleet.registry import ServerRegistry
+from bramleyrouter.wire.network import Peer
+from tests.support.gateway_fakes import build_row
+
+
+class CountingStateMachine:
+    """Count how often the configuration is read."""
+
+    def __init__(self):
+        self.reads = 0
+
+    def routes(self):
+        self.reads += 1
+        return SimpleNamespace(document=b"x", version=3)
+
+    def config(self):
+        return SimpleNamespace(revision=2, data_centres_out=())
+
+
+def build_publisher(subscribers, send):
+    status = SimpleNamespace(members=[SimpleNamespace(address="c1")], commit_index=5)
+    log = SimpleNamespace(status=lambda: status)
+    publisher = FleetPublisherState(
+        ServerRegistry(1.2), CountingStateMachine(), log, lambda: 100.0, "d0", 0.0
+    )
+    for at in range(subscribers):
+        peer = Peer(f"e{at}", f"d{at % 6}", f"10.{at % 6}.0.{at}:7")
+        publisher.subscribers[f"e{at}"] = Subscriber(peer, send(at))
+    return publisher
+
+
+class TestSendUpdates:
+    def test_the_work_for_all_subscribers_is_done_once(self):
+        """Guards against work that grows with the square of the entry daemons."""
+        sent = {}
+        publisher = build_publisher(
+            240, lambda at: lambda item: sent.update({at: item})
+        )
+        _send_updates(publisher, True)
+        assert publisher.state_machine.reads == 1
+        assert len(sent) == 240
+        _send_updates(publisher, True)
+        # All of them get the same keepalive, which is encoded once.
+        assert len({id(item) for item in sent.values()}) == 1
+
+    def test_subscribers_nearby_get_all_relays_and_others_some(self):
+        sent = {}
+        publisher = build_publisher(60, lambda at: lambda item: sent.update({at: item}))
+        _send_updates(publisher, True)
+
+        def count_relays(at, data_centre):
+            relays = decode_update(sent[at]).ok_value.update.relays
+            return sum(name == data_centre for _, name in relays)
+
+        assert count_relays(0, "d0") == 10
+        assert count_relays(1, "d0") == NAMED_RELAYS_PER_DATA_CENTRE
+        assert count_relays(0, "d1") == NAMED_RELAYS_PER_DATA_CENTRE
+
+    @pytest.mark.parametrize(
+        "fields", [{"sequence": 2**70}, {"slots": 2**70}, {"address": "10.0.0.9:0"}]
+    )
+    def test_a_row_that_can_not_be_sent_costs_no_other_its_change(self, fields):
+        """Guards against an encoding error that stops the stream of all servers."""
+        sent = []
+        publisher = build_publisher(1, lambda at: sent.append)
+        publisher.queued_rows["odd"] = build_row("odd", **fields)
+        publisher.queued_rows["sound"] = build_row("sound")
+        _send_updates(publisher)
+        rows = decode_update(sent[-1]).ok_value.update.rows
+        assert [row.server_id for row in rows] == ["sound"]
+        assert publisher.queued_rows == {}
+
+    def test_rows_stay_queued_until_they_were_sent(self):
+        """Guards against changes that are lost because a subscriber's send failed."""
+
+        def fail(item):
+            raise RuntimeError("the send failed")
+
+        publisher = build_publisher(1, lambda at: fail)
+        publisher.queued_rows["sound"] = build_row("sound")
+        with pytest.raises(RuntimeError):
+            _send_updates(publisher)
+        assert set(publisher.queued_rows) == {"sound"}
