Went on with a planned stop when a caller has just disconnected

Change: closed streams are passed over.

Result: test_a_caller_that_has_disconnected_does_not_end_the_stop fails without the change (AttributeError in stop_listening) and passes with it.

--- a/src/bramleyrouter/platform/callers.py
+++ b/src/bramleyrouter/platform/callers.py
@@ -314,7 +314,8 @@
     state = listener.state
     state.closes_after_replies = True
     for conn in state.connections - state.busy.keys():
-        if not peek(conn.stream.socket):
+        # A stream that its caller has closed has no socket.
+        if conn.stream.closed() or not peek(conn.stream.socket):
             conn.stream.close()
     # Requests that have arrived and were not read yet are read and answered.
     await asyncio.sleep(READ_ARRIVED_S)
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -276,6 +276,28 @@
 
         run(scenario)
 
+    def test_a_caller_that_has_disconnected_does_not_end_the_stop(self):
+        """Guard against requests that are cut off because the stop fails."""
+
+        async def scenario(handler, listener, reader, writer):
+            host, port = writer.get_extra_info("peername")
+            _, gone = await asyncio.open_connection(host, port)
+            await wait_until(lambda: len(listener.state.connections) == 2)
+            writer.write((HEAD.format(method="GET") + "\r\n").encode())
+            await wait_until(lambda: handler.requests)
+            idle = next(iter(listener.state.connections - listener.state.busy.keys()))
+            # The stream is closed, and its connection is not removed yet.
+            idle.stream.close()
+            stopping = asyncio.ensure_future(stop_listening(listener, 2.0))
+            await asyncio.sleep(0.05)
+            assert not stopping.done()
+            handler.replies[0](GatewayReply(ReplyKind.GATHERED, body=b"r" * 16))
+            assert (await read_reply(reader))[0] == 200
+            await stopping
+            gone.close()
+
+        run(scenario)
+
     def test_a_request_whose_body_is_late_is_refused(self):
         """Guard against a cut connection of a request that certainly did not run."""
 
