--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -131,7 +131,9 @@
         path.write_text(self.case.build_settings(self, self.is_first_start))
         self.is_first_start = False
         env = {
-            key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ
+            key: os.environ[key]
+            for key in ("PATH", "HOME", "LANG")
+            if key in os.environ
         }
         env["PYTHONPATH"] = "target/deps"
         env["BRAMLEYROUTER_CONFIG"] = str(path)
@@ -278,7 +280,11 @@
             except (OSError, TimeoutError, asyncio.IncompleteReadError):
                 status, content = 0, b""
             at = self.case.record.add(
-                "liveness", replica=self.id, method=method, control=control, status=status
+                "liveness",
+                replica=self.id,
+                method=method,
+                control=control,
+                status=status,
             )
             if 200 <= status < 300:
                 named = json.loads(content or b"{}").get("beatAddr")
@@ -401,7 +407,9 @@
         for process in self.controls + self.entries:
             process.start()
 
-    async def add_replica(self, replica_id, service, last, zone, first_control, **fields):
+    async def add_replica(
+        self, replica_id, service, last, zone, first_control, **fields
+    ):
         """Start a replica stand-in and return it."""
         control = self.controls[first_control].address(CONTROL_PORT)
         replica = Replica(self, replica_id, service, self.ip(last), zone, control)
