--- a/src/bramleyrouter/consensus/driver.py
+++ b/src/bramleyrouter/consensus/driver.py
@@ -193,7 +193,12 @@
 
 
 def stop_on_disk_failure(node: Node, exc: OSError) -> None:
-    """Stop this member, since its state in memory may never become durable."""
+    """Stop this member, since its state in memory may never become durable.
+
+    Nothing that waits for a sync is sent any more.
+    """
+    if node.failure is not None:
+        return
     node.failure = build_disk_failure(exc)
     logging.error(
         "consensus: %s stopped after a disk failure: %s",
@@ -202,8 +207,12 @@
     )
     if node.timer is not None:
         node.timer.cancel()
+    node.jobs.clear()
+    node.sync_callbacks.clear()
     fail_proposals(node)
     fail_pending_reads(node, node.failure)
+    for callback in list(node.failure_callbacks):
+        callback()
 
 
 def _apply_committed(node: Node) -> None:
@@ -275,9 +284,12 @@
         node.raft.member_id,
         snapshot.index,
     )
-    node.machine.restore(snapshot.state)
-    node.applied_index, node.applied_stamp_ms = snapshot.index, snapshot.stamp_ms
-    node.applied_bytes = 0
+    # After a disk failure the state machine may be ahead of the log, and it must not
+    # go back to an older state.
+    if snapshot.index > node.applied_index:
+        node.machine.restore(snapshot.state)
+        node.applied_index, node.applied_stamp_ms = snapshot.index, snapshot.stamp_ms
+        node.applied_bytes = 0
     job = SaveSnapshot(effect.data, snapshot.index, effect.replaces_log)
     node.jobs.append(job)
     node.writer_wakeup.set()
--- a/src/bramleyrouter/consensus/node.py
+++ b/src/bramleyrouter/consensus/node.py
@@ -55,7 +55,8 @@
 
     ``jobs`` and ``sync_callbacks`` are the writer's queues of write jobs and of
     callbacks to call after the sync. ``failure`` is set once the disk has
-    failed; from then on the member refuses all requests.
+    failed; from then on the member refuses all requests. ``failure_callbacks``
+    are called at that moment.
     """
 
     address: str
@@ -76,6 +77,7 @@
     failure: Failure | None = None
     jobs: list[WriteJob] = field(default_factory=list)
     sync_callbacks: list[Callable[[], None]] = field(default_factory=list)
+    failure_callbacks: list[Callable[[], None]] = field(default_factory=list)
     writer_wakeup: asyncio.Event = field(default_factory=asyncio.Event)
     is_writing: bool = False
     pending_proposals: dict[LogIndex, PendingProposal] = field(default_factory=dict)
--- a/src/bramleyrouter/consensus/replicated_log.py
+++ b/src/bramleyrouter/consensus/replicated_log.py
@@ -5,6 +5,7 @@
 import secrets
 import time
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from absl import logging
 from result import Err, Ok, Result
@@ -31,11 +32,18 @@
     resolve_pending_reads,
 )
 from bramleyrouter.consensus.request_handlers import register_handlers, run_bootstrap
-from bramleyrouter.consensus.storage import Recovered, Storage, open_storage
+from bramleyrouter.consensus.storage import (
+    Recovered,
+    Storage,
+    open_storage,
+    reopen_storage,
+)
 from bramleyrouter.failures import Failure
 from bramleyrouter.wire.network import Network
 
 _ID_BYTES = 8
+# Interval at which a member tries to open its data folder again after a disk failure.
+REOPEN_INTERVAL_S = 0.5
 
 
 def generate_id() -> str:
@@ -43,8 +51,17 @@
     return secrets.token_hex(_ID_BYTES)
 
 
+@dataclass
+class _Member:
+    """Hold the running node of a member; a restart after a disk failure replaces it."""
+
+    node: Node
+    restart: asyncio.Task | None = None
+    is_closed: bool = False
+
+
 def _build_node(
-    identity: Identity,
+    address: str,
     network: Network,
     rng: random.Random,
     machine: StateMachine,
@@ -53,7 +70,14 @@
     limits: Limits,
     storage: Storage,
     recovered: Recovered,
+    previous: Node | None = None,
 ) -> Node:
+    """Build a member from its recovered data folder.
+
+    With ``previous``, the member that a disk failure stopped, the state machine is
+    retained: all entries that it applied are committed, although some of them may not
+    have reached this disk.
+    """
     member_record, snapshot = recovered.member_record, recovered.snapshot
     raft = build_raft_state(
         member_record.member_id,
@@ -66,7 +90,7 @@
     )
     raft.snapshot_bytes = recovered.snapshot_bytes
     node = Node(
-        identity.internal_address,
+        address,
         tuple(members),
         network,
         rng,
@@ -77,7 +101,11 @@
         member_record,
         limits,
     )
-    if snapshot is not None:
+    if previous is not None:
+        node.applied_index = previous.applied_index
+        node.applied_stamp_ms = previous.applied_stamp_ms
+        node.apply_callbacks = previous.apply_callbacks
+    if snapshot is not None and snapshot.index > node.applied_index:
         machine.restore(snapshot.state)
         node.applied_index = snapshot.index
         node.applied_stamp_ms = snapshot.stamp_ms
@@ -97,9 +125,7 @@
     )
 
 
-async def _close(node: Node) -> None:
-    if node.is_closed:
-        return
+async def _close_node(node: Node) -> None:
     node.is_closed = True
     if node.timer is not None:
         node.timer.cancel()
@@ -107,24 +133,92 @@
     fail_pending_reads(node, Failure(Code.STOPPING, "This member stops."))
     for task in list(node.tasks):
         task.cancel()
-    node.storage.fs.close()
-    logging.info("consensus: %s closed its log.", node.raft.member_id)
 
 
-def _build_interface(node: Node) -> ReplicatedLog:
+async def _close(member: _Member) -> None:
+    if member.is_closed:
+        return
+    member.is_closed = True
+    if member.restart is not None:
+        member.restart.cancel()
+    await _close_node(member.node)
+    member.node.storage.fs.close()
+    logging.info("consensus: %s closed its log.", member.node.raft.member_id)
+
+
+def _build_interface(member: _Member) -> ReplicatedLog:
     return ReplicatedLog(
-        propose=lambda command, timeout_s: propose(node, command, timeout_s),
-        read_barrier=lambda timeout_s: read_barrier(node, timeout_s),
-        status=lambda: _build_status(node),
-        add_member=lambda member, timeout_s: add_member(node, member, timeout_s),
+        propose=lambda command, timeout_s: propose(member.node, command, timeout_s),
+        read_barrier=lambda timeout_s: read_barrier(member.node, timeout_s),
+        status=lambda: _build_status(member.node),
+        add_member=lambda added, timeout_s: add_member(member.node, added, timeout_s),
         remove_member=lambda member_id, timeout_s: remove_member(
-            node, member_id, timeout_s
+            member.node, member_id, timeout_s
         ),
-        watch_applied=node.apply_callbacks.append,
-        close=lambda: _close(node),
-        is_current=lambda: is_current(node),
-        get_silence_s=lambda member_id: get_silence_s(node, member_id),
+        watch_applied=member.node.apply_callbacks.append,
+        close=lambda: _close(member),
+        is_current=lambda: is_current(member.node),
+        get_silence_s=lambda member_id: get_silence_s(member.node, member_id),
+    )
+
+
+def _start_node(member: _Member, new_id: Callable[[], str]) -> None:
+    node = member.node
+    node.step_callbacks.append(lambda: resolve_pending_reads(node))
+    node.failure_callbacks.append(lambda: _schedule_restart(member, new_id))
+    register_handlers(node)
+    start_task(node, run_writer(node))
+    if node.member_record.is_active:
+        schedule_timer(node)
+    else:
+        start_task(node, run_bootstrap(node, new_id))
+
+
+def _schedule_restart(member: _Member, new_id: Callable[[], str]) -> None:
+    # Not a task of the node, as those are cancelled with it.
+    loop = asyncio.get_running_loop()
+    member.restart = loop.create_task(_restart(member, new_id))
+
+
+async def _restart(member: _Member, new_id: Callable[[], str]) -> None:
+    """Start the member again from its data folder, once that can be written.
+
+    A failed disk costs the cluster this member's vote, so a second failure would
+    cost the majority. The restart is as safe as one of the process: only what is
+    recovered from the disk counts, and replies to the stopped node are ignored.
+    """
+    stopped = member.node
+    fs, segment_bytes = stopped.storage.fs, stopped.limits.segment_bytes
+    last_failure = stopped.failure
+    while True:
+        await asyncio.sleep(REOPEN_INTERVAL_S)
+        opened = await fs.run(lambda: reopen_storage(fs, new_id, segment_bytes))
+        if isinstance(opened, Ok):
+            break
+        if opened.err_value != last_failure:
+            last_failure = opened.err_value
+            logging.error("consensus: can't open the log again: %s", last_failure)
+    await _close_node(stopped)
+    storage, recovered = opened.ok_value
+    member.node = _build_node(
+        stopped.address,
+        stopped.network,
+        stopped.rng,
+        stopped.machine,
+        stopped.first_members,
+        stopped.wall_clock,
+        stopped.limits,
+        storage,
+        recovered,
+        stopped,
+    )
+    logging.warning(
+        "consensus: %s started again after a disk failure, in term %d with %d entries.",
+        member.node.raft.member_id,
+        member.node.raft.term,
+        len(recovered.entries),
     )
+    _start_node(member, new_id)
 
 
 def build_replicated_log(
@@ -157,7 +251,7 @@
         return opened
     storage, recovered = opened.ok_value
     node = _build_node(
-        identity,
+        identity.internal_address,
         network,
         rng,
         machine,
@@ -167,11 +261,6 @@
         storage,
         recovered,
     )
-    node.step_callbacks.append(lambda: resolve_pending_reads(node))
-    register_handlers(node)
-    start_task(node, run_writer(node))
-    if node.member_record.is_active:
-        schedule_timer(node)
-    else:
-        start_task(node, run_bootstrap(node, new_id))
-    return Ok(_build_interface(node))
+    member = _Member(node)
+    _start_node(member, new_id)
+    return Ok(_build_interface(member))
--- a/src/bramleyrouter/consensus/request_handlers.py
+++ b/src/bramleyrouter/consensus/request_handlers.py
@@ -106,8 +106,10 @@
     return None
 
 
-async def _wait_until_synced(node: Node) -> None:
-    """Wait until all write jobs queued so far are durable."""
+async def _wait_until_synced(node: Node) -> Result[None, Failure]:
+    """Wait until all write jobs queued so far are durable, or the disk has failed."""
+    if node.failure is not None:
+        return Err(node.failure)
     fut = asyncio.get_running_loop().create_future()
 
     def finish() -> None:
@@ -115,7 +117,12 @@
             fut.set_result(None)
 
     call_when_synced(node, finish)
-    await fut
+    node.failure_callbacks.append(finish)
+    try:
+        await fut
+    finally:
+        node.failure_callbacks.remove(finish)
+    return Ok(None) if node.failure is None else Err(node.failure)
 
 
 async def _serve_member(
@@ -138,7 +145,9 @@
     if send_reply is None:
         return _build_error(Code.NOT_READY, "This member is stopped.")
     if send_reply.after_sync:
-        await _wait_until_synced(node)
+        synced = await _wait_until_synced(node)
+        if isinstance(synced, Err):
+            return synced
     return Ok(encode_message(node.member_record.cluster_id, send_reply.message))
 
 
@@ -148,11 +157,11 @@
     decoded = decode_presence(payload)
     if isinstance(decoded, Err):
         return decoded
-    if node.failure is not None:
-        return Err(node.failure)
     # The record must be durable before it is reported.
     member_record = node.member_record
-    await _wait_until_synced(node)
+    synced = await _wait_until_synced(node)
+    if isinstance(synced, Err):
+        return synced
     return Ok(encode_presence(Presence(node.address, member_record)))
 
 
--- a/src/bramleyrouter/consensus/segments.py
+++ b/src/bramleyrouter/consensus/segments.py
@@ -192,3 +192,22 @@
         fs.remove(segment.name)
     state.segments.clear()
     fs.sync_folder()
+
+
+def rewrite_segments(state: SegmentState, fs: FileSystem, entries: list[Entry]) -> None:
+    """Write ``entries`` to a new segment, then remove all the others.
+
+    If this fails or is interrupted, the old segments are still complete.
+    """
+    old_segments = [segment for segment in state.segments if segment.size]
+    if not old_segments:
+        return
+    if state.segments[-1].size:
+        _start_segment(state, fs)
+    if entries:
+        append_entries(state, fs, entries, SEGMENT_BYTES)
+    for segment in old_segments:
+        fs.remove(segment.name)
+        # Oldest first and one by one, as a gap between segments can't be recovered.
+        fs.sync_folder()
+        state.segments.remove(segment)
--- a/src/bramleyrouter/consensus/storage.py
+++ b/src/bramleyrouter/consensus/storage.py
@@ -27,6 +27,7 @@
     read_segments,
     remove_all_segments,
     remove_segments,
+    rewrite_segments,
 )
 from bramleyrouter.failures import Failure
 from bramleyrouter.ids import LogIndex, MemberId
@@ -252,6 +253,29 @@
     return Ok((Storage(fs, segments, segment_bytes), recovered))
 
 
+def reopen_storage(
+    fs: FileSystem, new_id: Callable[[], str], segment_bytes: int = SEGMENT_BYTES
+) -> Result[tuple[Storage, Recovered], Failure]:
+    """Open and recover the data folder after a write or a sync failed.
+
+    All files are written again: after a failed sync the operating system may return
+    content that isn't durable, and a later sync of the same file doesn't report it.
+    Fails like ``open_storage``; it can then be called again.
+    """
+    opened = open_storage(fs, new_id, segment_bytes)
+    if isinstance(opened, Err):
+        return opened
+    storage, recovered = opened.ok_value
+    try:
+        for name in (MEMBER_FILE, TERM_FILE, SNAPSHOT_FILE):
+            if name in fs.list_names():
+                _replace_file(fs, name, fs.read(name))
+        rewrite_segments(storage.segments, fs, recovered.entries)
+    except OSError as exc:
+        return Err(build_disk_failure(exc))
+    return opened
+
+
 def _save_snapshot(storage: Storage, job: SaveSnapshot) -> None:
     _replace_file(storage.fs, SNAPSHOT_FILE, job.data)
     if job.replaces_log:
--- a/tests/consensus/test_replicated_log.py
+++ b/tests/consensus/test_replicated_log.py
@@ -280,6 +280,72 @@
         commands = cluster.commands[leader]
         assert commands == cluster.commands[others.pop()] and b"c" not in commands
 
+    @pytest.mark.parametrize("fault", ["is_full", "fail_syncs"])
+    @in_virtual_time
+    async def test_short_disk_failures_of_one_member_after_another(self, fault):
+        """Guards against a majority lost to disks that have long recovered.
+
+        Each short failure took a member's vote until its process was restarted, so
+        the second one left a log that could be neither changed nor read (review 1).
+        """
+        cluster, _ = await start_members()
+        for number in range(3):
+            setattr(cluster.disks[number], fault, True)
+            # Makes the disk fail, which may be that of the leader.
+            for leader in cluster.leaders():
+                await cluster.logs[leader].propose(b"probe", 0.5)
+            await cluster.propose(b"during %d" % number, {0, 1, 2} - {number}, 5.0)
+            await asyncio.sleep(2.0)
+            setattr(cluster.disks[number], fault, False)
+            await asyncio.sleep(2.0)
+        assert isinstance(await cluster.propose(b"end"), int)
+        await asyncio.sleep(1.0)
+        expected = [b"a", b"during 0", b"during 1", b"during 2", b"end"]
+        for number in range(3):
+            commands = cluster.commands[number]
+            assert [item for item in commands if item in expected] == expected
+            assert commands == cluster.commands[0]
+
+    @pytest.mark.parametrize("fault", ["is_full", "fail_syncs"])
+    @in_virtual_time
+    async def test_all_disks_fail_for_a_short_time(self, fault):
+        """Guards against a log that stays down after a failure of every disk."""
+        cluster, leader = await start_members()
+        for disk in cluster.disks.values():
+            setattr(disk, fault, True)
+        assert isinstance(await cluster.logs[leader].propose(b"lost", 1.0), Err)
+        await asyncio.sleep(3.0)
+        for disk in cluster.disks.values():
+            setattr(disk, fault, False)
+        await cluster.propose(b"end")
+        await asyncio.sleep(1.0)
+        # What is acknowledged after a failure survives a loss of power.
+        for number in range(3):
+            await cluster.kill(number)
+        cluster.start(0, 1, 2)
+        await cluster.propose(b"again")
+        assert [item for item in cluster.commands[0] if item != b"lost"][:2] == [
+            b"a",
+            b"end",
+        ]
+
+    @in_virtual_time
+    async def test_nothing_that_a_failed_sync_left_is_counted_as_durable(self):
+        """Guards against entries in the cache of a disk that are confirmed as stored.
+
+        After a failed sync they can be read again, but a later sync doesn't write them.
+        """
+        cluster, _ = await start_members(1)
+        cluster.disks[0].fail_syncs = True
+        assert isinstance(await cluster.logs[0].propose(b"b", 1.0), Err)
+        cluster.disks[0].fail_syncs = False
+        await cluster.propose(b"c")
+        confirmed = list(cluster.commands[0])
+        await cluster.kill(0)
+        cluster.start(0)
+        await cluster.propose(b"d")
+        assert cluster.commands[0] == [*confirmed, b"d"]
+
     @in_virtual_time
     async def test_a_single_member_commits_nothing_unsynced(self):
         cluster, _ = await start_members(1)
@@ -351,7 +417,7 @@
 class TestRandomFaults:
     """Guards against lost or duplicated committed entries under random faults."""
 
-    async def inject_fault(self, cluster, rng):
+    async def inject_fault(self, cluster, rng, with_disks):
         """Inject one random fault; at most one member is down at a time."""
         fabric = cluster.fabric
         down = [number for number in range(3) if number not in cluster.logs]
@@ -363,7 +429,15 @@
             lambda: fabric.delays.update({pair: rng.uniform(0.0, 0.5)}),
             lambda: self.remove_faults(cluster),
         ]
+        if with_disks:
+            faults += [
+                lambda: setattr(cluster.disks[number], "is_full", True),
+                lambda: setattr(cluster.disks[number], "fail_syncs", True),
+            ]
         if down:
+            # A process whose disk fails at its start ends and is started again.
+            for disk in (cluster.disks[number] for number in down):
+                disk.is_full = disk.fail_syncs = False
             cluster.start(*down)
         elif rng.random() < 0.3:
             await cluster.kill(number, rng.choice((0, 10, 1000)))
@@ -373,6 +447,8 @@
     def remove_faults(self, cluster):
         cluster.fabric.heal()
         cluster.fabric.delays.clear()
+        for disk in cluster.disks.values():
+            disk.is_full = disk.fail_syncs = False
         for address in ADDRESSES:
             cluster.fabric.thaw(address)
 
@@ -385,9 +461,10 @@
                 outcome = await cluster.logs[leader].propose(command, 0.5)
                 committed += [command] if isinstance(outcome, Ok) else []
 
+    @pytest.mark.parametrize("with_disks", [False, True])
     @pytest.mark.parametrize("seed", range(6))
     @in_virtual_time
-    async def test_schedule(self, seed):
+    async def test_schedule(self, seed, with_disks):
         rng = random.Random(seed)
         limits = Limits(compact_entries=40, segment_bytes=1500, chunk_bytes=600)
         cluster, _ = await start_members(seed=seed, limits=limits, sync_s=0.004)
@@ -398,7 +475,7 @@
         tasks = [asyncio.ensure_future(proposer) for proposer in proposers]
         for _ in range(60):
             await asyncio.sleep(rng.uniform(0.1, 1.5))
-            await self.inject_fault(cluster, rng)
+            await self.inject_fault(cluster, rng, with_disks)
         self.remove_faults(cluster)
         cluster.start(*({0, 1, 2} - set(cluster.logs)))
         await asyncio.sleep(2.0)
--- a/tests/support/memory_disk.py
+++ b/tests/support/memory_disk.py
@@ -1,6 +1,7 @@
 """Simulate a data folder in memory that loses unsynced data in a crash."""
 
 import asyncio
+import errno
 from dataclasses import dataclass, field
 
 from bramleyrouter.consensus.files import FileSystem
@@ -12,8 +13,10 @@
 
     Files have numbers, like inodes. ``files`` maps the current names to them, and
     ``durable_names`` the names that survive a crash.
-    ``fail_syncs`` makes every later sync raise, ``sync_s`` is the virtual time
-    in seconds that a job takes, and ``syncs`` counts the syncs of files.
+    ``fail_syncs`` makes every later sync raise, ``is_full`` makes appends raise after
+    half of their data, ``sync_s`` is the virtual time in seconds that a job takes, and
+    ``syncs`` counts the syncs of files. After a failed sync of a file, later ones
+    report success without making its content durable, as on Linux.
     """
 
     files: dict[str, int] = field(default_factory=dict)
@@ -21,6 +24,9 @@
     written: dict[int, bytearray] = field(default_factory=dict)
     durable: dict[int, bytes] = field(default_factory=dict)
     fail_syncs: bool = False
+    is_full: bool = False
+    # Files of which a sync failed.
+    unsyncable: set[int] = field(default_factory=set)
     sync_s: float = 0.0
     syncs: int = 0
     last_file_number: int = 0
@@ -31,6 +37,7 @@
         """Lose unsynced data, except ``torn_bytes`` of the data appended to a file."""
         self.epoch += 1
         self.files = dict(self.durable_names)
+        self.unsyncable.clear()
         for number in self.files.values():
             written, retained = self.written[number], self.durable.get(number, b"")
             if written.startswith(retained):
@@ -69,15 +76,20 @@
             return self.files[name]
 
         def append(name, data):
-            self.written[get_file_number(name)].extend(data)
+            written = self.written[get_file_number(name)]
+            written.extend(data[: len(data) // 2] if self.is_full else data)
+            if self.is_full and data:
+                raise OSError(errno.ENOSPC, "the disk is full")
 
         def sync(name):
             check()
+            number = get_file_number(name)
             if self.fail_syncs:
+                self.unsyncable.add(number)
                 raise OSError("sync failed")
             self.syncs += 1
-            number = get_file_number(name)
-            self.durable[number] = bytes(self.written[number])
+            if number not in self.unsyncable:
+                self.durable[number] = bytes(self.written[number])
 
         def truncate(name, size):
             del self.written[get_file_number(name)][size:]
