--- a/src/bramleyrouter/codes.py
+++ b/src/bramleyrouter/codes.py
@@ -73,6 +73,7 @@
     GENERATION_CONFLICT = 502
     OPERATOR_REQUEST_REUSED = 504
     TOO_MANY_OUT = 505
+    REVISION_CONFLICT = 506
 
     # 600: control daemons and their log.
     NOT_LEADER = 600
--- a/src/bramleyrouter/control/codecs.py
+++ b/src/bramleyrouter/control/codecs.py
@@ -37,6 +37,7 @@
     DataCentre,
     OperatorRequestId,
     RequestId,
+    Revision,
     ServerId,
     TableVersion,
     TenantName,
@@ -184,6 +185,9 @@
         builder.dataCentre = command.data_centre
     else:
         builder.serverId = command.server_id or ""
+    if command.expected_revision is not None:
+        builder.isConditional = True
+        builder.expectedRevision = command.expected_revision
 
 
 def _convert_availability(reader: Any) -> SetAvailability:
@@ -200,6 +204,9 @@
         reader.isOut,
         data_centre=DataCentre(target) if is_data_centre else None,
         server_id=None if is_data_centre else ServerId(target),
+        expected_revision=(
+            Revision(reader.expectedRevision) if reader.isConditional else None
+        ),
     )
 
 
--- a/src/bramleyrouter/control/configuration.py
+++ b/src/bramleyrouter/control/configuration.py
@@ -113,6 +113,10 @@
         text = "Exactly one valid data centre or server id was expected."
         return _build_refusal(cfg, Failure(Code.MALFORMED_REQUEST, text))
     state = cfg.state
+    expected = operation.expected_revision
+    if expected is not None and expected != state.revision:
+        text = f'Revision "{state.revision}" is in force, "{expected}" was expected.'
+        return _build_refusal(cfg, Failure(Code.REVISION_CONFLICT, text))
     data_centres = _add_or_remove_name(
         state.data_centres_out, data_centre, operation.is_out
     )
--- a/src/bramleyrouter/control/control.capnp
+++ b/src/bramleyrouter/control/control.capnp
@@ -33,6 +33,8 @@
     dataCentre @3 :Text;
     serverId @4 :Text;
   }
+  isConditional @5 :Bool;   # Whether expectedRevision must be in force.
+  expectedRevision @6 :UInt64;
 }
 
 struct Claim {
--- a/src/bramleyrouter/control/messages.py
+++ b/src/bramleyrouter/control/messages.py
@@ -42,7 +42,9 @@
 class SetAvailability(msgspec.Struct, frozen=True, tag="availability"):
     """Take a data centre or a backend server out of service, or back in.
 
-    Exactly one of ``data_centre`` and ``server_id`` is set.
+    Exactly one of ``data_centre`` and ``server_id`` is set. With ``expected_revision``
+    the change is refused unless that revision is in force, so that a request which is
+    delayed on its way can't undo a later one.
     """
 
     request_id: OperatorRequestId
@@ -50,6 +52,7 @@
     is_out: bool
     data_centre: DataCentre | None = None
     server_id: ServerId | None = None
+    expected_revision: Revision | None = None
 
 
 class Claim(msgspec.Struct, frozen=True, tag="claim"):
--- a/src/bramleyrouter/daemons/fleet_control.py
+++ b/src/bramleyrouter/daemons/fleet_control.py
@@ -32,7 +32,7 @@
 )
 from bramleyrouter.fleet.publishing import start_fleet_publisher
 from bramleyrouter.fleet.registry import ServerRegistry
-from bramleyrouter.ids import DataCentre
+from bramleyrouter.ids import DataCentre, Revision
 from bramleyrouter.telemetry.events import EventLog, record
 from bramleyrouter.utils.tasks import BackgroundTasks, cancel_all, spawn
 from bramleyrouter.wire.tcp import build_tcp_network
@@ -50,6 +50,7 @@
     recommend_control_address: Callable[[DataCentre], str]
     operate: Callable
     read_routes: Callable
+    get_revision: Callable[[], Revision]
     read_metrics: Callable[[], dict[str, float]]
     listen: Callable[[], None]
     close: Callable
@@ -144,6 +145,7 @@
         ),
         build_operate(leader_client),
         build_read_routes(leader_client),
+        lambda: state_machine.config().revision,
         lambda: _read_control_metrics(
             replicated_log, state_machine, registry, publisher
         ),
--- a/src/bramleyrouter/platform/control.py
+++ b/src/bramleyrouter/platform/control.py
@@ -21,7 +21,10 @@
     set_state_gauges,
 )
 from bramleyrouter.telemetry.events import EventLog, record
-from bramleyrouter.utils.tasks import BackgroundTasks
+from bramleyrouter.utils.stalls import Stalls, observe_run, read_boot_clock
+from bramleyrouter.utils.tasks import BackgroundTasks, run_periodically, spawn
+
+STALL_CHECK_INTERVAL_S = 0.1
 
 
 def build_control_daemon(cfg: FleetSettings, log: EventLog):
@@ -36,7 +39,9 @@
     if isinstance(built, Err):
         return built
     parts, metrics = built.ok_value, ControlMetrics()
+    stalls = Stalls(read_boot_clock())
     calls = ControlCalls(
+        get_revision=parts.get_revision,
         publish=parts.operate,
         set_availability=parts.operate,
         read_routes=parts.read_routes,
@@ -57,11 +62,13 @@
 
     async def start() -> None:
         parts.listen()
-        servers.append(listen_control(cfg.control_address, calls))
+        servers.append(listen_control(cfg.control_address, calls, stalls))
         update_metrics = lambda: set_state_gauges(metrics, parts.read_metrics())
         listen_metrics(cfg.metrics_address, metrics.registry, update_metrics)
         parts.board.readiness.reasons.discard("starting")
         watch_settings(log, tasks, apply_settings)
+        observe = lambda: observe_run(stalls, read_boot_clock())
+        spawn(tasks, run_periodically(STALL_CHECK_INTERVAL_S, observe))
         record(log, "daemon", "started", control_address=cfg.control_address)
 
     async def drain() -> None:
--- a/src/bramleyrouter/platform/operators.py
+++ b/src/bramleyrouter/platform/operators.py
@@ -6,10 +6,11 @@
 from typing import NamedTuple
 
 import msgspec
-from result import Err, Result
+from result import Err, Ok, Result
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPServerRequest
 
+from bramleyrouter.codes import Code
 from bramleyrouter.conf.defaults import MAX_MANIFEST_BYTES
 from bramleyrouter.control.messages import (
     OperatorResult,
@@ -22,6 +23,7 @@
 from bramleyrouter.ids import (
     DataCentre,
     OperatorRequestId,
+    Revision,
     ServerId,
     ServerIncarnation,
 )
@@ -32,6 +34,8 @@
 from bramleyrouter.telemetry.control_metrics import ObserveCall
 from bramleyrouter.telemetry.events import RecordEvent
 from bramleyrouter.utils.addresses import split_address
+from bramleyrouter.utils.sockets import peek
+from bramleyrouter.utils.stalls import Stalls, is_after_stall, read_boot_clock
 
 # Clients of control daemons wait one second for a reply. Then they ignore a late one
 # and send the same change again.
@@ -45,11 +49,13 @@
 class ControlCalls(NamedTuple):
     """Bundle what the HTTP calls of operators and backend servers need.
 
+    ``get_revision`` returns the revision of the configuration that this daemon knows.
     ``data_centres`` are the known data centres, and ``wall_clock`` returns the time of
     day in Unix seconds. ``record`` writes a log event, and
     ``observe`` updates the metrics of calls.
     """
 
+    get_revision: Callable[[], Revision]
     publish: Callable[
         [PublishRoutes, float], Awaitable[Result[OperatorResult, Failure]]
     ]
@@ -73,12 +79,19 @@
 
 
 async def handle_call(
-    calls: ControlCalls, method: str, path: str, body: bytes
+    calls: ControlCalls,
+    method: str,
+    path: str,
+    body: bytes,
+    is_awaited: Callable[[], bool],
 ) -> PlatformReply:
-    """Carry out one call, record its status and latency, and return its reply."""
+    """Carry out one call, record its status and latency, and return its reply.
+
+    ``is_awaited`` returns whether the client still waits for the reply.
+    """
     clock = asyncio.get_running_loop().time
     started = clock()
-    reply = await _dispatch_call(calls, method, path, body)
+    reply = await _dispatch_call(calls, method, path, body, is_awaited)
     calls.observe(_get_call_kind(method, path), reply.status, clock() - started)
     return reply
 
@@ -95,7 +108,11 @@
 
 
 async def _dispatch_call(
-    calls: ControlCalls, method: str, path: str, body: bytes
+    calls: ControlCalls,
+    method: str,
+    path: str,
+    body: bytes,
+    is_awaited: Callable[[], bool],
 ) -> PlatformReply:
     if path.startswith(names.REPLICAS_PREFIX):
         server_id = path[len(names.REPLICAS_PREFIX) :]
@@ -109,7 +126,9 @@
         return await _handle_read(calls)
     if path.startswith(names.EVACUATE_PREFIX) and method in (_POST, _DELETE):
         name = path[len(names.EVACUATE_PREFIX) :]
-        return await _handle_evacuation(calls, DataCentre(name), method == _POST)
+        return await _handle_evacuation(
+            calls, DataCentre(name), method == _POST, is_awaited
+        )
     return PlatformReply(404)
 
 
@@ -173,17 +192,46 @@
 
 
 async def _handle_evacuation(
-    calls: ControlCalls, name: DataCentre, is_out: bool
+    calls: ControlCalls,
+    name: DataCentre,
+    is_out: bool,
+    is_awaited: Callable[[], bool],
 ) -> PlatformReply:
+    """Take a data centre out, or back in, while the client waits for the reply.
+
+    A call names neither its time nor its predecessor. A client that has given it up may
+    have sent the opposite since, to another daemon. So the change is made only if the
+    client was still waiting after the revision that it changes was read.
+    """
     if name not in calls.data_centres:
         return PlatformReply(404)
-    # A repeated call gets a new id and is committed again. That is harmless, because it
-    # sets the same availability.
-    request_id = OperatorRequestId(secrets.token_hex(_REQUEST_ID_BYTES))
-    operation = SetAvailability(request_id, OPERATOR_NAME, is_out, data_centre=name)
-    outcome = await calls.set_availability(operation, OPERATION_TIMEOUT_S)
+    clock = asyncio.get_running_loop().time
+    deadline = clock() + OPERATION_TIMEOUT_S
     fields = {"data_centre": name, "is_out": is_out}
-    return _build_operation_reply(calls, "availability", fields, outcome)
+    revision = calls.get_revision()
+    while is_awaited() and (remaining_s := deadline - clock()) > 0:
+        # A repeated call gets a new id and is committed again. It sets the same
+        # availability, so that is harmless.
+        request_id = OperatorRequestId(secrets.token_hex(_REQUEST_ID_BYTES))
+        operation = SetAvailability(
+            request_id,
+            OPERATOR_NAME,
+            is_out,
+            data_centre=name,
+            expected_revision=revision,
+        )
+        outcome = await calls.set_availability(operation, remaining_s)
+        if not _is_revision_conflict(outcome):
+            return _build_operation_reply(calls, "availability", fields, outcome)
+        revision = outcome.unwrap().revision
+    calls.record("control", "order_outdated", order="availability", **fields)
+    text = "The call is not carried out, as its client may have given it up."
+    return _build_refusal(503, Failure(Code.REVISION_CONFLICT, text))
+
+
+def _is_revision_conflict(outcome: Result[OperatorResult, Failure]) -> bool:
+    failure = outcome.ok_value.failure if isinstance(outcome, Ok) else None
+    return failure is not None and failure.code is Code.REVISION_CONFLICT
 
 
 def _build_operation_reply(
@@ -219,12 +267,25 @@
     return PlatformReply(200, outcome.ok_value.document)
 
 
-def listen_control(address: str, calls: ControlCalls) -> HTTPServer:
+def _is_connected(req: HTTPServerRequest) -> bool:
+    """Return whether the client has not closed the connection, as far as is known."""
+    conn = req.connection
+    if conn is None or conn.stream.closed():  # type: ignore[attr-defined]
+        return False
+    return peek(conn.stream.socket) != b""  # type: ignore[attr-defined]
+
+
+def listen_control(address: str, calls: ControlCalls, stalls: Stalls) -> HTTPServer:
     """Serve the calls on "ip:port"; raise ``OSError`` if the address is in use."""
     tasks: set[asyncio.Task] = set()
 
     async def serve(req: HTTPServerRequest) -> None:
-        reply = await handle_call(calls, req.method or "", req.path, req.body)
+        def is_awaited() -> bool:
+            return not is_after_stall(stalls, read_boot_clock()) and _is_connected(req)
+
+        reply = await handle_call(
+            calls, req.method or "", req.path, req.body, is_awaited
+        )
         write_reply(req, reply)
 
     def on_request(req: HTTPServerRequest) -> None:
--- a/tests/control/test_control_codecs.py
+++ b/tests/control/test_control_codecs.py
@@ -1,5 +1,6 @@
 """Tests of the decoders of this package against damaged messages."""
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -30,6 +31,11 @@
 CASES = {
     "publish": (codecs.encode_command, codecs.decode_command, make_publish()),
     "out": (codecs.encode_command, codecs.decode_command, make_availability()),
+    "out_if_unchanged": (
+        codecs.encode_command,
+        codecs.decode_command,
+        msgspec.structs.replace(make_availability(), expected_revision=0),
+    ),
     "claim": (codecs.encode_command, codecs.decode_command, make_claim()),
     "settle": (
         codecs.encode_command,
--- a/tests/control/test_control_state_machine.py
+++ b/tests/control/test_control_state_machine.py
@@ -1,5 +1,6 @@
 """Tests of the replicated state machine: configuration and operators."""
 
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -278,3 +279,28 @@
             7,
             b"held",
         )
+
+
+class TestConditionalAvailability:
+    """Guard against a delayed change that undoes a later one (review 2)."""
+
+    def test_change_to_another_revision_is_refused_and_changes_nothing(self):
+        state_machine = build_control_state_machine()
+        delayed = msgspec.structs.replace(
+            make_availability("r2", is_out=False), expected_revision=1
+        )
+        out, taken_back, out_again, refused = run(
+            state_machine,
+            [
+                make_availability("r1"),
+                msgspec.structs.replace(delayed, request_id="r3"),
+                make_availability("r4"),
+                delayed,
+            ],
+        )
+        results = [item.failure for item in (out, taken_back, out_again)]
+        assert results == [None] * 3
+        assert refused.failure.code is Code.REVISION_CONFLICT
+        assert refused.revision == 3
+        assert state_machine.config().data_centres_out == ("dc1",)
+        assert state_machine.config().revision == 3
--- a/tests/platform/test_listeners.py
+++ b/tests/platform/test_listeners.py
@@ -1,6 +1,7 @@
 """Tests of the listeners for probes, metrics and control calls."""
 
 import asyncio
+import socket
 
 import pytest
 from aioprometheus import Registry
@@ -8,13 +9,21 @@
 from bramleyrouter.platform.listeners import listen_metrics, listen_ready
 from bramleyrouter.platform.operators import listen_control
 from bramleyrouter.utils.ports import reserve_address
+from bramleyrouter.utils.stalls import Stalls, read_boot_clock
 from tests.platform.test_operators import Control
 from tests.support.endless import MAX_WRITTEN_BYTES, write_until_closed
 
+
+def build_stalls():
+    return Stalls(read_boot_clock())
+
+
 LISTENERS = {
     "ready": lambda address: listen_ready(address, lambda: True),
     "metrics": lambda address: listen_metrics(address, Registry(), lambda: None),
-    "control": lambda address: listen_control(address, Control().build_calls()),
+    "control": lambda address: listen_control(
+        address, Control().build_calls(), build_stalls()
+    ),
 }
 
 
@@ -47,3 +56,40 @@
             assert written < MAX_WRITTEN_BYTES
 
         asyncio.run(scenario())
+
+
+class TestAbandonedCalls:
+    """Guard against a change that its client has given up and superseded (review 2).
+
+    A control daemon that was frozen read such a call seconds later and took back an
+    evacuation that had been acknowledged since.
+    """
+
+    CALL = b"DELETE /v1/evacuate/se-a HTTP/1.1\r\nHost: h\r\n\r\n"
+
+    def serve(self, stalls, is_abandoned):
+        """Send one call, before the daemon reads it; return the changes it makes."""
+        control, address = Control(), reserve_address()
+
+        async def scenario():
+            server = listen_control(address, control.build_calls(), stalls)
+            host, port = address.split(":")
+            client = socket.create_connection((host, int(port)))
+            client.sendall(self.CALL)
+            if is_abandoned:
+                client.close()
+            await asyncio.sleep(0.1)
+            server.stop()
+            client.close()
+
+        asyncio.run(scenario())
+        return [operation.is_out for operation in control.operations]
+
+    def test_call_whose_client_waits_is_carried_out(self):
+        assert self.serve(build_stalls(), False) == [False]
+
+    def test_call_whose_client_has_disconnected_is_not(self):
+        assert self.serve(build_stalls(), True) == []
+
+    def test_call_that_waited_while_the_process_stalled_is_not(self):
+        assert self.serve(Stalls(read_boot_clock() - 5.0), False) == []
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -14,6 +14,11 @@
 from tests.platform.test_route_documents import ROUTE, document
 
 ACCEPTED = Ok(OperatorResult(Revision(1), Generation(7)))
+CONFLICT = Ok(
+    OperatorResult(
+        Revision(9), Generation(7), Failure(Code.REVISION_CONFLICT, "another one")
+    )
+)
 NO_MAJORITY = Err(Failure(Code.NO_MAJORITY, "no majority"))
 
 
@@ -22,17 +27,18 @@
 
     def __init__(self, outcome=ACCEPTED, table=None):
         self.operations, self.rows, self.withdrawn, self.observed = [], [], [], []
-        self.outcome, self.table = outcome, table
+        self.outcome, self.table, self.outcomes = outcome, table, []
 
     async def operate(self, command, timeout_s):
         self.operations.append(command)
-        return self.outcome
+        return self.outcomes.pop(0) if self.outcomes else self.outcome
 
     async def read(self, timeout_s):
         return self.table if self.table is not None else NO_MAJORITY
 
     def build_calls(self):
         return ControlCalls(
+            get_revision=lambda: Revision(4),
             publish=self.operate,
             set_availability=self.operate,
             read_routes=self.read,
@@ -51,8 +57,9 @@
             ),
         )
 
-    def call(self, method, path, body=b""):
-        return asyncio.run(handle_call(self.build_calls(), method, path, body))
+    def call(self, method, path, body=b"", is_awaited=lambda: True):
+        calls = self.build_calls()
+        return asyncio.run(handle_call(calls, method, path, body, is_awaited))
 
 
 class TestRouteTables:
@@ -99,6 +106,23 @@
         assert control.operations[0].data_centre == "se-a"
         assert control.operations[0].request_id != control.operations[1].request_id
 
+    def test_change_is_made_only_to_the_revision_that_was_read(self):
+        control = Control()
+        control.outcomes = [CONFLICT]
+        assert control.call("POST", "/v1/evacuate/se-a").status == 200
+        expected = [operation.expected_revision for operation in control.operations]
+        assert expected == [4, 9]
+        assert control.operations[0].request_id != control.operations[1].request_id
+
+    def test_change_is_not_made_once_the_client_has_given_it_up(self):
+        """Guards against undoing a later change of the same operator (review 2)."""
+        control, awaited = Control(), [True, False]
+        control.outcomes = [CONFLICT]
+        reply = control.call("DELETE", "/v1/evacuate/se-a", b"", lambda: awaited.pop(0))
+        # The daemon says that it did nothing, and never that the change is refused.
+        assert reply.status == 503
+        assert len(control.operations) == 1
+
     def test_unknown_data_centre_is_not_found(self):
         assert Control().call("POST", "/v1/evacuate/mars").status == 404
 
