--- a/src/bramleyrouter/control/client.py
+++ b/src/bramleyrouter/control/client.py
@@ -25,6 +25,7 @@
     Claim,
     ClaimResult,
     ConfigState,
+    Depart,
     OperatorResult,
     PublishRoutes,
 )
@@ -104,7 +105,7 @@
     """Return a function that sends an operator's request to the leader."""
 
     async def operate(
-        operation: Operation | PublishRoutes, timeout_s: float
+        operation: Operation | PublishRoutes | Depart, timeout_s: float
     ) -> Result[OperatorResult, Failure]:
         encoded = try_encode_command(operation)
         if isinstance(encoded, Err):
--- a/src/bramleyrouter/control/codecs.py
+++ b/src/bramleyrouter/control/codecs.py
@@ -25,12 +25,14 @@
 )
 from bramleyrouter.control.messages import (
     Claim,
+    Depart,
     Publish,
     PublishRoutes,
     SetAvailability,
     Settle,
 )
 from bramleyrouter.failures import Failure
+from bramleyrouter.fleet.records import ServerPhase, ServerRow, check_row
 from bramleyrouter.ids import (
     DaemonId,
     DaemonIncarnation,
@@ -45,7 +47,9 @@
 from bramleyrouter.states import Outcome
 
 # A command as stored in the log; settlements are stored in batches.
-LogCommand = Publish | PublishRoutes | SetAvailability | Claim | tuple[Settle, ...]
+LogCommand = (
+    Publish | PublishRoutes | SetAvailability | Claim | Depart | tuple[Settle, ...]
+)
 
 # Leaves space for the ids that accompany a manifest, and for a manifest slightly
 # above its limit, so that the state machine can refuse it and state the reason.
@@ -84,6 +88,8 @@
         _fill_availability(message.init("availability"), command)
     elif isinstance(command, Claim):
         _fill_claim(message.init("claim"), command)
+    elif isinstance(command, Depart):
+        message.departure = msgspec.msgpack.encode(command.row)
     else:
         builders = message.init("settles", len(command))
         for builder, settlement in zip(builders, command, strict=True):
@@ -132,6 +138,8 @@
         return _convert_availability(message.availability)
     if which == "claim":
         return _convert_claim(message.claim)
+    if which == "departure":
+        return _convert_departure(message.departure)
     if which == "settles":
         if not 1 <= len(message.settles) <= MAX_SETTLES:
             raise ValueError(f"{len(message.settles)} settlements were sent")
@@ -230,6 +238,16 @@
     )
 
 
+def _convert_departure(data: bytes) -> Depart:
+    row = msgspec.msgpack.decode(data, type=ServerRow)
+    checked = check_row(row)
+    if isinstance(checked, Err):
+        raise ValueError(checked.err_value.text)
+    if row.phase is ServerPhase.READY:
+        raise ValueError(f'server "{row.server_id}" is ready, so it does not leave')
+    return Depart(row)
+
+
 def _fill_settle(builder: Any, command: Settle) -> None:
     builder.tenant = command.tenant
     builder.requestId = command.request_id
--- a/src/bramleyrouter/control/control.capnp
+++ b/src/bramleyrouter/control/control.capnp
@@ -11,6 +11,7 @@
     claim @3 :Claim;
     settles @4 :List(Settle);
     routes @5 :Routes;
+    departure @6 :Data;     # MessagePack of fleet.records.ServerRow.
   }
 }
 
--- a/src/bramleyrouter/control/messages.py
+++ b/src/bramleyrouter/control/messages.py
@@ -4,6 +4,7 @@
 
 from bramleyrouter.board.sections import Manifest
 from bramleyrouter.failures import Failure
+from bramleyrouter.fleet.records import ServerRow
 from bramleyrouter.ids import (
     DaemonId,
     DaemonIncarnation,
@@ -81,7 +82,17 @@
     answer: bytes = b""
 
 
-Command = Publish | PublishRoutes | SetAvailability | Claim | Settle
+class Depart(msgspec.Struct, frozen=True, tag="depart"):
+    """Record that a backend server drains or is gone, as its ``row`` says.
+
+    Servers wait for this before they stop serving, so it has to hold after the loss of
+    the control daemon that they told.
+    """
+
+    row: ServerRow
+
+
+Command = Publish | PublishRoutes | SetAvailability | Claim | Settle | Depart
 
 
 class OperatorResult(msgspec.Struct, frozen=True):
--- a/src/bramleyrouter/control/service.py
+++ b/src/bramleyrouter/control/service.py
@@ -21,6 +21,7 @@
 from bramleyrouter.control.messages import (
     Claim,
     ClaimResult,
+    Depart,
     Publish,
     PublishRoutes,
     SetAvailability,
@@ -82,7 +83,7 @@
     freshness = ConfigFreshness()
     network.serve(
         MessageKind.OPERATE,
-        _serve_commands(log, (Publish, PublishRoutes, SetAvailability)),
+        _serve_commands(log, (Publish, PublishRoutes, SetAvailability, Depart)),
     )
     network.serve(MessageKind.CLAIM, _serve_claims(log, state_machine))
     # Settlements are decoded as a tuple, as they are sent in batches.
--- a/src/bramleyrouter/control/snapshots.py
+++ b/src/bramleyrouter/control/snapshots.py
@@ -14,6 +14,7 @@
     Publisher,
     build_config_state,
 )
+from bramleyrouter.control.departures import Departure, Departures
 from bramleyrouter.control.digests import digest_manifest
 from bramleyrouter.control.ledger import (
     Ledger,
@@ -48,6 +49,7 @@
     records: dict[RecordKey, SubmissionRecord]
     routes_version: int = 0
     routes_document: bytes = b""
+    departures: tuple[Departure, ...] = ()
 
 
 def encode_snapshot(state: ControlState) -> bytes:
@@ -65,6 +67,7 @@
         state.ledger.records,
         state.routes.version,
         state.routes.document,
+        tuple(state.departures.by_server.values()),
     )
     return msgspec.msgpack.encode(snapshot)
 
@@ -84,6 +87,7 @@
         _restore_requests(snapshot),
         RouteTables(TableVersion(snapshot.routes_version), snapshot.routes_document),
         _restore_ledger(snapshot),
+        Departures({item.row.server_id: item for item in snapshot.departures}),
     )
 
 
--- a/src/bramleyrouter/control/state.py
+++ b/src/bramleyrouter/control/state.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from bramleyrouter.control.configuration import Configuration
+from bramleyrouter.control.departures import Departures
 from bramleyrouter.control.ledger import Ledger
 from bramleyrouter.control.operator_requests import OperatorRequests
 from bramleyrouter.control.route_tables import RouteTables
@@ -17,3 +18,4 @@
     requests: OperatorRequests = field(default_factory=OperatorRequests)
     routes: RouteTables = field(default_factory=RouteTables)
     ledger: Ledger = field(default_factory=Ledger)
+    departures: Departures = field(default_factory=Departures)
--- a/src/bramleyrouter/control/state_machine.py
+++ b/src/bramleyrouter/control/state_machine.py
@@ -1,6 +1,6 @@
 """The state machine that the control daemons replicate."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from absl import logging
@@ -9,10 +9,16 @@
 from bramleyrouter.consensus.interfaces import StateMachine
 from bramleyrouter.control import configuration, ledger
 from bramleyrouter.control.codecs import LogCommand, decode_command
+from bramleyrouter.control.departures import (
+    Departure,
+    has_departed,
+    record_departure,
+)
 from bramleyrouter.control.messages import (
     Claim,
     ConfigDelta,
     ConfigState,
+    Depart,
     OperatorResult,
     Publish,
     PublishRoutes,
@@ -23,6 +29,7 @@
 from bramleyrouter.control.route_tables import RouteTables, publish_routes
 from bramleyrouter.control.snapshots import decode_snapshot, encode_snapshot
 from bramleyrouter.control.state import ControlState
+from bramleyrouter.fleet.records import ServerRow
 from bramleyrouter.ids import (
     Generation,
     LogIndex,
@@ -38,6 +45,9 @@
     ``watch(callback)`` calls back after each change of the configuration's
     revision or the route table. ``is_ledger_full_for(tenant, request_id)`` returns
     whether a claim of this identity would be refused because the ledger is full.
+    ``watch_departures(callback)`` calls back with each departure of a backend server,
+    first with those that are recorded already. ``has_departed(row)`` returns whether
+    that of a row is recorded.
     """
 
     for_log: StateMachine
@@ -46,6 +56,8 @@
     deltas_since: Callable[[Revision], tuple[ConfigDelta, ...] | None]
     watch: Callable[[Callable[[], None]], None]
     is_ledger_full_for: Callable[[TenantName, RequestId], bool]
+    watch_departures: Callable[[Callable[[Departure], None]], None]
+    has_departed: Callable[[ServerRow], bool]
 
 
 def apply_command(state: ControlState, stamp_ms: int, command: LogCommand) -> bytes:
@@ -64,6 +76,11 @@
                 state.config.state.revision, Generation(state.routes.version)
             )
         )
+    if isinstance(command, Depart):
+        record_departure(state.departures, command.row, state.now_ms)
+        return encode_operator_result(
+            OperatorResult(state.config.state.revision, Generation(0))
+        )
     if isinstance(command, Claim):
         return encode_claim_result(ledger.claim(state.ledger, command, state.now_ms))
     for settlement in command:
@@ -87,6 +104,7 @@
     """Return an empty state machine."""
     state = ControlState()
     callbacks: list[Callable[[], None]] = []
+    departure_callbacks: list[Callable[[Departure], None]] = []
 
     def get_versions() -> tuple[int, int]:
         return state.config.state.revision, state.routes.version
@@ -103,8 +121,23 @@
                     "control: a watcher of the configuration raised an exception."
                 )
 
-    def apply(index: LogIndex, stamp_ms: int, command: bytes) -> bytes:
-        decoded = decode_command(command)
+    def notify_of_departures(departures: Iterable[Departure]) -> None:
+        for departure in departures:
+            for callback in departure_callbacks:
+                try:
+                    callback(departure)
+                except Exception:
+                    logging.exception(
+                        "control: a watcher of departures raised an exception."
+                    )
+
+    def watch_departures(callback: Callable[[Departure], None]) -> None:
+        departure_callbacks.append(callback)
+        for departure in state.departures.by_server.values():
+            callback(departure)
+
+    def apply(index: LogIndex, stamp_ms: int, data: bytes) -> bytes:
+        decoded = decode_command(data)
         if isinstance(decoded, Err):
             # Commands are validated before they are proposed, so this is a bug.
             logging.error(
@@ -113,9 +146,11 @@
                 decoded.err_value,
             )
             return b""
-        before = get_versions()
-        reply = apply_command(state, stamp_ms, decoded.ok_value)
+        command, before = decoded.ok_value, get_versions()
+        reply = apply_command(state, stamp_ms, command)
         notify_if_changed(before)
+        if isinstance(command, Depart):
+            notify_of_departures([Departure(command.row, state.now_ms)])
         return reply
 
     def restore(snapshot: bytes) -> None:
@@ -126,7 +161,9 @@
         state.requests = restored.requests
         state.routes = restored.routes
         state.ledger = restored.ledger
+        state.departures = restored.departures
         notify_if_changed(before)
+        notify_of_departures(state.departures.by_server.values())
 
     def is_ledger_full_for(tenant: TenantName, request_id: RequestId) -> bool:
         is_known = (tenant, request_id) in state.ledger.records
@@ -141,4 +178,6 @@
         ),
         watch=callbacks.append,
         is_ledger_full_for=is_ledger_full_for,
+        watch_departures=watch_departures,
+        has_departed=lambda row: has_departed(state.departures, row),
     )
--- a/src/bramleyrouter/daemons/fleet_control.py
+++ b/src/bramleyrouter/daemons/fleet_control.py
@@ -17,7 +17,10 @@
 from bramleyrouter.conf.fleet import FleetSettings, compute_stream_times
 from bramleyrouter.consensus.files import open_folder
 from bramleyrouter.consensus.replicated_log import build_replicated_log
-from bramleyrouter.control.client import build_operate, build_read_routes
+from bramleyrouter.control.client import (
+    build_operate,
+    build_read_routes,
+)
 from bramleyrouter.control.joining import JoinPolicy, maintain_log_membership
 from bramleyrouter.control.leader_client import LeaderClient
 from bramleyrouter.control.service import start_control_service
@@ -30,6 +33,7 @@
     poll_control_peers,
     recommend_control_address,
 )
+from bramleyrouter.fleet.departures import DepartureCalls, start_departures
 from bramleyrouter.fleet.publishing import start_fleet_publisher
 from bramleyrouter.fleet.registry import ServerRegistry
 from bramleyrouter.ids import DataCentre, Revision
@@ -48,6 +52,7 @@
     board: Board
     registry: ServerRegistry
     recommend_control_address: Callable[[DataCentre], str]
+    departures: DepartureCalls
     operate: Callable
     read_routes: Callable
     get_revision: Callable[[], Revision]
@@ -112,6 +117,7 @@
         compute_stream_times(cfg.bounds),
     )
     leader_client = LeaderClient(network, list(cfg.seeds), clock, rng)
+    departures = start_departures(registry, state_machine, leader_client, clock)
     policy = JoinPolicy(
         cfg.internal_address,
         cfg.is_first_start,
@@ -143,6 +149,7 @@
         lambda data_centre: recommend_control_address(
             control_peers, data_centre, clock()
         ),
+        departures,
         build_operate(leader_client),
         build_read_routes(leader_client),
         lambda: state_machine.config().revision,
--- a/src/bramleyrouter/platform/control.py
+++ b/src/bramleyrouter/platform/control.py
@@ -8,7 +8,7 @@
 from bramleyrouter.conf.fleet import FleetSettings
 from bramleyrouter.daemons.fleet_control import build_control_parts
 from bramleyrouter.daemons.lifecycles import Daemon
-from bramleyrouter.fleet.registry import apply_announcement, apply_withdrawal
+from bramleyrouter.fleet.registry import apply_announcement
 from bramleyrouter.platform.listeners import listen_metrics
 from bramleyrouter.platform.operators import (
     ControlCalls,
@@ -46,9 +46,8 @@
         set_availability=parts.operate,
         read_routes=parts.read_routes,
         announce=lambda row: apply_announcement(parts.registry, row, clock()),
-        withdraw=lambda server_id, incarnation: apply_withdrawal(
-            parts.registry, server_id, incarnation, clock()
-        ),
+        depart=parts.departures.depart,
+        withdraw=parts.departures.withdraw,
         recommend_control_address=parts.recommend_control_address,
         data_centres=cfg.data_centres,
         wall_clock=time.time,
--- a/src/bramleyrouter/platform/operators.py
+++ b/src/bramleyrouter/platform/operators.py
@@ -18,7 +18,7 @@
     SetAvailability,
 )
 from bramleyrouter.failures import Failure
-from bramleyrouter.fleet.records import MAX_NAME_CHARACTERS, ServerRow
+from bramleyrouter.fleet.records import MAX_NAME_CHARACTERS, ServerPhase, ServerRow
 from bramleyrouter.gateway.checks import check_table
 from bramleyrouter.ids import (
     DataCentre,
@@ -50,6 +50,7 @@
     """Bundle what the HTTP calls of operators and backend servers need.
 
     ``get_revision`` returns the revision of the configuration that this daemon knows.
+    ``depart`` and ``withdraw`` return once the log holds that a server leaves.
     ``data_centres`` are the known data centres, and ``wall_clock`` returns the time of
     day in Unix seconds. ``record`` writes a log event, and
     ``observe`` updates the metrics of calls.
@@ -65,7 +66,10 @@
     read_routes: Callable[[float], Awaitable[Result[PublishRoutes, Failure]]]
     announce: Callable[[ServerRow], bool]
     recommend_control_address: Callable[[DataCentre], str]
-    withdraw: Callable[[ServerId, ServerIncarnation | None], None]
+    depart: Callable[[ServerRow, float], Awaitable[Result[None, Failure]]]
+    withdraw: Callable[
+        [ServerId, ServerIncarnation | None, float], Awaitable[Result[None, Failure]]
+    ]
     data_centres: tuple[DataCentre, ...]
     wall_clock: Callable[[], float]
     record: RecordEvent
@@ -117,9 +121,9 @@
     if path.startswith(names.REPLICAS_PREFIX):
         server_id = path[len(names.REPLICAS_PREFIX) :]
         if method == _PUT:
-            return _handle_heartbeat(calls, server_id, body)
+            return await _handle_heartbeat(calls, server_id, body)
         if method == _DELETE:
-            return _handle_withdrawal(calls, server_id, body)
+            return await _handle_withdrawal(calls, server_id, body)
     if path == names.CONFIG_PATH and method == _PUT:
         return await _handle_publish(calls, body)
     if path == names.CONFIG_PATH and method == _GET:
@@ -132,7 +136,7 @@
     return PlatformReply(404)
 
 
-def _handle_heartbeat(
+async def _handle_heartbeat(
     calls: ControlCalls, server_id: str, body: bytes
 ) -> PlatformReply:
     decoded = decode_heartbeat(server_id, body, calls.data_centres, calls.wall_clock())
@@ -140,6 +144,10 @@
         return _refuse_announcement(calls, "bad_heartbeat", server_id, decoded)
     row = decoded.ok_value
     calls.announce(row)
+    if row.phase is not ServerPhase.READY:
+        recorded = await calls.depart(row, OPERATION_TIMEOUT_S)
+        if isinstance(recorded, Err):
+            return _refuse_departure(calls, server_id, recorded.err_value)
     address = calls.recommend_control_address(row.data_centre)
     # The server sends its next heartbeats to this address until one fails.
     return PlatformReply(
@@ -147,16 +155,29 @@
     )
 
 
-def _handle_withdrawal(
+async def _handle_withdrawal(
     calls: ControlCalls, server_id: str, body: bytes
 ) -> PlatformReply:
     decoded = decode_withdrawal(body, calls.wall_clock())
     if isinstance(decoded, Err):
         return _refuse_announcement(calls, "bad_withdrawal", server_id, decoded)
-    calls.withdraw(ServerId(server_id), decoded.ok_value)
+    recorded = await calls.withdraw(
+        ServerId(server_id), decoded.ok_value, OPERATION_TIMEOUT_S
+    )
+    if isinstance(recorded, Err):
+        return _refuse_departure(calls, server_id, recorded.err_value)
     return PlatformReply(200)
 
 
+def _refuse_departure(
+    calls: ControlCalls, server_id: str, failure: Failure
+) -> PlatformReply:
+    """Reply that a departure is not recorded; it is applied here all the same."""
+    server = server_id[:MAX_NAME_CHARACTERS]
+    calls.record("registry", "departure_open", server=server, reason=failure.text)
+    return _build_refusal(503, failure)
+
+
 def _refuse_announcement(
     calls: ControlCalls, event: str, server_id: str, failure: Err[Failure]
 ) -> PlatformReply:
--- a/tests/control/test_control_codecs.py
+++ b/tests/control/test_control_codecs.py
@@ -10,9 +10,15 @@
 from bramleyrouter.consensus.interfaces import LogStatus, Member
 from bramleyrouter.control import codecs, replies, rollouts
 from bramleyrouter.control.limits import MAX_SETTLES
-from bramleyrouter.control.messages import ClaimResult, ConfigState, OperatorResult
+from bramleyrouter.control.messages import (
+    ClaimResult,
+    ConfigState,
+    Depart,
+    OperatorResult,
+)
 from bramleyrouter.dissemination.interfaces import DaemonLag, Rollout
 from bramleyrouter.failures import Failure, Finding
+from bramleyrouter.fleet.records import ServerPhase
 from bramleyrouter.states import Outcome
 from bramleyrouter.wire.envelopes import PROTOCOL_VERSION
 from tests.control.builders import (
@@ -22,6 +28,7 @@
     make_publish,
     make_settle,
 )
+from tests.support.gateway_fakes import build_row
 
 MEMBER = Member("m1", "127.0.0.1:7100")
 FAILURE = Failure(
@@ -36,6 +43,11 @@
         codecs.decode_command,
         msgspec.structs.replace(make_availability(), expected_revision=0),
     ),
+    "depart": (
+        codecs.encode_command,
+        codecs.decode_command,
+        Depart(build_row("i-1", phase=ServerPhase.DRAINING)),
+    ),
     "claim": (codecs.encode_command, codecs.decode_command, make_claim()),
     "settle": (
         codecs.encode_command,
--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -14,6 +14,7 @@
 from bramleyrouter.control.messages import PublishRoutes
 from bramleyrouter.control.service import start_control_service
 from bramleyrouter.control.state_machine import build_control_state_machine
+from bramleyrouter.fleet.departures import start_departures
 from bramleyrouter.fleet.publishing import start_fleet_publisher
 from bramleyrouter.fleet.registry import ServerRegistry
 from bramleyrouter.fleet.watcher import start_fleet_watcher
@@ -68,6 +69,12 @@
         leader_client = LeaderClient(
             self.network, list(INITIAL_ADDRESSES), loop.time, rng
         )
+        self.departures = start_departures(
+            self.registry,
+            self.state_machine,
+            leader_client,
+            loop.time,
+        )
         policy = JoinPolicy(self.address, is_first_start, 3, 2.4)
         joining = maintain_log_membership(
             leader_client, self.log, policy, lambda: INITIAL_ADDRESSES
--- /dev/null
+++ b/tests/fleet/test_departures.py
@@ -0,0 +1,123 @@
+"""Tests that a server which has left stays so, whatever happens to control daemons."""
+
+import asyncio
+import time
+
+import pytest
+from result import Err, Ok
+
+from bramleyrouter.fleet.departures import (
+    apply_departure,
+    build_gone_row,
+)
+from bramleyrouter.fleet.records import ServerPhase
+from bramleyrouter.fleet.registry import (
+    RETENTION_S,
+    ServerRegistry,
+    apply_announcement,
+    list_rows,
+)
+from tests.fleet.fleet_cluster import EntryDaemon, FleetCluster
+from tests.support.gateway_fakes import build_row
+from tests.support.log_cluster import in_virtual_time
+
+BORN = int(time.time() * 1000) - 60_000
+
+
+def now():
+    return asyncio.get_running_loop().time()
+
+
+def build_server(sequence, **fields):
+    return build_row("a", sequence=sequence, incarnation=BORN, **fields)
+
+
+def is_ready(entry):
+    row = entry.state.view.merged.get("a")
+    return row is not None and row.phase is ServerPhase.READY
+
+
+async def start_cluster():
+    cluster = FleetCluster()
+    cluster.start(0, 1, 2)
+    await cluster.wait_until(lambda: cluster.leader() is not None)
+    assert isinstance(await cluster.publish(3), Ok)
+    entry = EntryDaemon(cluster, "e0", 7500)
+    await asyncio.sleep(1.0)
+    return cluster, entry
+
+
+async def leave(cluster, number, how):
+    """Let the server leave through a control daemon; return the outcome."""
+    departures = cluster.controls[number].departures
+    if how == "withdraw":
+        return await departures.withdraw("a", None, 0.9)
+    row = build_server(9, phase=ServerPhase.DRAINING)
+    apply_announcement(cluster.controls[number].registry, row, now())
+    return await departures.depart(row, 0.9)
+
+
+class TestLostControlDaemons:
+    """Guard against using a server again after the daemon it told was lost (review 4).
+
+    Another one still listed it as ready, though silent, and an entry daemon that had
+    just started knew nothing else.
+    """
+
+    @pytest.mark.parametrize("how", ["withdraw", "drain"])
+    @pytest.mark.parametrize("lost", [(0,), (0, 1), (0, 2), (0, 1, 2)])
+    @pytest.mark.parametrize("is_disk_lost", [False, True])
+    @in_virtual_time
+    async def test_server_is_not_used_by_a_new_entry_daemon(
+        self, how, lost, is_disk_lost
+    ):
+        cluster, _ = await start_cluster()
+        apply_announcement(cluster.controls[1].registry, build_server(1), now())
+        for sequence in range(2, 8):
+            apply_announcement(
+                cluster.controls[0].registry, build_server(sequence), now()
+            )
+            await asyncio.sleep(1.2)
+        assert await leave(cluster, 0, how) == Ok(None)
+        for number in lost:
+            await cluster.kill(number)
+        if is_disk_lost:
+            cluster.wipe(0)
+        cluster.fabric.kill("127.0.0.1:7500")
+        await asyncio.sleep(1.0)
+        cluster.start(*lost, is_first_start=False)
+        entry = EntryDaemon(cluster, "e1", 7510)
+        for _ in range(200):
+            await asyncio.sleep(0.1)
+            assert not is_ready(entry)
+
+    @in_virtual_time
+    async def test_departure_is_not_acknowledged_without_a_majority(self):
+        """What no majority has stored could be forgotten."""
+        cluster, entry = await start_cluster()
+        apply_announcement(cluster.controls[0].registry, build_server(1), now())
+        await cluster.wait_until(lambda: is_ready(entry))
+        for number in (1, 2):
+            await cluster.kill(number)
+        assert isinstance(await leave(cluster, 0, "withdraw"), Err)
+        await asyncio.sleep(0.2)
+        assert not is_ready(entry)
+
+
+class TestRestart:
+    """Guard against old departures that a starting member applies again."""
+
+    def test_old_departure_changes_nothing(self):
+        registry = ServerRegistry(1.2)
+        apply_departure(registry, build_gone_row("a", 0), RETENTION_S + 1, 0.0)
+        assert list(list_rows(registry, 0.0)) == []
+        apply_departure(registry, build_gone_row("a", 0), 1.0, 0.0)
+        assert [row.phase for row in list_rows(registry, 0.0)] == [ServerPhase.GONE]
+
+    def test_draining_is_not_undone_or_repeated(self):
+        registry, changes = ServerRegistry(1.2), []
+        registry.on_change.append(changes.append)
+        row = build_server(5, phase=ServerPhase.DRAINING)
+        apply_departure(registry, build_gone_row("a", BORN), 0.0, 0.0)
+        apply_departure(registry, row, 0.0, 0.0)
+        assert [item.phase for item in changes] == [ServerPhase.GONE]
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -8,6 +8,7 @@
 from bramleyrouter.codes import Code
 from bramleyrouter.control.messages import OperatorResult, PublishRoutes
 from bramleyrouter.failures import Failure
+from bramleyrouter.fleet.records import ServerPhase
 from bramleyrouter.ids import DataCentre, Generation, Revision, TableVersion
 from bramleyrouter.platform.operators import ControlCalls, handle_call
 from tests.platform.test_announcements import HEARTBEAT, NOW_S
@@ -28,6 +29,7 @@
     def __init__(self, outcome=ACCEPTED, table=None):
         self.operations, self.rows, self.withdrawn, self.observed = [], [], [], []
         self.outcome, self.table, self.outcomes = outcome, table, []
+        self.departed, self.departure = [], Ok(None)
 
     async def operate(self, command, timeout_s):
         self.operations.append(command)
@@ -36,6 +38,14 @@
     async def read(self, timeout_s):
         return self.table if self.table is not None else NO_MAJORITY
 
+    async def depart(self, row, timeout_s):
+        self.departed.append(row)
+        return self.departure
+
+    async def withdraw(self, name, incarnation, timeout_s):
+        self.withdrawn.append((name, incarnation))
+        return self.departure
+
     def build_calls(self):
         return ControlCalls(
             get_revision=lambda: Revision(4),
@@ -46,9 +56,8 @@
             recommend_control_address=lambda name: (
                 "10.1.0.12:8106" if name == "se-a" else ""
             ),
-            withdraw=lambda name, incarnation: self.withdrawn.append(
-                (name, incarnation)
-            ),
+            depart=self.depart,
+            withdraw=self.withdraw,
             data_centres=(DataCentre("se-a"), DataCentre("se-b")),
             wall_clock=lambda: NOW_S,
             record=lambda part, event, **fields: None,
@@ -157,6 +166,24 @@
         assert control.call("DELETE", "/v1/replicas/i-1").status == 200
         assert control.withdrawn == [("i-1", None)]
 
+    def test_departure_is_acknowledged_only_once_it_is_recorded(self):
+        """Guards against a server that is used again after its daemon is lost."""
+        control = Control()
+        body = msgspec.json.encode({**HEARTBEAT, "state": "draining"})
+        for departure, status in ((Ok(None), 200), (NO_MAJORITY, 503)):
+            control.departure = departure
+            assert control.call("PUT", "/v1/replicas/i-1", body).status == status
+            assert control.call("DELETE", "/v1/replicas/i-1").status == status
+        assert [row.phase for row in control.departed] == 2 * [ServerPhase.DRAINING]
+        # The daemon itself uses what it heard at once.
+        assert len(control.rows) == 2
+
+    def test_heartbeat_of_a_ready_server_waits_for_nothing(self):
+        control = Control()
+        control.departure = NO_MAJORITY
+        reply = control.call("PUT", "/v1/replicas/i-1", msgspec.json.encode(HEARTBEAT))
+        assert reply.status == 200 and control.departed == []
+
 
 class TestMetrics:
     """Guard against failing changes that the metrics do not show."""
