--- a/src/bramleyrouter/daemons/fleet_control.py
+++ b/src/bramleyrouter/daemons/fleet_control.py
@@ -117,7 +117,9 @@
         compute_stream_times(cfg.bounds),
     )
     leader_client = LeaderClient(network, list(cfg.seeds), clock, rng)
-    departures = start_departures(registry, state_machine, leader_client, clock)
+    departures = start_departures(
+        network, registry, state_machine, leader_client, cfg.internal_address, clock
+    )
     policy = JoinPolicy(
         cfg.internal_address,
         cfg.is_first_start,
--- a/src/bramleyrouter/wire/kinds.py
+++ b/src/bramleyrouter/wire/kinds.py
@@ -45,3 +45,4 @@
     GATHER_SHARDS = 92
     DESCRIBE = 93
     GRANT_ATTEMPTS = 94
+    FIND_SERVER = 95
--- a/tests/boundaries/test_odd_input.py
+++ b/tests/boundaries/test_odd_input.py
@@ -41,6 +41,7 @@
     read_submit_reply,
 )
 from bramleyrouter.edges.servers.transport import QueryCall, SubmitCall
+from bramleyrouter.fleet.departures import decode_found_server
 from bramleyrouter.fleet.messages import Update, decode_update, encode_update
 from bramleyrouter.fleet.records import (
     MAX_SLOTS,
@@ -73,6 +74,7 @@
     ],
     "platform/route_documents.py": [decode_route_table],
     "fleet/messages.py": [decode_update],
+    "fleet/departures.py": [decode_found_server],
     "gateway/delegation.py": [decode_query, decode_reply, decode_grant],
     "wire/envelopes.py": [decode_envelope],
     "homes/codecs.py": [
--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -70,9 +70,11 @@
             self.network, list(INITIAL_ADDRESSES), loop.time, rng
         )
         self.departures = start_departures(
+            self.network,
             self.registry,
             self.state_machine,
             leader_client,
+            self.address,
             loop.time,
         )
         policy = JoinPolicy(self.address, is_first_start, 3, 2.4)
--- a/tests/fleet/test_departures.py
+++ b/tests/fleet/test_departures.py
@@ -7,8 +7,10 @@
 from result import Err, Ok
 
 from bramleyrouter.fleet.departures import (
+    FoundServer,
     apply_departure,
     build_gone_row,
+    choose_incarnation,
 )
 from bramleyrouter.fleet.records import ServerPhase
 from bramleyrouter.fleet.registry import (
@@ -17,7 +19,7 @@
     apply_announcement,
     list_rows,
 )
-from tests.fleet.fleet_cluster import EntryDaemon, FleetCluster
+from tests.fleet.fleet_cluster import ADDRESSES, EntryDaemon, FleetCluster
 from tests.support.gateway_fakes import build_row
 from tests.support.log_cluster import in_virtual_time
 
@@ -104,6 +106,66 @@
         assert not is_ready(entry)
 
 
+class TestOtherControlDaemons:
+    """Guard against a withdrawal that is acknowledged and forgotten (review 3).
+
+    It reached a control daemon that didn't know the server.
+    """
+
+    @pytest.mark.parametrize("is_frozen", [False, True])
+    @in_virtual_time
+    async def test_withdrawal_through_another_daemon_is_applied(self, is_frozen):
+        cluster, entry = await start_cluster()
+        known_at = (cluster.leader() + 1) % 3
+        told = next(number for number in range(3) if number != known_at)
+        registry = cluster.controls[known_at].registry
+        apply_announcement(registry, build_server(1), now())
+        await cluster.wait_until(lambda: is_ready(entry))
+        if is_frozen:
+            cluster.fabric.freeze(ADDRESSES[known_at])
+        assert await leave(cluster, told, "withdraw") == Ok(None)
+        await cluster.wait_until(lambda: not is_ready(entry), 1.0)
+        cluster.fabric.thaw(ADDRESSES[known_at])
+        late = EntryDaemon(cluster, "e1", 7510)
+        for _ in range(50):
+            await asyncio.sleep(0.1)
+            assert not is_ready(entry)
+        # A later start under the same id is used again.
+        reborn = build_row("a", incarnation=int(time.time() * 1000) + 5000)
+        apply_announcement(registry, reborn, now())
+        await cluster.wait_until(lambda: is_ready(entry) and is_ready(late))
+
+    @in_virtual_time
+    async def test_withdrawal_names_the_latest_incarnation(self):
+        """Guards against withdrawing an earlier start that this daemon remembers."""
+        cluster, entry = await start_cluster()
+        old = build_row("a", incarnation=BORN - 9000)
+        apply_announcement(cluster.controls[0].registry, old, now())
+        await asyncio.sleep(5.0)
+        apply_announcement(cluster.controls[1].registry, build_server(1), now())
+        await cluster.wait_until(lambda: is_ready(entry))
+        assert await leave(cluster, 0, "withdraw") == Ok(None)
+        await cluster.wait_until(lambda: not is_ready(entry), 1.0)
+
+
+class TestChoice:
+    """Guard against a withdrawal of the wrong start of a server."""
+
+    def test_latest_announced_start_is_withdrawn(self):
+        rows = (build_gone_row("a", 9), build_row("a", incarnation=5), build_server(1))
+        assert choose_incarnation(FoundServer(rows, False), 7.0) == BORN
+
+    def test_repeated_withdrawal_names_the_same_start(self):
+        found = FoundServer((build_gone_row("a", 9),), False)
+        assert choose_incarnation(found, 7.0) == 9
+
+    def test_unknown_server_needs_no_withdrawal(self):
+        assert choose_incarnation(FoundServer((), True), 7.0) is None
+
+    def test_starts_before_now_are_withdrawn_if_nobody_can_tell(self):
+        assert choose_incarnation(FoundServer((), False), 7.0) == 7000
+
+
 class TestRestart:
     """Guard against old departures that a starting member applies again."""
 
