--- a/src/bramleyrouter/consensus/bootstrap.py
+++ b/src/bramleyrouter/consensus/bootstrap.py
@@ -8,7 +8,8 @@
 
 Hence a second cluster can form only when all listed data folders are empty. A
 member that lost its disk gets reports of an active cluster and waits under its
-new id until it is added.
+new id until it is added. A process that is started again meanwhile takes part with the
+id that its data folder holds; only the initiator needs to be one of the listed members.
 """
 
 from bramleyrouter.consensus.entries import MemberRecord
@@ -34,13 +35,27 @@
 
 
 def _build_adopted_record(
-    own: MemberRecord, own_address: str, addresses: set[str], proposed: MemberRecord
-):
-    members = proposed.initial_members
-    is_listed = Member(own.member_id, own_address) in members
-    if not is_listed or {item.address for item in members} != addresses:
-        return None
-    return MemberRecord(own.member_id, proposed.cluster_id, members)
+    own: MemberRecord, own_address: str, reported_records: dict[str, MemberRecord]
+) -> MemberRecord | None:
+    """Return the record with a configuration that lists this member, if there is one.
+
+    Its initiator has this member's id from this member itself, so it is the same
+    bootstrap, even if this process was started again in it with other settings.
+    """
+    own_member = Member(own.member_id, own_address)
+    for _, reported in sorted(reported_records.items()):
+        if reported.cluster_id and own_member in reported.initial_members:
+            members = reported.initial_members
+            return MemberRecord(own.member_id, reported.cluster_id, members)
+    return None
+
+
+def list_addresses_to_ask(
+    own: MemberRecord, own_address: str, first_members: tuple[str, ...]
+) -> list[str]:
+    """Return the addresses of the members whose records this member needs next."""
+    listed = [item.address for item in own.initial_members] or first_members
+    return [address for address in listed if address != own_address]
 
 
 def compute_next_member_record(
@@ -49,15 +64,15 @@
     first_members: tuple[str, ...],
     reported_records: dict[str, MemberRecord],
     cluster_id: str,
+    may_initiate: bool = True,
 ) -> MemberRecord | None:
     """Return the record that this member must store next, or none to wait.
 
-    ``reported_records`` maps the addresses of the other first members that
-    replied to the records that they reported. ``cluster_id`` becomes the id of
-    the cluster if this member is the initiator.
+    ``reported_records`` maps the addresses of the members that replied to the records
+    that they reported. ``cluster_id`` becomes the id of the cluster if this member is
+    the initiator, which it is only with ``may_initiate``.
     """
-    addresses = set(first_members)
-    if own.is_active or own_address not in addresses:
+    if own.is_active:
         return None
     if own.cluster_id:
         own_configuration = (own.cluster_id, own.initial_members)
@@ -69,17 +84,17 @@
         # A member becomes active only after all have stored the configuration,
         # so one active member is proof enough.
         is_any_active = any(item.is_active for item in matching_records)
-        if is_any_active or len(matching_records) == len(addresses) - 1:
+        if is_any_active or len(matching_records) == len(own.initial_members) - 1:
             return MemberRecord(
                 own.member_id, own.cluster_id, own.initial_members, True
             )
         return None
-    initiator = min(addresses)
-    if own_address != initiator:
-        proposed = reported_records.get(initiator)
-        if proposed is None or not proposed.cluster_id:
-            return None
-        return _build_adopted_record(own, own_address, addresses, proposed)
+    adopted = _build_adopted_record(own, own_address, reported_records)
+    if adopted is not None:
+        return adopted
+    addresses = set(first_members)
+    if not may_initiate or own_address != min(addresses, default=None):
+        return None
     have_all_reported = set(reported_records) == addresses - {own_address}
     if not have_all_reported or any(
         item.cluster_id for item in reported_records.values()
--- a/src/bramleyrouter/consensus/entries.py
+++ b/src/bramleyrouter/consensus/entries.py
@@ -46,13 +46,16 @@
 
     ``cluster_id`` is empty until this member has joined or formed a cluster.
     ``is_active`` is false until all first members have stored the initial
-    configuration; an inactive member neither votes nor stores entries.
+    configuration; an inactive member neither votes nor stores entries. With
+    ``may_initiate`` the data folder was created by a process that could propose the
+    initial configuration, and so can each later one until there is a configuration.
     """
 
     member_id: MemberId
     cluster_id: str = ""
     initial_members: tuple[Member, ...] = ()
     is_active: bool = False
+    may_initiate: bool = False
 
 
 class Snapshot(msgspec.Struct, frozen=True):
--- a/src/bramleyrouter/consensus/node.py
+++ b/src/bramleyrouter/consensus/node.py
@@ -69,6 +69,8 @@
     raft: RaftState
     member_record: MemberRecord
     limits: Limits
+    # Whether this member may propose the initial configuration of a new cluster.
+    may_initiate: bool = True
     applied_index: LogIndex = LogIndex(0)
     applied_stamp_ms: int = 0
     applied_bytes: int = 0
--- a/src/bramleyrouter/consensus/replicated_log.py
+++ b/src/bramleyrouter/consensus/replicated_log.py
@@ -70,6 +70,7 @@
     limits: Limits,
     storage: Storage,
     recovered: Recovered,
+    may_initiate: bool,
     previous: Node | None = None,
 ) -> Node:
     """Build a member from its recovered data folder.
@@ -100,6 +101,7 @@
         raft,
         member_record,
         limits,
+        may_initiate,
     )
     if previous is not None:
         node.applied_index = previous.applied_index
@@ -210,6 +212,7 @@
         stopped.limits,
         storage,
         recovered,
+        stopped.may_initiate,
         stopped,
     )
     logging.warning(
@@ -231,12 +234,14 @@
     wall_clock: Callable[[], float] = time.time,
     limits: Limits | None = None,
     new_id: Callable[[], str] = generate_id,
+    may_initiate: bool = True,
 ) -> Result[ReplicatedLog, Failure]:
     """Recover the data folder and start this member on the running loop.
 
     ``members`` are the internal addresses of the first members; a member whose
     own address is not among them, or that finds an existing cluster, waits
-    until it is added. ``fs`` is ``files.open_folder(folder)``; it is closed
+    until it is added. Without ``may_initiate`` this member proposes no new cluster to
+    them. ``fs`` is ``files.open_folder(folder)``; it is closed
     with the log. ``rng`` randomises the election timeouts. ``new_id`` creates
     the ids of member and cluster and must never return the same text twice, on
     any VM.
@@ -244,7 +249,7 @@
     Fails with ``LOG_CORRUPT``, ``SNAPSHOT_CORRUPT`` or ``DISK_FAILED``.
     """
     limits = limits or Limits()
-    opened = open_storage(fs, new_id, limits.segment_bytes)
+    opened = open_storage(fs, new_id, limits.segment_bytes, may_initiate)
     if isinstance(opened, Err):
         logging.error("consensus: refused to start: %s", opened.err_value)
         fs.close()
@@ -260,6 +265,7 @@
         limits,
         storage,
         recovered,
+        may_initiate,
     )
     member = _Member(node)
     _start_node(member, new_id)
--- a/src/bramleyrouter/consensus/request_handlers.py
+++ b/src/bramleyrouter/consensus/request_handlers.py
@@ -7,7 +7,10 @@
 from result import Err, Ok, Result
 
 from bramleyrouter.codes import Code
-from bramleyrouter.consensus.bootstrap import compute_next_member_record
+from bramleyrouter.consensus.bootstrap import (
+    compute_next_member_record,
+    list_addresses_to_ask,
+)
 from bramleyrouter.consensus.codec import (
     Presence,
     decode_message,
@@ -185,7 +188,7 @@
 
 
 async def _poll_first_members(node: Node, new_id: Callable[[], str]) -> None:
-    others = [item for item in node.first_members if item != node.address]
+    others = list_addresses_to_ask(node.member_record, node.address, node.first_members)
     outcomes = await asyncio.gather(*(request_presence(node, item) for item in others))
     reported_records = {
         address: outcome.ok_value.member_record
@@ -193,7 +196,12 @@
         if isinstance(outcome, Ok)
     }
     member_record = compute_next_member_record(
-        node.member_record, node.address, node.first_members, reported_records, new_id()
+        node.member_record,
+        node.address,
+        node.first_members,
+        reported_records,
+        new_id(),
+        node.may_initiate or node.member_record.may_initiate,
     )
     if member_record is not None:
         update_member_record(node, member_record)
--- a/src/bramleyrouter/consensus/storage.py
+++ b/src/bramleyrouter/consensus/storage.py
@@ -133,7 +133,7 @@
 
 
 def _read_member_record(
-    fs: FileSystem, new_id: Callable[[], str]
+    fs: FileSystem, new_id: Callable[[], str], may_initiate: bool
 ) -> Result[MemberRecord, Failure]:
     names = fs.list_names()
     if MEMBER_FILE in names:
@@ -143,7 +143,7 @@
         # With a new id beside the old state, a member could vote twice in a term.
         reason = f'the file is missing beside "{remaining[0]}"'
         return Err(build_corrupt_failure(MEMBER_FILE, 0, reason))
-    member_record = MemberRecord(MemberId(new_id()))
+    member_record = MemberRecord(MemberId(new_id()), may_initiate=may_initiate)
     _replace_file(fs, MEMBER_FILE, _encode_whole_file(MEMBER_FILE, member_record))
     return Ok(member_record)
 
@@ -190,9 +190,9 @@
 
 
 def _recover(
-    fs: FileSystem, new_id: Callable[[], str]
+    fs: FileSystem, new_id: Callable[[], str], may_initiate: bool
 ) -> Result[tuple[SegmentState, Recovered], Failure]:
-    member_record = _read_member_record(fs, new_id)
+    member_record = _read_member_record(fs, new_id, may_initiate)
     if isinstance(member_record, Err):
         return member_record
     snapshot, size = None, 0
@@ -228,17 +228,21 @@
 
 
 def open_storage(
-    fs: FileSystem, new_id: Callable[[], str], segment_bytes: int = SEGMENT_BYTES
+    fs: FileSystem,
+    new_id: Callable[[], str],
+    segment_bytes: int = SEGMENT_BYTES,
+    may_initiate: bool = False,
 ) -> Result[tuple[Storage, Recovered], Failure]:
     """Open and recover the data folder; create the member id if it is empty.
 
     ``new_id`` must never return the same text twice on any VM: otherwise a
-    member that lost its disk could vote again under its old id. Fails with
+    member that lost its disk could vote again under its old id. ``may_initiate`` is
+    stored with a new member id. Fails with
     ``LOG_CORRUPT`` or ``SNAPSHOT_CORRUPT``, which name the file, or with
     ``DISK_FAILED``.
     """
     try:
-        outcome = _recover(fs, new_id)
+        outcome = _recover(fs, new_id, may_initiate)
     except OSError as exc:
         return Err(build_disk_failure(exc))
     if isinstance(outcome, Err):
--- a/src/bramleyrouter/daemons/fleet_control.py
+++ b/src/bramleyrouter/daemons/fleet_control.py
@@ -79,9 +79,14 @@
     except OSError as exc:
         text = f'The data folder "{cfg.data_folder}" can\'t be opened: {exc}.'
         return Err(Failure(Code.DISK_FAILED, text))
-    first_members = cfg.seeds if cfg.is_first_start else ()
     opened = build_replicated_log(
-        board.identity, first_members, network, rng, state_machine.for_log, folder
+        board.identity,
+        cfg.seeds,
+        network,
+        rng,
+        state_machine.for_log,
+        folder,
+        may_initiate=may_initiate_log(cfg),
     )
     return opened.map(
         lambda replicated_log: _assemble_control_parts(
@@ -99,6 +104,16 @@
     )
 
 
+def may_initiate_log(cfg: FleetSettings) -> bool:
+    """Return whether this daemon may form the log if all seeds have empty folders.
+
+    Processes that are started again during the first start are not told that it is the
+    first. Without them it would never end. Afterwards, so many folders are empty only
+    if more VMs have lost their disks than the deployment tolerates.
+    """
+    return cfg.is_first_start or len(cfg.seeds) > cfg.tolerated_losses
+
+
 def _assemble_control_parts(
     cfg, log, seeds, board, network, listen, state_machine, replicated_log, clock, rng
 ) -> ControlParts:
--- a/tests/consensus/test_replicated_log.py
+++ b/tests/consensus/test_replicated_log.py
@@ -52,6 +52,48 @@
         cluster.start(2)
         await cluster.propose(b"a")
 
+    @pytest.mark.parametrize("killed", [(0,), (1,), (2,), (0, 1), (1, 2), (0, 1, 2)])
+    @pytest.mark.parametrize("is_power_lost", [False, True])
+    @in_virtual_time
+    async def test_members_started_again_during_the_bootstrap(
+        self, killed, is_power_lost
+    ):
+        """Guards against a first start that never ends (review 5).
+
+        A restarted process isn't told that it is the first start, and its settings may
+        name other members. It waited to be added, and the others waited for it.
+        """
+        for moment in range(1, 60):
+            cluster = LogCluster(seed=moment, sync_s=0.02)
+            cluster.start(0, 1, 2)
+            await asyncio.sleep(moment * 0.02)
+            for number in killed:
+                if is_power_lost:
+                    await cluster.kill(number)
+                else:
+                    await cluster.end_process(number)
+            await asyncio.sleep(0.3)
+            # A data folder that was created in time tells what the settings don't.
+            cluster.may_initiate = moment < 3
+            cluster.start(*killed)
+            await cluster.propose(b"a")
+            members = {log.status().members for log in cluster.logs.values()}
+            assert len(members) == 1
+            for number in range(3):
+                await cluster.kill(number)
+
+    @in_virtual_time
+    async def test_member_with_other_settings_adopts_the_configuration(self):
+        cluster = LogCluster(sync_s=0.02)
+        cluster.start(0, 1, 2)
+        await asyncio.sleep(0.25)
+        await cluster.kill(2)
+        cluster.first_members = (ADDRESSES[1], ADDRESSES[3])
+        cluster.start(2)
+        await cluster.propose(b"a")
+        await asyncio.sleep(1.0)
+        assert cluster.commands[2] == [b"a"]
+
     @pytest.mark.parametrize("survivor", [0, 2])
     @in_virtual_time
     async def test_members_without_disks_form_no_second_cluster(self, survivor):
--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -45,7 +45,7 @@
         prefix = f"m{cluster.starts}"
         self.log = build_replicated_log(
             identity,
-            INITIAL_ADDRESSES if is_first_start else (),
+            INITIAL_ADDRESSES,
             self.network,
             rng,
             self.state_machine.for_log,
--- a/tests/support/log_cluster.py
+++ b/tests/support/log_cluster.py
@@ -57,6 +57,7 @@
     limits: Limits = field(default_factory=Limits)
     first_members: tuple[str, ...] = ADDRESSES[:3]
     sync_s: float = 0.0
+    may_initiate: bool = True
     disks: dict[int, MemoryDisk] = field(default_factory=dict)
     logs: dict[int, ReplicatedLog] = field(default_factory=dict)
     commands: dict[int, list[bytes]] = field(default_factory=dict)
@@ -82,7 +83,7 @@
             )
             new_id = functools.partial("{:016x}".format, rng.getrandbits(64))
             built = build_replicated_log(
-                *arguments, lambda: 1000.0, self.limits, new_id
+                *arguments, lambda: 1000.0, self.limits, new_id, self.may_initiate
             )
             self.logs[number] = built.unwrap()
 
@@ -92,6 +93,12 @@
         self.disks[number].crash(torn_bytes)
         await self.logs.pop(number).close()
 
+    async def end_process(self, number):
+        """End a member's process; its disk retains what was written."""
+        self.fabric.kill(ADDRESSES[number])
+        self.disks[number].epoch += 1
+        await self.logs.pop(number).close()
+
     async def lose_disk(self, number):
         """Stop a member and replace its disk by an empty one."""
         await self.kill(number)
