Synced each removal of a log segment before the next one

Cause: a compaction removed several segments and synced the folder once. Each removal that isn't synced may survive a loss of power by itself, which leaves a gap.

Change: the folder is synced after each removal.

Evidence: TestCrashes.test_every_operation loses or keeps each unsynced name by itself now, and compacts several segments at once.

--- a/src/bramleyrouter/consensus/segments.py
+++ b/src/bramleyrouter/consensus/segments.py
@@ -167,31 +167,37 @@
     segment.last_index = max(segment.last_index, last)
 
 
+def _remove_segment(state: SegmentState, fs: FileSystem, segment: Segment) -> None:
+    """Remove the first or the last segment.
+
+    The folder is synced each time. A loss of power could otherwise undo some of several
+    removals and not others, and a log with a gap can't be recovered.
+    """
+    fs.remove(segment.name)
+    fs.sync_folder()
+    state.segments.remove(segment)
+
+
 def remove_segments(state: SegmentState, fs: FileSystem, index: LogIndex) -> None:
     """Remove the oldest segments whose entries all have an index up to ``index``.
 
     If the last segment remains and is not empty, start a new one, so that a later
     call can remove it too.
     """
-    removed = 0
-    while removed < len(state.segments) and (
-        state.segments[removed].last_index <= index
-    ):
-        fs.remove(state.segments[removed].name)
-        removed += 1
-    del state.segments[:removed]
-    if removed:
-        fs.sync_folder()
+    while state.segments and state.segments[0].last_index <= index:
+        _remove_segment(state, fs, state.segments[0])
     if state.segments and state.segments[-1].size:
         _start_segment(state, fs)
 
 
 def remove_all_segments(state: SegmentState, fs: FileSystem) -> None:
-    """Remove every segment, since a snapshot replaces the whole log."""
-    for segment in state.segments:
-        fs.remove(segment.name)
-    state.segments.clear()
-    fs.sync_folder()
+    """Remove every segment, since a snapshot replaces the whole log.
+
+    The newest is removed first: what an interruption leaves then still begins at or
+    before the snapshot, and recovery removes it.
+    """
+    while state.segments:
+        _remove_segment(state, fs, state.segments[-1])
 
 
 def rewrite_segments(state: SegmentState, fs: FileSystem, entries: list[Entry]) -> None:
@@ -207,7 +213,4 @@
     if entries:
         append_entries(state, fs, entries, SEGMENT_BYTES)
     for segment in old_segments:
-        fs.remove(segment.name)
-        # Oldest first and one by one, as a gap between segments can't be recovered.
-        fs.sync_folder()
-        state.segments.remove(segment)
+        _remove_segment(state, fs, segment)
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -1,5 +1,7 @@
 """Tests of the data folder: recovery after crashes, detection of corruption."""
 
+import random
+
 import pytest
 
 from bramleyrouter.codes import Code
@@ -165,9 +167,16 @@
         [entries(21, 23, term=2)],
         [snapshot_job(23, term=2)],
         [entries(24, 24, term=2)],
+        [entries(25, 26, term=2)],
+        [entries(27, 28, term=2)],
+        [entries(29, 30, term=2)],
+        [snapshot_job(28, term=2)],
+        [entries(31, 31, term=2)],
+        [snapshot_job(40, term=2, replaces_log=True)],
     )
     # Index and term of the last entry before the first step and after each step.
     LAST = [(0, 0), (4, 1), (8, 1), (8, 1), (9, 2), (20, 2), (23, 2), (23, 2), (24, 2)]
+    LAST += [(26, 2), (28, 2), (30, 2), (30, 2), (31, 2), (40, 2)]
 
     def run_until_crash(self, disk, budget):
         """Run the steps and return the number of completed ones."""
@@ -190,20 +199,27 @@
             return recovered.snapshot.index, recovered.snapshot.term
         return 0, 0
 
+    @pytest.mark.parametrize("seed", [None, *range(6)])
     @pytest.mark.parametrize("torn_bytes", [0, 30, 10_000])
-    def test_every_operation(self, torn_bytes):
+    def test_every_operation(self, torn_bytes, seed):
+        """Also guards against a log that never starts again after a loss of power.
+
+        With a seed, each unsynced change of a name is lost or kept by itself.
+        """
+        rng = random.Random(seed)
+        keeps_name = lambda name: seed is not None and rng.random() < 0.5
         budget, completed = 0, 0
         while completed < len(self.STEPS):
             disk = MemoryDisk()
             completed = self.run_until_crash(disk, budget)
-            disk.crash(torn_bytes)
+            disk.crash(torn_bytes, keeps_name)
             recovered = recover(disk)
             last, following = (self.LAST + self.LAST[-1:])[completed : completed + 2]
             assert last <= self.get_last_entry(recovered) <= following, budget
             start = recovered.snapshot.index if recovered.snapshot else 0
             indices = [item.index for item in recovered.entries if item.index > start]
             assert indices == list(range(start + 1, start + 1 + len(indices)))
-            assert start in (0, 6, 20, 23)
+            assert start in (0, 6, 20, 23, 28, 40)
             assert recover(disk) == recovered
             budget += 1
         assert budget > 40
--- a/tests/support/memory_disk.py
+++ b/tests/support/memory_disk.py
@@ -33,10 +33,22 @@
     # Raised by a crash, so that the process from before it can't write any more.
     epoch: int = 0
 
-    def crash(self, torn_bytes=0):
-        """Lose unsynced data, except ``torn_bytes`` of the data appended to a file."""
+    def crash(self, torn_bytes=0, keeps_name=lambda name: False):
+        """Lose unsynced data, except ``torn_bytes`` of the data appended to a file.
+
+        ``keeps_name`` returns whether an unsynced change of a name survives; each of
+        them may survive or be lost by itself.
+        """
         self.epoch += 1
-        self.files = dict(self.durable_names)
+        names = sorted(set(self.files) | set(self.durable_names))
+        kept = {
+            name: self.files.get(name)
+            if keeps_name(name)
+            else self.durable_names.get(name)
+            for name in names
+        }
+        self.files = {name: number for name, number in kept.items() if number}
+        self.durable_names = dict(self.files)
         self.unsyncable.clear()
         for number in self.files.values():
             written, retained = self.written[number], self.durable.get(number, b"")
