Made a recovered data folder durable before relying on it

Operators would see: a change that was acknowledged is gone after a loss of power, if control daemons had been killed between a write and its sync (CONFIG, LOST).

Cause: a new process reads what its predecessor wrote from the cache of the VM and confirmed it to the leader as stored, without a sync. After a failed sync not even a later sync of the same file writes it.

Change: a member writes all files anew and syncs them whenever it opens its folder.

Evidence: test_nothing_that_an_earlier_process_left_is_counted_as_durable, both variants: before, [a, d] with the committed b missing; after, [a, b, d].

--- a/src/bramleyrouter/consensus/replicated_log.py
+++ b/src/bramleyrouter/consensus/replicated_log.py
@@ -35,8 +35,7 @@
 from bramleyrouter.consensus.storage import (
     Recovered,
     Storage,
-    open_storage,
-    reopen_storage,
+    open_durable_storage,
 )
 from bramleyrouter.failures import Failure
 from bramleyrouter.wire.network import Network
@@ -194,7 +193,7 @@
     last_failure = stopped.failure
     while True:
         await asyncio.sleep(REOPEN_INTERVAL_S)
-        opened = await fs.run(lambda: reopen_storage(fs, new_id, segment_bytes))
+        opened = await fs.run(lambda: open_durable_storage(fs, new_id, segment_bytes))
         if isinstance(opened, Ok):
             break
         if opened.err_value != last_failure:
@@ -249,7 +248,7 @@
     Fails with ``LOG_CORRUPT``, ``SNAPSHOT_CORRUPT`` or ``DISK_FAILED``.
     """
     limits = limits or Limits()
-    opened = open_storage(fs, new_id, limits.segment_bytes, may_initiate)
+    opened = open_durable_storage(fs, new_id, limits.segment_bytes, may_initiate)
     if isinstance(opened, Err):
         logging.error("consensus: refused to start: %s", opened.err_value)
         fs.close()
--- a/src/bramleyrouter/consensus/storage.py
+++ b/src/bramleyrouter/consensus/storage.py
@@ -257,16 +257,20 @@
     return Ok((Storage(fs, segments, segment_bytes), recovered))
 
 
-def reopen_storage(
-    fs: FileSystem, new_id: Callable[[], str], segment_bytes: int = SEGMENT_BYTES
+def open_durable_storage(
+    fs: FileSystem,
+    new_id: Callable[[], str],
+    segment_bytes: int = SEGMENT_BYTES,
+    may_initiate: bool = False,
 ) -> Result[tuple[Storage, Recovered], Failure]:
-    """Open and recover the data folder after a write or a sync failed.
+    """Open and recover the data folder, and make all of it durable.
 
-    All files are written again: after a failed sync the operating system may return
-    content that isn't durable, and a later sync of the same file doesn't report it.
-    Fails like ``open_storage``; it can then be called again.
+    A process may have ended between a write and its sync, or after a failed sync. The
+    operating system then returns content that isn't durable, and after a failed sync a
+    later one of the same file doesn't report it. So all files are written again. Fails
+    like ``open_storage``; it can then be called again.
     """
-    opened = open_storage(fs, new_id, segment_bytes)
+    opened = open_storage(fs, new_id, segment_bytes, may_initiate)
     if isinstance(opened, Err):
         return opened
     storage, recovered = opened.ok_value
--- a/tests/consensus/test_replicated_log.py
+++ b/tests/consensus/test_replicated_log.py
@@ -388,6 +388,38 @@
         await cluster.propose(b"d")
         assert cluster.commands[0] == [*confirmed, b"d"]
 
+    @pytest.mark.parametrize("fault", ["fail_syncs", "crash_before_sync"])
+    @in_virtual_time
+    async def test_nothing_that_an_earlier_process_left_is_counted_as_durable(
+        self, fault
+    ):
+        """Guards against confirming entries that only the cache of the VM holds.
+
+        A process that ended between write and sync left them. Its successor read them
+        and confirmed them to the leader without a sync.
+        """
+        cluster, leader = await start_members()
+        followers = [number for number in range(3) if number != leader]
+        for number in followers:
+            cluster.disks[number].fail_syncs = True
+        assert isinstance(await cluster.logs[leader].propose(b"b", 0.2), Err)
+        for number in followers:
+            await cluster.end_process(number)
+            disk = cluster.disks[number]
+            disk.fail_syncs = False
+            if fault == "crash_before_sync":
+                disk.unsyncable.clear()
+        cluster.start(*followers)
+        await asyncio.sleep(1.0)
+        assert cluster.commands[leader] == [b"a", b"b"]
+        # All VMs lose power, and the disk of the leader is lost for good.
+        for number in (*followers, leader):
+            await cluster.kill(number)
+        cluster.start(*followers)
+        await cluster.propose(b"d", set(followers))
+        await asyncio.sleep(1.0)
+        assert cluster.commands[followers[0]] == [b"a", b"b", b"d"]
+
     @in_virtual_time
     async def test_a_single_member_commits_nothing_unsynced(self):
         cluster, _ = await start_members(1)
