Waited for the disk at the start of a control daemon

Operators would see: a control daemon ends by itself at each start for as long as its disk takes no writes, or its predecessor holds the folder (FAULT).

Cause: any DISK_FAILED while the folder is opened ended the process.

Change: the program tries to build the daemon again every 0.5 s after DISK_FAILED, and says so once (start_delayed). Failures that last, such as LOG_CORRUPT, end it as before.

--- a/src/bramleyrouter/platform/programs.py
+++ b/src/bramleyrouter/platform/programs.py
@@ -7,8 +7,9 @@
 import sys
 from collections.abc import Callable
 
-from result import Err, Result
+from result import Err, Ok, Result
 
+from bramleyrouter.codes import Code
 from bramleyrouter.conf.fleet import FleetSettings
 from bramleyrouter.daemons.lifecycles import Daemon, run_daemon
 from bramleyrouter.failures import Failure
@@ -22,6 +23,8 @@
 # Reserved for closing before the platform kills the process.
 CLOSE_RESERVE_S = 0.4
 SETTINGS_POLL_INTERVAL_S = 1.0
+# Interval at which a daemon whose data folder can't be used tries to start again.
+START_RETRY_INTERVAL_S = 0.5
 
 
 # Builds a daemon from its settings; a failure aborts the start.
@@ -69,6 +72,26 @@
     )
 
 
+async def build_once_disk_works(
+    build: BuildDaemon, cfg: FleetSettings, log: EventLog
+) -> Result[Daemon, Failure]:
+    """Build the daemon, again and again while its data folder can't be used.
+
+    A disk may fail for seconds, and the process before may not have released the folder
+    yet. Any other failure lasts, and is returned.
+    """
+    last_reason = ""
+    while True:
+        built = build(cfg, log)
+        if isinstance(built, Ok) or built.err_value.code is not Code.DISK_FAILED:
+            return built
+        reason = str(built.err_value)
+        if reason != last_reason:
+            record(log, "daemon", "start_delayed", reason=reason)
+            last_reason = reason
+        await asyncio.sleep(START_RETRY_INTERVAL_S)
+
+
 async def _run(build: BuildDaemon, cfg: FleetSettings, balancer_wait_s: float) -> int:
     log = EventLog(daemon=cfg.daemon_id)
     stop_event_writer = start_event_writer(log)
@@ -76,7 +99,7 @@
     # need not examine them.
     gc.freeze()
     try:
-        built = build(cfg, log)
+        built = await build_once_disk_works(build, cfg, log)
         if isinstance(built, Err):
             record(log, "daemon", "start_failed", reason=str(built.err_value))
             return EXIT_START_FAILED
