Removed an incomplete copy of the log when its disk is full

Cause: a member that opens its folder again writes the log to a new segment first.

Change: the new segment is removed if it can't be written.

Evidence: test_attempts_to_open_the_folder_leave_nothing_behind fails without the removal.

--- a/src/bramleyrouter/consensus/replicated_log.py
+++ b/src/bramleyrouter/consensus/replicated_log.py
@@ -126,7 +126,7 @@
     )
 
 
-async def _close_node(node: Node) -> None:
+def _close_node(node: Node) -> None:
     node.is_closed = True
     if node.timer is not None:
         node.timer.cancel()
@@ -142,7 +142,7 @@
     member.is_closed = True
     if member.restart is not None:
         member.restart.cancel()
-    await _close_node(member.node)
+    _close_node(member.node)
     member.node.storage.fs.close()
     logging.info("consensus: %s closed its log.", member.node.raft.member_id)
 
@@ -199,7 +199,7 @@
         if opened.err_value != last_failure:
             last_failure = opened.err_value
             logging.error("consensus: can't open the log again: %s", last_failure)
-    await _close_node(stopped)
+    _close_node(stopped)
     storage, recovered = opened.ok_value
     member.node = _build_node(
         stopped.address,
--- a/src/bramleyrouter/consensus/segments.py
+++ b/src/bramleyrouter/consensus/segments.py
@@ -210,7 +210,12 @@
         return
     if state.segments[-1].size:
         _start_segment(state, fs)
-    if entries:
-        append_entries(state, fs, entries, SEGMENT_BYTES)
+    try:
+        if entries:
+            append_entries(state, fs, entries, SEGMENT_BYTES)
+    except OSError:
+        # Otherwise each attempt would leave another part of the log on a full disk.
+        fs.remove(state.segments[-1].name)
+        raise
     for segment in old_segments:
         _remove_segment(state, fs, segment)
--- a/tests/consensus/test_storage.py
+++ b/tests/consensus/test_storage.py
@@ -12,6 +12,7 @@
     SaveHardState,
     SaveSnapshot,
     encode_snapshot,
+    open_durable_storage,
     open_storage,
     write_jobs,
 )
@@ -246,6 +247,25 @@
             with pytest.raises(OSError, match="sync"):
                 write_jobs(storage, [job])
 
+    def test_attempts_to_open_the_folder_leave_nothing_behind(self):
+        """Guards against a disk that fills up further while it is full."""
+        disk = make_disk(entries(1, 4))
+        open_durable_storage(disk.open(), generate_id).unwrap()
+        names, size = sorted(disk.files), disk.total_bytes()
+        fs = disk.open()
+
+        def append(name, data):
+            # The small files still fit.
+            disk.is_full = name.endswith(".seg") and bool(data)
+            fs.append(name, data)
+
+        for _ in range(10):
+            opened = open_durable_storage(fs._replace(append=append), generate_id)
+            assert opened.unwrap_err().code is Code.DISK_FAILED
+        assert sorted(disk.files) == names and disk.total_bytes() == size
+        disk.is_full = False
+        assert recover(disk).entries == list(entries(1, 4).entries)
+
     def test_a_start_is_refused(self):
         disk = MemoryDisk(fail_syncs=True)
         assert open_disk(disk).unwrap_err().code is Code.DISK_FAILED
