--- a/tests/consensus/test_replicated_log.py
+++ b/tests/consensus/test_replicated_log.py
@@ -82,6 +82,24 @@
             for number in range(3):
                 await cluster.kill(number)
 
+    @pytest.mark.parametrize("lost", range(3))
+    @in_virtual_time
+    async def test_a_disk_lost_during_the_bootstrap(self, lost):
+        """Guards against a first start that never ends after the loss of a disk.
+
+        The configuration that the others have stored lists an id that is gone.
+        """
+        for moment in range(1, 60):
+            cluster = LogCluster(seed=moment, sync_s=0.02)
+            cluster.start(0, 1, 2)
+            await asyncio.sleep(moment * 0.02)
+            await cluster.lose_disk(lost)
+            await asyncio.sleep(0.3)
+            cluster.start(lost)
+            await cluster.propose(b"a")
+            for number in range(3):
+                await cluster.kill(number)
+
     @in_virtual_time
     async def test_member_with_other_settings_adopts_the_configuration(self):
         cluster = LogCluster(sync_s=0.02)
