Streamed departures only where they are news

Cause: with departures in the log, each control daemon stored the full row of each server that drains, and streamed it, its silence and its end to all entry daemons.

Change: a control daemon that doesn't list the server stores no row while it drains; it only refuses announcements from before the departure. That a server is gone it sends with its next update, at the latest the next keepalive, since the daemon that lists the server may be lost.

Evidence: TestTraffic.

--- a/src/bramleyrouter/fleet/departures.py
+++ b/src/bramleyrouter/fleet/departures.py
@@ -19,9 +19,8 @@
 from bramleyrouter.failures import Failure
 from bramleyrouter.fleet.records import ServerPhase, ServerRow, check_row
 from bramleyrouter.fleet.registry import (
-    RETENTION_S,
     ServerRegistry,
-    apply_announcement,
+    apply_departure,
     apply_withdrawal,
 )
 from bramleyrouter.ids import ServerId, ServerIncarnation
@@ -67,28 +66,6 @@
     return ServerRow(server_id, incarnation, 0, "", "", "", 0, ServerPhase.GONE)  # type: ignore[arg-type]
 
 
-def apply_departure(
-    registry: ServerRegistry, row: ServerRow, age_s: float, now: float
-) -> None:
-    """Apply a departure that the log has accepted.
-
-    ``age_s`` is the time since then in seconds. A member that starts reads old ones
-    again; these concern nothing that is still listed.
-    """
-    if age_s > RETENTION_S:
-        return
-    if row.phase is ServerPhase.GONE:
-        apply_withdrawal(registry, row.server_id, row.incarnation, now)
-        return
-    current = registry.servers.get(row.server_id)
-    is_known = current is not None and (
-        current.row.incarnation == row.incarnation
-        and current.row.phase is not ServerPhase.READY
-    )
-    if not is_known:
-        apply_announcement(registry, row, now)
-
-
 def choose_incarnation(found: FoundServer, now_s: float) -> ServerIncarnation | None:
     """Return the incarnation that a withdrawal without one concerns.
 
--- a/src/bramleyrouter/fleet/publishing.py
+++ b/src/bramleyrouter/fleet/publishing.py
@@ -240,6 +240,11 @@
         publisher.timer = loop.call_later(ROW_BATCH_DELAY_S, _send_updates, publisher)
 
 
+def _queue_minor_row(publisher: FleetPublisherState, row: ServerRow) -> None:
+    """Queue a row for the next update, at the latest the next keepalive."""
+    publisher.queued_rows[row.server_id] = row
+
+
 def start_fleet_publisher(
     network: Network,
     registry: ServerRegistry,
@@ -294,6 +299,7 @@
     network.serve_stream(MessageKind.WATCH_FLEET, handle_subscription)
     network.serve(MessageKind.FETCH_ROUTES, handle_fetch_routes)
     registry.on_change.append(lambda row: _queue_row(publisher, row))
+    registry.on_minor_change.append(lambda row: _queue_minor_row(publisher, row))
     state_machine.watch(lambda: _send_updates(publisher))
     spawn(
         tasks,
--- a/src/bramleyrouter/fleet/registry.py
+++ b/src/bramleyrouter/fleet/registry.py
@@ -56,6 +56,9 @@
     """Hold the servers by id and the callbacks that are notified of each change.
 
     ``heartbeat_s`` is the interval at which servers send heartbeats, in seconds.
+    ``on_minor_change`` is notified of changes that subscribers most probably have from
+    another control daemon. ``departures`` holds, by server id, the rows of those that
+    drain or are gone, with the loop time until which they are retained.
     """
 
     heartbeat_s: float
@@ -63,9 +66,16 @@
     outdated: dict[ServerId, OutdatedAnnouncements] = field(default_factory=dict)
     by_address: dict[str, ServerId] = field(default_factory=dict)
     on_change: list[Callable[[ServerRow], None]] = field(default_factory=list)
+    on_minor_change: list[Callable[[ServerRow], None]] = field(default_factory=list)
+    departures: dict[ServerId, tuple[ServerRow, float]] = field(default_factory=dict)
 
 
-def _store(registry: ServerRegistry, row: ServerRow, now: float) -> None:
+def _store(
+    registry: ServerRegistry,
+    row: ServerRow,
+    now: float,
+    callbacks: list[Callable[[ServerRow], None]],
+) -> None:
     current = registry.servers.get(row.server_id)
     registry.servers[row.server_id] = RegisteredServer(row, now, now + row.cold_s)
     registry.by_address[row.address] = row.server_id
@@ -73,7 +83,7 @@
         aged = _with_current_cold_time(current, now)
         if is_same_for_routing(aged, row):
             return
-    for callback in registry.on_change:
+    for callback in callbacks:
         callback(row)
 
 
@@ -97,16 +107,50 @@
     holder = registry.servers.get(holder_id) if holder_id else None
     if holder_id == row.server_id:
         holder = None
+    if _is_before_departure(registry, row):
+        return False
     newer = _find_newer(row, current, holder)
     if newer is not None and not _is_disproved(registry, row, newer, now):
         return False
     registry.outdated.pop(row.server_id, None)
     if holder is not None and holder.row.phase is not ServerPhase.GONE:
         apply_withdrawal(registry, holder.row.server_id, None, now)
-    _store(registry, row, now)
+    _store(registry, row, now, registry.on_change)
     return True
 
 
+def _is_before_departure(registry: ServerRegistry, row: ServerRow) -> bool:
+    """Return whether a row is older than a departure that the log has accepted."""
+    departure, _ = registry.departures.get(row.server_id, (None, 0.0))
+    if departure is None or row.incarnation > departure.incarnation:
+        return False
+    if departure.phase is ServerPhase.GONE or row.incarnation < departure.incarnation:
+        return True
+    return row.phase is ServerPhase.READY
+
+
+def apply_departure(
+    registry: ServerRegistry, row: ServerRow, age_s: float, now: float
+) -> None:
+    """Apply a departure that the log accepted ``age_s`` seconds ago.
+
+    A member that starts reads old departures again; these concern nothing that is
+    still listed. Servers that are not listed here need no row while they drain, since
+    the control daemon that lists them streams it. That they are gone is streamed by
+    all, as that daemon may be lost.
+    """
+    if age_s > RETENTION_S:
+        return
+    registry.departures[row.server_id] = (row, now + RETENTION_S)
+    current = registry.servers.get(row.server_id)
+    is_listed = current is not None and current.row.incarnation == row.incarnation
+    if row.phase is ServerPhase.GONE:
+        callbacks = registry.on_change if is_listed else registry.on_minor_change
+        _withdraw(registry, row.server_id, row.incarnation, now, callbacks)
+    elif current is not None and is_listed and current.row.phase is ServerPhase.READY:
+        _store(registry, row, now, registry.on_change)
+
+
 def _find_newer(
     row: ServerRow, current: RegisteredServer | None, holder: RegisteredServer | None
 ) -> RegisteredServer | None:
@@ -162,6 +206,16 @@
 
     A withdrawal of an incarnation older than the registered one changes nothing.
     """
+    _withdraw(registry, server_id, incarnation, now, registry.on_change)
+
+
+def _withdraw(
+    registry: ServerRegistry,
+    server_id: ServerId,
+    incarnation: ServerIncarnation | None,
+    now: float,
+    callbacks: list[Callable[[ServerRow], None]],
+) -> None:
     current = registry.servers.get(server_id)
     if current is None:
         if incarnation is None:
@@ -169,7 +223,7 @@
         # The row stores only the incarnation, so that a late announcement of it is
         # recognised as out of date.
         row = ServerRow(server_id, incarnation, 0, "", "", "", 0, ServerPhase.GONE)  # type: ignore[arg-type]
-        _store(registry, row, now)
+        _store(registry, row, now, callbacks)
         return
     if incarnation is not None and incarnation < current.row.incarnation:
         return
@@ -179,7 +233,7 @@
         phase=ServerPhase.GONE,
         cold_s=0.0,
     )
-    _store(registry, gone, now)
+    _store(registry, gone, now, callbacks)
 
 
 def sweep(registry: ServerRegistry, now: float) -> None:
@@ -188,6 +242,9 @@
     for server_id, outdated in list(registry.outdated.items()):
         if now - outdated.since > RETENTION_S:
             del registry.outdated[server_id]
+    for server_id, (_, retained_until) in list(registry.departures.items()):
+        if now > retained_until:
+            del registry.departures[server_id]
     for server_id, registered in list(registry.servers.items()):
         age = now - registered.last_contact_at
         row = registered.row
