--- a/tests/utils/test_stalls.py
+++ b/tests/utils/test_stalls.py
@@ -1,7 +1,5 @@
 """Tests of the detection of times in which the process did not run."""
 
-import math
-
 from bramleyrouter.utils.stalls import (
     AFTERMATH_S,
     STALL_S,
@@ -38,4 +36,4 @@
         assert not is_after_stall(stalls, now)
 
     def test_start_is_no_stall(self):
-        assert Stalls(10.0).ended_at == -math.inf
+        assert not is_after_stall(Stalls(10.0), 10.0)
