Recorded how each process starts and ends

Operators saw processes that ended, or never served, without a line in any log: on a process that is ended by a signal before its handler, by a crash in a native library or for its memory looks the same, and a failed start step or import leaves a traceback but no event. Nothing is written between the start of the process and the end of all start steps.

The programs' modules are now launchers. `daemons.launching` writes `daemon/starting` before it imports the program, and `daemon/ended` with code and reason on each way out that Python can see. `faulthandler` leaves a trace of native crashes. `settings_read`, `built` and `started` carry the seconds since `starting`. No line is waited for: a pipe that is full or closed loses the line, and neither ends nor changes the exit code. No start step has changed.

It works because the launcher imports only what the interpreter has already loaded.

--- /dev/null
+++ b/src/bramleyrouter/daemons/control_daemon.py
@@ -0,0 +1,39 @@
+"""Program ``bramley-control``."""
+
+import asyncio
+import sys
+
+from result import Err
+
+from bramleyrouter.conf.settings import Settings
+from bramleyrouter.daemons.arguments import (
+    EXIT_INVALID_SETTINGS,
+    EXIT_START_FAILED,
+    build_parser,
+    load_settings,
+)
+from bramleyrouter.daemons.launching import Launch
+from bramleyrouter.daemons.lifecycles import run_daemon
+from bramleyrouter.daemons.wiring import build_control_daemon
+from bramleyrouter.telemetry.logs import configure_logging
+
+DESCRIPTION = "Store the accepted configuration and the submission ledger on disk."
+
+
+async def _run(cfg: Settings) -> int:
+    built = build_control_daemon(cfg)
+    if isinstance(built, Err):
+        print(built.err_value, file=sys.stderr)
+        return EXIT_START_FAILED
+    await run_daemon(built.ok_value, cfg.balancer_wait_s, cfg.stop_timeout_s)
+    return 0
+
+
+def main(launch: Launch) -> int:
+    """Run a control daemon until SIGTERM or SIGINT."""
+    cfg = load_settings(build_parser("bramley-control", DESCRIPTION).parse_args())
+    if not cfg.data_folder:
+        print("data_folder: required for a control daemon.", file=sys.stderr)
+        return EXIT_INVALID_SETTINGS
+    configure_logging(cfg.log_level)
+    return asyncio.run(_run(cfg))
--- a/src/bramleyrouter/daemons/entry.py
+++ b/src/bramleyrouter/daemons/entry.py
@@ -1,25 +1,11 @@
-"""Main function of ``bramley-entry``."""
+"""Start ``bramley-entry``."""
 
-import asyncio
-
-from bramleyrouter.conf.settings import Settings
-from bramleyrouter.daemons.arguments import build_parser, load_settings
-from bramleyrouter.daemons.lifecycles import run_daemon
-from bramleyrouter.daemons.wiring import build_entry_daemon
-from bramleyrouter.telemetry.logs import configure_logging
-
-DESCRIPTION = "Serve callers: route queries and submissions to backend servers."
-
-
-async def _run(cfg: Settings) -> None:
-    await run_daemon(build_entry_daemon(cfg), cfg.balancer_wait_s, cfg.stop_timeout_s)
+from bramleyrouter.daemons.launching import STDERR, launch
 
 
 def main() -> None:
-    """Run an entry daemon until SIGTERM or SIGINT."""
-    cfg = load_settings(build_parser("bramley-entry", DESCRIPTION).parse_args())
-    configure_logging(cfg.log_level)
-    asyncio.run(_run(cfg))
+    """Run ``bramley-entry`` until SIGTERM or SIGINT."""
+    launch("bramley-entry", "bramleyrouter.daemons.entry_daemon", STDERR)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/bramleyrouter/daemons/launching.py
@@ -0,0 +1,131 @@
+"""Run a program's main function and record how the process starts and ends.
+
+The programs' own imports take most of the time until a daemon runs. This module is
+imported before them and imports only what the interpreter has loaded or what loads
+within a millisecond, so that a process that ends early leaves a line, too.
+"""
+
+import faulthandler
+import os
+import select
+import sys
+import time
+from importlib import import_module
+
+STDOUT, STDERR = 1, 2
+EXIT_EXCEPTION = 1
+# A write to a pipe that ``select`` reports as writable does not block up to 4096
+# bytes (PIPE_BUF); escaping makes six bytes of a character at most.
+MAX_TEXT_LENGTH = 500
+
+
+class Launch:
+    """Hold what is known of a process that starts.
+
+    ``started_at`` is the monotonic time in seconds of the first line of the program,
+    ``daemon`` the daemon's id once the settings have been read.
+    """
+
+    __slots__ = ("program", "descriptor", "started_at", "daemon")
+
+    def __init__(self, program: str, descriptor: int):
+        self.program = program
+        self.descriptor = descriptor
+        self.started_at = time.monotonic()
+        self.daemon = ""
+
+    def measure_age_s(self) -> float:
+        """Return the seconds since the start, rounded to milliseconds."""
+        return round(time.monotonic() - self.started_at, 3)
+
+
+def _write_line(descriptor: int, line: str) -> None:
+    """Write a line at once, or leave it out if nobody reads the descriptor."""
+    try:
+        _, writable, _ = select.select([], [descriptor], [], 0)
+        if writable:
+            os.write(descriptor, line.encode() + b"\n")
+    except (OSError, ValueError):
+        # The reader has closed the pipe, or there is no such descriptor. The daemon
+        # works without its log.
+        return
+
+
+def _record_ended(state: Launch, code: int, reason: str, **fields) -> None:
+    import json
+
+    line = {
+        "at": round(time.time(), 3),
+        "daemon": state.daemon,
+        "part": "daemon",
+        "event": "ended",
+        "code": code,
+        "reason": reason,
+        "seconds": state.measure_age_s(),
+        **fields,
+    }
+    _write_line(state.descriptor, json.dumps(line, separators=(",", ":")))
+
+
+def _enable_crash_traces() -> None:
+    """Write a traceback to standard error if a native library crashes."""
+    try:
+        faulthandler.enable(STDERR)
+    except (OSError, RuntimeError, ValueError):
+        # There is no standard error; a crash then leaves no trace.
+        return
+
+
+def _discard_unwritten(stream, descriptor: int) -> None:
+    """Flush a standard stream; discard its text if that can't be written.
+
+    The interpreter ends with code 120 if it can't flush the stream at its end.
+    """
+    try:
+        stream.flush()
+    except (AttributeError, OSError, ValueError):
+        # Nobody reads the stream, or it doesn't exist.
+        devnull = os.open(os.devnull, os.O_WRONLY)
+        os.dup2(devnull, descriptor)
+        os.close(devnull)
+
+
+def _convert_exit_code(code) -> int:
+    """Return the exit code for an argument of ``sys.exit``, which may be a text."""
+    if code is None:
+        return 0
+    if isinstance(code, int):
+        return code
+    print(code, file=sys.stderr)
+    return EXIT_EXCEPTION
+
+
+def launch(program: str, module: str, descriptor: int = STDOUT) -> None:
+    """Import ``module``, call its ``main`` and exit with the code that it returns.
+
+    ``main`` gets the ``Launch``. The events "daemon/starting" and "daemon/ended" are
+    written to ``descriptor``, which belongs to the daemon's log. An exception of the
+    import or of ``main`` is recorded and raised.
+    """
+    state = Launch(program, descriptor)
+    # Encoded here, as importing an encoder takes several milliseconds.
+    _write_line(
+        descriptor,
+        f'{{"at":{time.time():.3f},"daemon":"","part":"daemon","event":"starting",'
+        f'"program":"{program}","pid":{os.getpid()}}}',
+    )
+    _enable_crash_traces()
+    try:
+        code = _convert_exit_code(import_module(module).main(state))
+    except SystemExit as exc:
+        code = _convert_exit_code(exc.code)
+    except BaseException as exc:
+        text = str(exc)[:MAX_TEXT_LENGTH]
+        _record_ended(
+            state, EXIT_EXCEPTION, "exception", type=type(exc).__name__, text=text
+        )
+        raise
+    _record_ended(state, code, "start_failed" if code else "stopped")
+    _discard_unwritten(sys.stdout, STDOUT)
+    _discard_unwritten(sys.stderr, STDERR)
+    sys.exit(code)
--- /dev/null
+++ b/src/bramleyrouter/platform/control_daemon.py
@@ -0,0 +1,92 @@
+"""Run the control daemon on the platform."""
+
+import asyncio
+import time
+
+from result import Err
+
+from bramleyrouter.conf.fleet import FleetSettings
+from bramleyrouter.daemons.fleet_control import build_control_parts
+from bramleyrouter.daemons.launching import Launch
+from bramleyrouter.daemons.lifecycles import Daemon
+from bramleyrouter.fleet.registry import apply_announcement
+from bramleyrouter.platform.listeners import listen_metrics
+from bramleyrouter.platform.operators import (
+    ControlCalls,
+    listen_control,
+)
+from bramleyrouter.platform.programs import run_program, watch_settings
+from bramleyrouter.telemetry.control_metrics import (
+    ControlMetrics,
+    build_observe_call,
+    set_state_gauges,
+)
+from bramleyrouter.telemetry.events import EventLog, record
+from bramleyrouter.utils.stalls import Stalls, observe_run, read_boot_clock
+from bramleyrouter.utils.tasks import BackgroundTasks, run_periodically, spawn
+
+STALL_CHECK_INTERVAL_S = 0.1
+
+
+def build_control_daemon(cfg: FleetSettings, log: EventLog, launch: Launch):
+    """Build a control daemon for the platform.
+
+    Fail with the error of the replicated log if that can't be opened.
+    """
+    seeds = [cfg.seeds]
+    tasks = BackgroundTasks("platform")
+    clock = asyncio.get_running_loop().time
+    built = build_control_parts(cfg, log, lambda: seeds[0])
+    if isinstance(built, Err):
+        return built
+    parts, metrics = built.ok_value, ControlMetrics()
+    stalls = Stalls(read_boot_clock())
+    calls = ControlCalls(
+        get_revision=parts.get_revision,
+        publish=parts.operate,
+        set_availability=parts.operate,
+        read_routes=parts.read_routes,
+        announce=lambda row: apply_announcement(parts.registry, row, clock()),
+        depart=parts.departures.depart,
+        withdraw=parts.departures.withdraw,
+        recommend_control_address=parts.recommend_control_address,
+        data_centres=cfg.data_centres,
+        wall_clock=time.time,
+        record=lambda part, event, **fields: record(log, part, event, **fields),
+        observe=build_observe_call(metrics),
+    )
+    servers: list = []
+
+    def apply_settings(new: FleetSettings) -> None:
+        seeds[0] = new.seeds
+
+    async def start() -> None:
+        parts.listen()
+        servers.append(listen_control(cfg.control_address, calls, stalls))
+        update_metrics = lambda: set_state_gauges(metrics, parts.read_metrics())
+        listen_metrics(cfg.metrics_address, metrics.registry, update_metrics)
+        parts.board.readiness.reasons.discard("starting")
+        watch_settings(log, tasks, apply_settings)
+        observe = lambda: observe_run(stalls, read_boot_clock())
+        spawn(tasks, run_periodically(STALL_CHECK_INTERVAL_S, observe))
+        record(
+            log,
+            "daemon",
+            "started",
+            control_address=cfg.control_address,
+            seconds=launch.measure_age_s(),
+        )
+
+    async def drain() -> None:
+        servers[0].stop()
+
+    async def close() -> None:
+        record(log, "daemon", "stopped")
+        await parts.close()
+
+    return built.map(lambda _: Daemon(parts.board, start, drain, close))
+
+
+def main(launch: Launch) -> int:
+    """Run a control daemon until SIGTERM and return the exit code."""
+    return run_program(build_control_daemon, 0.0, launch)
--- /dev/null
+++ b/src/bramleyrouter/platform/entry_daemon.py
@@ -0,0 +1,107 @@
+"""Run the entry daemon on the platform."""
+
+from result import Ok, Result
+
+from bramleyrouter.board.blackboard import Section
+from bramleyrouter.conf.fleet import FleetSettings
+from bramleyrouter.daemons.fleet_entry import build_entry_parts
+from bramleyrouter.daemons.launching import Launch
+from bramleyrouter.daemons.lifecycles import Daemon
+from bramleyrouter.failures import Failure
+from bramleyrouter.gateway.tables import CallerLimits, RouteTable
+from bramleyrouter.platform.callers import (
+    listen_callers,
+    set_caller_limits,
+    set_close_after_replies,
+    stop_listening,
+)
+from bramleyrouter.platform.listeners import listen_metrics, listen_ready
+from bramleyrouter.platform.programs import CLOSE_RESERVE_S, run_program, watch_settings
+from bramleyrouter.platform.route_documents import decode_route_table
+from bramleyrouter.platform.server_transport import build_server_transport
+from bramleyrouter.telemetry.events import EventLog, record
+from bramleyrouter.telemetry.gateway_metrics import set_backed_off
+from bramleyrouter.utils.tasks import BackgroundTasks, run_periodically, spawn
+
+# The balancer probes readiness once per second and removes a daemon after two
+# failed probes.
+BALANCER_WAIT_S = 3.2
+POOL_SWEEP_INTERVAL_S = 2.0
+
+
+def build_entry_daemon(
+    cfg: FleetSettings, log: EventLog, launch: Launch
+) -> Result[Daemon, Failure]:
+    """Build an entry daemon for the platform."""
+    tasks = BackgroundTasks("platform")
+    transport, close_pools_except = build_server_transport()
+    listeners: list = []
+
+    def apply_caller_limits(table: RouteTable) -> None:
+        if listeners:
+            set_caller_limits(listeners[0], table.limits)
+
+    parts = build_entry_parts(
+        cfg, log, transport, decode_route_table, apply_caller_limits
+    )
+    reasons = parts.board.readiness.reasons
+    view = parts.watcher.state.view
+
+    def update_close_after_replies() -> None:
+        if listeners:
+            set_close_after_replies(listeners[0], bool(reasons))
+
+    def handle_readiness_probe() -> bool:
+        is_ready = not reasons
+        parts.gateway.record_readiness_probe(is_ready)
+        return is_ready
+
+    def update_metrics() -> None:
+        state, watcher_state = parts.metrics.state, parts.watcher.state
+        state.set({"value": "table_version"}, watcher_state.table_version)
+        state.set({"value": "servers"}, len(view.merged))
+        state.set({"value": "control_daemons"}, len(watcher_state.last_contact_at))
+        state.set({"value": "control_silence_s"}, parts.watcher.silence_s())
+        state.set({"value": "entry_daemons"}, parts.watcher.entry_daemons() or 0)
+        state.set({"value": "in_flight"}, parts.gateway.in_flight())
+        state.set({"value": "ready"}, int(not reasons))
+        state.set({"value": "loop_lag_s"}, parts.gateway.estimate_lag())
+        set_backed_off(parts.metrics, parts.gateway.list_backed_off())
+
+    async def start() -> None:
+        parts.listen()
+        listeners.append(
+            listen_callers(cfg.caller_address, parts.gateway.handle, CallerLimits())
+        )
+        listen_ready(cfg.ready_address, handle_readiness_probe)
+        listen_metrics(cfg.metrics_address, parts.metrics.registry, update_metrics)
+        parts.board.watch(Section.READINESS, update_close_after_replies)
+        watch_settings(log, tasks, lambda new: parts.watcher.set_seeds(new.seeds))
+        sweep = run_periodically(
+            POOL_SWEEP_INTERVAL_S,
+            lambda: close_pools_except(set(view.merged)),
+            POOL_SWEEP_INTERVAL_S,
+        )
+        spawn(tasks, sweep)
+        record(
+            log,
+            "daemon",
+            "started",
+            caller_address=cfg.caller_address,
+            seconds=launch.measure_age_s(),
+        )
+
+    async def drain() -> None:
+        timeout_s = cfg.bounds.stop_s - BALANCER_WAIT_S - CLOSE_RESERVE_S
+        await stop_listening(listeners[0], timeout_s)
+
+    async def close() -> None:
+        record(log, "daemon", "stopped", in_flight=parts.gateway.in_flight())
+        await parts.close()
+
+    return Ok(Daemon(parts.board, start, drain, close))
+
+
+def main(launch: Launch) -> int:
+    """Run an entry daemon until SIGTERM and return the exit code."""
+    return run_program(build_entry_daemon, BALANCER_WAIT_S, launch)
--- a/src/bramleyrouter/platform/programs.py
+++ b/src/bramleyrouter/platform/programs.py
@@ -11,11 +11,13 @@
 
 from bramleyrouter.codes import Code
 from bramleyrouter.conf.fleet import FleetSettings
+from bramleyrouter.daemons.launching import Launch
 from bramleyrouter.daemons.lifecycles import Daemon, run_daemon
 from bramleyrouter.failures import Failure
 from bramleyrouter.platform.settings import get_settings_path, read_settings
 from bramleyrouter.telemetry.events import EventLog, record, start_event_writer
 from bramleyrouter.telemetry.logs import configure_logging
+from bramleyrouter.telemetry.loop_failures import record_loop_failures
 from bramleyrouter.utils.tasks import BackgroundTasks, run_periodically, spawn
 
 EXIT_INVALID_SETTINGS = 2
@@ -92,9 +94,13 @@
         await asyncio.sleep(START_RETRY_INTERVAL_S)
 
 
-async def _run(build: BuildDaemon, cfg: FleetSettings, balancer_wait_s: float) -> int:
+async def _run(
+    build: BuildDaemon, cfg: FleetSettings, balancer_wait_s: float, launch: Launch
+) -> int:
     log = EventLog(daemon=cfg.daemon_id)
     stop_event_writer = start_event_writer(log)
+    record_loop_failures(log, asyncio.get_running_loop())
+    record(log, "daemon", "settings_read", seconds=launch.measure_age_s())
     # Most objects created so far live as long as the process, so the garbage collector
     # need not examine them.
     gc.freeze()
@@ -103,6 +109,7 @@
         if isinstance(built, Err):
             record(log, "daemon", "start_failed", reason=str(built.err_value))
             return EXIT_START_FAILED
+        record(log, "daemon", "built", seconds=launch.measure_age_s())
         stop_s = cfg.bounds.stop_s - balancer_wait_s - CLOSE_RESERVE_S / 2
         await run_daemon(built.ok_value, balancer_wait_s, stop_s)
     finally:
@@ -110,12 +117,18 @@
     return 0
 
 
-def run_program(build: BuildDaemon, balancer_wait_s: float) -> None:
-    """Run a daemon until SIGTERM.
+def run_program(
+    build: Callable[[FleetSettings, EventLog, Launch], Result[Daemon, Failure]],
+    balancer_wait_s: float,
+    launch: Launch,
+) -> int:
+    """Run a daemon until SIGTERM and return the exit code.
 
     After SIGTERM the daemon serves for another ``balancer_wait_s`` seconds, so that
     the balancer can remove it first.
     """
     cfg = _load_settings_or_exit()
     configure_logging("warning")
-    sys.exit(asyncio.run(_run(build, cfg, balancer_wait_s)))
+    launch.daemon = cfg.daemon_id
+    build_daemon: BuildDaemon = lambda cfg, log: build(cfg, log, launch)
+    return asyncio.run(_run(build_daemon, cfg, balancer_wait_s, launch))
--- a/src/bramleyrouter/utils/tasks.py
+++ b/src/bramleyrouter/utils/tasks.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 
-from absl import logging
-
 
 @dataclass
 class BackgroundTasks:
@@ -16,7 +14,10 @@
 
 
 def spawn(group: BackgroundTasks, work: Coroutine) -> asyncio.Task:
-    """Run ``work`` in the background and log any exception that it raises."""
+    """Run ``work`` in the background.
+
+    An exception that it raises goes to the event loop's exception handler.
+    """
     task = asyncio.get_running_loop().create_task(work)
     group.tasks.add(task)
     task.add_done_callback(lambda done: _remove_finished_task(group, done))
@@ -26,7 +27,12 @@
 def _remove_finished_task(group: BackgroundTasks, task: asyncio.Task) -> None:
     group.tasks.discard(task)
     if not task.cancelled() and (exc := task.exception()):
-        logging.error("%s: a task failed.", group.name, exc_info=exc)
+        _report(f"{group.name}: a task failed.", exc)
+
+
+def _report(message: str, exc: BaseException) -> None:
+    context = {"message": message, "exception": exc}
+    asyncio.get_running_loop().call_exception_handler(context)
 
 
 async def run_periodically(
@@ -35,14 +41,14 @@
     """Call ``action`` every ``interval_s`` seconds until cancelled.
 
     The first call is made after ``delay_s`` seconds. An exception in one call is
-    logged and later calls are still made.
+    reported to the event loop's exception handler, and later calls are still made.
     """
     await asyncio.sleep(delay_s)
     while True:
         try:
             action()
-        except Exception:
-            logging.exception("A repeated action failed.")
+        except Exception as exc:
+            _report("A repeated action failed.", exc)
         await asyncio.sleep(interval_s)
 
 
--- /dev/null
+++ b/tests/platform/test_starts_and_ends.py
@@ -0,0 +1,75 @@
+"""Tests of how the platform's programs start and end, as real processes."""
+
+import asyncio
+import signal
+
+import pytest
+
+from bramleyrouter.platform.programs import EXIT_INVALID_SETTINGS
+from tests.support.platform_processes import PlatformProcesses
+
+LIMIT_S = 30.0
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    """Return one control and one entry VM whose processes end with the test."""
+    processes = PlatformProcesses(tmp_path, entries=1, controls=1)
+    yield processes
+    processes.stop_all()
+
+
+def read_names(vm):
+    return [item["event"] for item in vm.read_events() if item["part"] == "daemon"]
+
+
+async def wait_for_event(processes, vm, name):
+    async def is_written():
+        return vm.log_path.exists() and name in read_names(vm)
+
+    assert await processes.wait_until(is_written, LIMIT_S), vm.log_path.read_text()
+
+
+def pick(processes, role):
+    return processes.controls[0] if role == "control" else processes.entries[0]
+
+
+@pytest.mark.parametrize("role", ["control", "entry"])
+class TestLog:
+    """Guard against a start or an end that leaves no line."""
+
+    def test_log_tells_each_step_of_a_start_and_the_end(self, deployment, role):
+        vm = pick(deployment, role)
+        deployment.start(vm)
+        asyncio.run(wait_for_event(deployment, vm, "started"))
+        vm.child.send_signal(signal.SIGTERM)
+        assert vm.child.wait(LIMIT_S) == 0
+        names = read_names(vm)
+        wanted = ["starting", "settings_read", "built", "started", "stopped", "ended"]
+        assert [name for name in names if name in wanted] == wanted
+        events = {item["event"]: item for item in vm.read_events()}
+        assert events["starting"]["pid"] == vm.child.pid
+        assert events["started"]["seconds"] >= events["built"]["seconds"] > 0
+        ended = events["ended"]
+        assert (ended["code"], ended["reason"]) == (0, "stopped")
+        assert ended["daemon"] == vm.name
+
+    def test_failed_start_is_told_by_its_last_line(self, deployment, role):
+        vm = pick(deployment, role)
+        vm.settings_path.write_text('node = "without the other settings"\n')
+        deployment.start_program(vm)
+        assert vm.child.wait(LIMIT_S) == EXIT_INVALID_SETTINGS
+        ended = vm.read_events()[-1]
+        assert (ended["event"], ended["reason"]) == ("ended", "start_failed")
+
+    def test_failed_import_is_told_by_its_last_line(self, deployment, role, tmp_path):
+        # Shadows a library, as a damaged installation does.
+        (tmp_path / "result.py").write_text('raise OSError("damaged")\n')
+        vm = pick(deployment, role)
+        deployment.write_settings(vm)
+        source = f"{tmp_path}:src"
+        deployment.start_program(vm, {"PYTHONPATH": source})
+        assert vm.child.wait(LIMIT_S) == 1
+        ended = vm.read_events()[-1]
+        assert (ended["event"], ended["reason"]) == ("ended", "exception")
+        assert (ended["type"], ended["text"]) == ("OSError", "damaged")
