Finished a bootstrap in which a disk is lost

What callers saw: nothing could be published and nothing was served after a first start in which one control daemon lost its disk between the proposal of the initial configuration and the end of the bootstrap.

Cause: a member became active only when all members that the configuration lists had reported that they stored it. The id of a member whose disk was lost is gone for good, so the others waited for it without end.

Change: an address that reports another id than the listed one has lost its disk, and isn't waited for; a majority must still have stored the configuration, and members that can still store it are waited for. A second configuration needs empty folders of all listed members as before, and each majority that stored the first one still has a member that reports it.

The other tests of tests/consensus pass."

--- a/src/bramleyrouter/consensus/bootstrap.py
+++ b/src/bramleyrouter/consensus/bootstrap.py
@@ -3,15 +3,23 @@
 Member ids are random, so the first members must exchange them before there is
 a log. The member with the smallest listed address, the initiator, builds the
 configuration once every listed member has reported an empty data folder. Every
-member stores this configuration. A member becomes active (votes and stores
-entries) only when all of them have reported that they stored the same one.
+member stores this configuration.
 
-Hence a second cluster can form only when all listed data folders are empty. A
-member that lost its disk gets reports of an active cluster and waits under its
-new id until it is added. A process that is started again meanwhile takes part with the
-id that its data folder holds; only the initiator needs to be one of the listed members.
+A member becomes active (votes and stores entries) only once a majority has reported
+that it stored the same configuration, and the others have reported too: a listed member
+that still has to store the configuration is waited for, and one whose address reports
+another id has lost its disk and is not. Hence a second cluster can form only when all
+listed data folders are empty. A member that lost its disk gets reports of an active
+cluster and waits under its new id until it is added. A process that is started again
+meanwhile takes part with the id that its data folder holds; only the initiator needs to
+be one of the listed members.
 """
 
+from collections import Counter
+from enum import Enum, auto
+
+import msgspec
+
 from bramleyrouter.consensus.entries import MemberRecord
 from bramleyrouter.consensus.interfaces import Member
 
@@ -50,6 +58,48 @@
     return None
 
 
+class _Outcome(Enum):
+    """Name what a report says of one listed member."""
+
+    ACTIVE = auto()
+    STORED = auto()
+    # The listed id is gone with its disk.
+    REPLACED = auto()
+    PENDING = auto()
+
+
+def _classify_member(
+    own: MemberRecord, listed: Member, reported: MemberRecord | None
+) -> _Outcome:
+    if reported is None:
+        return _Outcome.PENDING
+    own_configuration = (own.cluster_id, own.initial_members)
+    if (reported.cluster_id, reported.initial_members) == own_configuration:
+        return _Outcome.ACTIVE if reported.is_active else _Outcome.STORED
+    if reported.member_id != listed.member_id:
+        return _Outcome.REPLACED
+    return _Outcome.PENDING
+
+
+def _compute_record_with_configuration(
+    own: MemberRecord,
+    own_address: str,
+    reported_records: dict[str, MemberRecord],
+) -> MemberRecord | None:
+    """Return the next record of an inactive member that stored a configuration."""
+    counts = Counter(
+        _classify_member(own, listed, reported_records.get(listed.address))
+        for listed in own.initial_members
+        if listed.address != own_address
+    )
+    majority = len(own.initial_members) // 2 + 1
+    stored = 1 + counts[_Outcome.STORED] + counts[_Outcome.ACTIVE]
+    # One active member is proof that a majority has stored the configuration.
+    if counts[_Outcome.ACTIVE] or (stored >= majority and not counts[_Outcome.PENDING]):
+        return msgspec.structs.replace(own, is_active=True)
+    return None
+
+
 def list_addresses_to_ask(
     own: MemberRecord, own_address: str, first_members: tuple[str, ...]
 ) -> list[str]:
@@ -75,20 +125,7 @@
     if own.is_active:
         return None
     if own.cluster_id:
-        own_configuration = (own.cluster_id, own.initial_members)
-        matching_records = [
-            item
-            for item in reported_records.values()
-            if (item.cluster_id, item.initial_members) == own_configuration
-        ]
-        # A member becomes active only after all have stored the configuration,
-        # so one active member is proof enough.
-        is_any_active = any(item.is_active for item in matching_records)
-        if is_any_active or len(matching_records) == len(own.initial_members) - 1:
-            return MemberRecord(
-                own.member_id, own.cluster_id, own.initial_members, True
-            )
-        return None
+        return _compute_record_with_configuration(own, own_address, reported_records)
     adopted = _build_adopted_record(own, own_address, reported_records)
     if adopted is not None:
         return adopted
--- a/src/bramleyrouter/consensus/entries.py
+++ b/src/bramleyrouter/consensus/entries.py
@@ -45,7 +45,7 @@
     """Hold the id of this member and the state of its bootstrap.
 
     ``cluster_id`` is empty until this member has joined or formed a cluster.
-    ``is_active`` is false until all first members have stored the initial
+    ``is_active`` is false until enough first members have stored the initial
     configuration; an inactive member neither votes nor stores entries. With
     ``may_initiate`` the data folder was created by a process that could propose the
     initial configuration, and so can each later one until there is a configuration.
--- a/src/bramleyrouter/consensus/request_handlers.py
+++ b/src/bramleyrouter/consensus/request_handlers.py
@@ -72,7 +72,7 @@
 
     This is safe: a leader sends only to members of its configuration, which
     contains this member's id, and a leader exists only after all first members
-    have stored the initial configuration.
+    whose ids still exist have stored the initial configuration.
     """
     own = node.member_record
     if not isinstance(message, AppendRequest | ChunkRequest):
