Let a majority of the first members form the log in a known first start

What callers saw: if one of the three control daemons was late, ended by a signal, or never there at the first start, nothing was ever acknowledged and all requests got 503, although the deployment names one lost VM as tolerated.

Cause: the initial configuration was exchanged, and that needs every listed member. Random ids are right where an empty folder may be a lost disk; in a start that is known to be the first it can't be one.

Change: a process that is told so stores its id and the configuration, both derived from the seeds, when it creates its folder; a majority of such members is active without the others. A later start never derives an id. If more ids than tolerated losses turn out to be replaced, they never existed, and the members exchange their ids as before.

--- a/src/bramleyrouter/consensus/bootstrap.py
+++ b/src/bramleyrouter/consensus/bootstrap.py
@@ -1,20 +1,30 @@
 """Bootstrap the cluster: agree on the initial configuration.
 
-Member ids are random, so the first members must exchange them before there is
-a log. The member with the smallest listed address, the initiator, builds the
-configuration once every listed member has reported an empty data folder. Every
-member stores this configuration.
-
-A member becomes active (votes and stores entries) only once a majority has reported
-that it stored the same configuration, and the others have reported too: a listed member
-that still has to store the configuration is waited for, and one whose address reports
-another id has lost its disk and is not. Hence a second cluster can form only when all
-listed data folders are empty. A member that lost its disk gets reports of an active
-cluster and waits under its new id until it is added. A process that is started again
-meanwhile takes part with the id that its data folder holds; only the initiator needs to
-be one of the listed members.
+There are two ways.
+
+*Predefined.* A process that is told that this is the first start of all, and whose data
+folder is empty, stores the initial configuration together with its member id. Ids and
+configuration follow from the listed addresses alone, so all first members store the
+same one, and a majority of them is enough to go on: one that is late, or whose disk is
+lost, is not waited for. A process that is started with an empty folder later never gets
+such an id, so a member can't vote twice.
+
+*Exchanged.* Otherwise member ids are random, so the first members must exchange them
+before there is a log. The member with the smallest listed address, the initiator,
+builds the configuration once every listed member has reported an empty data folder.
+Every member stores this configuration.
+
+In both ways a member becomes active (votes and stores entries) only once a majority has
+reported that it stored the same configuration. In an exchange the others must have
+reported too: a listed member that still has to store the configuration is waited for,
+and one whose address reports another id has lost its disk and is not. Hence a second
+cluster can form only when all listed data folders are empty. A member that lost its
+disk gets reports of an active cluster and waits under its new id until it is added. A
+process that is started again meanwhile takes part with the id that its data folder
+holds; only the initiator needs to be one of the listed members.
 """
 
+import hashlib
 from collections import Counter
 from enum import Enum, auto
 
@@ -22,6 +32,40 @@
 
 from bramleyrouter.consensus.entries import MemberRecord
 from bramleyrouter.consensus.interfaces import Member
+from bramleyrouter.ids import MemberId
+
+_ID_BYTES = 8
+
+
+def _derive_id(*parts: str) -> str:
+    text = " ".join(parts).encode()
+    return hashlib.blake2b(text, digest_size=_ID_BYTES).hexdigest()
+
+
+def build_predefined_record(
+    own_address: str, first_members: tuple[str, ...]
+) -> MemberRecord:
+    """Build the record of a first member in a start that is known to be the first.
+
+    ``own_address`` must be one of ``first_members``.
+    """
+    addresses = sorted(first_members)
+    cluster_id = _derive_id("cluster", *addresses)
+    ids = {item: MemberId(_derive_id(cluster_id, item)) for item in addresses}
+    members = tuple(Member(ids[item], item) for item in addresses)
+    return MemberRecord(ids[own_address], cluster_id, members, is_predefined=True)
+
+
+def can_predefine(
+    own_address: str, first_members: tuple[str, ...], tolerated_losses: int
+) -> bool:
+    """Return whether a first member may go on without waiting for all others.
+
+    A majority must be more members than may lose their disks, as what it has
+    acknowledged would otherwise be lost with them.
+    """
+    majority = len(first_members) // 2 + 1
+    return own_address in first_members and majority > tolerated_losses
 
 
 def _build_initial_record(
@@ -63,7 +107,7 @@
 
     ACTIVE = auto()
     STORED = auto()
-    # The listed id is gone with its disk.
+    # The listed id is gone with its disk, or never existed.
     REPLACED = auto()
     PENDING = auto()
 
@@ -85,6 +129,7 @@
     own: MemberRecord,
     own_address: str,
     reported_records: dict[str, MemberRecord],
+    tolerated_losses: int,
 ) -> MemberRecord | None:
     """Return the next record of an inactive member that stored a configuration."""
     counts = Counter(
@@ -94,9 +139,18 @@
     )
     majority = len(own.initial_members) // 2 + 1
     stored = 1 + counts[_Outcome.STORED] + counts[_Outcome.ACTIVE]
+    is_waited_for = counts[_Outcome.PENDING] > 0 and not own.is_predefined
     # One active member is proof that a majority has stored the configuration.
-    if counts[_Outcome.ACTIVE] or (stored >= majority and not counts[_Outcome.PENDING]):
+    if counts[_Outcome.ACTIVE] or (stored >= majority and not is_waited_for):
         return msgspec.structs.replace(own, is_active=True)
+    replaced = counts[_Outcome.REPLACED]
+    is_without_majority = len(own.initial_members) - replaced < majority
+    if own.is_predefined and is_without_majority and replaced > tolerated_losses:
+        # More ids than disks that may be lost, so some of them never existed: their
+        # processes were started again before they had a folder. This member isn't
+        # active, so no majority has acknowledged anything, and the members that are
+        # there exchange their ids instead.
+        return MemberRecord(own.member_id, may_initiate=own.may_initiate)
     return None
 
 
@@ -115,17 +169,21 @@
     reported_records: dict[str, MemberRecord],
     cluster_id: str,
     may_initiate: bool = True,
+    tolerated_losses: int = 0,
 ) -> MemberRecord | None:
     """Return the record that this member must store next, or none to wait.
 
     ``reported_records`` maps the addresses of the members that replied to the records
     that they reported. ``cluster_id`` becomes the id of the cluster if this member is
-    the initiator, which it is only with ``may_initiate``.
+    the initiator, which it is only with ``may_initiate``. ``tolerated_losses`` is the
+    number of members whose disks may be lost at the same time.
     """
     if own.is_active:
         return None
     if own.cluster_id:
-        return _compute_record_with_configuration(own, own_address, reported_records)
+        return _compute_record_with_configuration(
+            own, own_address, reported_records, tolerated_losses
+        )
     adopted = _build_adopted_record(own, own_address, reported_records)
     if adopted is not None:
         return adopted
--- a/src/bramleyrouter/consensus/entries.py
+++ b/src/bramleyrouter/consensus/entries.py
@@ -49,6 +49,8 @@
     configuration; an inactive member neither votes nor stores entries. With
     ``may_initiate`` the data folder was created by a process that could propose the
     initial configuration, and so can each later one until there is a configuration.
+    With ``is_predefined`` the data folder was created together with the configuration,
+    in a start that was known to be the first.
     """
 
     member_id: MemberId
@@ -56,6 +58,7 @@
     initial_members: tuple[Member, ...] = ()
     is_active: bool = False
     may_initiate: bool = False
+    is_predefined: bool = False
 
 
 class Snapshot(msgspec.Struct, frozen=True):
--- a/src/bramleyrouter/consensus/node.py
+++ b/src/bramleyrouter/consensus/node.py
@@ -71,6 +71,8 @@
     limits: Limits
     # Whether this member may propose the initial configuration of a new cluster.
     may_initiate: bool = True
+    # Number of members whose disks may be lost at the same time.
+    tolerated_losses: int = 0
     applied_index: LogIndex = LogIndex(0)
     applied_stamp_ms: int = 0
     applied_bytes: int = 0
--- a/src/bramleyrouter/consensus/replicated_log.py
+++ b/src/bramleyrouter/consensus/replicated_log.py
@@ -7,11 +7,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+import msgspec
 from absl import logging
 from result import Err, Ok, Result
 
 from bramleyrouter.board.sections import Identity
 from bramleyrouter.codes import Code
+from bramleyrouter.consensus.bootstrap import (
+    build_predefined_record,
+    can_predefine,
+)
 from bramleyrouter.consensus.core import build_raft_state
 from bramleyrouter.consensus.driver import (
     fail_pending_reads,
@@ -19,6 +24,7 @@
     run_writer,
     schedule_timer,
 )
+from bramleyrouter.consensus.entries import MemberRecord
 from bramleyrouter.consensus.files import FileSystem
 from bramleyrouter.consensus.interfaces import LogStatus, ReplicatedLog, StateMachine
 from bramleyrouter.consensus.membership_changes import add_member, remove_member
@@ -38,6 +44,7 @@
     open_durable_storage,
 )
 from bramleyrouter.failures import Failure
+from bramleyrouter.ids import MemberId
 from bramleyrouter.wire.network import Network
 
 _ID_BYTES = 8
@@ -70,6 +77,7 @@
     storage: Storage,
     recovered: Recovered,
     may_initiate: bool,
+    tolerated_losses: int,
     previous: Node | None = None,
 ) -> Node:
     """Build a member from its recovered data folder.
@@ -101,6 +109,7 @@
         member_record,
         limits,
         may_initiate,
+        tolerated_losses,
     )
     if previous is not None:
         node.applied_index = previous.applied_index
@@ -212,6 +221,7 @@
         storage,
         recovered,
         stopped.may_initiate,
+        stopped.tolerated_losses,
         stopped,
     )
     logging.warning(
@@ -234,28 +244,39 @@
     limits: Limits | None = None,
     new_id: Callable[[], str] = generate_id,
     may_initiate: bool = True,
+    is_first_start: bool = False,
+    tolerated_losses: int = 0,
 ) -> Result[ReplicatedLog, Failure]:
     """Recover the data folder and start this member on the running loop.
 
     ``members`` are the internal addresses of the first members; a member whose
     own address is not among them, or that finds an existing cluster, waits
     until it is added. Without ``may_initiate`` this member proposes no new cluster to
-    them. ``fs`` is ``files.open_folder(folder)``; it is closed
-    with the log. ``rng`` randomises the election timeouts. ``new_id`` creates
+    them. ``is_first_start`` states that no first member has had a disk before, and must
+    never be true again; a majority of them then forms the cluster without the others,
+    if it is more than ``tolerated_losses``, the number of disks that may be lost at the
+    same time. ``fs`` is ``files.open_folder(folder)``; it is closed with the log.
+    ``rng`` randomises the election timeouts. ``new_id`` creates
     the ids of member and cluster and must never return the same text twice, on
     any VM.
 
     Fails with ``LOG_CORRUPT``, ``SNAPSHOT_CORRUPT`` or ``DISK_FAILED``.
     """
     limits = limits or Limits()
-    opened = open_durable_storage(fs, new_id, limits.segment_bytes, may_initiate)
+    address = identity.internal_address
+    if is_first_start and can_predefine(address, members, tolerated_losses):
+        first_record = build_predefined_record(address, members)
+    else:
+        first_record = MemberRecord(MemberId(new_id()))
+    first_record = msgspec.structs.replace(first_record, may_initiate=may_initiate)
+    opened = open_durable_storage(fs, new_id, limits.segment_bytes, first_record)
     if isinstance(opened, Err):
         logging.error("consensus: refused to start: %s", opened.err_value)
         fs.close()
         return opened
     storage, recovered = opened.ok_value
     node = _build_node(
-        identity.internal_address,
+        address,
         network,
         rng,
         machine,
@@ -265,6 +286,7 @@
         storage,
         recovered,
         may_initiate,
+        tolerated_losses,
     )
     member = _Member(node)
     _start_node(member, new_id)
--- a/src/bramleyrouter/consensus/request_handlers.py
+++ b/src/bramleyrouter/consensus/request_handlers.py
@@ -202,6 +202,7 @@
         reported_records,
         new_id(),
         node.may_initiate or node.member_record.may_initiate,
+        node.tolerated_losses,
     )
     if member_record is not None:
         update_member_record(node, member_record)
--- a/src/bramleyrouter/consensus/storage.py
+++ b/src/bramleyrouter/consensus/storage.py
@@ -133,7 +133,7 @@
 
 
 def _read_member_record(
-    fs: FileSystem, new_id: Callable[[], str], may_initiate: bool
+    fs: FileSystem, new_id: Callable[[], str], first_record: MemberRecord | None
 ) -> Result[MemberRecord, Failure]:
     names = fs.list_names()
     if MEMBER_FILE in names:
@@ -143,7 +143,7 @@
         # With a new id beside the old state, a member could vote twice in a term.
         reason = f'the file is missing beside "{remaining[0]}"'
         return Err(build_corrupt_failure(MEMBER_FILE, 0, reason))
-    member_record = MemberRecord(MemberId(new_id()), may_initiate=may_initiate)
+    member_record = first_record or MemberRecord(MemberId(new_id()))
     _replace_file(fs, MEMBER_FILE, _encode_whole_file(MEMBER_FILE, member_record))
     return Ok(member_record)
 
@@ -190,9 +190,9 @@
 
 
 def _recover(
-    fs: FileSystem, new_id: Callable[[], str], may_initiate: bool
+    fs: FileSystem, new_id: Callable[[], str], first_record: MemberRecord | None
 ) -> Result[tuple[SegmentState, Recovered], Failure]:
-    member_record = _read_member_record(fs, new_id, may_initiate)
+    member_record = _read_member_record(fs, new_id, first_record)
     if isinstance(member_record, Err):
         return member_record
     snapshot, size = None, 0
@@ -231,18 +231,18 @@
     fs: FileSystem,
     new_id: Callable[[], str],
     segment_bytes: int = SEGMENT_BYTES,
-    may_initiate: bool = False,
+    first_record: MemberRecord | None = None,
 ) -> Result[tuple[Storage, Recovered], Failure]:
     """Open and recover the data folder; create the member id if it is empty.
 
     ``new_id`` must never return the same text twice on any VM: otherwise a
-    member that lost its disk could vote again under its old id. ``may_initiate`` is
-    stored with a new member id. Fails with
+    member that lost its disk could vote again under its old id. ``first_record`` is
+    stored in an empty folder in place of a record with only a new id. Fails with
     ``LOG_CORRUPT`` or ``SNAPSHOT_CORRUPT``, which name the file, or with
     ``DISK_FAILED``.
     """
     try:
-        outcome = _recover(fs, new_id, may_initiate)
+        outcome = _recover(fs, new_id, first_record)
     except OSError as exc:
         return Err(build_disk_failure(exc))
     if isinstance(outcome, Err):
@@ -261,7 +261,7 @@
     fs: FileSystem,
     new_id: Callable[[], str],
     segment_bytes: int = SEGMENT_BYTES,
-    may_initiate: bool = False,
+    first_record: MemberRecord | None = None,
 ) -> Result[tuple[Storage, Recovered], Failure]:
     """Open and recover the data folder, and make all of it durable.
 
@@ -270,7 +270,7 @@
     later one of the same file doesn't report it. So all files are written again. Fails
     like ``open_storage``; it can then be called again.
     """
-    opened = open_storage(fs, new_id, segment_bytes, may_initiate)
+    opened = open_storage(fs, new_id, segment_bytes, first_record)
     if isinstance(opened, Err):
         return opened
     storage, recovered = opened.ok_value
--- a/src/bramleyrouter/daemons/fleet_control.py
+++ b/src/bramleyrouter/daemons/fleet_control.py
@@ -87,6 +87,8 @@
         state_machine.for_log,
         folder,
         may_initiate=may_initiate_log(cfg),
+        is_first_start=cfg.is_first_start,
+        tolerated_losses=cfg.tolerated_losses,
     )
     return opened.map(
         lambda replicated_log: _assemble_control_parts(
--- a/tests/support/log_cluster.py
+++ b/tests/support/log_cluster.py
@@ -58,6 +58,8 @@
     first_members: tuple[str, ...] = ADDRESSES[:3]
     sync_s: float = 0.0
     may_initiate: bool = True
+    is_first_start: bool = False
+    tolerated_losses: int = 1
     disks: dict[int, MemoryDisk] = field(default_factory=dict)
     logs: dict[int, ReplicatedLog] = field(default_factory=dict)
     commands: dict[int, list[bytes]] = field(default_factory=dict)
@@ -83,7 +85,13 @@
             )
             new_id = functools.partial("{:016x}".format, rng.getrandbits(64))
             built = build_replicated_log(
-                *arguments, lambda: 1000.0, self.limits, new_id, self.may_initiate
+                *arguments,
+                lambda: 1000.0,
+                self.limits,
+                new_id,
+                self.may_initiate,
+                self.is_first_start,
+                self.tolerated_losses,
             )
             self.logs[number] = built.unwrap()
 
