--- a/src/bramleyrouter/homes/sweeps.py
+++ b/src/bramleyrouter/homes/sweeps.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from absl import logging
+
 from bramleyrouter.board import Section
 from bramleyrouter.codes import Code
 from bramleyrouter.edges.servers.transport import ProbeResult
@@ -39,10 +41,11 @@
         if not state.is_closed:
             now = loop.time()
             state.loop_lag_s = max(now - due, LAG_DECAY * state.loop_lag_s)
-            sweep_servers(state)
+            # Scheduled first, so that no exception ends the sweeps.
             loop.call_later(
                 SWEEP_INTERVAL_S, sweep_and_reschedule, now + SWEEP_INTERVAL_S
             )
+            sweep_servers(state)
 
     loop.call_later(
         SWEEP_INTERVAL_S, sweep_and_reschedule, loop.time() + SWEEP_INTERVAL_S
@@ -53,7 +56,11 @@
     """Update each server of this home and expire retained removed servers."""
     now = state.clock()
     for entry in list(state.entries.values()):
-        _sweep_server(state, entry, now)
+        try:
+            _sweep_server(state, entry, now)
+        except Exception:
+            # The authority and the rows of the other servers must still expire.
+            logging.exception("homes: could not sweep %s.", entry.target.server_id)
     for server_id, removed in list(state.removed_servers.items()):
         if now >= removed.expires_at:
             del state.removed_servers[server_id]
