Published the rows of a home after an unexpected exception too

Callers saw, after one exception while rows were updated: the home never published a change again, so a server that began to drain stayed ready for all other daemons.

Cause: an update is scheduled only while no change waits, and the waiting changes were cleared after the work, which the exception skipped. Change: the changes are taken before the work, and an exception is logged for its server and costs the others nothing. Servers are taken in the order of their ids, not in that of a set.

Evidence: TestRowUpdates in tests/homes/test_sweeps.py; before, the drained server's row still said "ready" after 1.2 s, now it says "draining". The tests of homes pass.

It works because a failed update leaves the set of changes empty, so that the next change schedules an update again.

--- a/src/bramleyrouter/homes/rows.py
+++ b/src/bramleyrouter/homes/rows.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from absl import logging
+
 from bramleyrouter.board import Section
 from bramleyrouter.board.sections import HomeServerStatus, ServerRecord
 from bramleyrouter.homes.ramps import compute_headroom
@@ -46,18 +48,24 @@
     A row describes one server to all daemons. A server has no row before it has
     echoed a token: until then another daemon may have registered it as well.
     """
+    # Taken before the work, as no update is scheduled while there are any.
+    changed_ids, state.changed_ids = state.changed_ids, set()
     now = state.clock()
     changed: list[ServerRecord] = []
-    for server_id in state.changed_ids:
+    for server_id in sorted(changed_ids):
         entry = state.entries.get(server_id)
         if entry is None or not entry.registered.has_echoed_token:
             continue
-        row = build_row(state, entry, now)
+        try:
+            row = build_row(state, entry, now)
+            _update_status(state, server_id, entry, row)
+        except Exception:
+            # The changes of the other servers must still be published.
+            logging.exception("homes: could not update the row of %s.", server_id)
+            continue
         if row != entry.published_row:
             entry.published_row = row
             changed.append(row)
-        _update_status(state, server_id, entry, row)
-    state.changed_ids.clear()
     if changed:
         state.board.notify_watchers(Section.HOMES)
         state.publish_rows(changed, [])
