Freed the former address of a backend server that started again elsewhere

Callers saw: a live server was marked as gone, and got no more requests, when another server started at the address that it had used before. Or the other server was never listed, if its start was older than that of the server that had moved.

Cause: the registry kept each address under the server that announced it first, also after that server announced another one. A newcomer at the old address was compared with it as if both were there. Change: an address is released when its server announces another one.

Evidence: TestMovedServers in tests/fleet/test_registry.py; its three cases failed before ("gone" in place of "ready", a refused announcement, a wrong holder) and pass now, as do the tests of the fleet.

It works because an address then names only the server whose latest announcement has it.

--- a/src/bramleyrouter/fleet/registry.py
+++ b/src/bramleyrouter/fleet/registry.py
@@ -77,6 +77,9 @@
     callbacks: list[Callable[[ServerRow], None]],
 ) -> None:
     current = registry.servers.get(row.server_id)
+    if current is not None and current.row.address != row.address:
+        # Another server may use the former address now.
+        _release_address(registry, current.row)
     registry.servers[row.server_id] = RegisteredServer(row, now, now + row.cold_s)
     registry.by_address[row.address] = row.server_id
     if current is not None:
@@ -87,6 +90,11 @@
         callback(row)
 
 
+def _release_address(registry: ServerRegistry, row: ServerRow) -> None:
+    if registry.by_address.get(row.address) == row.server_id:
+        del registry.by_address[row.address]
+
+
 def _with_current_cold_time(registered: RegisteredServer, now: float) -> ServerRow:
     cold_s = max(0.0, registered.cold_until - now)
     if not registered.row.cold_s or cold_s == registered.row.cold_s:
@@ -250,8 +258,7 @@
         row = registered.row
         if age > RETENTION_S:
             del registry.servers[server_id]
-            if registry.by_address.get(row.address) == server_id:
-                del registry.by_address[row.address]
+            _release_address(registry, row)
         elif (
             age > silent_after
             and not row.is_silent
--- a/tests/fleet/test_registry.py
+++ b/tests/fleet/test_registry.py
@@ -86,6 +86,44 @@
         }
 
 
+class TestMovedServers:
+    """A server may start again at another address, and others use its former one."""
+
+    def test_a_server_at_a_former_address_withdraws_no_other(self):
+        """Guards against a live server that is marked as gone for its old address."""
+        registry, _ = make_registry()
+        first, second = "10.0.0.1:9000", "10.0.0.2:9000"
+        apply_announcement(registry, build_row("a", address=first), 0.0)
+        apply_announcement(registry, build_row("a", incarnation=2, address=second), 1.0)
+        assert apply_announcement(
+            registry, build_row("b", incarnation=3, address=first), 2.0
+        )
+        ready = ServerPhase.READY
+        assert get_phases(registry) == {"a": ready, "b": ready}
+
+    def test_a_former_address_refuses_no_older_incarnation(self):
+        """Guards against a server that never gets a free address."""
+        registry, _ = make_registry()
+        first, second = "10.0.0.1:9000", "10.0.0.2:9000"
+        apply_announcement(registry, build_row("a", address=first), 0.0)
+        apply_announcement(registry, build_row("a", incarnation=9, address=second), 1.0)
+        assert apply_announcement(
+            registry, build_row("b", incarnation=3, address=first), 2.0
+        )
+
+    def test_a_late_expiry_keeps_the_holder_of_the_address(self):
+        """Guards against an expired server that frees an address in use."""
+        registry, _ = make_registry()
+        first, second = "10.0.0.1:9000", "10.0.0.2:9000"
+        apply_announcement(registry, build_row("a", address=first), 0.0)
+        apply_announcement(registry, build_row("a", incarnation=2, address=second), 1.0)
+        apply_announcement(
+            registry, build_row("b", incarnation=3, address=first), RETENTION_S
+        )
+        sweep(registry, RETENTION_S + 5.0)
+        assert registry.by_address == {first: "b"}
+
+
 class TestWithdraw:
     def test_withdrawal_of_an_older_incarnation_changes_nothing(self):
         """Guards against a late withdrawal that removes a restarted server."""
