Ignored updates that come after the stream of a control daemon was given up

Callers saw, after a control daemon had left the log: a server that only this daemon had listed could stay listed for good, also once it was gone, and take requests.

Cause: the update that names the remaining members and a forwarded update of the one that left may arrive together. The first one removes the rows and cancels the stream, but the stream ends only when its task runs again; the second one was still applied and nothing removes its rows any more. The same way an update was applied, and a route table fetched, after the watcher had been closed.

Change: an update is applied only while its stream is the current one of its control daemon.

It works because the entry of the stream is removed in the same step as the rows.

--- a/src/bramleyrouter/fleet/watcher.py
+++ b/src/bramleyrouter/fleet/watcher.py
@@ -316,8 +316,13 @@
     ended = loop.create_future()
     received_at: list[float] = []
     is_rerouted = [False]
+    task = asyncio.current_task()
 
     def on_item(payload: bytes) -> None:
+        if state.streams.get(address) is not task:
+            # The control daemon is no member any more, or this daemon stops. What it
+            # sent before would stay, as nothing removes it again.
+            return
         decoded = decode_update(payload)
         if isinstance(decoded, Err):
             state.record("fleet", "bad_update", source=address)
@@ -373,6 +378,11 @@
     return bool(received_at)
 
 
+def _close(state: WatcherState) -> None:
+    state.streams.clear()
+    cancel_all(state.tasks)
+
+
 def start_fleet_watcher(
     network: Network,
     record: RecordEvent,
@@ -410,5 +420,5 @@
         set_seeds=set_seeds,
         entry_daemons=lambda: get_max_entry_daemon_count(state),
         silence_s=silence_s,
-        close=lambda: cancel_all(state.tasks),
+        close=lambda: _close(state),
     )
--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -6,6 +6,8 @@
 import asyncio
 import random
 
+from result import Err
+
 from bramleyrouter.conf.fleet import StreamTimes
 from bramleyrouter.consensus.replicated_log import build_replicated_log
 from bramleyrouter.control.client import build_operate, build_read_routes
@@ -15,11 +17,13 @@
 from bramleyrouter.control.service import start_control_service
 from bramleyrouter.control.state_machine import build_control_state_machine
 from bramleyrouter.fleet.departures import start_departures
+from bramleyrouter.fleet.messages import DIRECT, Update, encode_update
 from bramleyrouter.fleet.publishing import start_fleet_publisher
 from bramleyrouter.fleet.registry import ServerRegistry
 from bramleyrouter.fleet.watcher import start_fleet_watcher
 from bramleyrouter.ids import DaemonId, DataCentre, TableVersion
 from bramleyrouter.utils.tasks import BackgroundTasks, cancel_all, spawn
+from bramleyrouter.wire.kinds import MessageKind
 from tests.support.identities import make_identity
 from tests.support.memory_disk import MemoryDisk
 from tests.support.memory_network import MemoryFabric
@@ -114,6 +118,38 @@
         return self.watcher.state
 
 
+class ScriptedControlDaemon:
+    """Serve the fleet stream as a test directs.
+
+    ``streams`` lists the payload of each subscription and the function that sends on
+    it. A subscription to another control daemon ends with ``refusal`` if that is set.
+    """
+
+    def __init__(self, fabric, number, data_centre):
+        self.address, self.data_centre = ADDRESSES[number], data_centre
+        port = int(self.address.rsplit(":", 1)[1])
+        identity = make_identity(f"c{number}", data_centre, port=port)
+        self.streams, self.refusal = [], None
+        self.network = fabric.build_network(identity)
+        self.network.serve_stream(MessageKind.WATCH_FLEET, self._serve)
+
+    async def _serve(self, peer, payload, send):
+        self.streams.append((payload, send))
+        if payload != DIRECT and self.refusal:
+            return Err(self.refusal)
+        await asyncio.get_running_loop().create_future()
+
+    def list_forwarded(self):
+        """Return the addresses of the control daemons that it was asked to forward."""
+        return [payload.decode() for payload, _ in self.streams if payload != DIRECT]
+
+    def send(self, **fields):
+        """Send a full update on the latest stream of its own."""
+        update = Update(is_full=True, data_centre=self.data_centre, **fields)
+        sends = [send for payload, send in self.streams if payload == DIRECT]
+        sends[-1](encode_update(update))
+
+
 class FleetCluster:
     """Run the control daemons of a test, by number, and hold their disks."""
 
--- a/tests/fleet/test_mirrors.py
+++ b/tests/fleet/test_mirrors.py
@@ -3,17 +3,21 @@
 import asyncio
 
 import pytest
-from result import Err, Ok
+from result import Ok
 
 from bramleyrouter.codes import Code
 from bramleyrouter.failures import Failure
-from bramleyrouter.fleet.messages import DIRECT, Update, encode_update
+from bramleyrouter.fleet.messages import Update
 from bramleyrouter.fleet.mirrors import Mirror, apply_update, build_snapshot
 from bramleyrouter.fleet.registry import apply_announcement
 from bramleyrouter.wire.kinds import MessageKind
-from tests.fleet.fleet_cluster import ADDRESSES, EntryDaemon, FleetCluster
+from tests.fleet.fleet_cluster import (
+    ADDRESSES,
+    EntryDaemon,
+    FleetCluster,
+    ScriptedControlDaemon,
+)
 from tests.support.gateway_fakes import build_row
-from tests.support.identities import make_identity
 from tests.support.log_cluster import in_virtual_time
 from tests.support.memory_network import DEFAULT_DELAY_S
 
@@ -136,38 +140,6 @@
         ]
 
 
-class ScriptedControlDaemon:
-    """Serve the fleet stream as a test directs.
-
-    ``streams`` lists the payload of each subscription and the function that sends on
-    it. A subscription to another control daemon ends with ``refusal`` if that is set.
-    """
-
-    def __init__(self, fabric, number, data_centre):
-        self.address, self.data_centre = ADDRESSES[number], data_centre
-        port = int(self.address.rsplit(":", 1)[1])
-        identity = make_identity(f"c{number}", data_centre, port=port)
-        self.streams, self.refusal = [], None
-        self.network = fabric.build_network(identity)
-        self.network.serve_stream(MessageKind.WATCH_FLEET, self._serve)
-
-    async def _serve(self, peer, payload, send):
-        self.streams.append((payload, send))
-        if payload != DIRECT and self.refusal:
-            return Err(self.refusal)
-        await asyncio.get_running_loop().create_future()
-
-    def list_forwarded(self):
-        """Return the addresses of the control daemons that it was asked to forward."""
-        return [payload.decode() for payload, _ in self.streams if payload != DIRECT]
-
-    def send(self, **fields):
-        """Send a full update on the latest stream of its own."""
-        update = Update(is_full=True, data_centre=self.data_centre, **fields)
-        sends = [send for payload, send in self.streams if payload == DIRECT]
-        sends[-1](encode_update(update))
-
-
 async def start_scripted_daemons():
     """Start two local and one remote scripted daemon; return them and an entry."""
     cluster = FleetCluster()
--- /dev/null
+++ b/tests/fleet/test_watcher.py
@@ -0,0 +1,78 @@
+"""Tests of what an entry daemon does with updates that come late or are odd."""
+
+import asyncio
+
+from bramleyrouter.fleet.messages import Update, encode_update
+from tests.fleet.fleet_cluster import (
+    ADDRESSES,
+    EntryDaemon,
+    FleetCluster,
+    ScriptedControlDaemon,
+)
+from tests.support.gateway_fakes import build_row
+from tests.support.log_cluster import in_virtual_time
+
+# Time after which the entry daemon has opened a stream again, in seconds.
+STREAM_OPENED_S = 0.2
+
+
+async def start_daemons(numbers=(0, 1, 2)):
+    """Start scripted control daemons and an entry daemon that hears their streams."""
+    cluster = FleetCluster()
+    controls = [
+        ScriptedControlDaemon(cluster.fabric, number, f"dc{min(1, number // 2)}")
+        for number in numbers
+    ]
+    entry = EntryDaemon(cluster, "e0", 7500, "dc0")
+    await asyncio.sleep(0.1)
+    return cluster.fabric, controls, entry
+
+
+def name_members(index, addresses):
+    return {"members_index": index, "members": tuple(addresses)}
+
+
+class TestRemovedControlDaemons:
+    """Rows of a control daemon that left the log must not stay."""
+
+    @in_virtual_time
+    async def test_a_late_update_restores_no_rows(self):
+        """Guards against rows that stay for good, as nothing removes them again.
+
+        The update of the members and a forwarded update of the daemon that left
+        arrive on one connection, one right after the other.
+        """
+        fabric, controls, entry = await start_daemons()
+        # The seeds are wanted whether they are members or not.
+        entry.watcher.set_seeds(ADDRESSES[:2])
+        members = name_members(1, ADDRESSES[:3])
+        for control in controls:
+            control.send(**members)
+            await asyncio.sleep(STREAM_OPENED_S)
+        (forwarding,) = [each for each in controls if each.list_forwarded()]
+        send = forwarding.streams[-1][1]
+        row = build_row("s-far")
+        send(encode_update(Update(rows=(row,), is_full=True, data_centre="dc1")))
+        await asyncio.sleep(0.1)
+        assert set(entry.state.view.merged) == {"s-far"}
+        entry_address = "127.0.0.1:7500"
+        fabric.freeze(entry_address)
+        forwarding.send(**name_members(2, ADDRESSES[:2]))
+        send(encode_update(Update(rows=(row,), is_full=True, data_centre="dc1")))
+        await asyncio.sleep(0.1)
+        fabric.thaw(entry_address)
+        await asyncio.sleep(0.1)
+        assert entry.state.view.merged == {}
+        assert set(entry.state.last_contact_at) == set(ADDRESSES[:2])
+
+    @in_virtual_time
+    async def test_an_update_after_the_end_changes_nothing(self):
+        """Guards against tables that are fetched and applied by a daemon that stops."""
+        fabric, controls, entry = await start_daemons()
+        fabric.freeze("127.0.0.1:7500")
+        controls[0].send(rows=(build_row("s0"),), table_version=3)
+        await asyncio.sleep(0.1)
+        entry.watcher.close()
+        fabric.thaw("127.0.0.1:7500")
+        assert entry.state.view.merged == {}
+        assert not [task for task in entry.state.tasks.tasks if not task.cancelling()]
