Waited before a route table is asked for again after an odd reply

Callers saw nothing while all replies were sound. A control daemon whose reply can't be read, or holds an older table than it named, was asked again as fast as the network allows: 500 requests in one second with 2 ms per reply, from each entry daemon.

Cause: only a failed request was followed by a wait. Change: the wait follows every attempt that didn't bring the table.

It works because the wait depends on the table version that is in force, not on how the attempt ended.

--- a/src/bramleyrouter/fleet/watcher.py
+++ b/src/bramleyrouter/fleet/watcher.py
@@ -229,6 +229,8 @@
             _apply_fetched_table(state, source, reply.ok_value)
         else:
             state.record("fleet", "fetch_failed", source=source, version=version)
+        if state.table_version < version:
+            # The reply may also have been odd, or have held an older table.
             await asyncio.sleep(FIRST_BACKOFF_S)
 
 
--- a/tests/fleet/test_watcher.py
+++ b/tests/fleet/test_watcher.py
@@ -2,7 +2,14 @@
 
 import asyncio
 
+from result import Ok
+
+from bramleyrouter.control.codecs import encode_command
+from bramleyrouter.control.messages import PublishRoutes
 from bramleyrouter.fleet.messages import Update, encode_update
+from bramleyrouter.fleet.watcher import FIRST_BACKOFF_S
+from bramleyrouter.ids import TableVersion
+from bramleyrouter.wire.kinds import MessageKind
 from tests.fleet.fleet_cluster import (
     ADDRESSES,
     EntryDaemon,
@@ -76,3 +83,28 @@
         fabric.thaw("127.0.0.1:7500")
         assert entry.state.view.merged == {}
         assert not [task for task in entry.state.tasks.tasks if not task.cancelling()]
+
+
+class TestTableFetches:
+    @in_virtual_time
+    async def test_a_reply_without_the_named_table_is_not_asked_for_at_once(self):
+        """Guards against a fetch that is repeated as fast as the network allows."""
+        _, controls, entry = await start_daemons()
+        fetches = []
+
+        async def reply_odd(peer, payload):
+            fetches.append(asyncio.get_running_loop().time())
+            return Ok(b"odd")
+
+        controls[0].network.serve(MessageKind.FETCH_ROUTES, reply_odd)
+        controls[0].send(table_version=3)
+        await asyncio.sleep(1.0)
+        assert 5 <= len(fetches) <= 1.0 / FIRST_BACKOFF_S
+        assert entry.versions == []
+
+        async def reply_with_table(peer, payload):
+            return Ok(encode_command(PublishRoutes(TableVersion(3), b"{}")))
+
+        controls[0].network.serve(MessageKind.FETCH_ROUTES, reply_with_table)
+        await asyncio.sleep(2 * FIRST_BACKOFF_S)
+        assert entry.versions == [(3, b"{}")]
