Left odd rows out of the first update of a stream too

Callers saw nothing while all rows were sound. With one row that can't be sent (a number beyond 64 bits, for example), an entry daemon that started or reconnected got no stream from that control daemon, and so none of its servers.

Cause: rows were checked when a change was sent, but not for the first update of a subscription, which holds all of them and raised an exception. Change: both leave such a row out and log it. Evidence: TestSubscriptions in tests/fleet/test_publishing.py, three kinds of odd rows; all three failed before (twice no server, once a refused row at the entry daemon) and pass now, with the tests of the fleet.

It works because no row reaches the encoder unchecked any more.

--- a/src/bramleyrouter/fleet/publishing.py
+++ b/src/bramleyrouter/fleet/publishing.py
@@ -279,7 +279,7 @@
             # A daemon that reconnects replaces its former stream, which may be dead
             # without having been closed.
             publisher.subscribers[peer.daemon_id] = subscriber
-        rows = tuple(list_rows(registry, clock()))
+        rows = tuple(row for row in list_rows(registry, clock()) if _is_sendable(row))
         snapshot = _take_snapshot(publisher)
         fields = _collect_changed_fields(publisher, subscriber, snapshot)
         fields["data_centre"] = data_centre
--- a/tests/fleet/test_publishing.py
+++ b/tests/fleet/test_publishing.py
@@ -1,5 +1,6 @@
 """Tests of what a control daemon sends its subscribers, without a network."""
 
+import asyncio
 from types import SimpleNamespace
 
 import pytest
@@ -11,9 +12,11 @@
     Subscriber,
     _send_updates,
 )
-from bramleyrouter.fleet.registry import ServerRegistry
+from bramleyrouter.fleet.registry import ServerRegistry, apply_announcement
 from bramleyrouter.wire.network import Peer
+from tests.fleet.fleet_cluster import EntryDaemon, FleetCluster
 from tests.support.gateway_fakes import build_row
+from tests.support.log_cluster import in_virtual_time
 
 
 class CountingStateMachine:
@@ -94,3 +97,22 @@
         with pytest.raises(RuntimeError):
             _send_updates(publisher)
         assert set(publisher.queued_rows) == {"sound"}
+
+
+class TestSubscriptions:
+    @pytest.mark.parametrize(
+        "fields", [{"sequence": 2**70}, {"slots": 2**70}, {"address": "10.0.0.9:0"}]
+    )
+    @in_virtual_time
+    async def test_an_odd_row_costs_new_subscribers_nothing_else(self, fields):
+        """Guards against a first update that can't be encoded or that is refused."""
+        cluster = FleetCluster()
+        cluster.start(0, 1, 2)
+        registry = cluster.controls[0].registry
+        apply_announcement(registry, build_row("odd", **fields), 0.0)
+        apply_announcement(registry, build_row("sound"), 0.0)
+        entry = EntryDaemon(cluster, "e0", 7500)
+        await asyncio.sleep(0.5)
+        assert set(entry.state.view.merged) == {"sound"}
+        assert cluster.controls[0].address in entry.state.last_contact_at
+        assert "bad_rows" not in [event for event, _ in entry.events]
