Removed a subscriber whose first update failed

Callers could see smaller shares of common budgets: an entry daemon whose subscription failed was counted as long as the control daemon ran, whether it was there or not.

Cause: a subscriber was added before the block that removes it at the end, so an exception while its first update was built left it behind. Change: the first update is sent inside that block. Evidence: test_a_failed_subscription_leaves_no_subscriber in tests/fleet/test_publishing.py counted 1 subscriber before and none now; once the update succeeds the daemon is counted again. The tests of the fleet pass.

It works because every way out of the handler now passes the removal.

--- a/src/bramleyrouter/fleet/publishing.py
+++ b/src/bramleyrouter/fleet/publishing.py
@@ -245,6 +245,18 @@
     publisher.queued_rows[row.server_id] = row
 
 
+def _send_first_update(publisher: FleetPublisherState, subscriber: Subscriber) -> None:
+    rows = tuple(
+        row
+        for row in list_rows(publisher.registry, publisher.clock())
+        if _is_sendable(row)
+    )
+    snapshot = _take_snapshot(publisher)
+    fields = _collect_changed_fields(publisher, subscriber, snapshot)
+    fields["data_centre"] = publisher.data_centre
+    subscriber.send(encode_update(Update(rows=rows, is_full=True, **fields)))
+
+
 def start_fleet_publisher(
     network: Network,
     registry: ServerRegistry,
@@ -279,12 +291,8 @@
             # A daemon that reconnects replaces its former stream, which may be dead
             # without having been closed.
             publisher.subscribers[peer.daemon_id] = subscriber
-        rows = tuple(row for row in list_rows(registry, clock()) if _is_sendable(row))
-        snapshot = _take_snapshot(publisher)
-        fields = _collect_changed_fields(publisher, subscriber, snapshot)
-        fields["data_centre"] = data_centre
-        send(encode_update(Update(rows=rows, is_full=True, **fields)))
         try:
+            _send_first_update(publisher, subscriber)
             await asyncio.get_running_loop().create_future()
         finally:
             publisher.mirrors.discard(subscriber)
--- a/tests/fleet/test_publishing.py
+++ b/tests/fleet/test_publishing.py
@@ -116,3 +116,19 @@
         assert set(entry.state.view.merged) == {"sound"}
         assert cluster.controls[0].address in entry.state.last_contact_at
         assert "bad_rows" not in [event for event, _ in entry.events]
+
+    @in_virtual_time
+    async def test_a_failed_subscription_leaves_no_subscriber(self):
+        """Guards against entry daemons that are counted without being there."""
+        cluster = FleetCluster()
+        cluster.start(0, 1, 2)
+        control = cluster.controls[0]
+        rows = control.registry.servers
+        rows["odd"] = None
+        entry = EntryDaemon(cluster, "e0", 7500)
+        await asyncio.sleep(0.5)
+        assert control.address not in entry.state.last_contact_at
+        assert control.publisher.count_subscribers() == 0
+        del rows["odd"]
+        await asyncio.sleep(1.0)
+        assert control.publisher.count_subscribers() == 1
