Ended no stream of a lost connection that was cancelled meanwhile

Callers of the network were promised that the end of a stream is reported once, unless it is cancelled. When a connection was lost, the end of one stream could cancel another stream of the same connection, whose end was reported all the same.

Cause: the streams were copied and cleared before the first end was reported, so the cancellation found nothing to remove. Change: they are removed one at a time. Evidence: TestClose in tests/wire/test_links.py got the end of a cancelled stream before and gets none now; the tests of the wire, the fleet and of delegation pass.

It works because a stream stays in the table, where its cancellation removes it, until its own end is reported.

--- a/src/bramleyrouter/wire/links.py
+++ b/src/bramleyrouter/wire/links.py
@@ -190,9 +190,9 @@
                 fut.set_result(lost)
         for task in list(self._handler_tasks.values()):
             task.cancel()
-        streams = list(self._streams.values())
-        self._streams.clear()
-        for _, on_end in streams:
+        # One at a time, as the end of a stream may cancel another one.
+        while self._streams:
+            _, on_end = self._streams.pop(next(iter(self._streams)))
             on_end(lost)
 
 
--- /dev/null
+++ b/tests/wire/test_links.py
@@ -0,0 +1,41 @@
+"""Tests of one connection: what comes late, twice or after its end."""
+
+from bramleyrouter.wire.kinds import MessageKind
+from bramleyrouter.wire.links import HandlerTable, Link
+from bramleyrouter.wire.network import Peer
+from tests.support.virtual_time import run_virtual
+
+KIND = MessageKind.SHARD_BATCH
+
+
+def build_link(handlers=None):
+    """Return a link and the list of the frames that it sends."""
+    frames = []
+    peer = Peer("two", "dc1", "127.0.0.1:3")
+    return Link(peer, frames.append, handlers or HandlerTable()), frames
+
+
+def open_stream(link, on_end, on_item=lambda payload: None):
+    return link.open_stream(KIND, b"", on_item, on_end)
+
+
+class TestClose:
+    def test_a_stream_that_is_cancelled_meanwhile_is_not_ended(self):
+        """Guards against an end that reaches what has been cancelled already."""
+
+        async def scenario():
+            link, _ = build_link()
+            ends, cancels = [], []
+
+            def end_first(outcome):
+                ends.append("first")
+                cancels[0]()
+
+            open_stream(link, end_first)
+            cancels.append(open_stream(link, lambda outcome: ends.append("second")))
+            open_stream(link, lambda outcome: ends.append("third"))
+            link.close()
+            link.close()
+            return ends
+
+        assert run_virtual(scenario()) == ["first", "third"]
