Bounded the replies of all servers together by one budget of bytes

Callers of an entry daemon lost their requests when its process was killed for its memory.

utils/byte_budgets.py now counts the bytes that a process holds for its peers. When it is exceeded, the largest holder is ended until the rest fits; a reply without a Content-Length counts four times its size, so that replies without end go before good ones. An ended reply is a lost exchange of that server, reported in the next loop iteration and logged as memory/holder_ended with the server, its bytes and the sum. Requests on their way to servers and heads of many fields count too.

It works because every byte is counted before it is kept, and the count ends where the connection ends or hands its reply on.

--- a/src/bramleyrouter/conf/fleet.py
+++ b/src/bramleyrouter/conf/fleet.py
@@ -78,7 +78,8 @@
     ``seeds`` are internal addresses of some control daemons, by which a daemon
     finds the others. ``tolerated_losses`` is the number of control daemons that
     may fail at the same time. ``cores`` is the share of a CPU core that the VM
-    may use, 1.0 for a whole one.
+    may use, 1.0 for a whole one. ``memory_bytes`` is the memory above which the
+    platform kills the process.
     """
 
     daemon_id: DaemonId
@@ -95,4 +96,5 @@
     heartbeat_s: float
     tolerated_losses: int
     cores: float
+    memory_bytes: int
     bounds: FleetBounds
--- a/src/bramleyrouter/edges/servers/forwarding.py
+++ b/src/bramleyrouter/edges/servers/forwarding.py
@@ -16,6 +16,14 @@
 
 from bramleyrouter.edges.servers.formats import MAX_REPLY_BYTES
 from bramleyrouter.utils.addresses import split_address
+from bramleyrouter.utils.byte_budgets import (
+    NORMAL_WEIGHT,
+    SUSPECT_WEIGHT,
+    ByteBudget,
+    Holding,
+    hold,
+    release_all,
+)
 from bramleyrouter.utils.sockets import peek
 
 # Forwarded requests can go to another server, so connecting is abandoned early;
@@ -23,12 +31,19 @@
 CONNECT_TIMEOUT_S = 0.3
 # Limit on the head of a reply. Requests with a larger reply fail.
 MAX_HEAD_BYTES = 64 * 1024
+# Headers are counted in blocks of so many, each header as this many bytes of objects.
+# A head within the limit above may have thousands of short ones.
+HEADERS_PER_BLOCK, HEADER_OBJECT_BYTES = 64, 256
 # Share of the idle time announced by a server after which a connection is not used
 # again: the server may close it while a request is on its way.
 USED_IDLE_SHARE = 0.8
 # Idle time in seconds that is assumed if a server announces none.
 DEFAULT_IDLE_S = 60.0
+# Parts of a body smaller than this are joined as they arrive, because as separate
+# objects they take more memory than their bytes.
+MIN_PART_BYTES = 4096
 REPLY_TOO_LONG_TEXT = "the reply is too long"
+MEMORY_TEXT = "the reply used too much of the memory for all replies"
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -89,13 +104,15 @@
 class Pool:
     """Hold the connections to one server.
 
-    ``connections`` holds all of them: idle, in use and being opened.
+    ``connections`` holds all of them: idle, in use and being opened. ``memory`` bounds
+    the bytes that they hold together with all others of this process.
     """
 
     host: str
     port: int
     max_connections: int
     loop: asyncio.AbstractEventLoop
+    memory: ByteBudget
     connections: "set[Connection]" = field(default_factory=set)
     idle: "list[Connection]" = field(default_factory=list)
     waiting: deque[Exchange] = field(default_factory=deque)
@@ -115,18 +132,28 @@
         self.sock: socket.socket | None = None
         self.opening: asyncio.Task | None = None
         self.idle_until = 0.0
+        # Counts the request and the reply of the exchange.
+        self.holding = Holding(
+            pool.memory,
+            "server",
+            f"{pool.host}:{pool.port}",
+            self._end_for_memory,
+            self._get_weight,
+        )
         self._reset()
 
     def _reset(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
         self.status = 0
         self.headers: Headers = []
-        self.chunks: list[bytes] = []
+        self.chunks: list[bytes | bytearray] = []
         self.head_bytes = 0
         self.trailer_bytes = 0
         self.body_bytes = 0
         self.idle_s = DEFAULT_IDLE_S
+        # Whether the end of the body shows in the reply, and its length in the head.
         self.has_length = False
+        self.has_declared_length = False
         self.is_head_complete = False
         self.is_complete = False
         self.is_reusable = False
@@ -137,14 +164,15 @@
         assert self.transport is not None
         exchange.connection, self.exchange = self, exchange
         self._reset()
-        self.transport.write(exchange.request.data)
+        if hold(self.holding, len(exchange.request.data)):
+            self.transport.write(exchange.request.data)
 
     def connection_made(self, transport):
         """Send the request for which the connection was opened."""
         self.transport = transport
         if self.exchange is None:
             self.close()
-        else:
+        elif hold(self.holding, len(self.exchange.request.data)):
             transport.write(self.exchange.request.data)
 
     def data_received(self, data):
@@ -191,7 +219,7 @@
         if exchange and not exchange.request.accepts_header(name, value):
             self.error = "the reply is to another request"
         elif name == b"content-length":
-            self.has_length = True
+            self.has_length = self.has_declared_length = True
             if value.isdigit() and int(value[:20]) > MAX_REPLY_BYTES:
                 self.error = REPLY_TOO_LONG_TEXT
         elif name == b"transfer-encoding":
@@ -199,6 +227,10 @@
         elif name == b"keep-alive":
             self.idle_s = _parse_idle_time(value)
         self.headers.append((name, value))
+        if not len(self.headers) % HEADERS_PER_BLOCK and not hold(
+            self.holding, HEADERS_PER_BLOCK * HEADER_OBJECT_BYTES
+        ):
+            self.error = MEMORY_TEXT
 
     def on_headers_complete(self):
         """Check the head; the reply to a HEAD request ends here."""
@@ -217,8 +249,14 @@
         self.body_bytes += len(body)
         if self.body_bytes > MAX_REPLY_BYTES:
             self.error = REPLY_TOO_LONG_TEXT
-        else:
+        elif not hold(self.holding, len(body)):
+            self.error = MEMORY_TEXT
+        elif len(body) >= MIN_PART_BYTES or not self.chunks:
             self.chunks.append(body)
+        elif isinstance(self.chunks[-1], bytearray):
+            self.chunks[-1] += body
+        else:
+            self.chunks.append(bytearray(body))
 
     def on_message_complete(self):
         """Mark the reply as complete; an interim reply is discarded."""
@@ -226,6 +264,7 @@
             return
         if not self.is_head_complete:
             self.headers, self.has_length = [], False
+            self.has_declared_length = False
             return
         self.is_complete = not self.error
         self.is_reusable = self.parser.should_keep_alive()
@@ -244,7 +283,9 @@
         reply = ForwardedReply(
             ExchangeEnd.COMPLETE, "", self.status, self.headers, b"".join(self.chunks)
         )
-        self.exchange = None
+        # Whoever keeps the body counts it from here on.
+        self.exchange, self.chunks = None, []
+        release_all(self.holding)
         pool = self.pool
         if is_reusable and not pool.is_closed:
             self.idle_until = pool.loop.time() + USED_IDLE_SHARE * self.idle_s
@@ -274,6 +315,8 @@
 
     def close(self) -> None:
         """Close the connection at once; unsent bytes are discarded."""
+        release_all(self.holding)
+        self.chunks = []
         pool = self.pool
         pool.connections.discard(self)
         if self in pool.idle:
@@ -283,6 +326,21 @@
         elif self.opening is not None:
             self.opening.cancel()
 
+    def _get_weight(self) -> float:
+        """Return the weight of this reply among all that is held.
+
+        A reply that declares its length can't go on without end.
+        """
+        return NORMAL_WEIGHT if self.has_declared_length else SUSPECT_WEIGHT
+
+    def _end_for_memory(self) -> None:
+        """Close the connection; its exchange fails in the next loop iteration."""
+        exchange, self.exchange = self.exchange, None
+        self.close()
+        if exchange is not None:
+            lost = ForwardedReply(ExchangeEnd.LOST, MEMORY_TEXT)
+            self.pool.loop.call_soon(end_exchange, exchange, lost)
+
     def is_alive(self, now: float) -> bool:
         """Return whether an idle connection may be used again."""
         if self.sock is None or now >= self.idle_until:
@@ -300,13 +358,17 @@
     return DEFAULT_IDLE_S
 
 
-def open_pool(address: str, max_connections: int) -> Pool:
+def open_pool(
+    address: str, max_connections: int, memory: ByteBudget | None = None
+) -> Pool:
     """Return a pool for the server at "ip:port"; connections open when needed.
 
-    Raises ``ValueError`` if the address is invalid.
+    Without ``memory``, the pool has a budget of its own. Raises ``ValueError`` if the
+    address is invalid.
     """
     host, port = split_address(address)
-    return Pool(host, port, max_connections, asyncio.get_running_loop())
+    loop = asyncio.get_running_loop()
+    return Pool(host, port, max_connections, loop, memory or ByteBudget())
 
 
 def limit_connections(pool: Pool, max_connections: int) -> None:
--- a/src/bramleyrouter/platform/entry_daemon.py
+++ b/src/bramleyrouter/platform/entry_daemon.py
@@ -21,6 +21,7 @@
 from bramleyrouter.platform.server_transport import build_server_transport
 from bramleyrouter.telemetry.events import EventLog, record
 from bramleyrouter.telemetry.gateway_metrics import set_backed_off
+from bramleyrouter.telemetry.memory import build_memory_budget
 from bramleyrouter.utils.tasks import BackgroundTasks, run_periodically, spawn
 
 # The balancer probes readiness once per second and removes a daemon after two
@@ -34,7 +35,8 @@
 ) -> Result[Daemon, Failure]:
     """Build an entry daemon for the platform."""
     tasks = BackgroundTasks("platform")
-    transport, close_pools_except = build_server_transport()
+    memory = build_memory_budget(cfg.memory_bytes, log)
+    transport, close_pools_except = build_server_transport(memory)
     listeners: list = []
 
     def apply_caller_limits(table: RouteTable) -> None:
@@ -65,6 +67,8 @@
         state.set({"value": "entry_daemons"}, parts.watcher.entry_daemons() or 0)
         state.set({"value": "in_flight"}, parts.gateway.in_flight())
         state.set({"value": "ready"}, int(not reasons))
+        state.set({"value": "held_bytes"}, memory.held_bytes)
+        state.set({"value": "ended_holders"}, memory.ended_count)
         state.set({"value": "loop_lag_s"}, parts.gateway.estimate_lag())
         set_backed_off(parts.metrics, parts.gateway.list_backed_off())
 
--- a/src/bramleyrouter/platform/server_transport.py
+++ b/src/bramleyrouter/platform/server_transport.py
@@ -26,6 +26,7 @@
 )
 from bramleyrouter.ids import ServerId
 from bramleyrouter.platform import names
+from bramleyrouter.utils.byte_budgets import ByteBudget
 
 MS_PER_SECOND = 1000.0
 # Maps each byte of a head to one character, as the callers' listener does.
@@ -57,6 +58,7 @@
 class _ConnectionPools:
     """Store the address and connections of each server by its id."""
 
+    memory: ByteBudget
     servers: dict[ServerId, tuple[str, Pool]] = field(default_factory=dict)
 
 
@@ -69,7 +71,7 @@
         return pool
     if existing is not None:
         close_pool(existing[1], "The server moved to another address.")
-    pool = open_pool(server.address, max_connections)
+    pool = open_pool(server.address, max_connections, pools.memory)
     pools.servers[server.server_id] = (server.address, pool)
     return pool
 
@@ -156,13 +158,17 @@
     return min(float(text) / MS_PER_SECOND, MAX_COLD_S)
 
 
-def build_server_transport() -> tuple[SendToServer, Callable[[set[ServerId]], None]]:
+def build_server_transport(
+    memory: ByteBudget | None = None,
+) -> tuple[SendToServer, Callable[[set[ServerId]], None]]:
     """Build the transport and a closure that closes the pools of removed servers.
 
+    ``memory`` bounds what requests and replies hold; without it, they have a budget of
+    their own.
     The closure is called with the ids of the current servers. It leaves a pool open
     while requests run on it.
     """
-    pools = _ConnectionPools()
+    pools = _ConnectionPools(memory or ByteBudget())
 
     def send_to_server(
         server: ServerRow,
--- a/src/bramleyrouter/platform/settings.py
+++ b/src/bramleyrouter/platform/settings.py
@@ -11,11 +11,15 @@
 from bramleyrouter.failures import Failure
 from bramleyrouter.ids import DaemonId, DataCentre
 from bramleyrouter.platform.names import SETTINGS_VARIABLE
+from bramleyrouter.utils.byte_budgets import DEFAULT_MEMORY_BYTES
 from bramleyrouter.utils.decoding import DECODE_ERRORS
 
 MS_PER_SECOND = 1000.0
 # Must match deploy/system.toml, which sets the same port for every VM.
 METRICS_PORT = 9464
+BYTES_PER_MB = 1_000_000
+# Lower limit of ``FleetSettings.memory_bytes``: less would hold not even one reply.
+MIN_MEMORY_MB = 32.0
 # Lower limit of ``FleetSettings.cores``, so that times computed from it stay finite.
 MIN_CORES = 0.05
 
@@ -26,11 +30,12 @@
     control: str = ""
 
 
-class _ProcessorLimits(msgspec.Struct, rename="camel"):
+class _Limits(msgspec.Struct, rename="camel"):
     # ``cpu_share`` is the share that the VM gets of each core, and ``cores`` is the
     # VM's speed factor. Their product is the VM's processor time in cores.
     cpu_share: float = 1.0
     cores: float = 1.0
+    memory_mb: float = DEFAULT_MEMORY_BYTES / BYTES_PER_MB
 
 
 class _FaultTolerance(msgspec.Struct):
@@ -64,7 +69,7 @@
     heartbeat_ms: float = 1200
     zones: dict[str, str] = {}
     listen: _Listen = msgspec.field(default_factory=_Listen)
-    limits: _ProcessorLimits = msgspec.field(default_factory=_ProcessorLimits)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
     fault_tolerance: _FaultTolerance = msgspec.field(default_factory=_FaultTolerance)
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
@@ -107,6 +112,7 @@
         heartbeat_s=file.heartbeat_ms / MS_PER_SECOND,
         tolerated_losses=file.fault_tolerance.machines,
         cores=max(MIN_CORES, file.limits.cpu_share * file.limits.cores),
+        memory_bytes=int(max(MIN_MEMORY_MB, file.limits.memory_mb) * BYTES_PER_MB),
         bounds=FleetBounds(
             drain_s=file.bounds.drain_ms / MS_PER_SECOND,
             stop_s=file.bounds.grace_s,
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -24,6 +24,7 @@
 [limits]
 cpuShare = 0.25
 cores = 2
+memoryMb = 300
 [faultTolerance]
 machines = 2
 [bounds]
@@ -53,9 +54,14 @@
         assert cfg.data_centres == ("se-a", "se-b")
         assert cfg.tolerated_losses == 2
         assert cfg.cores == 0.5
+        assert cfg.memory_bytes == 300_000_000
         assert (cfg.bounds.drain_s, cfg.bounds.stop_s) == (3.0, 6.0)
         assert (cfg.bounds.extra_ratio, cfg.bounds.extra_slack) == (0.2, 56.0)
 
+    def test_without_a_memory_limit_the_least_one_is_assumed(self, tmp_path):
+        text = SETTINGS_FILE.replace("memoryMb = 300\n", "")
+        assert read(tmp_path, text).ok_value.memory_bytes == 200_000_000
+
     def test_missing_file_is_unreadable(self):
         failure = read_settings("/nowhere/boot.toml")
         assert isinstance(failure, Err)
