--- a/tests/consensus/test_first_start.py
+++ b/tests/consensus/test_first_start.py
@@ -168,6 +168,20 @@
         cluster.start(*killed)
         await cluster.propose(b"a")
 
+    @in_virtual_time
+    async def test_a_lost_disk_does_not_vote_again(self):
+        cluster = LogCluster(is_first_start=True)
+        cluster.start(0, 1, 2)
+        cluster.isolate(2)
+        await cluster.propose(b"a", among={0, 1})
+        await cluster.lose_disk(0)
+        cluster.fabric.heal()
+        cluster.isolate(1)
+        cluster.is_first_start = False
+        cluster.start(0)
+        await asyncio.sleep(10.0)
+        assert not any(cluster.logs[number].is_current() for number in (0, 2))
+
     @in_virtual_time
     async def test_a_member_that_was_cut_off_joins_no_second_cluster(self):
         cluster = LogCluster(is_first_start=True)
@@ -186,7 +200,8 @@
 class TestRandomFirstStarts:
     """Guards against lost acknowledgements and starts without end.
 
-    Processes are late, killed, cut from power, or lose their disk, one disk at most.
+    Processes are late, killed, frozen or cut off, lose power, or their disk, one disk
+    at most.
     """
 
     @pytest.mark.parametrize("seed", range(40))
@@ -195,6 +210,9 @@
         await play_schedule(seed)
 
 
+KINDS = ("start", "start", "end", "power", "disk", "propose", "cut", "freeze")
+
+
 async def play_schedule(seed):
     """Play one random first start and check what was acknowledged."""
     rng = random.Random(seed)
@@ -223,7 +241,7 @@
         step += 1
         await asyncio.sleep(rng.uniform(0.0, 0.25))
         number = rng.randrange(3)
-        kind = rng.choice(["start", "start", "end", "power", "disk", "propose", "cut"])
+        kind = rng.choice(KINDS)
         if kind == "start" and number not in cluster.logs:
             start(number)
         elif kind == "end" and number in cluster.logs:
@@ -237,6 +255,10 @@
             cluster.isolate(number)
             await asyncio.sleep(rng.uniform(0.0, 0.5))
             cluster.fabric.heal()
+        elif kind == "freeze":
+            cluster.fabric.freeze(ADDRESSES[number])
+            await asyncio.sleep(rng.uniform(0.0, 0.5))
+            cluster.fabric.thaw(ADDRESSES[number])
         elif kind == "propose":
             await propose(b"%d" % step)
     for number in {0, 1, 2} - set(cluster.logs):
