Dropped the callers' connections that have closed

The entry daemon kept every connection that a caller had ever opened, until its process ended: the memory of a daemon grew with the number of connections, towards the limit at which the platform kills it and the requests of its other callers end.

Tornado's HTTPServer calls on_close for its own list only, and never on the delegate that it was given, so the sets of connections in callers.py were only added to. A subclass passes the call on.

Evidence: 3,000 callers one after another on loopback left 3,001 entries in state.connections and took the process from 38.2 to 46.3 MB resident before; after the change they leave none, and it stays at 38.8 to 39.0 MB (one run each). test_a_closed_connection_is_forgotten fails in both cases on the code before.

It works because tornado calls the server's on_close whenever the loop that serves a connection ends, however it ends.

--- a/src/bramleyrouter/platform/callers.py
+++ b/src/bramleyrouter/platform/callers.py
@@ -247,6 +247,16 @@
         return "Unknown"
 
 
+class _CallerServer(HTTPServer):
+    """Serve callers and tell the delegate of the connections when one has closed."""
+
+    def on_close(self, server_conn):
+        """Pass a closed connection on, which tornado's server doesn't do."""
+        super().on_close(server_conn)
+        assert isinstance(self.request_callback, HTTPServerConnectionDelegate)
+        self.request_callback.on_close(server_conn)
+
+
 class _ConnectionDelegate(HTTPServerConnectionDelegate):
     """Track connections and create a delegate for each request."""
 
@@ -276,7 +286,7 @@
 def listen_callers(address: str, handle: HandleCallerRequest, limits: CallerLimits):
     """Serve callers on "ip:port"; raise ``OSError`` if the address is in use."""
     state = CallerServerState(handle)
-    server = HTTPServer(
+    server = _CallerServer(
         _ConnectionDelegate(state),
         idle_connection_timeout=limits.idle_timeout_s + IDLE_MARGIN_S,
         max_header_size=limits.max_header_bytes,
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -351,3 +351,22 @@
             assert await reader.read() == b""
 
         run(scenario)
+
+
+class TestClosedConnections:
+    """Guard against closed connections that are kept until the process ends (FAULT)."""
+
+    @pytest.mark.parametrize("is_busy", [False, True])
+    def test_a_closed_connection_is_forgotten(self, is_busy):
+        async def scenario(handler, listener, reader, writer):
+            if not is_busy:
+                handler.reply = GatewayReply(ReplyKind.FAILED)
+            writer.write((HEAD.format(method="GET") + "\r\n").encode())
+            await wait_until(lambda: handler.requests)
+            writer.close()
+            state = listener.state
+            await wait_until(lambda: not state.connections)
+            assert not state.reused
+            assert not state.busy
+
+        run(scenario)
