Bounded what is held for callers who neither read nor send in time

Callers of an entry daemon lost their requests when its process was killed for its memory: 150 callers who send a request and never read their answer of 3.5 MB took it to 553 MB where 300 MB are allowed. Nothing bounded the replies that wait for their readers, nor how long they wait, nor the sum of the bodies of requests.

Replies that their callers have not read and bodies of requests now count in the daemon's budget of bytes. When it is exceeded, the largest ends; a caller that needs longer than 0.5 s for its part counts four times its size. A reply that was not read 1 s after its caller's deadline (60 s without one) is dropped. A body that was given up is never forwarded: its caller gets a refusal. The connection is reset, so that the kernel drops what it holds too. The closure that cancels a request is dropped once its reply is written, as it refers to the results of all shards.

A reply that the kernel takes at once, which is the usual case, costs one more check.

It works because a reply is counted from the write until the kernel has taken its last byte or the connection has closed.

--- a/src/bramleyrouter/platform/callers.py
+++ b/src/bramleyrouter/platform/callers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import re
+import socket
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from http import HTTPStatus
@@ -25,7 +27,16 @@
 from bramleyrouter.gateway.reply_times import compute_network_time
 from bramleyrouter.gateway.tables import CallerLimits
 from bramleyrouter.platform import names
+from bramleyrouter.telemetry.events import RecordEvent
 from bramleyrouter.utils.addresses import split_address
+from bramleyrouter.utils.byte_budgets import (
+    NORMAL_WEIGHT,
+    SUSPECT_WEIGHT,
+    ByteBudget,
+    Holding,
+    hold,
+    release_all,
+)
 from bramleyrouter.utils.sockets import measure_round_trip, peek
 
 MS_PER_SECOND = 1000.0
@@ -37,6 +48,17 @@
 LAST_REPLIES_S = 0.15
 # Time in which the event loop reads what has arrived before a stop, in seconds.
 READ_ARRIVED_S = 0.02
+# Time after a caller's deadline at which a reply that it has not read is dropped, in
+# seconds. It covers the way of the request and of the reply.
+READ_MARGIN_S = 1.0
+# Time that a caller without a deadline has from its request until it has read the
+# reply, in seconds.
+DEFAULT_READ_S = 60.0
+# A caller that needs longer than this for a reply or for the body of its request is
+# ended before others when too much is held, in seconds.
+SLOW_CALLER_S = 0.5
+# SO_LINGER with a timeout of 0 s: the kernel drops what a closed socket has not sent.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 _STATUS_BY_KIND = {
     ReplyKind.GATHERED: 200,
     ReplyKind.REFUSED: 503,
@@ -64,10 +86,13 @@
     """Store the open connections of callers and the handler of their requests.
 
     ``busy`` holds, by connection, the requests whose head was read and whose reply is
-    not yet written completely.
+    not yet written completely. ``memory`` bounds the bytes of their requests and
+    replies.
     """
 
     handle: HandleCallerRequest
+    memory: ByteBudget
+    record: RecordEvent
     connections: set = field(default_factory=set)
     busy: dict[object, "_RequestDelegate"] = field(default_factory=dict)
     # Connections that have carried a request before.
@@ -152,25 +177,74 @@
         self._state = state
         self._conn = conn
         self._server_conn = server_conn
+        self._caller: str = conn.context.remote_ip  # type: ignore[attr-defined]
         self._chunks: list[bytes] = []
         self._start_line: RequestStartLine | None = None
         self._headers: HTTPHeaders | None = None
         self._cancel: Cancel | None = None
         self._is_finished = False
+        # Whether the request was given up because too much is held.
+        self._is_given_up = False
+        self._deadline_s: float | None = None
+        self._started_at = 0.0
+        self._read_timer: asyncio.TimerHandle | None = None
+        # Counts the body of the request, then the reply that the caller has not read.
+        self._holding: Holding | None = None
 
     def headers_received(self, start_line, headers):
         """Store the head of the request and mark the connection as busy."""
         self._start_line, self._headers = start_line, headers
+        self._started_at = asyncio.get_running_loop().time()
         self._state.busy[self._server_conn] = self
 
     def data_received(self, chunk):
         """Store one chunk of the body."""
-        self._chunks.append(chunk)
+        if not self._is_given_up and self._hold(len(chunk)):
+            self._chunks.append(chunk)
+
+    def _hold(self, size: int) -> bool:
+        if self._holding is None:
+            self._holding = Holding(
+                self._state.memory,
+                "caller",
+                self._caller,
+                self._end_for_memory,
+                self._get_weight,
+            )
+        return hold(self._holding, size)
+
+    def _get_weight(self) -> float:
+        """Return the weight of this caller among all that is held."""
+        is_slow = asyncio.get_running_loop().time() > self._started_at + SLOW_CALLER_S
+        # Otherwise its servers are slow.
+        waits_for_caller = self._is_finished or self._cancel is None
+        return SUSPECT_WEIGHT if is_slow and waits_for_caller else NORMAL_WEIGHT
+
+    def _end_for_memory(self) -> None:
+        """End the request, or the writing of its reply, in the next loop iteration."""
+        self._chunks, self._is_given_up = [], True
+        end = self._drop_reply if self._is_finished else self.end_early
+        asyncio.get_running_loop().call_soon(end)
+
+    def _drop_reply(self) -> None:
+        """Close the connection; its caller does not read the reply in time."""
+        stream = self._conn.stream
+        if not stream.closed():
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+        self._conn.close()
+        self._mark_ended()
 
     def finish(self):
         """Pass the complete request to the gateway."""
         assert self._start_line is not None and self._headers is not None
-        request = read_request(self._start_line, self._headers, b"".join(self._chunks))
+        if self._is_given_up:
+            # The body is not complete any more, and the caller gets a refusal.
+            return
+        body, self._chunks = b"".join(self._chunks), []
+        request = read_request(self._start_line, self._headers, body)
+        self._deadline_s = request.deadline_s
         self._conn.set_close_callback(self.on_connection_close)
         if not is_well_formed(request):
             malformed = GatewayReply(ReplyKind.MALFORMED)
@@ -195,6 +269,8 @@
         if self._is_finished:
             return
         self._is_finished = True
+        # It refers to the request and to the results of its shards.
+        self._cancel = None
         status, headers, body = encode_reply(reply, request_id)
         should_close = self._state.closes_after_replies
         if should_close:
@@ -207,8 +283,38 @@
         if should_close:
             written.add_done_callback(lambda _: self._conn.close())
         self._conn.finish()
+        if self._holding is not None:
+            release_all(self._holding)
+        if not written.done():
+            self._wait_for_reader(len(body))
+
+    def _wait_for_reader(self, size: int) -> None:
+        """Count a reply that its caller has not read yet, until its deadline."""
+        loop = asyncio.get_running_loop()
+        wait_s = DEFAULT_READ_S
+        if self._deadline_s is not None:
+            wait_s = self._deadline_s + READ_MARGIN_S
+        self._started_at, started_at = loop.time(), self._started_at
+        self._read_timer = loop.call_at(started_at + wait_s, self._drop_late_reply)
+        self._hold(size)
+
+    def _drop_late_reply(self) -> None:
+        self._state.record(
+            "gateway",
+            "reply_not_read",
+            caller=self._caller,
+            waited_ms=round(
+                MS_PER_SECOND * (asyncio.get_running_loop().time() - self._started_at)
+            ),
+        )
+        self._drop_reply()
 
     def _mark_ended(self) -> None:
+        if self._read_timer is not None:
+            self._read_timer.cancel()
+            self._read_timer = None
+        if self._holding is not None:
+            release_all(self._holding)
         # The next request of the connection may have taken the place of this one.
         if self._state.busy.get(self._server_conn) is self:
             del self._state.busy[self._server_conn]
@@ -283,9 +389,19 @@
     server: HTTPServer
 
 
-def listen_callers(address: str, handle: HandleCallerRequest, limits: CallerLimits):
-    """Serve callers on "ip:port"; raise ``OSError`` if the address is in use."""
-    state = CallerServerState(handle)
+def listen_callers(
+    address: str,
+    handle: HandleCallerRequest,
+    limits: CallerLimits,
+    memory: ByteBudget | None = None,
+    record: RecordEvent = lambda part, event, **fields: None,
+):
+    """Serve callers on "ip:port"; raise ``OSError`` if the address is in use.
+
+    ``memory`` bounds what requests and replies hold; without it, they have a budget of
+    their own. ``record`` writes log events.
+    """
+    state = CallerServerState(handle, memory or ByteBudget(), record)
     server = _CallerServer(
         _ConnectionDelegate(state),
         idle_connection_timeout=limits.idle_timeout_s + IDLE_MARGIN_S,
--- a/src/bramleyrouter/platform/entry_daemon.py
+++ b/src/bramleyrouter/platform/entry_daemon.py
@@ -75,7 +75,13 @@
     async def start() -> None:
         parts.listen()
         listeners.append(
-            listen_callers(cfg.caller_address, parts.gateway.handle, CallerLimits())
+            listen_callers(
+                cfg.caller_address,
+                parts.gateway.handle,
+                CallerLimits(),
+                memory,
+                lambda part, event, **fields: record(log, part, event, **fields),
+            )
         )
         listen_ready(cfg.ready_address, handle_readiness_probe)
         listen_metrics(cfg.metrics_address, parts.metrics.registry, update_metrics)
