Reported the loss of a connection to all of its streams despite an exception

Callers could wait until a timeout, or for good where there is none: when a connection was lost and the callback of one stream raised an exception, the streams opened after it on the same connection never learnt that they had ended.

Cause: the exception left the loop over the streams. Change: it is logged, and the loop goes on. Evidence: test_an_exception_costs_no_other_stream_its_end in tests/wire/test_links.py, where the second stream got no end before and gets PEER_DISCONNECTED now; the tests of the wire and the fleet pass.

It works because the callbacks of a connection belong to independent parts, of which none must decide what the others are told.

--- a/src/bramleyrouter/wire/links.py
+++ b/src/bramleyrouter/wire/links.py
@@ -193,7 +193,11 @@
         # One at a time, as the end of a stream may cancel another one.
         while self._streams:
             _, on_end = self._streams.pop(next(iter(self._streams)))
-            on_end(lost)
+            try:
+                on_end(lost)
+            except Exception:
+                # The other streams have lost their connection as well.
+                logging.exception("wire: the end of a stream was not processed.")
 
 
 def _build_result(envelope: Envelope, value):
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -1,5 +1,6 @@
 """Tests of one connection: what comes late, twice or after its end."""
 
+from bramleyrouter.codes import Code
 from bramleyrouter.wire.kinds import MessageKind
 from bramleyrouter.wire.links import HandlerTable, Link
 from bramleyrouter.wire.network import Peer
@@ -39,3 +40,21 @@
             return ends
 
         assert run_virtual(scenario()) == ["first", "third"]
+
+    def test_an_exception_costs_no_other_stream_its_end(self):
+        """Guards against streams and calls that wait without end after a loss."""
+
+        async def scenario():
+            link, _ = build_link()
+            ends = []
+
+            def fail(outcome):
+                raise IndexError("odd end")
+
+            open_stream(link, fail)
+            open_stream(link, ends.append)
+            link.close()
+            return ends
+
+        (end,) = run_virtual(scenario())
+        assert end.err_value.code is Code.PEER_DISCONNECTED
