--- a/tests/processes/test_starts.py
+++ b/tests/processes/test_starts.py
@@ -16,6 +16,7 @@
     PlatformProcesses,
     Vm,
     fetch_status,
+    runs_dependencies,
 )
 
 START_LIMIT_S = 20.0
@@ -93,16 +94,6 @@
         assert asyncio.run(start_all()) == [None, None, None]
 
 
-def runs_dependencies(vm: Vm) -> bool:
-    """Return whether the process has loaded a native library of a dependency.
-
-    By then the program runs; before, only the interpreter's own start does.
-    """
-    with contextlib.suppress(OSError), open(f"/proc/{vm.child.pid}/maps") as file:
-        return "/site-packages/" in file.read()
-    return False
-
-
 class TestSignalsDuringStart:
     """Guard against a process that a reload signal ends while it starts."""
 
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized, seeded faults on real processes, judged from outside."""
--- a/tests/support/platform_processes.py
+++ b/tests/support/platform_processes.py
@@ -139,8 +139,16 @@
         vm.is_first_start = False
         self.start_program(vm, environment)
 
-    def start_program(self, vm: Vm, environment: dict[str, str] | None = None) -> None:
-        """Start a VM's process with the settings file as it is."""
+    def start_program(
+        self,
+        vm: Vm,
+        environment: dict[str, str] | None = None,
+        stdout: int | None = None,
+    ) -> None:
+        """Start a VM's process with the settings file as it is.
+
+        ``stdout`` is a file descriptor; by default, the output is appended to the log.
+        """
         env = {
             "PATH": os.environ.get("PATH", ""),
             "PYTHONPATH": str(ROOT / "src"),
@@ -153,7 +161,7 @@
                 cwd=ROOT,
                 env=env,
                 stdin=subprocess.DEVNULL,
-                stdout=output,
+                stdout=output if stdout is None else stdout,
                 stderr=output,
             )
 
@@ -224,6 +232,16 @@
                 vm.child.wait()
 
 
+def runs_dependencies(vm: Vm) -> bool:
+    """Return whether the process has loaded a native library of a dependency.
+
+    By then the program runs; before, only the interpreter's own start does.
+    """
+    with contextlib.suppress(OSError), open(f"/proc/{vm.child.pid}/maps") as file:
+        return "/site-packages/" in file.read()
+    return False
+
+
 async def fetch_status(url: str, method: str = "GET", body: str | None = None) -> int:
     """Return the status of a reply, or 0 if there is none within a second."""
     req = HTTPRequest(url, method=method, body=body, request_timeout=1.0)
--- a/tests/support/raw_server.py
+++ b/tests/support/raw_server.py
@@ -46,7 +46,8 @@
                     break
         except (asyncio.IncompleteReadError, ConnectionError):
             state.closed_by_peer += 1
-        writer.close()
+        finally:
+            writer.close()
 
     state.server = await asyncio.start_server(serve, "127.0.0.1", 0)
     port = state.server.sockets[0].getsockname()[1]
