--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PYTHONPATH := $(CURDIR)/src
 export PYTHONHASHSEED := 0
 
-.PHONY: env local test format lint types unit features measure lock
+.PHONY: env local test format lint types unit features measure soak lock
 
 # With VENV= set to another environment, nothing is installed into it.
 ifeq ($(VENV),.venv)
@@ -45,5 +45,11 @@
 measure: env
 	$(PY) -m bramleyrouter.measure.main
 
+SEEDS ?= 50
+FIRST_SEED ?= 1
+
+soak: env
+	$(PY) -m tests.soak.main --seeds $(SEEDS) --first-seed $(FIRST_SEED)
+
 lock: env
 	$(PY) -m pip freeze --exclude-editable > requirements.lock
