Bounded the replies that are kept while other attempts run

A gather kept the whole replies of its shards until the last one came, up to 4 MiB a shard, though its result holds only the greatest records of each. A request that is retried after an error kept the error's body, up to 4 MiB a request and 400 requests at once. Both let faulty servers take an entry daemon over its memory limit, at which it is killed and all its callers lose their requests.

A shard's reply is now reduced to the records that can be in the result as it arrives, without its headers. The error's reply counts in the daemon's budget of bytes until the request ends; if it is the largest when the budget is exceeded, it is dropped, and the caller gets a failure. An attempt that has ended no longer refers to its exchange, which kept the request's bytes until the garbage collector ran, as attempts form reference cycles.

It works because merging the greatest records of the greatest records gives the same result, which a property test checks.

--- a/src/bramleyrouter/daemons/fleet_entry.py
+++ b/src/bramleyrouter/daemons/fleet_entry.py
@@ -28,6 +28,7 @@
     GatewayMetrics,
     build_observe_request,
 )
+from bramleyrouter.utils.byte_budgets import ByteBudget
 from bramleyrouter.utils.tasks import (
     BackgroundTasks,
     cancel_all,
@@ -59,8 +60,12 @@
     transport: SendToServer,
     decode_table: Callable[[bytes], Result[RouteTable, Failure]],
     on_table: Callable[[RouteTable], None],
+    memory: ByteBudget,
 ) -> EntryParts:
-    """Wire an entry daemon; needs a running event loop."""
+    """Wire an entry daemon; needs a running event loop.
+
+    ``memory`` bounds the bytes that all its parts hold for others.
+    """
     loop = asyncio.get_running_loop()
     board = build_board(cfg)
     network, listen = build_tcp_network(board.identity, CLUSTER_KEY)
@@ -130,6 +135,7 @@
             address, MessageKind.GRANT_ATTEMPTS, payload
         ),
         lambda: "stopping" in board.readiness.reasons,
+        memory,
     )
     network.serve_stream(MessageKind.GATHER_SHARDS, gateway.serve_delegated)
     network.serve(MessageKind.GRANT_ATTEMPTS, gateway.handle_grant)
--- a/src/bramleyrouter/gateway/attempts.py
+++ b/src/bramleyrouter/gateway/attempts.py
@@ -139,6 +139,10 @@
         attempt.cancel = gateway.loop.call_soon(_finish_attempt, attempt, lost).cancel
 
 
+def _do_nothing() -> None:
+    """Cancel nothing, as the attempt has ended."""
+
+
 def _mark_ended(attempt: Attempt, may_have_arrived: bool) -> None:
     attempt.has_ended = True
     if not attempt.is_extra:
@@ -156,6 +160,8 @@
 
 def _finish_attempt(attempt: Attempt, reply: ServerReply) -> None:
     gateway, server = attempt.gateway, attempt.server
+    # It refers to the exchange and what that has sent and received.
+    attempt.cancel = _do_nothing
     _mark_ended(attempt, reply.outcome not in NOT_ARRIVED)
     now = gateway.loop.time()
     latency_s = now - attempt.sent_at
--- a/src/bramleyrouter/gateway/build.py
+++ b/src/bramleyrouter/gateway/build.py
@@ -47,6 +47,7 @@
 from bramleyrouter.ids import DataCentre, ServiceName
 from bramleyrouter.telemetry.events import RecordEvent
 from bramleyrouter.telemetry.gateway_metrics import ObserveRequest
+from bramleyrouter.utils.byte_budgets import ByteBudget
 from bramleyrouter.wire.network import Handler, StreamHandler
 
 # ``handle(request, on_reply, network_s)`` runs a request and returns the closure that
@@ -96,8 +97,12 @@
     open_stream: OpenStream,
     send_grant: SendGrant,
     is_stopping: Callable[[], bool],
+    memory: ByteBudget | None = None,
 ) -> GatewayHandle:
-    """Build the gateway on an event loop."""
+    """Build the gateway on an event loop.
+
+    Without ``memory``, the replies that the gateway keeps have a budget of their own.
+    """
     gateway = Gateway(
         limits,
         loop,
@@ -119,6 +124,7 @@
         Relays(limits.own_address),
         open_stream,
         send_grant,
+        memory=memory or ByteBudget(),
     )
 
     def set_table(table: RouteTable) -> None:
--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -37,6 +37,7 @@
 from bramleyrouter.ids import DataCentre, ServerId, ServiceName
 from bramleyrouter.telemetry.events import RecordEvent
 from bramleyrouter.telemetry.gateway_metrics import ObserveRequest
+from bramleyrouter.utils.byte_budgets import ByteBudget
 
 if TYPE_CHECKING:
     from bramleyrouter.gateway.gather_runs import GatherRun
@@ -112,6 +113,8 @@
     next_trial_at: dict[str, float] = field(default_factory=dict)
     # Gathers that this daemon runs as a relay, by the id that addresses grants.
     relayed_gathers: dict[int, "GatherRun"] = field(default_factory=dict)
+    # Bounds the replies that are kept while other attempts of their requests run.
+    memory: ByteBudget = field(default_factory=ByteBudget)
 
 
 def mark_data_centre_reachable(gateway: Gateway, data_centre: DataCentre) -> None:
--- a/src/bramleyrouter/gateway/merging.py
+++ b/src/bramleyrouter/gateway/merging.py
@@ -21,3 +21,14 @@
     """
     records = (record for part in parts for record in split_records(part))
     return b"".join(heapq.nlargest(count, records))
+
+
+def drop_useless_records(part: bytes, count: int) -> bytes:
+    """Return a part without records that can't be among the ``count`` greatest.
+
+    A part that is short enough is returned as it is, also if it is not sorted. Merging
+    gives the same result with and without this.
+    """
+    if len(part) <= count * RECORD_BYTES:
+        return part
+    return merge_greatest((part,), count)
--- a/src/bramleyrouter/gateway/shard_attempts.py
+++ b/src/bramleyrouter/gateway/shard_attempts.py
@@ -28,6 +28,7 @@
     ShardRun,
     has_open_shard,
 )
+from bramleyrouter.gateway.merging import drop_useless_records
 from bramleyrouter.gateway.servers import (
     ChoiceContext,
     ServerSurvey,
@@ -138,7 +139,9 @@
         return
     now = run.gateway.loop.time()
     if reply.is_success:
-        shard.reply = reply
+        # The rest of a reply would be held until the gather ends.
+        body = drop_useless_records(reply.body, run.route.top_records)
+        shard.reply = reply._replace(headers=(), body=body)
         discard_unsent(shard.pending)
         for other in shard.pending:
             record_late(other.server, now)
--- a/src/bramleyrouter/gateway/single_requests.py
+++ b/src/bramleyrouter/gateway/single_requests.py
@@ -44,6 +44,7 @@
 )
 from bramleyrouter.gateway.tables import RequestKind, Route
 from bramleyrouter.ids import ServerId, ServiceName
+from bramleyrouter.utils.byte_budgets import Holding, hold, release_all
 
 # Maximum number of attempts, including those that were refused or did not arrive.
 MAX_ATTEMPTS_PER_REQUEST = 5
@@ -65,7 +66,9 @@
     on_reply: OnGatewayReply
     tried: set[ServerId] = field(default_factory=set)
     pending: list[Attempt] = field(default_factory=list)
+    # The last reply with a 5xx status, for the caller if no other attempt succeeds.
     last_reply: ServerReply | None = None
+    last_reply_holding: Holding | None = None
     attempt_count: int = 0
     possible_runs: int = 0
     has_arrived: bool = False
@@ -226,7 +229,7 @@
         waited_ms=round(1000 * (gateway.loop.time() - run.arrived_at)),
     )
     if reply.outcome is ExchangeOutcome.ANSWERED:
-        run.last_reply = reply
+        _keep_reply(run, attempt, reply)
     if reply.outcome in NOT_RUN:
         run.possible_runs -= 1
     # A request that a server refused has nevertheless reached it.
@@ -238,6 +241,24 @@
     _finish(run, _build_final_reply(run, reply))
 
 
+def _keep_reply(run: SingleRequestRun, attempt: Attempt, reply: ServerReply) -> None:
+    def drop_reply() -> None:
+        run.last_reply = None
+
+    _release_last_reply(run)
+    run.last_reply = reply
+    run.last_reply_holding = Holding(
+        run.gateway.memory, "server", attempt.server.row.server_id, drop_reply
+    )
+    hold(run.last_reply_holding, len(reply.body))
+
+
+def _release_last_reply(run: SingleRequestRun) -> None:
+    if run.last_reply_holding is not None:
+        release_all(run.last_reply_holding)
+        run.last_reply = run.last_reply_holding = None
+
+
 def _may_retry(run: SingleRequestRun) -> bool:
     if (
         run.attempt_count >= MAX_ATTEMPTS_PER_REQUEST
@@ -301,6 +322,7 @@
 
 def _finish(run: SingleRequestRun, reply: GatewayReply) -> None:
     run.is_finished = True
+    _release_last_reply(run)
     if run.timer is not None:
         run.timer.cancel()
     if reply.kind is not ReplyKind.SERVER:
@@ -335,6 +357,7 @@
 def _cancel(run: SingleRequestRun) -> None:
     """Cancel all work because the caller has disconnected."""
     run.is_finished = True
+    _release_last_reply(run)
     if run.timer is not None:
         run.timer.cancel()
     _cancel_attempts(run)
--- a/src/bramleyrouter/platform/entry_daemon.py
+++ b/src/bramleyrouter/platform/entry_daemon.py
@@ -44,7 +44,7 @@
             set_caller_limits(listeners[0], table.limits)
 
     parts = build_entry_parts(
-        cfg, log, transport, decode_route_table, apply_caller_limits
+        cfg, log, transport, decode_route_table, apply_caller_limits, memory
     )
     reasons = parts.board.readiness.reasons
     view = parts.watcher.state.view
--- a/tests/gateway/test_merging.py
+++ b/tests/gateway/test_merging.py
@@ -3,7 +3,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bramleyrouter.gateway.merging import merge_greatest, split_records
+from bramleyrouter.gateway.merging import (
+    drop_useless_records,
+    merge_greatest,
+    split_records,
+)
 
 records = st.binary(min_size=16, max_size=16)
 
@@ -29,3 +33,14 @@
         assert twice == merge_greatest(bodies, count)
         every = sorted((r for part in parts for r in part), reverse=True)
         assert twice == b"".join(every[:count])
+
+
+class TestDropUselessRecords:
+    """Guard against results that change because parts are shortened early."""
+
+    @settings(derandomize=True)
+    @given(st.lists(st.binary(max_size=100), max_size=4), st.integers(0, 4))
+    def test_the_merged_result_is_the_same(self, parts, count):
+        shortened = [drop_useless_records(part, count) for part in parts]
+        assert merge_greatest(shortened, count) == merge_greatest(parts, count)
+        assert all(len(part) <= count * 16 for part in shortened)
--- a/tests/support/gateway_fakes.py
+++ b/tests/support/gateway_fakes.py
@@ -202,6 +202,7 @@
     out=(),
     open_stream=None,
     send_grant=None,
+    memory=None,
 ) -> GatewayHarness:
     """Build a gateway with fake servers on the running event loop.
 
@@ -244,6 +245,7 @@
         open_stream or fail_on_stream,
         send_grant or (lambda address, payload: None),
         lambda: False,
+        memory,
     )
     names = {name for item in routes for name in item.shards}
     names |= {part.service for item in routes for part in item.targets}
