Bounded the frames that all peers together have not read

A daemon whose peers stop reading could be killed for its memory, which ended the requests of all its callers, or took a control daemon away from the log. Each peer was bounded at 32 MiB of unread frames, but a daemon may have dozens of peers: the control daemons' subscribers, and the entry daemons that use this one as a relay.

Frames that the kernel did not take at once now count in the budget of bytes of the process, the entry daemon's for servers and callers too. When it is exceeded, the connection with the most unread bytes is closed, so that its peer connects again and gets the present state.

It works because a frame counts from the write until the kernel has taken it or its connection has closed.

--- a/src/bramleyrouter/daemons/fleet_control.py
+++ b/src/bramleyrouter/daemons/fleet_control.py
@@ -38,6 +38,7 @@
 from bramleyrouter.fleet.registry import ServerRegistry
 from bramleyrouter.ids import DataCentre, Revision
 from bramleyrouter.telemetry.events import EventLog, record
+from bramleyrouter.utils.byte_budgets import ByteBudget
 from bramleyrouter.utils.tasks import BackgroundTasks, cancel_all, spawn
 from bramleyrouter.wire.tcp import build_tcp_network
 
@@ -62,17 +63,23 @@
 
 
 def build_control_parts(
-    cfg: FleetSettings, log: EventLog, seeds: Callable[[], tuple[str, ...]]
+    cfg: FleetSettings,
+    log: EventLog,
+    seeds: Callable[[], tuple[str, ...]],
+    memory: ByteBudget | None = None,
 ) -> Result[ControlParts, Failure]:
     """Wire a control daemon; needs a running event loop.
 
+    ``memory`` bounds the frames that other daemons have not read; without it, they have
+    a budget of their own.
+
     Fails with ``DISK_FAILED`` if the data folder can't be opened, or with the
     codes of the log's recovery.
     """
     loop = asyncio.get_running_loop()
     clock, rng = loop.time, random.Random()
     board = build_board(cfg)
-    network, listen = build_tcp_network(board.identity, CLUSTER_KEY)
+    network, listen = build_tcp_network(board.identity, CLUSTER_KEY, memory)
     state_machine = build_control_state_machine()
     try:
         folder = open_folder(Path(cfg.data_folder))
--- a/src/bramleyrouter/daemons/fleet_entry.py
+++ b/src/bramleyrouter/daemons/fleet_entry.py
@@ -68,7 +68,7 @@
     """
     loop = asyncio.get_running_loop()
     board = build_board(cfg)
-    network, listen = build_tcp_network(board.identity, CLUSTER_KEY)
+    network, listen = build_tcp_network(board.identity, CLUSTER_KEY, memory)
     # Holds the result once it is built, as the callbacks below refer to it.
     parts: list[EntryParts] = []
 
--- a/src/bramleyrouter/platform/control_daemon.py
+++ b/src/bramleyrouter/platform/control_daemon.py
@@ -22,6 +22,7 @@
     set_state_gauges,
 )
 from bramleyrouter.telemetry.events import EventLog, record
+from bramleyrouter.telemetry.memory import build_memory_budget
 from bramleyrouter.utils.stalls import Stalls, observe_run, read_boot_clock
 from bramleyrouter.utils.tasks import BackgroundTasks, run_periodically, spawn
 
@@ -36,7 +37,8 @@
     seeds = [cfg.seeds]
     tasks = BackgroundTasks("platform")
     clock = asyncio.get_running_loop().time
-    built = build_control_parts(cfg, log, lambda: seeds[0])
+    memory = build_memory_budget(cfg.memory_bytes, log)
+    built = build_control_parts(cfg, log, lambda: seeds[0], memory)
     if isinstance(built, Err):
         return built
     parts, metrics = built.ok_value, ControlMetrics()
@@ -63,7 +65,14 @@
     async def start() -> None:
         parts.listen()
         servers.append(listen_control(cfg.control_address, calls, stalls))
-        update_metrics = lambda: set_state_gauges(metrics, parts.read_metrics())
+        update_metrics = lambda: set_state_gauges(
+            metrics,
+            {
+                **parts.read_metrics(),
+                "held_bytes": memory.held_bytes,
+                "ended_holders": memory.ended_count,
+            },
+        )
         listen_metrics(cfg.metrics_address, metrics.registry, update_metrics)
         parts.board.readiness.reasons.discard("starting")
         watch_settings(log, tasks, apply_settings)
--- a/src/bramleyrouter/wire/tcp.py
+++ b/src/bramleyrouter/wire/tcp.py
@@ -15,6 +15,7 @@
 from bramleyrouter.failures import Failure
 from bramleyrouter.ids import DaemonId, DataCentre
 from bramleyrouter.utils.addresses import split_address
+from bramleyrouter.utils.byte_budgets import ByteBudget, Holding, hold, release
 from bramleyrouter.wire.envelopes import (
     LENGTH_BYTES,
     MAX_FRAME_BYTES,
@@ -44,10 +45,14 @@
 
 @dataclass
 class TcpState:
-    """Hold the connections of one daemon."""
+    """Hold the connections of one daemon.
+
+    ``memory`` bounds the frames that all peers together have not read.
+    """
 
     identity: Identity
     key: bytes
+    memory: ByteBudget
     handlers: HandlerTable = field(default_factory=HandlerTable)
     links: dict[str, Link] = field(default_factory=dict)
     outgoing_io_streams: dict[str, IOStream] = field(default_factory=dict)
@@ -77,15 +82,21 @@
             logging.warning("wire: refused %s: %s", address[0], authenticated.err_value)
             stream.close()
             return
-        link = Link(
-            authenticated.ok_value, _build_batched_writer(stream), self._state.handlers
-        )
+        peer = authenticated.ok_value
+        write = _build_batched_writer(stream, self._state.memory, peer.address)
+        link = Link(peer, write, self._state.handlers)
         await _read_frames(self._state, stream, link)
 
 
-def _build_batched_writer(stream: IOStream) -> Callable[[Envelope], None]:
-    """Return a closure that writes all frames of one loop iteration together."""
+def _build_batched_writer(
+    stream: IOStream, memory: ByteBudget, address: str
+) -> Callable[[Envelope], None]:
+    """Return a closure that writes all frames of one loop iteration together.
+
+    Frames that the peer at ``address`` has not read count in ``memory``.
+    """
     waiting: list[bytes] = []
+    holding = Holding(memory, "daemon", address, stream.close)
 
     def flush() -> None:
         frames = b"".join(waiting)
@@ -93,12 +104,20 @@
         if stream.closed():
             return
         try:
-            stream.write(frames).add_done_callback(_ignore_error)
+            written = stream.write(frames)
         except StreamClosedError:
             pass
         except StreamBufferFullError:
             logging.error("wire: a peer reads too slowly; its connection is closed.")
             stream.close()
+        else:
+            if written.done():
+                _ignore_error(written)
+                return
+            size = len(frames)
+            hold(holding, size)
+            written.add_done_callback(lambda _: release(holding, size))
+            written.add_done_callback(_ignore_error)
 
     def write(envelope: Envelope) -> None:
         if not waiting:
@@ -186,7 +205,7 @@
     link = Link(
         # The handshake does not send the acceptor's daemon id and data centre.
         Peer(DaemonId(""), DataCentre(""), address),
-        _build_batched_writer(stream),
+        _build_batched_writer(stream, state.memory, address),
         state.handlers,
     )
     state.links[address] = link
@@ -240,13 +259,16 @@
     return cancel
 
 
-def build_tcp_network(identity: Identity, key: bytes) -> tuple[Network, Callable]:
+def build_tcp_network(
+    identity: Identity, key: bytes, memory: ByteBudget | None = None
+) -> tuple[Network, Callable]:
     """Return the network and a closure that starts listening.
 
+    Without ``memory``, the frames that peers have not read have a budget of their own.
     ``key`` is the cluster's key. The closure binds the internal address of
     ``identity`` and raises ``OSError`` if the address is in use.
     """
-    state = TcpState(identity, key)
+    state = TcpState(identity, key, memory or ByteBudget())
     server = InternalServer(state)
 
     async def call(address, kind, payload, timeout_s):
