Recorded when a process nears its memory limit

Callers saw their requests end.

Entry and control daemons now read their resident memory twice a second and record daemon/memory_high, with the resident, held and allowed bytes, when it passes 60% and 80% of limits.memoryMb: once each time it rises, and again only after it has fallen by 5% of the limit. The metrics page shows resident_bytes beside held_bytes.

It works because a kill for memory is preceded by growth, and the event log is written each 0.25 s: a process that grows from below 60% to its limit faster than that is still killed without a line.

--- a/src/bramleyrouter/platform/control_daemon.py
+++ b/src/bramleyrouter/platform/control_daemon.py
@@ -22,7 +22,11 @@
     set_state_gauges,
 )
 from bramleyrouter.telemetry.events import EventLog, record
-from bramleyrouter.telemetry.memory import build_memory_budget
+from bramleyrouter.telemetry.memory import (
+    build_memory_budget,
+    read_resident_bytes,
+    watch_memory,
+)
 from bramleyrouter.utils.stalls import Stalls, observe_run, read_boot_clock
 from bramleyrouter.utils.tasks import BackgroundTasks, run_periodically, spawn
 
@@ -69,6 +73,7 @@
             metrics,
             {
                 **parts.read_metrics(),
+                "resident_bytes": read_resident_bytes(),
                 "held_bytes": memory.held_bytes,
                 "ended_holders": memory.ended_count,
             },
@@ -78,6 +83,7 @@
         watch_settings(log, tasks, apply_settings)
         observe = lambda: observe_run(stalls, read_boot_clock())
         spawn(tasks, run_periodically(STALL_CHECK_INTERVAL_S, observe))
+        watch_memory(tasks, log, cfg.memory_bytes, memory)
         record(
             log,
             "daemon",
--- a/src/bramleyrouter/platform/entry_daemon.py
+++ b/src/bramleyrouter/platform/entry_daemon.py
@@ -21,7 +21,11 @@
 from bramleyrouter.platform.server_transport import build_server_transport
 from bramleyrouter.telemetry.events import EventLog, record
 from bramleyrouter.telemetry.gateway_metrics import set_backed_off
-from bramleyrouter.telemetry.memory import build_memory_budget
+from bramleyrouter.telemetry.memory import (
+    build_memory_budget,
+    read_resident_bytes,
+    watch_memory,
+)
 from bramleyrouter.utils.tasks import BackgroundTasks, run_periodically, spawn
 
 # The balancer probes readiness once per second and removes a daemon after two
@@ -68,6 +72,7 @@
         state.set({"value": "in_flight"}, parts.gateway.in_flight())
         state.set({"value": "ready"}, int(not reasons))
         state.set({"value": "held_bytes"}, memory.held_bytes)
+        state.set({"value": "resident_bytes"}, read_resident_bytes())
         state.set({"value": "ended_holders"}, memory.ended_count)
         state.set({"value": "loop_lag_s"}, parts.gateway.estimate_lag())
         set_backed_off(parts.metrics, parts.gateway.list_backed_off())
@@ -93,6 +98,7 @@
             POOL_SWEEP_INTERVAL_S,
         )
         spawn(tasks, sweep)
+        watch_memory(tasks, log, cfg.memory_bytes, memory)
         record(
             log,
             "daemon",
