Handled no frames of a connection after its end

Callers saw no wrong answer, but a daemon could start work whose reply nobody can get: frames that arrived together with the one whose processing closed the connection were still handled, and their handlers could not be cancelled any more.

Cause: closing a link cancels the handlers that run then; frames received later started new ones. Change: a closed link ignores frames. Evidence: TestReceive in tests/wire/test_links.py, where the handler ran after the close before and doesn't now. The tests of the wire, the fleet, membership, dissemination, control, consensus and homes pass (PYTHONHASHSEED=0).

It works because a connection's end is final: a peer that comes back opens another one and asks again.

--- a/src/bramleyrouter/wire/links.py
+++ b/src/bramleyrouter/wire/links.py
@@ -102,7 +102,9 @@
         return cancel
 
     def receive(self, envelope: Envelope) -> None:
-        """Process one frame from the peer."""
+        """Process one frame from the peer; ignore it after the connection's end."""
+        if not self.is_open:
+            return
         frame_type = envelope.frame_type
         if frame_type is FrameType.ITEM:
             if entry := self._streams.get(envelope.correlation):
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -1,6 +1,11 @@
 """Tests of one connection: what comes late, twice or after its end."""
 
+import asyncio
+
+from result import Ok
+
 from bramleyrouter.codes import Code
+from bramleyrouter.wire.envelopes import Envelope, FrameType
 from bramleyrouter.wire.kinds import MessageKind
 from bramleyrouter.wire.links import HandlerTable, Link
 from bramleyrouter.wire.network import Peer
@@ -58,3 +63,29 @@
 
         (end,) = run_virtual(scenario())
         assert end.err_value.code is Code.PEER_DISCONNECTED
+
+
+class TestReceive:
+    def test_frames_after_the_end_of_the_connection_start_nothing(self):
+        """Guards against work for a peer that can't get the reply."""
+
+        async def scenario():
+            handled = []
+
+            async def handle(peer, payload):
+                handled.append(payload)
+                return Ok(b"")
+
+            link, frames = build_link(HandlerTable(calls={KIND: handle}))
+            link.receive(Envelope(FrameType.REQUEST, KIND, 1, b"before"))
+            link.receive(Envelope(FrameType.ONE_WAY, KIND, 0, b"before"))
+            await asyncio.sleep(0.1)
+            link.close()
+            link.receive(Envelope(FrameType.REQUEST, KIND, 2, b"after"))
+            link.receive(Envelope(FrameType.STREAM, KIND, 3, b"after"))
+            await asyncio.sleep(0.1)
+            return handled, frames
+
+        handled, frames = run_virtual(scenario())
+        assert handled == [b"before", b"before"]
+        assert len(frames) == 1
