Took a peer whose address can't be parsed for an unreachable one

Callers saw nothing while all addresses were sound. One odd address among the members, the daemons of the membership or the homes raised an exception in the caller of the network, which then stopped its work: all polls of a control daemon, for example.

Cause: the address was parsed before the block that turns errors of connecting into a failure; a stream to it was never ended, and a message to it left a task that failed unseen. Change: it is parsed inside that block.

It works because no byte can be sent to such an address, which is what this failure says.

--- a/src/bramleyrouter/wire/tcp.py
+++ b/src/bramleyrouter/wire/tcp.py
@@ -179,8 +179,8 @@
 
 
 async def _connect(state: TcpState, address: str) -> Result[Link, Failure]:
-    host, port = split_address(address)
     try:
+        host, port = split_address(address)
         connecting = TCPClient().connect(
             host,
             port,
@@ -196,7 +196,7 @@
         )
         handshake = authenticate_to_acceptor(stream, state.key, hello)
         authenticated = await asyncio.wait_for(handshake, HANDSHAKE_TIMEOUT_S)
-    except (OSError, StreamClosedError, TimeoutError) as exc:
+    except (OSError, ValueError, StreamClosedError, TimeoutError) as exc:
         text = f'No connection to "{address}": {exc or type(exc).__name__}.'
         return Err(Failure(Code.PEER_UNREACHABLE, text))
     if isinstance(authenticated, Err):
--- a/tests/wire/test_networks.py
+++ b/tests/wire/test_networks.py
@@ -126,6 +126,31 @@
         refused = asyncio.run(scenario())
         assert refused.err_value.code is Code.PEER_UNREACHABLE
 
+    @pytest.mark.parametrize("address", ["", "odd", "127.0.0.1:odd", "127.0.0.1:0"])
+    def test_an_odd_address_is_an_unreachable_peer(self, address):
+        """Guards against an exception that ends the caller's loop over its peers."""
+
+        async def scenario():
+            first, _ = build_tcp_network(make_identity("one"), KEY)
+            ended = asyncio.get_running_loop().create_future()
+            first.stream(
+                address,
+                MessageKind.SHARD_BATCH,
+                b"",
+                lambda item: None,
+                ended.set_result,
+            )
+            first.send(address, MessageKind.CLAIM, b"")
+            outcomes = [
+                await first.call(address, MessageKind.CLAIM, b"", 2.0),
+                await asyncio.wait_for(ended, 2.0),
+            ]
+            await first.close()
+            return [outcome.err_value.code for outcome in outcomes]
+
+        unreachable = Code.PEER_UNREACHABLE
+        assert asyncio.run(scenario()) == [unreachable, unreachable]
+
 
 class TestMemoryNetwork:
     """Guard against an in-memory network that behaves differently from TCP."""
