Kept the polls between control daemons running after an unexpected exception

Callers saw, after one such exception: backend servers elsewhere were no longer told of the control daemon in their own data centre, so their heartbeats crossed the links between data centres until the control daemon was started again.

Cause: the loop that polls the other control daemons had no protection, as the one that maintains the membership of the log has. Change: an exception is logged and the next poll follows after the usual interval. Evidence: tests/fleet/test_control_peers.py, no recommendation 1.5 s after the cause was gone before, the right one now.

It works because each poll starts from the present list of addresses and needs nothing of the one before.

--- a/src/bramleyrouter/fleet/control_peers.py
+++ b/src/bramleyrouter/fleet/control_peers.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 import msgspec
+from absl import logging
 from result import Err, Ok, Result
 
 from bramleyrouter.failures import Failure
@@ -97,9 +98,16 @@
         except DECODE_ERRORS:
             control_peers.replies.pop(address, None)
 
-    while True:
+    async def poll_all_peers() -> None:
         others = [item for item in list_addresses() if item != own_internal_address]
         await asyncio.gather(*(poll_peer(address) for address in others))
         for removed in set(control_peers.replies) - set(others):
             del control_peers.replies[removed]
+
+    while True:
+        try:
+            await poll_all_peers()
+        except Exception:
+            # Without polls, no control daemon elsewhere would be recommended any more.
+            logging.exception("fleet: could not poll the other control daemons.")
         await asyncio.sleep(POLL_INTERVAL_S)
