Opened the stream of a control daemon again after an unexpected exception

Callers could see an entry daemon without the servers that only one control daemon lists, until one of the two was started again.

Cause: the task that maintains a stream ended with the first exception, and a stream is started only for addresses that have none yet. Change: the exception is logged and the stream opened again after the usual backoff.

It works because each attempt starts with a new stream and keeps nothing of the failed one.

--- a/src/bramleyrouter/fleet/watcher.py
+++ b/src/bramleyrouter/fleet/watcher.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from absl import logging
 from result import Err, Ok
 
 from bramleyrouter.codes import Code
@@ -263,7 +264,12 @@
 async def _maintain_stream(state: WatcherState, address: str) -> None:
     backoff_s = FIRST_BACKOFF_S
     while True:
-        has_received = await _run_stream(state, address)
+        has_received = False
+        try:
+            has_received = await _run_stream(state, address)
+        except Exception:
+            # The stream must be opened again, whatever ended it.
+            logging.exception("fleet: the stream of %s failed.", address)
         if has_received:
             backoff_s = FIRST_BACKOFF_S
         await asyncio.sleep(backoff_s)
--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -93,9 +93,16 @@
 class EntryDaemon:
     """Run one entry daemon and collect what its watcher reports."""
 
-    def __init__(self, cluster, name, port, data_centre="dc0"):
+    def __init__(
+        self,
+        cluster,
+        name,
+        port,
+        data_centre="dc0",
+        wrap_network=lambda network: network,
+    ):
         identity = make_identity(name, data_centre, port=port)
-        self.network = cluster.fabric.build_network(identity)
+        self.network = wrap_network(cluster.fabric.build_network(identity))
         self.versions, self.services, self.events = [], [], []
         self.contacts = []
         self.fetches = 0
--- a/tests/fleet/test_watcher.py
+++ b/tests/fleet/test_watcher.py
@@ -108,3 +108,29 @@
         controls[0].network.serve(MessageKind.FETCH_ROUTES, reply_with_table)
         await asyncio.sleep(2 * FIRST_BACKOFF_S)
         assert entry.versions == [(3, b"{}")]
+
+
+class TestUnexpectedErrors:
+    """An exception in one part of an entry daemon must not cost it a stream."""
+
+    @in_virtual_time
+    async def test_an_exception_in_one_stream_does_not_end_it_for_good(self):
+        """Guards against a control daemon whose stream is never opened again."""
+        cluster = FleetCluster()
+        control = ScriptedControlDaemon(cluster.fabric, 0, "dc0")
+        raises = [True]
+
+        def fail_once(network):
+            def stream(*args):
+                if raises:
+                    raises.clear()
+                    raise IndexError("odd stream")
+                return network.stream(*args)
+
+            return network._replace(stream=stream)
+
+        entry = EntryDaemon(cluster, "e0", 7500, "dc0", wrap_network=fail_once)
+        await asyncio.sleep(1.0)
+        control.send(rows=(build_row("s0"),))
+        await asyncio.sleep(0.1)
+        assert set(entry.state.view.merged) == {"s0"}
