Applied the rest of an update despite an exception in one of its callbacks

Callers could see services without their servers: when the gateway raised an exception for one service of an update, the services after it in the same update were never told of the change, also not by the next stream. An exception for relays or a contact kept members and route tables from being applied.

Cause: the callbacks of an update ran one after the other without protection. The exception closed the connection; the same update came again, but its rows were applied already and so changed nothing. Change: services are told one by one in the order of their names, and an exception of a callback is logged.

Evidence: two cases of TestUnexpectedErrors in tests/fleet/test_watcher.py.

It works because the callbacks are independent of each other and of the fields that the watcher keeps itself.

--- a/src/bramleyrouter/fleet/watcher.py
+++ b/src/bramleyrouter/fleet/watcher.py
@@ -115,15 +115,14 @@
     if update.data_centre is not None:
         state.data_centres[source] = update.data_centre
     if source in state.data_centres:
-        state.on_contact(state.data_centres[source])
+        _notify(state.on_contact, state.data_centres[source])
     if update.is_full:
         state.members_by_source.pop(source, None)
     if update.members_index is not None:
         state.members_by_source[source] = frozenset(update.members)
     if update.rows or update.is_full:
         changed = apply_rows(state.view, source, update.rows, update.is_full)
-        if changed:
-            state.on_servers(changed)
+        _notify_of_services(state, changed)
     if update.revision is not None and update.revision > state.revision:
         state.revision = update.revision
         state.data_centres_out = frozenset(update.data_centres_out)
@@ -176,9 +175,27 @@
     return max(1, sum(largest.values()))
 
 
+def _notify(callback: Callable, *args) -> None:
+    """Call back; an exception must not keep the rest of an update from being applied.
+
+    It would end the connection, and the same update would be received again.
+    """
+    try:
+        callback(*args)
+    except Exception:
+        logging.exception("fleet: a change was not processed.")
+
+
+def _notify_of_services(state: WatcherState, services: set[ServiceName]) -> None:
+    """Notify of each service by itself: what one misses is not sent again."""
+    for service in sorted(services):
+        _notify(state.on_servers, {service})
+
+
 def _notify_relays(state: WatcherState) -> None:
     """Notify of the relays that any control daemon named."""
-    state.on_relays({relay for reported in state.relays.values() for relay in reported})
+    relays = {relay for reported in state.relays.values() for relay in reported}
+    _notify(state.on_relays, relays)
 
 
 def _schedule_table_fetch(
@@ -256,9 +273,7 @@
         state.relays.pop(address, None)
         state.counts_by_source.pop(address, None)
         state.network.close_peer(address)
-        changed = remove_source(state.view, address)
-        if changed:
-            state.on_servers(changed)
+        _notify_of_services(state, remove_source(state.view, address))
 
 
 async def _maintain_stream(state: WatcherState, address: str) -> None:
--- a/tests/fleet/test_watcher.py
+++ b/tests/fleet/test_watcher.py
@@ -134,3 +134,42 @@
         control.send(rows=(build_row("s0"),))
         await asyncio.sleep(0.1)
         assert set(entry.state.view.merged) == {"s0"}
+
+    @in_virtual_time
+    async def test_an_exception_for_one_service_costs_no_other_its_servers(self):
+        """Guards against services that never hear of a change.
+
+        The rows are applied by then, so the same rows change nothing the next time.
+        """
+        _, controls, entry = await start_daemons()
+        heard = []
+
+        def fail_for_odd(services):
+            if "odd" in services:
+                raise IndexError("odd service")
+            heard.extend(services)
+
+        entry.state.on_servers = fail_for_odd
+        rows = tuple(build_row(f"s-{name}", name) for name in ("a", "odd", "z"))
+        controls[0].send(rows=rows, table_version=7)
+        await asyncio.sleep(1.0)
+        assert sorted(heard) == ["a", "z"]
+        assert "control_lost" not in [event for event, _ in entry.events]
+
+    @in_virtual_time
+    async def test_an_exception_for_the_relays_costs_no_other_field(self):
+        """Guards against an update of which only a part is applied, time and again."""
+        _, controls, entry = await start_daemons()
+
+        def fail(relays):
+            raise IndexError("odd relays")
+
+        entry.state.on_relays = fail
+        controls[0].send(
+            rows=(build_row("s0"),),
+            relays=(("127.0.0.1:9", "dc0"),),
+            **name_members(4, ADDRESSES[:3]),
+        )
+        await asyncio.sleep(1.0)
+        assert entry.state.members_index == 4
+        assert "control_lost" not in [event for event, _ in entry.events]
