Handed a backend server over once when it repeats its renewal

Callers saw a server above the limits that it declares: during a planned stop two homes could dispatch to it at the same time.

Cause: a server that gets no reply repeats its renewal, and each renewal started a handover of its own. If the first one found no other home, this home dispatched again, while the second one could still be accepted elsewhere; the new home then had authority at once, with work of this home still running. Change: a renewal that comes while another one waits for a handover gets the reply "again in 0.1 s" and starts none.

Evidence: test_a_second_renewal_meanwhile_hands_nothing_over in tests/homes/test_exclusive_homes.py, a server with one slot ran two requests at a time before and one now. The tests of homes and of the stand-ins pass.

It works because a home resumes dispatching only when its only handover has ended without a new home.

--- a/src/bramleyrouter/homes/handovers.py
+++ b/src/bramleyrouter/homes/handovers.py
@@ -49,9 +49,23 @@
     if isinstance(renewed, Err) or not state.is_leaving:
         return renewed
     entry = state.entries[announcement.server_id]
+    if entry.has_pending_handover:
+        # The server repeated its renewal. If this one was handed over too, it could be
+        # accepted after the other had failed and this home dispatched again.
+        return Ok(_build_retry_reply(state, entry))
+    entry.has_pending_handover = True
+    try:
+        return await _try_handover(state, entry)
+    finally:
+        entry.has_pending_handover = False
+
+
+async def _try_handover(
+    state: HomesState, entry: ServerEntry
+) -> Result[AnnouncementReply, Failure]:
     if not await _drain_server(state, entry):
         return Ok(_build_retry_reply(state, entry))
-    if state.entries.get(announcement.server_id) is not entry:
+    if state.entries.get(entry.target.server_id) is not entry:
         return Err(Failure(Code.LEASE_UNKNOWN, "The server has another home."))
     next_home_reply = await _hand_over_server(state, entry)
     if next_home_reply is None:
--- a/src/bramleyrouter/homes/state.py
+++ b/src/bramleyrouter/homes/state.py
@@ -60,6 +60,7 @@
     declared in this registration. Nothing is dispatched before ``retry_at``, which
     is set after a failed connection, and while ``is_handing_over`` is true. The server
     itself may say that it leaves, or that it wants nothing before ``wants_none_until``.
+    ``has_pending_handover`` is set while a renewal waits for the end of a handover.
     ``mean_service_s`` is a moving average in seconds.
     """
 
@@ -77,6 +78,7 @@
     retry_at: float = float("-inf")
     backoff_s: float = 0.0
     is_handing_over: bool = False
+    has_pending_handover: bool = False
     is_leaving: bool = False
     wants_none_until: float = float("-inf")
     was_taken_out: bool = False
--- a/tests/homes/test_exclusive_homes.py
+++ b/tests/homes/test_exclusive_homes.py
@@ -233,3 +233,49 @@
             task.cancel()
 
         run_virtual(scenario())
+
+    def test_a_second_renewal_meanwhile_hands_nothing_over(self):
+        """Guards against two homes that dispatch to a server at the same time.
+
+        A server that waits for its reply repeats the renewal. Here the handover of the
+        first one fails, so that the home dispatches again, while that of the second
+        one is accepted.
+        """
+
+        async def scenario():
+            cluster = Cluster(NAMES)
+            server = FakeServer(latency_s=0.4)
+            renewal, lease = await cluster.register_server(server=server, slots=1)
+            home = lease.home
+            addresses = {
+                name: board.identity.internal_address
+                for name, board in cluster.boards.items()
+            }
+            task = asyncio.ensure_future(cluster.homes[home].hand_over())
+            own_address = addresses.pop(home)
+            cluster.fabric.cut_groups([own_address], addresses.values())
+            first = asyncio.ensure_future(cluster.renew(home, renewal, lease, 3))
+            await asyncio.sleep(0.35)
+            second = asyncio.ensure_future(cluster.renew(home, renewal, lease, 4))
+            await asyncio.sleep(0.15)
+            cluster.fabric.heal()
+            renewal, lease = await first
+            _, end, _ = cluster.query(home, remaining_s=2.0)
+            _, lease = await second
+            sequence = 5
+            while lease.home == home:
+                await asyncio.sleep(0.1)
+                renewal, lease = await cluster.renew(home, renewal, lease, sequence)
+                sequence += 1
+            registration = lease.registration
+            await cluster.renew(
+                lease.home, renewal, lease, sequence, registration=registration
+            )
+            await asyncio.gather(
+                end, cluster.query_code(lease.home, request="new", remaining_s=2.0)
+            )
+            assert server.started_count == 2
+            assert server.peak_in_flight == 1
+            await task
+
+        run_virtual(scenario())
