--- a/tests/soak/outside.py
+++ b/tests/soak/outside.py
@@ -36,15 +36,26 @@
 
 
 async def read_answer(reader) -> tuple[int, dict[str, str], bytes]:
-    """Read one answer; raise ``IncompleteReadError`` if it ends early."""
-    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    """Read one answer; raise ``IncompleteReadError`` if it ends early.
+
+    Raise ``ValueError`` if the bytes are no answer with a length.
+    """
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    except asyncio.LimitOverrunError as exc:
+        raise ValueError("The answer has no head.") from exc
     lines = head.split("\r\n")[:-2]
+    version, _, rest = lines[0].partition(" ")
+    if version != "HTTP/1.1":
+        raise ValueError(f'The answer begins with "{lines[0][:40]}".')
     headers = {}
     for line in lines[1:]:
         name, _, value = line.partition(":")
         headers[name.strip().lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return int(lines[0].split(" ")[1]), headers, body
+    if "content-length" not in headers:
+        raise ValueError("The answer has no length.")
+    body = await reader.readexactly(int(headers["content-length"]))
+    return int(rest[:3]), headers, body
 
 
 def write_request(writer, method: str, path: str, headers, body: bytes = b"") -> None:
@@ -188,8 +199,8 @@
         except (OSError, asyncio.IncompleteReadError):
             record.cuts.append(Cut(request_id, vm.name, sent_at, record.now_s()))
             return False
-        except ValueError:
-            record.add_violation("no answer in the protocol", request_id)
+        except ValueError as exc:
+            record.add_violation("no answer in the protocol", f"{request_id}: {exc}")
             return False
         judge_answer(record, request_id, status, found, body)
         return found.get("connection", "").lower() != "close"
