Caught signals from the first line of each program to its last

A process that got SIGHUP or SIGTERM within its first 0.3 to 0.4 s, longer on a busy machine, ended with -1 or -15 and without a line. A control daemon that is lost this way in the first start can keep the log from being formed. The handlers were installed by the event loop after the imports, SIGHUP's even after all start steps, and asyncio restored the default actions when the loop closed, so a second SIGTERM at the end turned exit code 0 into -15. A start that waited for its data folder could not be stopped at all but by the default action.

`daemons.signals` catches SIGHUP, SIGINT and SIGTERM first of all. The handlers only note the signal; the loop is woken by the interpreter's wake-up descriptor and delivers it, or keeps it until somebody waits for it: an early SIGHUP leads to a reload once the settings are watched. A start step that is interrupted is cancelled, what was opened is closed, and the process ends with 0 and does not wait for the balancer. From `daemon/ended` on the signals are ignored. `bramley-entry` and `bramley-control` log SIGHUP, `bramley-local` ends on it. asyncio's call_soon_threadsafe in the handler was not used: a handler runs late if the signal comes just before the loop begins to wait. bramleyctl and the programs of measure/ keep their handling; their caller waits until they serve before it stops them, and their exit codes are not used.

--- a/src/bramleyrouter/daemons/control_daemon.py
+++ b/src/bramleyrouter/daemons/control_daemon.py
@@ -13,19 +13,21 @@
     load_settings,
 )
 from bramleyrouter.daemons.launching import Launch
-from bramleyrouter.daemons.lifecycles import run_daemon
+from bramleyrouter.daemons.lifecycles import follow_signals, log_signal, run_daemon
 from bramleyrouter.daemons.wiring import build_control_daemon
 from bramleyrouter.telemetry.logs import configure_logging
 
 DESCRIPTION = "Store the accepted configuration and the submission ledger on disk."
 
 
-async def _run(cfg: Settings) -> int:
+async def _run(cfg: Settings, launch: Launch) -> int:
+    lifecycle = follow_signals(launch.inbox, log_signal)
     built = build_control_daemon(cfg)
     if isinstance(built, Err):
         print(built.err_value, file=sys.stderr)
         return EXIT_START_FAILED
-    await run_daemon(built.ok_value, cfg.balancer_wait_s, cfg.stop_timeout_s)
+    daemon = built.ok_value
+    await run_daemon(daemon, cfg.balancer_wait_s, cfg.stop_timeout_s, lifecycle)
     return 0
 
 
@@ -36,4 +38,4 @@
         print("data_folder: required for a control daemon.", file=sys.stderr)
         return EXIT_INVALID_SETTINGS
     configure_logging(cfg.log_level)
-    return asyncio.run(_run(cfg))
+    return asyncio.run(_run(cfg, launch))
--- a/src/bramleyrouter/daemons/entry_daemon.py
+++ b/src/bramleyrouter/daemons/entry_daemon.py
@@ -5,20 +5,22 @@
 from bramleyrouter.conf.settings import Settings
 from bramleyrouter.daemons.arguments import build_parser, load_settings
 from bramleyrouter.daemons.launching import Launch
-from bramleyrouter.daemons.lifecycles import run_daemon
+from bramleyrouter.daemons.lifecycles import follow_signals, log_signal, run_daemon
 from bramleyrouter.daemons.wiring import build_entry_daemon
 from bramleyrouter.telemetry.logs import configure_logging
 
 DESCRIPTION = "Serve callers: route queries and submissions to backend servers."
 
 
-async def _run(cfg: Settings) -> None:
-    await run_daemon(build_entry_daemon(cfg), cfg.balancer_wait_s, cfg.stop_timeout_s)
+async def _run(cfg: Settings, launch: Launch) -> None:
+    lifecycle = follow_signals(launch.inbox, log_signal)
+    daemon = build_entry_daemon(cfg)
+    await run_daemon(daemon, cfg.balancer_wait_s, cfg.stop_timeout_s, lifecycle)
 
 
 def main(launch: Launch) -> int:
     """Run an entry daemon until SIGTERM or SIGINT."""
     cfg = load_settings(build_parser("bramley-entry", DESCRIPTION).parse_args())
     configure_logging(cfg.log_level)
-    asyncio.run(_run(cfg))
+    asyncio.run(_run(cfg, launch))
     return 0
--- a/src/bramleyrouter/daemons/launching.py
+++ b/src/bramleyrouter/daemons/launching.py
@@ -12,6 +12,13 @@
 import time
 from importlib import import_module
 
+from bramleyrouter.daemons.signals import (
+    NAMES,
+    SignalInbox,
+    catch_signals,
+    ignore_signals,
+)
+
 STDOUT, STDERR = 1, 2
 EXIT_EXCEPTION = 1
 # A write to a pipe that ``select`` reports as writable does not block up to 4096
@@ -23,16 +30,18 @@
     """Hold what is known of a process that starts.
 
     ``started_at`` is the monotonic time in seconds of the first line of the program,
-    ``daemon`` the daemon's id once the settings have been read.
+    ``daemon`` the daemon's id once the settings have been read. ``inbox`` holds the
+    signals that come before the program can handle them.
     """
 
-    __slots__ = ("program", "descriptor", "started_at", "daemon")
+    __slots__ = ("program", "descriptor", "started_at", "daemon", "inbox")
 
-    def __init__(self, program: str, descriptor: int):
+    def __init__(self, program: str, descriptor: int, inbox: SignalInbox):
         self.program = program
         self.descriptor = descriptor
         self.started_at = time.monotonic()
         self.daemon = ""
+        self.inbox = inbox
 
     def measure_age_s(self) -> float:
         """Return the seconds since the start, rounded to milliseconds."""
@@ -54,6 +63,8 @@
 def _record_ended(state: Launch, code: int, reason: str, **fields) -> None:
     import json
 
+    if state.inbox.unreported:
+        fields["signals"] = [NAMES[number] for number in sorted(state.inbox.unreported)]
     line = {
         "at": round(time.time(), 3),
         "daemon": state.daemon,
@@ -103,11 +114,12 @@
 def launch(program: str, module: str, descriptor: int = STDOUT) -> None:
     """Import ``module``, call its ``main`` and exit with the code that it returns.
 
-    ``main`` gets the ``Launch``. The events "daemon/starting" and "daemon/ended" are
-    written to ``descriptor``, which belongs to the daemon's log. An exception of the
-    import or of ``main`` is recorded and raised.
+    ``main`` gets the ``Launch`` and is not called if a signal asked the process to stop
+    during the import. Signals are caught first and ignored last. The events
+    "daemon/starting" and "daemon/ended" are written to ``descriptor``, which belongs to
+    the daemon's log. An exception of the import or of ``main`` is recorded and raised.
     """
-    state = Launch(program, descriptor)
+    state = Launch(program, descriptor, catch_signals())
     # Encoded here, as importing an encoder takes several milliseconds.
     _write_line(
         descriptor,
@@ -116,7 +128,9 @@
     )
     _enable_crash_traces()
     try:
-        code = _convert_exit_code(import_module(module).main(state))
+        main = import_module(module).main
+        is_stopped = state.inbox.is_stop_pending()
+        code = 0 if is_stopped else _convert_exit_code(main(state))
     except SystemExit as exc:
         code = _convert_exit_code(exc.code)
     except BaseException as exc:
@@ -124,8 +138,10 @@
         _record_ended(
             state, EXIT_EXCEPTION, "exception", type=type(exc).__name__, text=text
         )
+        ignore_signals(state.inbox)
         raise
     _record_ended(state, code, "start_failed" if code else "stopped")
+    ignore_signals(state.inbox)
     _discard_unwritten(sys.stdout, STDOUT)
     _discard_unwritten(sys.stderr, STDERR)
     sys.exit(code)
--- a/src/bramleyrouter/daemons/lifecycles.py
+++ b/src/bramleyrouter/daemons/lifecycles.py
@@ -1,13 +1,17 @@
 """Run a daemon until it receives a stop signal, then stop it gracefully."""
 
 import asyncio
-import signal
-from collections.abc import Awaitable, Callable
-from typing import NamedTuple
+from collections.abc import Awaitable, Callable, Coroutine
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, NamedTuple, TypeVar
 
 from absl import logging
 
 from bramleyrouter.board.blackboard import Board, Section
+from bramleyrouter.daemons.signals import STOP_SIGNALS, SignalInbox, deliver_signals
+
+Value = TypeVar("Value")
 
 
 class Daemon(NamedTuple):
@@ -24,6 +28,68 @@
     close: Callable[[], Awaitable[None]]
 
 
+class Phase(Enum):
+    """Name the part of its life that a process is in."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@dataclass
+class Lifecycle:
+    """Hold the phase of a process and whether it was asked to stop."""
+
+    phase: Phase = Phase.STARTING
+    stop_requested: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+def follow_signals(
+    inbox: SignalInbox, on_receive: Callable[[str, Phase], None]
+) -> Lifecycle:
+    """Return a lifecycle that SIGTERM and SIGINT end, also if they came before.
+
+    ``on_receive`` gets the name of each signal and the phase in which it came.
+    """
+    lifecycle = Lifecycle()
+    callbacks = dict.fromkeys(STOP_SIGNALS, lifecycle.stop_requested.set)
+    deliver_signals(
+        inbox,
+        asyncio.get_running_loop(),
+        callbacks,
+        lambda name: on_receive(name, lifecycle.phase),
+    )
+    return lifecycle
+
+
+def log_signal(name: str, phase: Phase) -> None:
+    """Log a signal of a daemon that writes no events."""
+    logging.info("daemon: received %s while %s.", name, phase.value)
+
+
+async def run_until_stopped(
+    lifecycle: Lifecycle, work: Coroutine[Any, Any, Value]
+) -> Value | None:
+    """Return the result of ``work``, or none if the process was asked to stop first.
+
+    In the second case ``work`` is cancelled, or not begun at all.
+    """
+    if lifecycle.stop_requested.is_set():
+        work.close()
+        return None
+    task = asyncio.ensure_future(work)
+    stop = asyncio.ensure_future(lifecycle.stop_requested.wait())
+    try:
+        await asyncio.wait({task, stop}, return_when=asyncio.FIRST_COMPLETED)
+        if not task.done():
+            task.cancel()
+            await asyncio.wait({task})
+        return None if task.cancelled() else task.result()
+    finally:
+        task.cancel()
+        stop.cancel()
+
+
 async def stop_daemon(
     daemon: Daemon, balancer_wait_s: float, stop_timeout_s: float
 ) -> None:
@@ -48,19 +114,33 @@
     logging.info("daemon: stopped.")
 
 
+async def start_daemon(daemon: Daemon) -> bool:
+    """Start a daemon; return true, which tells it from a start that was interrupted."""
+    await daemon.start()
+    return True
+
+
 async def run_daemon(
-    daemon: Daemon, balancer_wait_s: float, stop_timeout_s: float
+    daemon: Daemon,
+    balancer_wait_s: float,
+    stop_timeout_s: float,
+    lifecycle: Lifecycle,
 ) -> None:
-    """Start ``daemon``, wait for SIGTERM or SIGINT, and stop it."""
-    loop = asyncio.get_running_loop()
-    stop_requested = asyncio.Event()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(signal_number, stop_requested.set)
-    await daemon.start()
+    """Start ``daemon``, wait until it is asked to stop, and stop it.
+
+    A start that is interrupted is not waited for, and the balancer isn't either, as it
+    has sent no caller yet.
+    """
+    if not await run_until_stopped(lifecycle, start_daemon(daemon)):
+        lifecycle.phase = Phase.STOPPING
+        await stop_daemon(daemon, 0.0, stop_timeout_s)
+        return
+    lifecycle.phase = Phase.RUNNING
     logging.info(
         "daemon: %s serves HTTP on %s.",
         daemon.board.identity.daemon_id,
         daemon.board.identity.http_address,
     )
-    await stop_requested.wait()
+    await lifecycle.stop_requested.wait()
+    lifecycle.phase = Phase.STOPPING
     await stop_daemon(daemon, balancer_wait_s, stop_timeout_s)
--- a/src/bramleyrouter/daemons/local_edition.py
+++ b/src/bramleyrouter/daemons/local_edition.py
@@ -8,7 +8,6 @@
 import asyncio
 import random
 import secrets
-import signal
 import tempfile
 
 from absl import logging
@@ -21,7 +20,15 @@
 from bramleyrouter.control.messages import Publish
 from bramleyrouter.daemons.arguments import EXIT_START_FAILED
 from bramleyrouter.daemons.launching import Launch
-from bramleyrouter.daemons.lifecycles import Daemon, stop_daemon
+from bramleyrouter.daemons.lifecycles import (
+    Daemon,
+    Phase,
+    follow_signals,
+    log_signal,
+    run_until_stopped,
+    stop_daemon,
+)
+from bramleyrouter.daemons.signals import SIGHUP, set_signal_callback
 from bramleyrouter.daemons.wiring import (
     build_control_daemon,
     build_entry_daemon,
@@ -125,35 +132,51 @@
         await asyncio.sleep(0.1)
 
 
-async def _run(args: argparse.Namespace, folder: str) -> None:
-    control_cfg, entry_cfgs = _build_settings(args, folder)
+async def _start_all(
+    control_cfg: Settings,
+    entry_cfgs: list[Settings],
+    daemons: list[Daemon],
+    standins: list[Standin],
+) -> bool:
+    """Start everything and wait until it is usable; return true.
+
+    What has been opened is in ``daemons`` and ``standins`` at any time.
+    """
     built = build_control_daemon(control_cfg)
     if isinstance(built, Err):
         raise RuntimeError(str(built.err_value))
-    control = built.ok_value
     entries = [build_entry_daemon(cfg) for cfg in entry_cfgs]
-    for daemon in (control, *entries):
+    for daemon in (built.ok_value, *entries):
+        daemons.append(daemon)
         await daemon.start()
     await _publish(control_cfg)
-    standins = _build_standins(entry_cfgs)
-    for standin in standins:
+    for standin in _build_standins(entry_cfgs):
+        standins.append(standin)
         await standin.start()
     await _wait_until_usable(entries)
-    print(_format_ready_message(entry_cfgs, control_cfg), flush=True)
-    await _wait_for_signal()
-    for daemon in (*entries, control):
+    return True
+
+
+async def _run(args: argparse.Namespace, folder: str, launch: Launch) -> None:
+    lifecycle = follow_signals(launch.inbox, log_signal)
+    # Sent when the terminal is closed.
+    set_signal_callback(launch.inbox, SIGHUP, lifecycle.stop_requested.set)
+    control_cfg, entry_cfgs = _build_settings(args, folder)
+    daemons: list[Daemon] = []
+    standins: list[Standin] = []
+    starting = _start_all(control_cfg, entry_cfgs, daemons, standins)
+    if await run_until_stopped(lifecycle, starting):
+        lifecycle.phase = Phase.RUNNING
+        print(_format_ready_message(entry_cfgs, control_cfg), flush=True)
+        await lifecycle.stop_requested.wait()
+    lifecycle.phase = Phase.STOPPING
+    # The control daemon was started first and stops last.
+    for daemon in reversed(daemons):
         await stop_daemon(daemon, 0.0, STOP_TIMEOUT_S)
     for standin in standins:
         await standin.stop()
 
 
-async def _wait_for_signal() -> None:
-    stop_requested = asyncio.Event()
-    for signal_number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(signal_number, stop_requested.set)
-    await stop_requested.wait()
-
-
 def _format_ready_message(entry_cfgs: list[Settings], control_cfg: Settings) -> str:
     addresses = " and ".join(cfg.http_address for cfg in entry_cfgs)
     services = ", ".join(f"{name} ({len(SHARDS)} shards)" for name in SERVICES)
@@ -185,7 +208,7 @@
     configure_logging(args.log_level)
     with tempfile.TemporaryDirectory(prefix="bramley-local-") as folder:
         try:
-            asyncio.run(_run(args, folder))
+            asyncio.run(_run(args, folder, launch))
         except (OSError, RuntimeError) as exc:
             logging.error("local: %s", exc)
             return EXIT_START_FAILED
--- a/src/bramleyrouter/platform/control_daemon.py
+++ b/src/bramleyrouter/platform/control_daemon.py
@@ -80,7 +80,7 @@
         )
         listen_metrics(cfg.metrics_address, metrics.registry, update_metrics)
         parts.board.readiness.reasons.discard("starting")
-        watch_settings(log, tasks, apply_settings)
+        watch_settings(log, tasks, launch.inbox, apply_settings)
         observe = lambda: observe_run(stalls, read_boot_clock())
         spawn(tasks, run_periodically(STALL_CHECK_INTERVAL_S, observe))
         watch_memory(tasks, log, cfg.memory_bytes, memory)
@@ -93,7 +93,8 @@
         )
 
     async def drain() -> None:
-        servers[0].stop()
+        for server in servers:
+            server.stop()
 
     async def close() -> None:
         record(log, "daemon", "stopped")
--- a/src/bramleyrouter/platform/entry_daemon.py
+++ b/src/bramleyrouter/platform/entry_daemon.py
@@ -91,7 +91,8 @@
         listen_ready(cfg.ready_address, handle_readiness_probe)
         listen_metrics(cfg.metrics_address, parts.metrics.registry, update_metrics)
         parts.board.watch(Section.READINESS, update_close_after_replies)
-        watch_settings(log, tasks, lambda new: parts.watcher.set_seeds(new.seeds))
+        apply_settings = lambda new: parts.watcher.set_seeds(new.seeds)
+        watch_settings(log, tasks, launch.inbox, apply_settings)
         sweep = run_periodically(
             POOL_SWEEP_INTERVAL_S,
             lambda: close_pools_except(set(view.merged)),
@@ -109,7 +110,8 @@
 
     async def drain() -> None:
         timeout_s = cfg.bounds.stop_s - BALANCER_WAIT_S - CLOSE_RESERVE_S
-        await stop_listening(listeners[0], timeout_s)
+        for listener in listeners:
+            await stop_listening(listener, timeout_s)
 
     async def close() -> None:
         record(log, "daemon", "stopped", in_flight=parts.gateway.in_flight())
--- a/src/bramleyrouter/platform/programs.py
+++ b/src/bramleyrouter/platform/programs.py
@@ -3,7 +3,6 @@
 import asyncio
 import gc
 import os
-import signal
 import sys
 from collections.abc import Callable
 
@@ -12,7 +11,14 @@
 from bramleyrouter.codes import Code
 from bramleyrouter.conf.fleet import FleetSettings
 from bramleyrouter.daemons.launching import Launch
-from bramleyrouter.daemons.lifecycles import Daemon, run_daemon
+from bramleyrouter.daemons.lifecycles import (
+    Daemon,
+    Phase,
+    follow_signals,
+    run_daemon,
+    run_until_stopped,
+)
+from bramleyrouter.daemons.signals import SIGHUP, SignalInbox, set_signal_callback
 from bramleyrouter.failures import Failure
 from bramleyrouter.platform.settings import get_settings_path, read_settings
 from bramleyrouter.telemetry.events import EventLog, record, start_event_writer
@@ -42,10 +48,15 @@
 
 
 def watch_settings(
-    log: EventLog, tasks: BackgroundTasks, on_change: Callable[[FleetSettings], None]
+    log: EventLog,
+    tasks: BackgroundTasks,
+    inbox: SignalInbox,
+    on_change: Callable[[FleetSettings], None],
 ) -> None:
     """Reload the settings on SIGHUP and when the modification time changes.
 
+    They are reloaded at once if SIGHUP came before.
+
     Settings that can't be read are logged and ignored.
     """
     path = get_settings_path()
@@ -65,7 +76,7 @@
             last_mtime_ns[0] = mtime_ns
             reload()
 
-    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reload)
+    set_signal_callback(inbox, SIGHUP, reload)
     spawn(
         tasks,
         run_periodically(
@@ -104,14 +115,23 @@
     # Most objects created so far live as long as the process, so the garbage collector
     # need not examine them.
     gc.freeze()
+
+    def record_signal(name: str, phase: Phase) -> None:
+        record(log, "daemon", "signal", name=name, phase=phase.value)
+
+    lifecycle = follow_signals(launch.inbox, record_signal)
     try:
-        built = await build_once_disk_works(build, cfg, log)
+        building = build_once_disk_works(build, cfg, log)
+        built = await run_until_stopped(lifecycle, building)
+        if built is None:
+            record(log, "daemon", "stopped")
+            return 0
         if isinstance(built, Err):
             record(log, "daemon", "start_failed", reason=str(built.err_value))
             return EXIT_START_FAILED
         record(log, "daemon", "built", seconds=launch.measure_age_s())
         stop_s = cfg.bounds.stop_s - balancer_wait_s - CLOSE_RESERVE_S / 2
-        await run_daemon(built.ok_value, balancer_wait_s, stop_s)
+        await run_daemon(built.ok_value, balancer_wait_s, stop_s, lifecycle)
     finally:
         stop_event_writer()
     return 0
--- a/tests/docs/test_operations.py
+++ b/tests/docs/test_operations.py
@@ -24,6 +24,7 @@
     "leader",
     "left_out",
     "starting",
+    "signal",
     "settings_read",
     "built",
     "started",
--- a/tests/platform/test_starts_and_ends.py
+++ b/tests/platform/test_starts_and_ends.py
@@ -6,32 +6,7 @@
 import pytest
 
 from bramleyrouter.platform.programs import EXIT_INVALID_SETTINGS
-from tests.support.platform_processes import PlatformProcesses
-
-LIMIT_S = 30.0
-
-
-@pytest.fixture
-def deployment(tmp_path):
-    """Return one control and one entry VM whose processes end with the test."""
-    processes = PlatformProcesses(tmp_path, entries=1, controls=1)
-    yield processes
-    processes.stop_all()
-
-
-def read_names(vm):
-    return [item["event"] for item in vm.read_events() if item["part"] == "daemon"]
-
-
-async def wait_for_event(processes, vm, name):
-    async def is_written():
-        return vm.log_path.exists() and name in read_names(vm)
-
-    assert await processes.wait_until(is_written, LIMIT_S), vm.log_path.read_text()
-
-
-def pick(processes, role):
-    return processes.controls[0] if role == "control" else processes.entries[0]
+from tests.support.process_events import LIMIT_S, pick, read_names, wait_for_event
 
 
 @pytest.mark.parametrize("role", ["control", "entry"])
