Bounded the replies that homes receive by the same budget

The daemons that reach servers as homes, by curl, bounded each reply at 4 MiB, but not the sum, and each idle handle kept the body of its last reply until it was used again. Servers with long replies could take such a daemon over its memory limit, and its callers' requests ended with it.

The bytes of curl's replies now count in the budget of the process, which is shared with the frames that peers have not read. A reply that is given up is dropped at once, and its exchange fails when its next bytes arrive or at its time limit, as a lost connection does. A body is dropped when its result is handed on. The daemons log one line for each ended holder.

It works because curl passes every part of a body to the callback that counts it, and stops the exchange when that takes less than all of it.

--- a/src/bramleyrouter/daemons/wiring.py
+++ b/src/bramleyrouter/daemons/wiring.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from absl import logging
 from result import Err, Result
 
 from bramleyrouter.board.blackboard import Board
@@ -34,6 +35,7 @@
 from bramleyrouter.routing.router import build_router
 from bramleyrouter.telemetry.metrics import Metrics
 from bramleyrouter.telemetry.observers import build_observer
+from bramleyrouter.utils.byte_budgets import ByteBudget, Holding
 from bramleyrouter.wire.tcp import build_tcp_network
 
 MILLISECONDS_PER_SECOND = 1000
@@ -55,12 +57,24 @@
     )
 
 
+def _log_ended_holder(holding: Holding, size: int) -> None:
+    logging.warning(
+        "memory: %s %s was ended; %d bytes were held for it.",
+        holding.kind,
+        holding.name,
+        size,
+    )
+
+
 def build_entry_daemon(cfg: Settings) -> Daemon:
     """Wire an entry daemon; needs a running event loop."""
     loop = asyncio.get_running_loop()
     clock, rng = loop.time, random.Random()
     board = Board(build_identity(cfg))
-    network, listen = build_tcp_network(board.identity, cfg.cluster_key.encode())
+    memory = ByteBudget(on_holder_ended=_log_ended_holder)
+    network, listen = build_tcp_network(
+        board.identity, cfg.cluster_key.encode(), memory
+    )
     membership = build_membership(board, network, cfg.control, rng, clock)
     dissemination = build_dissemination(
         board, network, cfg.control, rng, clock, membership.relays
@@ -71,7 +85,7 @@
     homes = build_homes(
         board,
         network,
-        build_curl_transport(),
+        build_curl_transport(memory),
         membership.publish_rows,
         rng,
         class_weights,
@@ -126,7 +140,10 @@
     loop = asyncio.get_running_loop()
     clock, rng = loop.time, random.Random()
     board = Board(build_identity(cfg))
-    network, listen = build_tcp_network(board.identity, cfg.cluster_key.encode())
+    memory = ByteBudget(on_holder_ended=_log_ended_holder)
+    network, listen = build_tcp_network(
+        board.identity, cfg.cluster_key.encode(), memory
+    )
     state_machine = build_control_state_machine()
     try:
         folder = open_folder(Path(cfg.data_folder))
--- a/src/bramleyrouter/edges/servers/curl_exchanges.py
+++ b/src/bramleyrouter/edges/servers/curl_exchanges.py
@@ -16,8 +16,10 @@
 import pycurl
 
 from bramleyrouter.edges.servers.formats import MAX_REPLY_BYTES
+from bramleyrouter.utils.byte_budgets import ByteBudget, Holding, hold, release_all
 
 CONNECT_TIMEOUT_MS = 1000
+MEMORY_TEXT = "the reply used too much of the memory for all replies"
 
 
 class HttpResult(NamedTuple):
@@ -43,6 +45,9 @@
 
     curl: pycurl.Curl
     body: BytesIO
+    holding: Holding
+    # Whether its reply was given up because too much is held.
+    is_given_up: bool = False
     on_end: OnEnd | None = None
     send_count: int = 0
     path: str = ""
@@ -58,6 +63,7 @@
     multi: pycurl.CurlMulti
     address: str
     loop: asyncio.AbstractEventLoop
+    memory: ByteBudget
     idle: list[Exchange] = field(default_factory=list)
     active: dict[pycurl.Curl, Exchange] = field(default_factory=dict)
     # The events for which the event loop watches each file descriptor, as curl's flags.
@@ -71,10 +77,17 @@
     is_closed: bool = False
 
 
-def open_multi(address: str, max_connections: int) -> ServerMulti:
-    """Open the handles for the server at "ip:port"."""
+def open_multi(
+    address: str, max_connections: int, memory: ByteBudget | None = None
+) -> ServerMulti:
+    """Open the handles for the server at "ip:port".
+
+    ``memory`` bounds the replies; without it, those of this server have a budget of
+    their own.
+    """
     multi = pycurl.CurlMulti()
-    state = ServerMulti(multi, address, asyncio.get_running_loop())
+    loop = asyncio.get_running_loop()
+    state = ServerMulti(multi, address, loop, memory or ByteBudget())
     state.max_connections = max_connections
     multi.setopt(pycurl.M_MAX_HOST_CONNECTIONS, max_connections)
     multi.setopt(pycurl.M_MAXCONNECTS, max_connections)
@@ -173,13 +186,11 @@
     opened = state.connections + curl.getinfo(pycurl.NUM_CONNECTS)
     state.connections = min(opened, state.max_connections)
     status = 0 if error else curl.getinfo(pycurl.RESPONSE_CODE)
-    result = HttpResult(
-        error,
-        text,
-        status,
-        exchange.body.getvalue(),
-        exchange.send_count > 0,
-    )
+    body = exchange.body.getvalue()
+    if exchange.is_given_up:
+        error, text, status, body = pycurl.E_WRITE_ERROR, MEMORY_TEXT, 0, b""
+    result = HttpResult(error, text, status, body, exchange.send_count > 0)
+    _drop_body(exchange)
     on_end = exchange.on_end
     exchange.on_end = None
     state.idle.append(exchange)
@@ -187,9 +198,29 @@
         on_end(result)
 
 
+def _drop_body(exchange: Exchange) -> None:
+    release_all(exchange.holding)
+    exchange.body.seek(0)
+    exchange.body.truncate()
+
+
+def _give_up(exchange: Exchange) -> None:
+    """Drop a reply; curl fails the exchange when its next bytes arrive."""
+    exchange.is_given_up = True
+    _drop_body(exchange)
+
+
+def _write_body(exchange: Exchange, data: bytes) -> int:
+    """Store a part of a reply; return less than its length to make curl give up."""
+    if exchange.is_given_up or not hold(exchange.holding, len(data)):
+        return 0
+    return exchange.body.write(data)
+
+
 def _build_exchange(state: ServerMulti) -> Exchange:
     curl = pycurl.Curl()
-    exchange = Exchange(curl, BytesIO())
+    holding = Holding(state.memory, "server", state.address, lambda: _give_up(exchange))
+    exchange = Exchange(curl, BytesIO(), holding)
     curl.setopt(pycurl.NOSIGNAL, 1)
     curl.setopt(pycurl.PROXY, "")
     curl.setopt(pycurl.PROTOCOLS, pycurl.PROTO_HTTP)
@@ -197,7 +228,7 @@
     curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
     curl.setopt(pycurl.MAXFILESIZE, MAX_REPLY_BYTES)
     curl.setopt(pycurl.HTTPHEADER, ["Content-Type: application/json", "Expect:"])
-    curl.setopt(pycurl.WRITEDATA, exchange.body)
+    curl.setopt(pycurl.WRITEFUNCTION, lambda data: _write_body(exchange, data))
     loop = state.loop
     curl.setopt(pycurl.PREREQFUNCTION, lambda *_: _check_before_send(exchange, loop))
     return exchange
@@ -221,8 +252,7 @@
     exchange.on_end = on_end
     exchange.send_count = 0
     exchange.send_deadline = state.loop.time() + timeout_s
-    exchange.body.seek(0)
-    exchange.body.truncate()
+    exchange.is_given_up = False
     curl = exchange.curl
     if path != exchange.path:
         exchange.path = path
@@ -265,6 +295,7 @@
         _unwatch(state, fd)
     _close_multi_handle(state.multi)
     for exchange in [*state.active.values(), *state.idle]:
+        _drop_body(exchange)
         exchange.curl.close()
     state.active.clear()
     state.idle.clear()
--- a/src/bramleyrouter/edges/servers/curl_transport.py
+++ b/src/bramleyrouter/edges/servers/curl_transport.py
@@ -34,6 +34,7 @@
 )
 from bramleyrouter.ids import AttemptId, RequestId, ServerId
 from bramleyrouter.states import Outcome
+from bramleyrouter.utils.byte_budgets import ByteBudget
 
 # A cancellation that takes longer is of no use.
 CANCEL_TIMEOUT_S = 1.0
@@ -43,6 +44,7 @@
 class _TransportState:
     """Store the target and curl handles of each server by its id."""
 
+    memory: ByteBudget
     servers: dict[ServerId, tuple[Target, ServerMulti]] = field(default_factory=dict)
 
 
@@ -57,7 +59,7 @@
         if existing[0] == target:
             return existing[1]
         close_multi(existing[1], "The server registered anew.")
-    multi = open_multi(target.address, target.max_connections)
+    multi = open_multi(target.address, target.max_connections, state.memory)
     state.servers[target.server_id] = (target, multi)
     return multi
 
@@ -87,9 +89,13 @@
     return build_unknown_result(f"The exchange failed: {result.text}.")
 
 
-def build_curl_transport() -> ServerTransport:
-    """Build the transport; its functions need a running event loop."""
-    state = _TransportState()
+def build_curl_transport(memory: ByteBudget | None = None) -> ServerTransport:
+    """Build the transport; its functions need a running event loop.
+
+    ``memory`` bounds the replies of all servers together; without it, they have a
+    budget of their own.
+    """
+    state = _TransportState(memory or ByteBudget())
 
     def query(
         target: Target,
