Told every watcher of a change despite an exception in another one

Callers could see a daemon that routes by an old table: an exception in one watcher of a section of the blackboard kept the watchers after it from hearing of the change, and the writer from the rest of its work, such as forwarding an update of the membership or sending a revision to the daemons below.

Cause: the watchers were called in a loop without protection, inside the writer's own step. Change: an exception is logged for its section, as for the watchers of the log's state machine. Evidence: tests/board/test_blackboard.py, where the writer got the exception and the last watcher nothing before; both are fine now. The tests of membership, dissemination, routing and homes pass.

It works because a section's version counts up before the calls, and each watcher reads the section itself.

--- a/src/bramleyrouter/board/blackboard.py
+++ b/src/bramleyrouter/board/blackboard.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from absl import logging
+
 from bramleyrouter.board.sections import (
     ConfigView,
     DaemonTable,
@@ -32,7 +34,8 @@
 
     A controller changes a section in place and then calls ``notify_watchers``,
     which increments the section's version and calls its watchers in the order in
-    which they were added. Watchers run synchronously, so they must return quickly.
+    which they were added. Watchers run synchronously, so they must return quickly. An
+    exception of a watcher is logged.
 
     >>> board.watch(Section.CONFIG, lambda: print(board.config.revision))
     >>> board.notify_watchers(Section.CONFIG)
@@ -63,4 +66,9 @@
         """
         self.versions[section] += 1
         for callback in self._watchers[section]:
-            callback()
+            try:
+                callback()
+            except Exception:
+                # The writer and the other watchers have no part in it, and the writer
+                # would leave the rest of its work undone.
+                logging.exception("board: a watcher of %s failed.", section.value)
