Opened and served no connection after the network was closed

Callers saw nothing wrong, but a daemon that stops could still send a request, or serve one of another daemon, after it had closed its network and its other parts.

Cause: closing ended the connections that were open. A connection that was still being opened, or whose peer had not authenticated yet, was finished afterwards and used. Change: connections count as the network's from their first moment, so that closing ends them too, and a closed network opens none (PEER_UNREACHABLE).

Evidence: TestClosedTcpNetwork in tests/wire/test_networks.py; before, a request was sent and handled after the close, and a peer could authenticate after it. Both end with a closed connection now.

It works because each step that adds a connection looks at the same flag that closing sets before it ends the others.

--- a/src/bramleyrouter/wire/tcp.py
+++ b/src/bramleyrouter/wire/tcp.py
@@ -47,7 +47,8 @@
 class TcpState:
     """Hold the connections of one daemon.
 
-    ``memory`` bounds the frames that all peers together have not read.
+    ``memory`` bounds the frames that all peers together have not read. ``io_streams``
+    also holds those whose peer is not authenticated yet.
     """
 
     identity: Identity
@@ -59,6 +60,7 @@
     connecting: dict[str, asyncio.Future] = field(default_factory=dict)
     io_streams: set[IOStream] = field(default_factory=set)
     tasks: set[asyncio.Task] = field(default_factory=set)
+    is_closed: bool = False
 
 
 class InternalServer(TCPServer):
@@ -70,6 +72,8 @@
 
     async def handle_stream(self, stream, address):
         """Authenticate the peer, then handle frames until the connection closes."""
+        if not _add_io_stream(self._state, stream):
+            return
         stream.set_nodelay(True)
         stream.max_write_buffer_size = MAX_WRITE_BUFFER_BYTES
         try:
@@ -133,8 +137,17 @@
         fut.exception()
 
 
-async def _read_frames(state: TcpState, stream: IOStream, link: Link) -> None:
+def _add_io_stream(state: TcpState, stream: IOStream) -> bool:
+    """Add a new connection until it closes; close it if the network is closed."""
+    if state.is_closed:
+        stream.close()
+        return False
     state.io_streams.add(stream)
+    stream.set_close_callback(lambda: state.io_streams.discard(stream))
+    return True
+
+
+async def _read_frames(state: TcpState, stream: IOStream, link: Link) -> None:
     buffer = bytearray()
     try:
         while True:
@@ -150,7 +163,6 @@
         logging.exception("wire: the connection to %s is closed.", link.peer)
         stream.close()
     finally:
-        state.io_streams.discard(stream)
         link.close()
 
 
@@ -188,6 +200,8 @@
             timeout=CONNECT_TIMEOUT_S,
         )
         stream = await connecting
+        if not _add_io_stream(state, stream):
+            return _build_closed_failure(address)
         stream.set_nodelay(True)
         stream.max_write_buffer_size = MAX_WRITE_BUFFER_BYTES
         identity = state.identity
@@ -216,7 +230,14 @@
     return Ok(link)
 
 
+def _build_closed_failure(address: str) -> Err[Failure]:
+    text = f'No connection to "{address}": this daemon stops.'
+    return Err(Failure(Code.PEER_UNREACHABLE, text))
+
+
 async def _get_or_open_link(state: TcpState, address: str) -> Result[Link, Failure]:
+    if state.is_closed:
+        return _build_closed_failure(address)
     link = state.links.get(address)
     if link is not None and link.is_open:
         return Ok(link)
@@ -296,6 +317,7 @@
             stream.close()
 
     async def close():
+        state.is_closed = True
         server.stop()
         for open_stream in list(state.io_streams):
             open_stream.close()
--- a/tests/wire/test_networks.py
+++ b/tests/wire/test_networks.py
@@ -4,10 +4,14 @@
 
 import pytest
 from result import Err, Ok
+from tornado.iostream import StreamClosedError
+from tornado.tcpclient import TCPClient
 
 from bramleyrouter.codes import Code
 from bramleyrouter.failures import Failure
+from bramleyrouter.utils.addresses import split_address
 from bramleyrouter.utils.ports import reserve_ports
+from bramleyrouter.wire.handshakes import Hello, authenticate_to_acceptor
 from bramleyrouter.wire.kinds import MessageKind
 from bramleyrouter.wire.tcp import build_tcp_network
 from tests.support.identities import make_identity
@@ -152,6 +156,61 @@
         assert asyncio.run(scenario()) == [unreachable, unreachable]
 
 
+class TestClosedTcpNetwork:
+    """Guard against connections that outlive the network that opened them."""
+
+    def test_a_connection_that_opens_after_the_close_sends_nothing(self):
+        async def scenario():
+            identity = make_identity("two", port=reserve_ports(1)[0])
+            first, _ = build_tcp_network(make_identity("one"), KEY)
+            second, listen = build_tcp_network(identity, KEY)
+            handled = []
+
+            async def handle(peer, payload):
+                handled.append(payload)
+                return Ok(b"")
+
+            second.serve(MessageKind.CLAIM, handle)
+            listen()
+            call = first.call(identity.internal_address, MessageKind.CLAIM, b"x", 2.0)
+            task = asyncio.ensure_future(call)
+            await asyncio.sleep(0)
+            await first.close()
+            pending = await asyncio.wait_for(task, 2.0)
+            later = await first.call(
+                identity.internal_address, MessageKind.CLAIM, b"y", 2.0
+            )
+            await second.close()
+            return pending, later, handled
+
+        pending, later, handled = asyncio.run(scenario())
+        assert pending.err_value.code is Code.PEER_UNREACHABLE
+        assert later.err_value.code is Code.PEER_UNREACHABLE
+        assert handled == []
+
+    def test_a_peer_that_authenticates_after_the_close_is_not_served(self):
+        async def scenario():
+            identity = make_identity("two", port=reserve_ports(1)[0])
+            second, listen = build_tcp_network(identity, KEY)
+            listen()
+            stream = await TCPClient().connect(
+                *split_address(identity.internal_address)
+            )
+            # The acceptor waits for the greeting by then.
+            await asyncio.sleep(0.1)
+            await second.close()
+            hello = Hello("one", "dc1", "127.0.0.1:1")
+            try:
+                await asyncio.wait_for(
+                    authenticate_to_acceptor(stream, KEY, hello), 2.0
+                )
+            finally:
+                stream.close()
+
+        with pytest.raises(StreamClosedError):
+            asyncio.run(scenario())
+
+
 class TestMemoryNetwork:
     """Guard against an in-memory network that behaves differently from TCP."""
 
