Closed the connection to a peer that doesn't finish the handshake

Callers saw nothing at first. A daemon left one connection open with each attempt to reach a peer that is paused: about one each second and peer, until it had no file descriptors left or the peer came back.

Cause: the kernel accepts connections for a paused process, and the handshake ends with a timeout; the attempt failed without closing its connection, which the event loop kept. Change: it is closed.

--- a/src/bramleyrouter/wire/tcp.py
+++ b/src/bramleyrouter/wire/tcp.py
@@ -191,6 +191,7 @@
 
 
 async def _connect(state: TcpState, address: str) -> Result[Link, Failure]:
+    stream = None
     try:
         host, port = split_address(address)
         connecting = TCPClient().connect(
@@ -211,6 +212,9 @@
         handshake = authenticate_to_acceptor(stream, state.key, hello)
         authenticated = await asyncio.wait_for(handshake, HANDSHAKE_TIMEOUT_S)
     except (OSError, ValueError, StreamClosedError, TimeoutError) as exc:
+        if stream is not None:
+            # The kernel accepts connections for a peer that is paused.
+            stream.close()
         text = f'No connection to "{address}": {exc or type(exc).__name__}.'
         return Err(Failure(Code.PEER_UNREACHABLE, text))
     if isinstance(authenticated, Err):
--- a/tests/wire/test_networks.py
+++ b/tests/wire/test_networks.py
@@ -155,6 +155,33 @@
         unreachable = Code.PEER_UNREACHABLE
         assert asyncio.run(scenario()) == [unreachable, unreachable]
 
+    def test_a_connection_whose_peer_says_nothing_is_closed(self):
+        """Guards against a connection left open by each attempt to a paused peer."""
+
+        async def scenario():
+            port = reserve_ports(1)[0]
+            ended = asyncio.Event()
+
+            async def say_nothing(reader, writer):
+                await reader.read()
+                ended.set()
+                writer.close()
+
+            server = await asyncio.start_server(say_nothing, "127.0.0.1", port)
+            first, _ = build_tcp_network(make_identity("one"), KEY)
+            address = f"127.0.0.1:{port}"
+            outcome = await first.call(address, MessageKind.CLAIM, b"", 2.0)
+            await asyncio.sleep(0.2)
+            is_closed = ended.is_set()
+            await first.close()
+            await asyncio.sleep(0.2)
+            server.close()
+            return outcome, is_closed
+
+        outcome, is_closed = asyncio.run(scenario())
+        assert outcome.err_value.code is Code.PEER_UNREACHABLE
+        assert is_closed
+
 
 class TestClosedTcpNetwork:
     """Guard against connections that outlive the network that opened them."""
