Listed a backend server once the address that it waits for is free

Callers could see a server that announces itself to a control daemon, and takes no requests at some entry daemons until its row changes again, which may be never: when an odd entry with a newer start held its address and was withdrawn later, or in the same update but after it in the order of a set.

Cause: a row that came while another server held its address was refused, and nothing looked at it again when the address became free; "too early" counted as "no". The order of a set of ids decided within one update. Change: the view keeps, by address, the servers that were refused, and merges them again when the address is released, the newest first. Ids are taken in their order.

Evidence: TestAddresses in tests/fleet/test_views.py; all four cases failed before (no server listed at the address, PYTHONHASHSEED=0) and pass now, with the tests of the fleet.

It works because every way in which an address is released passes the step that looks for servers that wait for it.

--- a/src/bramleyrouter/fleet/views.py
+++ b/src/bramleyrouter/fleet/views.py
@@ -5,6 +5,8 @@
 any order.
 """
 
+from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -18,7 +20,8 @@
     """Hold the rows by source and the merged servers by service.
 
     A source is the address of a control daemon. ``gone`` maps a server id to its
-    latest incarnation that is gone.
+    latest incarnation that is gone. ``waiting`` holds, by address, the servers that
+    were refused because another server holds the address.
     """
 
     sources: dict[str, dict[ServerId, ServerRow]] = field(default_factory=dict)
@@ -28,6 +31,7 @@
         default_factory=dict
     )
     by_address: dict[str, ServerId] = field(default_factory=dict)
+    waiting: dict[str, set[ServerId]] = field(default_factory=dict)
 
 
 def merge_rows(rows: list[ServerRow], gone_incarnation: int) -> ServerRow | None:
@@ -80,24 +84,51 @@
 
 
 def _update_merged(view: FleetView, server_ids: set[ServerId]) -> set[ServiceName]:
+    """Merge the rows of servers anew; return the services that changed.
+
+    Servers that wait for an address which becomes free are merged too, the newest one
+    first, so that the order in which rows arrive doesn't matter.
+    """
     changed: set[ServiceName] = set()
-    for server_id in server_ids:
-        rows = [
-            source_rows[server_id]
-            for source_rows in view.sources.values()
-            if server_id in source_rows
-        ]
-        row = merge_rows(rows, view.gone.get(server_id, -1))
-        changed |= _replace_row(view, server_id, row)
+    pending = deque(sorted(server_ids))
+    while pending:
+        server_id = pending.popleft()
+        before = view.merged.get(server_id)
+        row = _merge_sources(view, server_id)
+        if before == row:
+            continue
+        changed |= _replace_row(view, server_id, before, row)
+        if before is not None and before.address not in view.by_address:
+            waiting = view.waiting.pop(before.address, set())
+            pending.extend(sorted(waiting, key=_get_age_key(view)))
     return changed
 
 
+def _get_age_key(view: FleetView) -> Callable[[ServerId], tuple[int, ServerId]]:
+    """Return the sort key that puts the newest incarnation first."""
+
+    def get_key(server_id: ServerId) -> tuple[int, ServerId]:
+        row = _merge_sources(view, server_id)
+        return (0 if row is None else -row.incarnation), server_id
+
+    return get_key
+
+
+def _merge_sources(view: FleetView, server_id: ServerId) -> ServerRow | None:
+    rows = [
+        source_rows[server_id]
+        for source_rows in view.sources.values()
+        if server_id in source_rows
+    ]
+    return merge_rows(rows, view.gone.get(server_id, -1))
+
+
 def _replace_row(
-    view: FleetView, server_id: ServerId, row: ServerRow | None
+    view: FleetView,
+    server_id: ServerId,
+    before: ServerRow | None,
+    row: ServerRow | None,
 ) -> set[ServiceName]:
-    before = view.merged.get(server_id)
-    if before == row:
-        return set()
     changed = set()
     if before is not None:
         changed.add(before.service)
@@ -130,6 +161,7 @@
     if holder is None:
         return True
     if holder.incarnation > row.incarnation:
+        view.waiting.setdefault(row.address, set()).add(row.server_id)
         return False
     changed.add(holder.service)
     _remove_row(view, holder)
--- a/tests/fleet/test_views.py
+++ b/tests/fleet/test_views.py
@@ -83,3 +83,57 @@
         apply_rows(view, "c1", (build_row("a"),), False)
         assert remove_source(view, "c1") == {"s0"}
         assert get_phases(view) == {}
+
+
+class TestAddresses:
+    """Guard against a server that is shut out because its row came too early."""
+
+    def test_a_refused_server_gets_its_address_once_it_is_free(self):
+        """The odd entry's control daemon withdraws it after the true server came."""
+        address = build_row("true").address
+        odd = build_row("odd", incarnation=9_000, address=address)
+        gone = build_row(
+            "odd", incarnation=9_000, address=address, phase=ServerPhase.GONE
+        )
+        true = build_row("true", incarnation=5)
+        for updates in itertools.permutations([("c1", gone), ("c2", true)]):
+            view = FleetView()
+            apply_rows(view, "c1", (odd,), False)
+            changed = set()
+            for source, item in updates:
+                changed |= apply_rows(view, source, (item,), False)
+            assert get_phases(view) == {"true": ServerPhase.READY}
+            assert view.by_address == {address: "true"}
+            assert changed == {"s0"}
+
+    def test_the_order_within_an_update_does_not_matter(self):
+        for number in range(20):
+            names = f"odd-{number}", f"true-{number}"
+            address = f"10.1.1.{number}:80"
+            odd = build_row(names[0], incarnation=9_000, address=address)
+            true = build_row(names[1], incarnation=5, address=address)
+            view = FleetView()
+            apply_rows(view, "c1", (odd,), False)
+            apply_rows(view, "c1", (true,), True)
+            assert get_phases(view) == {names[1]: ServerPhase.READY}
+
+    def test_the_newest_of_the_refused_servers_gets_the_address(self):
+        view, address = FleetView(), "10.1.1.1:80"
+        for incarnation in (9, 3, 5, 4):
+            row = build_row(
+                f"s-{incarnation}", incarnation=incarnation, address=address
+            )
+            apply_rows(view, "c1", (row,), False)
+        remove = build_row(
+            "s-9", incarnation=9, address=address, phase=ServerPhase.GONE
+        )
+        apply_rows(view, "c1", (remove,), False)
+        assert get_phases(view) == {"s-5": ServerPhase.READY}
+
+    def test_a_server_that_moves_frees_its_address(self):
+        view, address = FleetView(), "10.1.1.1:80"
+        apply_rows(view, "c1", (build_row("a", incarnation=9, address=address),), False)
+        apply_rows(view, "c2", (build_row("b", incarnation=5, address=address),), False)
+        moved = build_row("a", incarnation=10, address="10.1.1.2:80")
+        apply_rows(view, "c1", (moved,), False)
+        assert view.by_address == {address: "b", "10.1.1.2:80": "a"}
