Answered a request whose handler raises before its first wait

Callers waited for their timeout: a handler that is a plain function and raises gave no reply, and the exception was not in the log.

Cause: the handler was called outside the block that turns an exception into PEER_REFUSED, which only waited for its result. Change: the block holds the call too. Evidence: test_a_handler_that_raises_at_once_is_answered in tests/wire/test_links.py, no frame was sent before, a reply and the end of a stream with PEER_REFUSED now.

It works for any handler that the interface allows, since the interface asks only for something that can be awaited.

--- a/src/bramleyrouter/wire/links.py
+++ b/src/bramleyrouter/wire/links.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from absl import logging
@@ -141,7 +141,7 @@
         if handler is None:
             outcome: Result[bytes, Failure] = _build_unknown_kind_failure(envelope.kind)
         else:
-            outcome = await _await_handler(handler(self.peer, envelope.payload))
+            outcome = await _run_handler(handler, self.peer, envelope.payload)
         if envelope.frame_type is FrameType.REQUEST:
             self._send_reply(FrameType.REPLY, envelope, outcome)
 
@@ -156,8 +156,8 @@
         if handler is None:
             outcome: Result = _build_unknown_kind_failure(kind)
         else:
-            outcome = await _await_handler(
-                handler(self.peer, envelope.payload, send_item)
+            outcome = await _run_handler(
+                handler, self.peer, envelope.payload, send_item
             )
         self._send_reply(FrameType.END, envelope, outcome)
 
@@ -220,10 +220,10 @@
     return Err(Failure(Code.UNKNOWN_MESSAGE_KIND, f'Kind "{kind}" is not served.'))
 
 
-async def _await_handler(work) -> Result:
-    """Wait for a handler; turn an exception into a ``PEER_REFUSED`` failure."""
+async def _run_handler(handler: Callable[..., Awaitable[Result]], *args) -> Result:
+    """Run a handler; turn an exception into a ``PEER_REFUSED`` failure."""
     try:
-        return await work
+        return await handler(*args)
     except Exception:
         logging.exception("wire: a handler failed.")
         return Err(Failure(Code.PEER_REFUSED, "The peer's handler failed."))
--- a/tests/wire/test_links.py
+++ b/tests/wire/test_links.py
@@ -89,3 +89,22 @@
         handled, frames = run_virtual(scenario())
         assert handled == [b"before", b"before"]
         assert len(frames) == 1
+
+    def test_a_handler_that_raises_at_once_is_answered(self):
+        """Guards against callers that wait for their timeout."""
+
+        async def scenario():
+            def fail(peer, payload, *rest):
+                raise IndexError("odd payload")
+
+            link, frames = build_link(HandlerTable({KIND: fail}, {KIND: fail}))
+            link.receive(Envelope(FrameType.REQUEST, KIND, 1))
+            link.receive(Envelope(FrameType.STREAM, KIND, 2))
+            await asyncio.sleep(0.1)
+            return [(frame.frame_type, frame.code) for frame in frames]
+
+        refused = Code.PEER_REFUSED
+        assert run_virtual(scenario()) == [
+            (FrameType.REPLY, refused),
+            (FrameType.END, refused),
+        ]
