Ended the subscriptions of a mirror whose stream can't be opened

Callers could see a far control daemon's servers late: entry daemons that asked for its stream waited until their timeout, each time they asked, until the near control daemon was started again.

Cause: the mirror is removed and its subscriptions are ended in a block that began only after the stream had been opened, so an exception there left the mirror behind without a stream. Change: the stream is opened inside the block.

It works because the next subscription finds no mirror and starts a new one.

--- a/src/bramleyrouter/fleet/mirrors.py
+++ b/src/bramleyrouter/fleet/mirrors.py
@@ -135,10 +135,11 @@
         if not ended.done():
             ended.set_result(None)
 
-    cancel = mirrors.network.stream(
-        mirror.address, MessageKind.WATCH_FLEET, MIRROR, on_item, on_end
-    )
+    cancel: Callable[[], None] = lambda: None
     try:
+        cancel = mirrors.network.stream(
+            mirror.address, MessageKind.WATCH_FLEET, MIRROR, on_item, on_end
+        )
         while not ended.done():
             remaining_s = (
                 mirror.last_contact_at + mirrors.times.stream_timeout_s - loop.time()
--- a/tests/fleet/test_mirrors.py
+++ b/tests/fleet/test_mirrors.py
@@ -1,15 +1,24 @@
 """Tests of remote streams that control daemons forward in their data centre."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 from result import Ok
 
 from bramleyrouter.codes import Code
+from bramleyrouter.conf.fleet import StreamTimes
 from bramleyrouter.failures import Failure
 from bramleyrouter.fleet.messages import Update
-from bramleyrouter.fleet.mirrors import Mirror, apply_update, build_snapshot
+from bramleyrouter.fleet.mirrors import (
+    Mirror,
+    Mirrors,
+    apply_update,
+    build_snapshot,
+    forward_stream,
+)
 from bramleyrouter.fleet.registry import apply_announcement
+from bramleyrouter.utils.tasks import BackgroundTasks
 from bramleyrouter.wire.kinds import MessageKind
 from tests.fleet.fleet_cluster import (
     ADDRESSES,
@@ -233,6 +242,22 @@
         assert [end.err_value.code for end in ends] == [Code.UNKNOWN_MEMBER]
 
 
+class TestFailedStart:
+    @in_virtual_time
+    async def test_a_stream_that_can_not_be_opened_ends_its_subscriptions(self):
+        """Guards against a mirror that stays, without a stream, for good."""
+
+        def fail(*args):
+            raise IndexError("odd stream")
+
+        mirrors = Mirrors(
+            SimpleNamespace(stream=fail), StreamTimes(), BackgroundTasks("test")
+        )
+        forwarding = forward_stream(mirrors, ADDRESSES[2], lambda payload: None)
+        await asyncio.wait_for(forwarding, 10.0)
+        assert mirrors.by_address == {}
+
+
 class TestSnapshot:
     def test_holds_the_latest_value_of_each_field(self):
         """Guards against a snapshot that misses a field or holds an older value."""
