Let a live backend server return after an odd newcomer at its address

Callers could see a live server take no requests for as long as its process runs: an entry that another writer left under another id, with the server's address and a newer start, marked it as gone. The same entry was overruled if it came before the server.

Cause: a server whose address another one announced was marked as gone, which stands for a server that has left for good; what it announced afterwards counted for nothing, at the control daemon and at the entry daemons. Change: it drains while another server has its address, and returns by the rule that exists for odd entries: it announces itself all the time, and the other one doesn't. At entry daemons a server that announces itself goes before a silent one at the same address, whose row may come from another control daemon, and the others wait for the address.

It works because only the server itself, or its departure in the log, can say that it has left; that another one is at its address is evidence that later announcements can disprove.

--- a/src/bramleyrouter/fleet/registry.py
+++ b/src/bramleyrouter/fleet/registry.py
@@ -30,12 +30,14 @@
 class RegisteredServer:
     """Hold a row and the loop time of its last announcement.
 
-    The server counts as cold until the loop time ``cold_until``.
+    The server counts as cold until the loop time ``cold_until``. ``is_displaced`` is
+    set while another server has its address; then it takes no new requests.
     """
 
     row: ServerRow
     last_contact_at: float
     cold_until: float
+    is_displaced: bool = False
 
 
 @dataclass
@@ -122,11 +124,25 @@
         return False
     registry.outdated.pop(row.server_id, None)
     if holder is not None and holder.row.phase is not ServerPhase.GONE:
-        apply_withdrawal(registry, holder.row.server_id, None, now)
+        _displace(registry, holder)
     _store(registry, row, now, registry.on_change)
     return True
 
 
+def _displace(registry: ServerRegistry, holder: RegisteredServer) -> None:
+    """Let a server drain whose address was announced by another one.
+
+    Nearly always its process has ended. It isn't marked as gone, since the other
+    announcement may be the odd one, and then it returns, see ``_is_disproved``.
+    """
+    holder.is_displaced = True
+    if holder.row.phase is ServerPhase.DRAINING:
+        return
+    holder.row = msgspec.structs.replace(holder.row, phase=ServerPhase.DRAINING)
+    for callback in registry.on_change:
+        callback(holder.row)
+
+
 def _is_before_departure(registry: ServerRegistry, row: ServerRow) -> bool:
     """Return whether a row is older than a departure that the log has accepted."""
     departure, _ = registry.departures.get(row.server_id, (None, 0.0))
@@ -169,9 +185,12 @@
             return current
         if version_key(row) <= version_key(current.row):
             return current
-    if holder is not None and holder.row.incarnation > row.incarnation:
-        return holder
-    return None
+    if holder is None or holder.row.incarnation < row.incarnation:
+        return None
+    # Of two servers with the same incarnation the later one holds the address.
+    is_displaced = current is not None and current.is_displaced
+    is_newer = holder.row.incarnation > row.incarnation
+    return holder if is_newer or is_displaced else None
 
 
 def _is_disproved(
--- a/src/bramleyrouter/fleet/views.py
+++ b/src/bramleyrouter/fleet/views.py
@@ -86,8 +86,8 @@
 def _update_merged(view: FleetView, server_ids: set[ServerId]) -> set[ServiceName]:
     """Merge the rows of servers anew; return the services that changed.
 
-    Servers that wait for an address which becomes free are merged too, the newest one
-    first, so that the order in which rows arrive doesn't matter.
+    Servers that wait for an address are merged too when it becomes free or its holder
+    silent, the newest one first, so that the order in which rows arrive doesn't matter.
     """
     changed: set[ServiceName] = set()
     pending = deque(sorted(server_ids))
@@ -98,12 +98,19 @@
         if before == row:
             continue
         changed |= _replace_row(view, server_id, before, row)
-        if before is not None and before.address not in view.by_address:
+        if before is not None and _may_have_lost_address(view, before, row):
             waiting = view.waiting.pop(before.address, set())
             pending.extend(sorted(waiting, key=_get_age_key(view)))
     return changed
 
 
+def _may_have_lost_address(
+    view: FleetView, before: ServerRow, row: ServerRow | None
+) -> bool:
+    is_free = before.address not in view.by_address
+    return is_free or (row is not None and row.is_silent and not before.is_silent)
+
+
 def _get_age_key(view: FleetView) -> Callable[[ServerId], tuple[int, ServerId]]:
     """Return the sort key that puts the newest incarnation first."""
 
@@ -153,19 +160,24 @@
 ) -> bool:
     """Return whether ``row`` may use its address, and remove a former holder.
 
-    The server with the newest incarnation holds an address. A holder that loses it
-    is marked as gone, and its service is added to ``changed``.
+    The server with the newest incarnation holds an address, and one that announces
+    itself goes before one that is silent. The others wait for it. The service of a
+    holder that loses it is added to ``changed``.
     """
     holder_id = view.by_address.get(row.address)
     holder = view.merged.get(holder_id) if holder_id else None
     if holder is None:
         return True
-    if holder.incarnation > row.incarnation:
-        view.waiting.setdefault(row.address, set()).add(row.server_id)
+    waiting = view.waiting.setdefault(row.address, set())
+    if _address_key(holder) > _address_key(row):
+        waiting.add(row.server_id)
         return False
+    waiting.add(holder.server_id)
     changed.add(holder.service)
     _remove_row(view, holder)
-    view.gone[holder.server_id] = max(
-        view.gone.get(holder.server_id, -1), holder.incarnation
-    )
     return True
+
+
+def _address_key(row: ServerRow) -> tuple[bool, int]:
+    """Return the sort key of the servers that announce one address."""
+    return not row.is_silent, row.incarnation
--- a/tests/fleet/test_views.py
+++ b/tests/fleet/test_views.py
@@ -137,3 +137,20 @@
         moved = build_row("a", incarnation=10, address="10.1.1.2:80")
         apply_rows(view, "c1", (moved,), False)
         assert view.by_address == {address: "b", "10.1.1.2:80": "a"}
+
+    def test_a_silent_holder_gives_way_to_a_server_that_announces_itself(self):
+        """An odd entry stays silent at its control daemon until it expires."""
+        view, address = FleetView(), "10.1.1.1:80"
+        odd = {"incarnation": 9, "address": address}
+        true = {"incarnation": 5, "address": address}
+        apply_rows(view, "c2", (build_row("true", **true),), False)
+        apply_rows(view, "c1", (build_row("odd", **odd),), False)
+        assert set(view.merged) == {"odd"}
+        apply_rows(view, "c1", (build_row("odd", is_silent=True, **odd),), False)
+        assert set(view.merged) == {"true"}
+        apply_rows(view, "c2", (build_row("true", is_silent=True, **true),), False)
+        assert set(view.merged) == {"odd"}
+        apply_rows(view, "c2", (build_row("true", **true),), False)
+        assert set(view.merged) == {"true"}
+        apply_rows(view, "c1", (build_row("odd", sequence=2, **odd),), False)
+        assert set(view.merged) == {"odd"}
