Tried steps of a start again that fail for a moment

A daemon on the platform whose caller, internal, ready, control or metrics address was still held by another process ended with 1 and a traceback, and without an event. With a predecessor that took seconds to stop, the successor was lost. Callers and operators found one daemon fewer until somebody started it again.

Cause: only the data folder was tried again; each listener was opened once, and any error of the system ended the process, as did one of the metrics listener, which serves no caller.

daemons/start_steps.py now carries out the steps. Errors that may pass are tried again every 0.5 s with start_delayed and start_resumed, those that last end the process with 3 and start_failed. SIGTERM during the wait ends it with 0. The listeners of an entry daemon are opened independently; it is ready when caller, internal and ready listener are open and it has a table. The limits of a table that came before the caller listener apply to it. A control daemon opens its internal listener before its log, since a member that the others can't reach could otherwise lead. A failed attempt leaves no socket open, so it can be repeated. Readiness watchers are told when the first table arrives, too.

Evidence: tests/platform/test_starts.py occupies each address, releases it after the event, and starts a successor beside a running predecessor.

--- a/src/bramleyrouter/daemons/fleet_control.py
+++ b/src/bramleyrouter/daemons/fleet_control.py
@@ -58,7 +58,6 @@
     read_routes: Callable
     get_revision: Callable[[], Revision]
     read_metrics: Callable[[], dict[str, float]]
-    listen: Callable[[], None]
     close: Callable
 
 
@@ -74,16 +73,21 @@
     a budget of their own.
 
     Fails with ``DISK_FAILED`` if the data folder can't be opened, or with the
-    codes of the log's recovery.
+    codes of the log's recovery. Raises ``OSError`` if the internal address can't be
+    used. Nothing stays open in both cases.
     """
     loop = asyncio.get_running_loop()
     clock, rng = loop.time, random.Random()
     board = build_board(cfg)
     network, listen = build_tcp_network(board.identity, CLUSTER_KEY, memory)
     state_machine = build_control_state_machine()
+    # A member of the log that the others can't reach must not vote or lead, so the
+    # listener comes first. Peers are served once this function has returned.
+    stop_listening = listen()
     try:
         folder = open_folder(Path(cfg.data_folder))
     except OSError as exc:
+        stop_listening()
         text = f'The data folder "{cfg.data_folder}" can\'t be opened: {exc}.'
         return Err(Failure(Code.DISK_FAILED, text))
     opened = build_replicated_log(
@@ -97,6 +101,8 @@
         is_first_start=cfg.is_first_start,
         tolerated_losses=cfg.tolerated_losses,
     )
+    if isinstance(opened, Err):
+        stop_listening()
     return opened.map(
         lambda replicated_log: _assemble_control_parts(
             cfg,
@@ -104,7 +110,6 @@
             seeds,
             board,
             network,
-            listen,
             state_machine,
             replicated_log,
             clock,
@@ -124,7 +129,7 @@
 
 
 def _assemble_control_parts(
-    cfg, log, seeds, board, network, listen, state_machine, replicated_log, clock, rng
+    cfg, log, seeds, board, network, state_machine, replicated_log, clock, rng
 ) -> ControlParts:
     tasks = BackgroundTasks("control")
     control = start_control_service(
@@ -182,7 +187,6 @@
         lambda: _read_control_metrics(
             replicated_log, state_machine, registry, publisher
         ),
-        listen,
         close,
     )
 
--- a/src/bramleyrouter/daemons/fleet_entry.py
+++ b/src/bramleyrouter/daemons/fleet_entry.py
@@ -49,7 +49,7 @@
     board: Board
     gateway: GatewayHandle
     watcher: FleetWatcher
-    listen: Callable[[], None]
+    listen: Callable[[], object]
     metrics: GatewayMetrics
     close: Callable
 
@@ -90,7 +90,9 @@
             return
         parts[0].gateway.set_table(decoded.ok_value)
         on_table(decoded.ok_value)
-        board.readiness.reasons.discard("starting")
+        if "starting" in board.readiness.reasons:
+            board.readiness.reasons.discard("starting")
+            board.notify_watchers(Section.READINESS)
 
     def apply_servers(services: set[ServiceName]) -> None:
         for service in services:
--- a/src/bramleyrouter/daemons/lifecycles.py
+++ b/src/bramleyrouter/daemons/lifecycles.py
@@ -17,13 +17,14 @@
 class Daemon(NamedTuple):
     """Hold the blackboard and the lifecycle functions of a daemon.
 
-    ``start`` raises ``OSError`` if an address is in use. ``drain`` waits for
-    running requests and hands over the servers whose home is this daemon;
-    ``close`` closes all connections.
+    ``start`` raises ``StartFailedError`` or ``OSError`` if the daemon can't start.
+    ``drain`` waits for running requests and hands over the servers whose home is this
+    daemon; ``close`` closes all connections. Both may be called after a start that was
+    cancelled.
     """
 
     board: Board
-    start: Callable[[], Awaitable[None]]
+    start: Callable[[], Coroutine[Any, Any, None]]
     drain: Callable[[], Awaitable[None]]
     close: Callable[[], Awaitable[None]]
 
--- a/src/bramleyrouter/edges/listeners.py
+++ b/src/bramleyrouter/edges/listeners.py
@@ -11,7 +11,7 @@
     RunningRequests,
     build_tornado_routes,
 )
-from bramleyrouter.utils.addresses import split_address
+from bramleyrouter.utils.listening import listen_on
 
 IDLE_TIMEOUT_S = 75.0
 MAX_HEADER_BYTES = 16 * 1024
@@ -47,8 +47,7 @@
         max_header_size=MAX_HEADER_BYTES,
         max_body_size=MAX_REQUEST_BYTES,
     )
-    host, port = split_address(address)
-    server.listen(port, host)
+    listen_on(server, address)
 
     async def stop() -> None:
         server.stop()
--- a/src/bramleyrouter/platform/callers.py
+++ b/src/bramleyrouter/platform/callers.py
@@ -28,7 +28,6 @@
 from bramleyrouter.gateway.tables import CallerLimits
 from bramleyrouter.platform import names
 from bramleyrouter.telemetry.events import RecordEvent
-from bramleyrouter.utils.addresses import split_address
 from bramleyrouter.utils.byte_budgets import (
     NORMAL_WEIGHT,
     SUSPECT_WEIGHT,
@@ -37,6 +36,7 @@
     hold,
     release_all,
 )
+from bramleyrouter.utils.listening import listen_on
 from bramleyrouter.utils.sockets import measure_round_trip, peek
 
 MS_PER_SECOND = 1000.0
@@ -408,8 +408,7 @@
         max_header_size=limits.max_header_bytes,
         max_body_size=limits.max_body_bytes,
     )
-    host, port = split_address(address)
-    server.listen(port, host, backlog=1024)
+    listen_on(server, address, backlog=1024)
     return CallerListener(state, server)
 
 
--- a/src/bramleyrouter/platform/control_daemon.py
+++ b/src/bramleyrouter/platform/control_daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from functools import partial
 
 from result import Err
 
@@ -9,6 +10,7 @@
 from bramleyrouter.daemons.fleet_control import build_control_parts
 from bramleyrouter.daemons.launching import Launch
 from bramleyrouter.daemons.lifecycles import Daemon
+from bramleyrouter.daemons.start_steps import StartStep, finish_step
 from bramleyrouter.fleet.registry import apply_announcement
 from bramleyrouter.platform.listeners import listen_metrics
 from bramleyrouter.platform.operators import (
@@ -28,7 +30,12 @@
     watch_memory,
 )
 from bramleyrouter.utils.stalls import Stalls, observe_run, read_boot_clock
-from bramleyrouter.utils.tasks import BackgroundTasks, run_periodically, spawn
+from bramleyrouter.utils.tasks import (
+    BackgroundTasks,
+    cancel_all,
+    run_periodically,
+    spawn,
+)
 
 STALL_CHECK_INTERVAL_S = 0.1
 
@@ -36,7 +43,8 @@
 def build_control_daemon(cfg: FleetSettings, log: EventLog, launch: Launch):
     """Build a control daemon for the platform.
 
-    Fail with the error of the replicated log if that can't be opened.
+    Fail with the error of the replicated log if that can't be opened; raise ``OSError``
+    if the internal address can't be used.
     """
     seeds = [cfg.seeds]
     tasks = BackgroundTasks("platform")
@@ -62,13 +70,13 @@
         observe=build_observe_call(metrics),
     )
     servers: list = []
+    finish = partial(finish_step, partial(record, log))
 
     def apply_settings(new: FleetSettings) -> None:
         seeds[0] = new.seeds
 
     async def start() -> None:
-        parts.listen()
-        servers.append(listen_control(cfg.control_address, calls, stalls))
+        watch_settings(log, tasks, launch.inbox, apply_settings)
         update_metrics = lambda: set_state_gauges(
             metrics,
             {
@@ -78,9 +86,13 @@
                 "ended_holders": memory.ended_count,
             },
         )
-        listen_metrics(cfg.metrics_address, metrics.registry, update_metrics)
+        open_metrics = lambda: listen_metrics(
+            cfg.metrics_address, metrics.registry, update_metrics
+        )
+        spawn(tasks, finish(StartStep.METRICS_LISTENER, open_metrics))
+        open_control = lambda: listen_control(cfg.control_address, calls, stalls)
+        servers.append(await finish(StartStep.CONTROL_LISTENER, open_control))
         parts.board.readiness.reasons.discard("starting")
-        watch_settings(log, tasks, launch.inbox, apply_settings)
         observe = lambda: observe_run(stalls, read_boot_clock())
         spawn(tasks, run_periodically(STALL_CHECK_INTERVAL_S, observe))
         watch_memory(tasks, log, cfg.memory_bytes, memory)
@@ -97,6 +109,7 @@
             server.stop()
 
     async def close() -> None:
+        cancel_all(tasks)
         record(log, "daemon", "stopped")
         await parts.close()
 
--- a/src/bramleyrouter/platform/entry_daemon.py
+++ b/src/bramleyrouter/platform/entry_daemon.py
@@ -1,5 +1,8 @@
 """Run the entry daemon on the platform."""
 
+import asyncio
+from functools import partial
+
 from result import Ok, Result
 
 from bramleyrouter.board.blackboard import Section
@@ -7,6 +10,7 @@
 from bramleyrouter.daemons.fleet_entry import build_entry_parts
 from bramleyrouter.daemons.launching import Launch
 from bramleyrouter.daemons.lifecycles import Daemon
+from bramleyrouter.daemons.start_steps import StartStep, finish_step
 from bramleyrouter.failures import Failure
 from bramleyrouter.gateway.tables import CallerLimits, RouteTable
 from bramleyrouter.platform.callers import (
@@ -26,12 +30,19 @@
     read_resident_bytes,
     watch_memory,
 )
-from bramleyrouter.utils.tasks import BackgroundTasks, run_periodically, spawn
+from bramleyrouter.utils.tasks import (
+    BackgroundTasks,
+    cancel_all,
+    run_periodically,
+    spawn,
+)
 
 # The balancer probes readiness once per second and removes a daemon after two
 # failed probes.
 BALANCER_WAIT_S = 3.2
 POOL_SWEEP_INTERVAL_S = 2.0
+# Reason why the daemon is not ready while a listener is missing.
+NOT_LISTENING = "not listening"
 
 
 def build_entry_daemon(
@@ -42,8 +53,11 @@
     memory = build_memory_budget(cfg.memory_bytes, log)
     transport, close_pools_except = build_server_transport(memory)
     listeners: list = []
+    # Holds the limits that apply when the listener is opened after the first table.
+    limits = [CallerLimits()]
 
     def apply_caller_limits(table: RouteTable) -> None:
+        limits[0] = table.limits
         if listeners:
             set_caller_limits(listeners[0], table.limits)
 
@@ -51,7 +65,19 @@
         cfg, log, transport, decode_route_table, apply_caller_limits, memory
     )
     reasons = parts.board.readiness.reasons
+    reasons.add(NOT_LISTENING)
     view = parts.watcher.state.view
+    finish = partial(finish_step, partial(record, log))
+
+    def open_caller_listener() -> None:
+        listener = listen_callers(
+            cfg.caller_address,
+            parts.gateway.handle,
+            limits[0],
+            memory,
+            lambda part, event, **fields: record(log, part, event, **fields),
+        )
+        listeners.append(listener)
 
     def update_close_after_replies() -> None:
         if listeners:
@@ -78,21 +104,21 @@
         set_backed_off(parts.metrics, parts.gateway.list_backed_off())
 
     async def start() -> None:
-        parts.listen()
-        listeners.append(
-            listen_callers(
-                cfg.caller_address,
-                parts.gateway.handle,
-                CallerLimits(),
-                memory,
-                lambda part, event, **fields: record(log, part, event, **fields),
-            )
-        )
-        listen_ready(cfg.ready_address, handle_readiness_probe)
-        listen_metrics(cfg.metrics_address, parts.metrics.registry, update_metrics)
         parts.board.watch(Section.READINESS, update_close_after_replies)
         apply_settings = lambda new: parts.watcher.set_seeds(new.seeds)
         watch_settings(log, tasks, launch.inbox, apply_settings)
+        open_metrics = lambda: listen_metrics(
+            cfg.metrics_address, parts.metrics.registry, update_metrics
+        )
+        spawn(tasks, finish(StartStep.METRICS_LISTENER, open_metrics))
+        open_ready = lambda: listen_ready(cfg.ready_address, handle_readiness_probe)
+        await asyncio.gather(
+            finish(StartStep.INTERNAL_LISTENER, parts.listen),
+            finish(StartStep.CALLER_LISTENER, open_caller_listener),
+            finish(StartStep.READY_LISTENER, open_ready),
+        )
+        reasons.discard(NOT_LISTENING)
+        parts.board.notify_watchers(Section.READINESS)
         sweep = run_periodically(
             POOL_SWEEP_INTERVAL_S,
             lambda: close_pools_except(set(view.merged)),
@@ -114,6 +140,7 @@
             await stop_listening(listener, timeout_s)
 
     async def close() -> None:
+        cancel_all(tasks)
         record(log, "daemon", "stopped", in_flight=parts.gateway.in_flight())
         await parts.close()
 
--- a/src/bramleyrouter/platform/listeners.py
+++ b/src/bramleyrouter/platform/listeners.py
@@ -10,7 +10,7 @@
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
 from bramleyrouter.platform import names
-from bramleyrouter.utils.addresses import split_address
+from bramleyrouter.utils.listening import listen_on
 
 # Probes and scrapes have no body.
 MAX_PROBE_BODY_BYTES = 1024
@@ -57,8 +57,7 @@
     server = HTTPServer(
         on_request, idle_connection_timeout=60.0, max_body_size=MAX_PROBE_BODY_BYTES
     )
-    host, port = split_address(address)
-    server.listen(port, host)
+    listen_on(server, address)
     return server
 
 
@@ -72,6 +71,5 @@
     server = HTTPServer(
         on_request, idle_connection_timeout=60.0, max_body_size=MAX_PROBE_BODY_BYTES
     )
-    host, port = split_address(address)
-    server.listen(port, host)
+    listen_on(server, address)
     return server
--- a/src/bramleyrouter/platform/operators.py
+++ b/src/bramleyrouter/platform/operators.py
@@ -33,7 +33,7 @@
 from bramleyrouter.platform.route_documents import decode_route_table
 from bramleyrouter.telemetry.control_metrics import ObserveCall
 from bramleyrouter.telemetry.events import RecordEvent
-from bramleyrouter.utils.addresses import split_address
+from bramleyrouter.utils.listening import listen_on
 from bramleyrouter.utils.sockets import peek
 from bramleyrouter.utils.stalls import Stalls, is_after_stall, read_boot_clock
 
@@ -317,6 +317,5 @@
     server = HTTPServer(
         on_request, idle_connection_timeout=60.0, max_body_size=MAX_MANIFEST_BYTES
     )
-    host, port = split_address(address)
-    server.listen(port, host, backlog=1024)
+    listen_on(server, address, backlog=1024)
     return server
--- a/src/bramleyrouter/platform/programs.py
+++ b/src/bramleyrouter/platform/programs.py
@@ -5,10 +5,10 @@
 import os
 import sys
 from collections.abc import Callable
+from functools import partial
 
 from result import Err, Ok, Result
 
-from bramleyrouter.codes import Code
 from bramleyrouter.conf.fleet import FleetSettings
 from bramleyrouter.daemons.launching import Launch
 from bramleyrouter.daemons.lifecycles import (
@@ -19,6 +19,13 @@
     run_until_stopped,
 )
 from bramleyrouter.daemons.signals import SIGHUP, SignalInbox, set_signal_callback
+from bramleyrouter.daemons.start_steps import (
+    FailureError,
+    StartFailedError,
+    StartStep,
+    finish_step,
+    unwrap,
+)
 from bramleyrouter.failures import Failure
 from bramleyrouter.platform.settings import get_settings_path, read_settings
 from bramleyrouter.telemetry.events import EventLog, record, start_event_writer
@@ -91,27 +98,29 @@
     """Build the daemon, again and again while its data folder can't be used.
 
     A disk may fail for seconds, and the process before may not have released the folder
-    yet. Any other failure lasts, and is returned.
+    or the internal address yet. Any other failure lasts, and is returned.
     """
-    last_reason = ""
-    while True:
-        built = build(cfg, log)
-        if isinstance(built, Ok) or built.err_value.code is not Code.DISK_FAILED:
-            return built
-        reason = str(built.err_value)
-        if reason != last_reason:
-            record(log, "daemon", "start_delayed", reason=reason)
-            last_reason = reason
-        await asyncio.sleep(START_RETRY_INTERVAL_S)
-
-
-async def _run(
-    build: BuildDaemon, cfg: FleetSettings, balancer_wait_s: float, launch: Launch
+    try:
+        daemon = await finish_step(
+            partial(record, log),
+            StartStep.BUILD,
+            lambda: unwrap(build(cfg, log)),
+            interval_s=START_RETRY_INTERVAL_S,
+        )
+    except StartFailedError as exc:
+        if isinstance(exc.cause, FailureError):
+            return Err(exc.cause.failure)
+        raise
+    return Ok(daemon)
+
+
+async def _start_and_run(
+    build: BuildDaemon,
+    cfg: FleetSettings,
+    balancer_wait_s: float,
+    log: EventLog,
+    launch: Launch,
 ) -> int:
-    log = EventLog(daemon=cfg.daemon_id)
-    stop_event_writer = start_event_writer(log)
-    record_loop_failures(log, asyncio.get_running_loop())
-    record(log, "daemon", "settings_read", seconds=launch.measure_age_s())
     # Most objects created so far live as long as the process, so the garbage collector
     # need not examine them.
     gc.freeze()
@@ -120,21 +129,32 @@
         record(log, "daemon", "signal", name=name, phase=phase.value)
 
     lifecycle = follow_signals(launch.inbox, record_signal)
+    building = build_once_disk_works(build, cfg, log)
+    built = await run_until_stopped(lifecycle, building)
+    if built is None:
+        record(log, "daemon", "stopped")
+        return 0
+    if isinstance(built, Err):
+        return EXIT_START_FAILED
+    record(log, "daemon", "built", seconds=launch.measure_age_s())
+    stop_s = cfg.bounds.stop_s - balancer_wait_s - CLOSE_RESERVE_S / 2
+    await run_daemon(built.ok_value, balancer_wait_s, stop_s, lifecycle)
+    return 0
+
+
+async def _run(
+    build: BuildDaemon, cfg: FleetSettings, balancer_wait_s: float, launch: Launch
+) -> int:
+    log = EventLog(daemon=cfg.daemon_id)
+    stop_event_writer = start_event_writer(log)
+    record_loop_failures(log, asyncio.get_running_loop())
+    record(log, "daemon", "settings_read", seconds=launch.measure_age_s())
     try:
-        building = build_once_disk_works(build, cfg, log)
-        built = await run_until_stopped(lifecycle, building)
-        if built is None:
-            record(log, "daemon", "stopped")
-            return 0
-        if isinstance(built, Err):
-            record(log, "daemon", "start_failed", reason=str(built.err_value))
-            return EXIT_START_FAILED
-        record(log, "daemon", "built", seconds=launch.measure_age_s())
-        stop_s = cfg.bounds.stop_s - balancer_wait_s - CLOSE_RESERVE_S / 2
-        await run_daemon(built.ok_value, balancer_wait_s, stop_s, lifecycle)
+        return await _start_and_run(build, cfg, balancer_wait_s, log, launch)
+    except StartFailedError:
+        return EXIT_START_FAILED
     finally:
         stop_event_writer()
-    return 0
 
 
 def run_program(
--- a/src/bramleyrouter/wire/tcp.py
+++ b/src/bramleyrouter/wire/tcp.py
@@ -16,6 +16,7 @@
 from bramleyrouter.ids import DaemonId, DataCentre
 from bramleyrouter.utils.addresses import split_address
 from bramleyrouter.utils.byte_budgets import ByteBudget, Holding, hold, release
+from bramleyrouter.utils.listening import listen_on
 from bramleyrouter.wire.envelopes import (
     LENGTH_BYTES,
     MAX_FRAME_BYTES,
@@ -291,7 +292,8 @@
 
     Without ``memory``, the frames that peers have not read have a budget of their own.
     ``key`` is the cluster's key. The closure binds the internal address of
-    ``identity`` and raises ``OSError`` if the address is in use.
+    ``identity`` and returns a closure that stops listening. If the address can't be
+    used, it raises ``OSError`` and can be called again.
     """
     state = TcpState(identity, key, memory or ByteBudget())
     server = InternalServer(state)
@@ -328,9 +330,9 @@
         for task in list(state.tasks):
             task.cancel()
 
-    def listen():
-        host, port = split_address(identity.internal_address)
-        server.listen(port, host)
+    def listen() -> Callable[[], None]:
+        listen_on(server, identity.internal_address)
+        return server.stop
 
     network = Network(
         call=call,
--- a/tests/docs/test_operations.py
+++ b/tests/docs/test_operations.py
@@ -32,6 +32,8 @@
     "callback_failed",
     "stopped",
     "start_failed",
+    "start_delayed",
+    "start_resumed",
     "reloaded",
     "reload_failed",
 )
--- /dev/null
+++ b/tests/platform/test_starts.py
@@ -0,0 +1,199 @@
+"""Tests of starts of the platform's programs that something delays, as processes."""
+
+import asyncio
+import contextlib
+import signal
+import socket
+
+import pytest
+
+from tests.support.platform_processes import (
+    CALLER_PORT,
+    CONTROL_PORT,
+    INTERNAL_PORT,
+    METRICS_PORT,
+    READY_PORT,
+    PlatformProcesses,
+    fetch_status,
+)
+
+# Limit of each wait, in seconds, on a machine that other tests keep busy.
+LIMIT_S = 30.0
+
+
+@contextlib.contextmanager
+def run_system(folder, **counts):
+    """Provide the processes of a deployment and kill them at the end."""
+    system = PlatformProcesses(folder, **counts)
+    try:
+        yield system
+    finally:
+        system.stop_all()
+
+
+def hold(vm, port):
+    """Occupy one port of a VM, as another process would."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((vm.ip, port))
+    sock.listen()
+    return sock
+
+
+def has_event(vm, name, **fields):
+    """Return a condition: the process has written the event with these fields."""
+
+    async def is_written():
+        return any(
+            event.get("event") == name and fields.items() <= event.items()
+            for event in vm.read_events()
+        )
+
+    return is_written
+
+
+async def wait_for_exit(system, vm):
+    """Return the exit code of a VM's process."""
+
+    async def has_ended():
+        return vm.child.poll() is not None
+
+    assert await system.wait_until(has_ended, LIMIT_S)
+    return vm.child.returncode
+
+
+async def wait_for(system, vm, name, **fields):
+    """Wait until a process that still runs has written the event."""
+    is_written = has_event(vm, name, **fields)
+
+    async def is_written_or_ended():
+        return vm.child.poll() is not None or await is_written()
+
+    assert await system.wait_until(is_written_or_ended, LIMIT_S), name
+    assert vm.child.poll() is None, vm.log_path.read_text()
+
+
+async def is_scraped(vm):
+    """Return whether the metrics are served."""
+    return await fetch_status(f"http://{vm.ip}:{METRICS_PORT}/metrics") == 200
+
+
+class TestAddressInUse:
+    """Guard against a process that ends because another one still holds an address."""
+
+    @pytest.mark.parametrize(
+        "port, step",
+        [
+            (CALLER_PORT, "caller listener"),
+            (INTERNAL_PORT, "internal listener"),
+            (READY_PORT, "ready listener"),
+        ],
+    )
+    def test_entry_daemon_is_ready_once_it_is_free(self, tmp_path, port, step):
+        async def scenario(system):
+            entry = system.entries[0]
+            system.start_all((entry,))
+            assert await system.publish(LIMIT_S) is not None
+            holder = hold(entry, port)
+            system.start(entry)
+            await wait_for(system, entry, "start_delayed", step=step)
+            await wait_for(system, entry, "table")
+            assert not await system.is_ready(entry)
+            holder.close()
+            assert await system.wait_until(lambda: system.is_ready(entry), LIMIT_S)
+            await wait_for(system, entry, "start_resumed", step=step)
+            await wait_for(system, entry, "started")
+
+        with run_system(tmp_path, entries=1, controls=1) as system:
+            asyncio.run(scenario(system))
+
+    @pytest.mark.parametrize(
+        "port, step",
+        [(CONTROL_PORT, "control listener"), (INTERNAL_PORT, "build")],
+    )
+    def test_control_daemon_serves_once_it_is_free(self, tmp_path, port, step):
+        async def scenario(system):
+            control = system.controls[0]
+            holder = hold(control, port)
+            system.start(control)
+            await wait_for(system, control, "start_delayed", step=step)
+            holder.close()
+            assert await system.publish(LIMIT_S) is not None
+            await wait_for(system, control, "started")
+
+        with run_system(tmp_path, entries=0, controls=1) as system:
+            asyncio.run(scenario(system))
+
+    def test_control_daemon_without_internal_address_never_leads(self, tmp_path):
+        # It would win the election, but no other daemon could reach the leader.
+        async def scenario(system):
+            first, *others = system.controls
+            holder = hold(first, INTERNAL_PORT)
+            system.start(first)
+            await wait_for(system, first, "start_delayed", step="build")
+            for vm in others:
+                system.start(vm)
+            for vm in others:
+                await wait_for(system, vm, "started")
+            await asyncio.sleep(3.0)
+            assert not await has_event(first, "leader", leader=f"{first.ip}:7380")()
+            holder.close()
+            assert await system.publish(LIMIT_S) is not None
+
+        with run_system(tmp_path, entries=0, controls=3) as system:
+            asyncio.run(scenario(system))
+
+    def test_metrics_delay_no_start(self, tmp_path):
+        async def scenario(system):
+            holders = [hold(vm, METRICS_PORT) for vm in system.vms]
+            system.start_all()
+            assert await system.publish(LIMIT_S) is not None
+            for vm, holder in zip(system.vms, holders, strict=True):
+                await wait_for(system, vm, "started")
+                await wait_for(system, vm, "start_delayed", step="metrics listener")
+                holder.close()
+                assert await system.wait_until(lambda vm=vm: is_scraped(vm), LIMIT_S)
+            entry = system.entries[0]
+            assert await system.wait_until(lambda: system.is_ready(entry), LIMIT_S)
+
+        with run_system(tmp_path, entries=1, controls=1) as system:
+            asyncio.run(scenario(system))
+
+    @pytest.mark.parametrize("role", ["entry", "control"])
+    def test_stop_during_the_wait(self, tmp_path, role):
+        async def scenario(system):
+            vm = system.entries[0] if role == "entry" else system.controls[0]
+            with hold(vm, INTERNAL_PORT):
+                system.start(vm)
+                await wait_for(system, vm, "start_delayed")
+                vm.child.send_signal(signal.SIGTERM)
+                assert await wait_for_exit(system, vm) == 0
+            assert await has_event(vm, "stopped")()
+
+        with run_system(tmp_path, entries=1, controls=1) as system:
+            asyncio.run(scenario(system))
+
+
+class TestPredecessorStillRuns:
+    """Guard against a process that ends as its predecessor takes seconds to stop."""
+
+    @pytest.mark.parametrize("role", ["entry", "control"])
+    def test_successor_takes_over(self, tmp_path, role):
+        async def scenario(system):
+            vm = system.entries[0] if role == "entry" else system.controls[0]
+            system.start_all()
+            assert await system.publish(LIMIT_S) is not None
+            await wait_for(system, vm, "started")
+            old = vm.child
+            system.start(vm)
+            await wait_for(system, vm, "start_delayed")
+            old.send_signal(signal.SIGTERM)
+            await asyncio.to_thread(old.wait, LIMIT_S)
+            await wait_for(system, vm, "start_resumed")
+            assert await system.publish(LIMIT_S, version=2) is not None
+            entry = system.entries[0]
+            assert await system.wait_until(lambda: system.is_ready(entry), LIMIT_S)
+            assert vm.child.poll() is None
+
+        with run_system(tmp_path, entries=1, controls=1) as system:
+            asyncio.run(scenario(system))
