Waited at a start for settings that are being written

A daemon on the platform that was started while its settings file was missing, empty or half written ended with 2, without an event. A file that ended between two sections could be parsed and gave a daemon without addresses, which ended with a traceback.

Cause: the settings were read once, before anything else, and only the fields that every program needs had to be there.

Each program names the fields without which it can't be built. SIGTERM ends the wait with 0. Exit code 2 remains for a path that is not set, which no wait can end; an empty path counts as not set.

A unit test cuts the file at every byte. A cut after the addresses, within the optional sections, still can't be told from a complete file; their defaults apply then.

--- a/src/bramleyrouter/daemons/start_steps.py
+++ b/src/bramleyrouter/daemons/start_steps.py
@@ -26,7 +26,9 @@
 # Time between two events about a step that fails with the same reason.
 REPORT_INTERVAL_S = 10.0
 
-TEMPORARY_CODES = frozenset({Code.DISK_FAILED})
+TEMPORARY_CODES = frozenset(
+    {Code.DISK_FAILED, Code.SETTINGS_UNREADABLE, Code.SETTINGS_INVALID}
+)
 # Errors of the operating system that only another configuration or program ends.
 LASTING_ERRORS = frozenset(
     {
@@ -44,6 +46,7 @@
 class StartStep(StrEnum):
     """Name the steps of a start in events."""
 
+    SETTINGS = "settings"
     BUILD = "build"
     INTERNAL_LISTENER = "internal listener"
     CALLER_LISTENER = "caller listener"
@@ -86,8 +89,8 @@
 def is_temporary(exc: Exception) -> bool:
     """Return whether the failure of a step may pass without another program.
 
-    Temporary are failures of the data folder, and all errors of the operating system
-    but ``LASTING_ERRORS`` and names that can't be resolved.
+    Temporary are failures of the data folder and of the settings, and all errors of the
+    operating system but ``LASTING_ERRORS`` and names that can't be resolved.
     """
     if isinstance(exc, FailureError):
         return exc.failure.code in TEMPORARY_CODES
--- a/src/bramleyrouter/platform/control_daemon.py
+++ b/src/bramleyrouter/platform/control_daemon.py
@@ -118,4 +118,5 @@
 
 def main(launch: Launch) -> int:
     """Run a control daemon until SIGTERM and return the exit code."""
-    return run_program(build_control_daemon, 0.0, launch)
+    required = ("control_address", "data_folder")
+    return run_program(build_control_daemon, 0.0, required, launch)
--- a/src/bramleyrouter/platform/entry_daemon.py
+++ b/src/bramleyrouter/platform/entry_daemon.py
@@ -149,4 +149,5 @@
 
 def main(launch: Launch) -> int:
     """Run an entry daemon until SIGTERM and return the exit code."""
-    return run_program(build_entry_daemon, BALANCER_WAIT_S, launch)
+    required = ("caller_address", "ready_address")
+    return run_program(build_entry_daemon, BALANCER_WAIT_S, required, launch)
--- a/src/bramleyrouter/platform/programs.py
+++ b/src/bramleyrouter/platform/programs.py
@@ -9,6 +9,7 @@
 
 from result import Err, Ok, Result
 
+from bramleyrouter.codes import Code
 from bramleyrouter.conf.fleet import FleetSettings
 from bramleyrouter.daemons.launching import Launch
 from bramleyrouter.daemons.lifecycles import (
@@ -46,12 +47,28 @@
 BuildDaemon = Callable[[FleetSettings, EventLog], Result[Daemon, Failure]]
 
 
-def _load_settings_or_exit() -> FleetSettings:
-    loaded = read_settings(get_settings_path())
-    if isinstance(loaded, Err):
-        print(loaded.err_value, file=sys.stderr)
+def _get_settings_path_or_exit() -> str:
+    try:
+        return get_settings_path()
+    except KeyError as exc:
+        print(f"The environment variable {exc} is not set.", file=sys.stderr)
         sys.exit(EXIT_INVALID_SETTINGS)
-    return loaded.ok_value
+
+
+def read_program_settings(
+    path: str, required: tuple[str, ...]
+) -> Result[FleetSettings, Failure]:
+    """Read the settings; fail as ``read_settings`` does.
+
+    A file that is being written can end between two fields, so the fields that this
+    program needs, named in ``required``, must be there.
+    """
+    loaded = read_settings(path)
+    for name in required:
+        if isinstance(loaded, Ok) and not getattr(loaded.ok_value, name):
+            text = f'"{path}" holds no valid settings: no value of "{name}".'
+            return Err(Failure(Code.SETTINGS_INVALID, text))
+    return loaded
 
 
 def watch_settings(
@@ -116,19 +133,27 @@
 
 async def _start_and_run(
     build: BuildDaemon,
-    cfg: FleetSettings,
+    path: str,
     balancer_wait_s: float,
+    required: tuple[str, ...],
     log: EventLog,
     launch: Launch,
 ) -> int:
-    # Most objects created so far live as long as the process, so the garbage collector
-    # need not examine them.
-    gc.freeze()
-
     def record_signal(name: str, phase: Phase) -> None:
         record(log, "daemon", "signal", name=name, phase=phase.value)
 
     lifecycle = follow_signals(launch.inbox, record_signal)
+    read = lambda: unwrap(read_program_settings(path, required))
+    reading = finish_step(partial(record, log), StartStep.SETTINGS, read)
+    cfg = await run_until_stopped(lifecycle, reading)
+    if cfg is None:
+        record(log, "daemon", "stopped")
+        return 0
+    log.daemon = launch.daemon = cfg.daemon_id
+    record(log, "daemon", "settings_read", seconds=launch.measure_age_s())
+    # Most objects created so far live as long as the process, so the garbage collector
+    # need not examine them.
+    gc.freeze()
     building = build_once_disk_works(build, cfg, log)
     built = await run_until_stopped(lifecycle, building)
     if built is None:
@@ -143,14 +168,17 @@
 
 
 async def _run(
-    build: BuildDaemon, cfg: FleetSettings, balancer_wait_s: float, launch: Launch
+    build: BuildDaemon,
+    path: str,
+    balancer_wait_s: float,
+    required: tuple[str, ...],
+    launch: Launch,
 ) -> int:
-    log = EventLog(daemon=cfg.daemon_id)
+    log = EventLog()
     stop_event_writer = start_event_writer(log)
     record_loop_failures(log, asyncio.get_running_loop())
-    record(log, "daemon", "settings_read", seconds=launch.measure_age_s())
     try:
-        return await _start_and_run(build, cfg, balancer_wait_s, log, launch)
+        return await _start_and_run(build, path, balancer_wait_s, required, log, launch)
     except StartFailedError:
         return EXIT_START_FAILED
     finally:
@@ -160,15 +188,16 @@
 def run_program(
     build: Callable[[FleetSettings, EventLog, Launch], Result[Daemon, Failure]],
     balancer_wait_s: float,
+    required: tuple[str, ...],
     launch: Launch,
 ) -> int:
     """Run a daemon until SIGTERM and return the exit code.
 
     After SIGTERM the daemon serves for another ``balancer_wait_s`` seconds, so that
-    the balancer can remove it first.
+    the balancer can remove it first. ``required`` names the fields of the settings
+    without which the daemon can't be built.
     """
-    cfg = _load_settings_or_exit()
+    path = _get_settings_path_or_exit()
     configure_logging("warning")
-    launch.daemon = cfg.daemon_id
     build_daemon: BuildDaemon = lambda cfg, log: build(cfg, log, launch)
-    return asyncio.run(_run(build_daemon, cfg, balancer_wait_s, launch))
+    return asyncio.run(_run(build_daemon, path, balancer_wait_s, required, launch))
--- a/src/bramleyrouter/platform/settings.py
+++ b/src/bramleyrouter/platform/settings.py
@@ -75,8 +75,11 @@
 
 
 def get_settings_path() -> str:
-    """Return the path of the settings file; raise ``KeyError`` if it is unset."""
-    return os.environ[SETTINGS_VARIABLE]
+    """Return the path of the settings file; raise ``KeyError`` if it is not set."""
+    path = os.environ.get(SETTINGS_VARIABLE)
+    if not path:
+        raise KeyError(SETTINGS_VARIABLE)
+    return path
 
 
 def read_settings(path: str) -> Result[FleetSettings, Failure]:
--- a/tests/daemons/test_start_steps.py
+++ b/tests/daemons/test_start_steps.py
@@ -90,7 +90,9 @@
     def test_errors_of_a_busy_machine_are_temporary(self, number):
         assert is_temporary(OSError(number, "failed"))
 
-    @pytest.mark.parametrize("code", [Code.DISK_FAILED])
+    @pytest.mark.parametrize(
+        "code", [Code.DISK_FAILED, Code.SETTINGS_UNREADABLE, Code.SETTINGS_INVALID]
+    )
     def test_failures_of_files_are_temporary(self, code):
         assert is_temporary(FailureError(Failure(code, "failed")))
 
--- a/tests/platform/test_programs.py
+++ b/tests/platform/test_programs.py
@@ -9,8 +9,10 @@
 from bramleyrouter.platform.programs import (
     START_RETRY_INTERVAL_S,
     build_once_disk_works,
+    read_program_settings,
 )
 from bramleyrouter.telemetry.events import EventLog
+from tests.platform.test_settings import SETTINGS_FILE
 from tests.support.log_cluster import in_virtual_time
 
 DISK_FAILED = Err(Failure(Code.DISK_FAILED, "the disk is full"))
@@ -35,3 +37,24 @@
         log = EventLog(daemon="core-1")
         assert await build_once_disk_works(lambda *_: corrupt, "", log) == corrupt
         assert asyncio.get_running_loop().time() < START_RETRY_INTERVAL_S
+
+
+class TestProgramSettings:
+    """Guard against a daemon built from a file that ends between two fields."""
+
+    REQUIRED = ("caller_address", "ready_address")
+
+    def test_every_prefix_of_the_file_is_refused_or_complete(self, tmp_path):
+        path = tmp_path / "boot.toml"
+        end_of_required = SETTINGS_FILE.index("[limits]")
+        for length in range(len(SETTINGS_FILE)):
+            path.write_text(SETTINGS_FILE[:length])
+            loaded = read_program_settings(str(path), self.REQUIRED)
+            assert isinstance(loaded, Err) or length >= end_of_required - 2, length
+
+    def test_reason_names_the_missing_field(self, tmp_path):
+        path = tmp_path / "boot.toml"
+        path.write_text(SETTINGS_FILE.partition("[listen]")[0])
+        failure = read_program_settings(str(path), self.REQUIRED).err_value
+        assert failure.code is Code.SETTINGS_INVALID
+        assert "caller_address" in failure.text
--- a/tests/platform/test_starts.py
+++ b/tests/platform/test_starts.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from bramleyrouter.platform.programs import EXIT_INVALID_SETTINGS
 from tests.support.platform_processes import (
     CALLER_PORT,
     CONTROL_PORT,
@@ -197,3 +198,50 @@
 
         with run_system(tmp_path, entries=1, controls=1) as system:
             asyncio.run(scenario(system))
+
+
+class TestSettingsAtTheStart:
+    """Guard against a process that ends as its settings are just being written."""
+
+    @pytest.mark.parametrize("role", ["entry", "control"])
+    def test_start_waits_for_the_whole_file(self, tmp_path, role):
+        async def scenario(system):
+            vm = system.entries[0] if role == "entry" else system.controls[0]
+            text = system.build_settings(vm)
+            system.start_program(vm)
+            await wait_for(system, vm, "start_delayed", step="settings")
+            # Ends in a value and between two fields, once as a file that can be parsed.
+            for end in ('["', "seeds =", "heartbeatMs"):
+                events = len(vm.read_events())
+                vm.settings_path.write_text(text.partition(end)[0])
+
+                async def is_reported(events=events):
+                    return len(vm.read_events()) > events
+
+                assert await system.wait_until(is_reported, LIMIT_S), end
+                assert vm.child.poll() is None
+            assert not await has_event(vm, "started")()
+            vm.settings_path.write_text(text)
+            await wait_for(system, vm, "start_resumed", step="settings")
+            await wait_for(system, vm, "started")
+
+        with run_system(tmp_path, entries=1, controls=1) as system:
+            asyncio.run(scenario(system))
+
+    def test_stop_during_the_wait(self, tmp_path):
+        async def scenario(system):
+            vm = system.entries[0]
+            system.start_program(vm)
+            await wait_for(system, vm, "start_delayed", step="settings")
+            vm.child.send_signal(signal.SIGTERM)
+            assert await wait_for_exit(system, vm) == 0
+
+        with run_system(tmp_path, entries=1, controls=0) as system:
+            asyncio.run(scenario(system))
+
+    def test_unset_path_ends_the_process(self, tmp_path):
+        with run_system(tmp_path, entries=1, controls=0) as system:
+            vm = system.entries[0]
+            system.start_program(vm, {"BRAMLEYROUTER_CONFIG": ""})
+            assert vm.child.wait(LIMIT_S) == EXIT_INVALID_SETTINGS
+            assert "BRAMLEYROUTER_CONFIG" in vm.log_path.read_text()
