Saw every change of the settings, and survived a missing file

A daemon on the platform kept old seeds when its settings file changed between their first read and the start of the watch, or twice within one tick of the file system's clock. A file that was missing at the moment when the watch started ended the start with a traceback, and a change whose application failed was never applied.

Cause: the watcher remembered the time of modification that it found after the settings had been read, called os.stat without protection, and counted a change as handled before it was.

platform/settings_watch.py compares the content, from the first moment on, with the settings with which the daemon was built. That covers more than time, size and inode, and costs one read of a small file a second. A failure is logged once for each reason and tried again; the settings before stay in force. The event restart_needed names changed fields that apply only at a start.

--- a/src/bramleyrouter/platform/control_daemon.py
+++ b/src/bramleyrouter/platform/control_daemon.py
@@ -17,7 +17,8 @@
     ControlCalls,
     listen_control,
 )
-from bramleyrouter.platform.programs import run_program, watch_settings
+from bramleyrouter.platform.programs import run_program
+from bramleyrouter.platform.settings_watch import watch_settings
 from bramleyrouter.telemetry.control_metrics import (
     ControlMetrics,
     build_observe_call,
@@ -76,7 +77,7 @@
         seeds[0] = new.seeds
 
     async def start() -> None:
-        watch_settings(log, tasks, launch.inbox, apply_settings)
+        watch_settings(log, tasks, launch.inbox, cfg, apply_settings)
         update_metrics = lambda: set_state_gauges(
             metrics,
             {
--- a/src/bramleyrouter/platform/entry_daemon.py
+++ b/src/bramleyrouter/platform/entry_daemon.py
@@ -20,9 +20,10 @@
     stop_listening,
 )
 from bramleyrouter.platform.listeners import listen_metrics, listen_ready
-from bramleyrouter.platform.programs import CLOSE_RESERVE_S, run_program, watch_settings
+from bramleyrouter.platform.programs import CLOSE_RESERVE_S, run_program
 from bramleyrouter.platform.route_documents import decode_route_table
 from bramleyrouter.platform.server_transport import build_server_transport
+from bramleyrouter.platform.settings_watch import watch_settings
 from bramleyrouter.telemetry.events import EventLog, record
 from bramleyrouter.telemetry.gateway_metrics import set_backed_off
 from bramleyrouter.telemetry.memory import (
@@ -106,7 +107,7 @@
     async def start() -> None:
         parts.board.watch(Section.READINESS, update_close_after_replies)
         apply_settings = lambda new: parts.watcher.set_seeds(new.seeds)
-        watch_settings(log, tasks, launch.inbox, apply_settings)
+        watch_settings(log, tasks, launch.inbox, cfg, apply_settings)
         open_metrics = lambda: listen_metrics(
             cfg.metrics_address, parts.metrics.registry, update_metrics
         )
--- a/src/bramleyrouter/platform/programs.py
+++ b/src/bramleyrouter/platform/programs.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import gc
-import os
 import sys
 from collections.abc import Callable
 from functools import partial
@@ -19,7 +18,6 @@
     run_daemon,
     run_until_stopped,
 )
-from bramleyrouter.daemons.signals import SIGHUP, SignalInbox, set_signal_callback
 from bramleyrouter.daemons.start_steps import (
     FailureError,
     StartFailedError,
@@ -32,13 +30,11 @@
 from bramleyrouter.telemetry.events import EventLog, record, start_event_writer
 from bramleyrouter.telemetry.logs import configure_logging
 from bramleyrouter.telemetry.loop_failures import record_loop_failures
-from bramleyrouter.utils.tasks import BackgroundTasks, run_periodically, spawn
 
 EXIT_INVALID_SETTINGS = 2
 EXIT_START_FAILED = 3
 # Reserved for closing before the platform kills the process.
 CLOSE_RESERVE_S = 0.4
-SETTINGS_POLL_INTERVAL_S = 1.0
 # Interval at which a daemon whose data folder can't be used tries to start again.
 START_RETRY_INTERVAL_S = 0.5
 
@@ -71,44 +67,6 @@
     return loaded
 
 
-def watch_settings(
-    log: EventLog,
-    tasks: BackgroundTasks,
-    inbox: SignalInbox,
-    on_change: Callable[[FleetSettings], None],
-) -> None:
-    """Reload the settings on SIGHUP and when the modification time changes.
-
-    They are reloaded at once if SIGHUP came before.
-
-    Settings that can't be read are logged and ignored.
-    """
-    path = get_settings_path()
-    last_mtime_ns = [os.stat(path).st_mtime_ns]
-
-    def reload() -> None:
-        loaded = read_settings(path)
-        if isinstance(loaded, Err):
-            record(log, "daemon", "reload_failed", reason=str(loaded.err_value))
-            return
-        record(log, "daemon", "reloaded", seeds=loaded.ok_value.seeds)
-        on_change(loaded.ok_value)
-
-    def reload_if_changed() -> None:
-        mtime_ns = os.stat(path).st_mtime_ns
-        if mtime_ns != last_mtime_ns[0]:
-            last_mtime_ns[0] = mtime_ns
-            reload()
-
-    set_signal_callback(inbox, SIGHUP, reload)
-    spawn(
-        tasks,
-        run_periodically(
-            SETTINGS_POLL_INTERVAL_S, reload_if_changed, SETTINGS_POLL_INTERVAL_S
-        ),
-    )
-
-
 async def build_once_disk_works(
     build: BuildDaemon, cfg: FleetSettings, log: EventLog
 ) -> Result[Daemon, Failure]:
--- a/src/bramleyrouter/platform/settings.py
+++ b/src/bramleyrouter/platform/settings.py
@@ -2,6 +2,7 @@
 
 import os
 import tomllib
+from functools import partial
 
 import msgspec
 from result import Err, Ok, Result
@@ -84,12 +85,24 @@
 
 def read_settings(path: str) -> Result[FleetSettings, Failure]:
     """Read the file; fail with ``SETTINGS_UNREADABLE`` or ``SETTINGS_INVALID``."""
+    return read_content(path).and_then(partial(decode_settings, path))
+
+
+def read_content(path: str) -> Result[bytes, Failure]:
+    """Return the content of the file; fail with ``SETTINGS_UNREADABLE``."""
     try:
         with open(path, "rb") as file:
-            fields = tomllib.load(file)
-    except (OSError, *DECODE_ERRORS) as exc:
-        text = f'"{path}" can\'t be read: {exc}.'
-        return Err(Failure(Code.SETTINGS_UNREADABLE, text))
+            return Ok(file.read())
+    except OSError as exc:
+        return Err(_build_unreadable(path, exc))
+
+
+def decode_settings(path: str, content: bytes) -> Result[FleetSettings, Failure]:
+    """Decode the content of the file ``path``; fail as ``read_settings`` does."""
+    try:
+        fields = tomllib.loads(content.decode())
+    except DECODE_ERRORS as exc:
+        return Err(_build_unreadable(path, exc))
     try:
         return Ok(_build_settings(msgspec.convert(fields, _SettingsFile, strict=False)))
     except (IndexError, *DECODE_ERRORS) as exc:
@@ -97,6 +110,10 @@
         return Err(Failure(Code.SETTINGS_INVALID, text))
 
 
+def _build_unreadable(path: str, exc: Exception) -> Failure:
+    return Failure(Code.SETTINGS_UNREADABLE, f'"{path}" can\'t be read: {exc}.')
+
+
 def _build_settings(file: _SettingsFile) -> FleetSettings:
     # All VMs use the same ports, so a seed's IP address gives its internal address.
     port = file.internal_ports[0]
--- a/tests/docs/test_operations.py
+++ b/tests/docs/test_operations.py
@@ -36,6 +36,7 @@
     "start_resumed",
     "reloaded",
     "reload_failed",
+    "restart_needed",
 )
 
 
--- a/tests/platform/test_starts_and_ends.py
+++ b/tests/platform/test_starts_and_ends.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from bramleyrouter.platform.programs import EXIT_INVALID_SETTINGS
+from bramleyrouter.platform.programs import EXIT_START_FAILED
 from tests.support.process_events import LIMIT_S, pick, read_names, wait_for_event
 
 
@@ -31,10 +31,15 @@
 
     def test_failed_start_is_told_by_its_last_line(self, deployment, role):
         vm = pick(deployment, role)
-        vm.settings_path.write_text('node = "without the other settings"\n')
+        text = deployment.build_settings(vm)
+        vm.settings_path.write_text(
+            text.replace(f'ip = "{vm.ip}"', 'ip = "no address"')
+        )
         deployment.start_program(vm)
-        assert vm.child.wait(LIMIT_S) == EXIT_INVALID_SETTINGS
-        ended = vm.read_events()[-1]
+        assert vm.child.wait(LIMIT_S) == EXIT_START_FAILED
+        *events, ended = vm.read_events()
+        failures = [item for item in events if item["event"] == "start_failed"]
+        assert failures and all("no address" in item["reason"] for item in failures)
         assert (ended["event"], ended["reason"]) == ("ended", "start_failed")
 
     def test_failed_import_is_told_by_its_last_line(self, deployment, role, tmp_path):
