Tried the start of bramley-entry and bramley-control again, too

bramley-entry and bramley-control ended with 1 and a traceback when another process held one of their addresses, and bramley-control with 3 when its data folder was still locked by its predecessor. A service manager that starts a daemon while the old one drains lost it this way.

Cause: the same as on the platform, each step was tried once. The control daemon also joined its log before its internal listener was open.

Both use the steps of daemons/start_steps.py now, and write start_delayed and start_resumed to their log. SIGTERM during the wait ends them with 0. Settings that are missing or not valid still end them at once with 2: an operator or a service manager starts them, and must see the findings. bramley-local is tried once as before and ends with 3, since its user sees the message and can choose another port; stand-ins of servers choose a free port themselves.

--- a/src/bramleyrouter/daemons/control_daemon.py
+++ b/src/bramleyrouter/daemons/control_daemon.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import sys
+from functools import partial
 
-from result import Err
+from absl import logging
 
 from bramleyrouter.conf.settings import Settings
 from bramleyrouter.daemons.arguments import (
@@ -13,7 +14,19 @@
     load_settings,
 )
 from bramleyrouter.daemons.launching import Launch
-from bramleyrouter.daemons.lifecycles import follow_signals, log_signal, run_daemon
+from bramleyrouter.daemons.lifecycles import (
+    follow_signals,
+    log_signal,
+    run_daemon,
+    run_until_stopped,
+)
+from bramleyrouter.daemons.start_steps import (
+    StartFailedError,
+    StartStep,
+    finish_step,
+    record_in_log,
+    unwrap,
+)
 from bramleyrouter.daemons.wiring import build_control_daemon
 from bramleyrouter.telemetry.logs import configure_logging
 
@@ -22,12 +35,19 @@
 
 async def _run(cfg: Settings, launch: Launch) -> int:
     lifecycle = follow_signals(launch.inbox, log_signal)
-    built = build_control_daemon(cfg)
-    if isinstance(built, Err):
-        print(built.err_value, file=sys.stderr)
+    finish = partial(finish_step, record_in_log)
+    building = finish(
+        StartStep.BUILD, lambda: unwrap(build_control_daemon(cfg, finish))
+    )
+    try:
+        daemon = await run_until_stopped(lifecycle, building)
+        if daemon is None:
+            logging.info("daemon: stopped while it started.")
+            return 0
+        await run_daemon(daemon, cfg.balancer_wait_s, cfg.stop_timeout_s, lifecycle)
+    except StartFailedError as exc:
+        print(exc, file=sys.stderr)
         return EXIT_START_FAILED
-    daemon = built.ok_value
-    await run_daemon(daemon, cfg.balancer_wait_s, cfg.stop_timeout_s, lifecycle)
     return 0
 
 
--- a/src/bramleyrouter/daemons/start_steps.py
+++ b/src/bramleyrouter/daemons/start_steps.py
@@ -9,9 +9,9 @@
 import asyncio
 import errno
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from enum import StrEnum
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from absl import logging
 from result import Err, Result
@@ -21,6 +21,8 @@
 from bramleyrouter.telemetry.events import RecordEvent
 
 T = TypeVar("T")
+# Carries out a step of a start and returns its result: ``run_step(step, action)``.
+RunStep = Callable[[str, Callable[[], Any]], Awaitable[Any]]
 
 RETRY_INTERVAL_S = 0.5
 # Time between two events about a step that fails with the same reason.
@@ -148,6 +150,11 @@
     return finished
 
 
+async def run_once(step: str, action: Callable[[], T]) -> T:
+    """Call ``action`` once; for programs whose user waits and sees the failure."""
+    return action()
+
+
 def record_in_log(part: str, event: str, **fields) -> None:
     """Write the event as a line of the program's log, for daemons without events."""
     values = " ".join(f"{name}={value}" for name, value in fields.items())
--- a/src/bramleyrouter/daemons/wiring.py
+++ b/src/bramleyrouter/daemons/wiring.py
@@ -22,6 +22,7 @@
 from bramleyrouter.control.state_machine import build_control_state_machine
 from bramleyrouter.daemons.lifecycles import Daemon
 from bramleyrouter.daemons.operations import build_daemon_operator_endpoints
+from bramleyrouter.daemons.start_steps import RunStep, StartStep, run_once
 from bramleyrouter.dissemination.build import build_dissemination
 from bramleyrouter.edges.callers.handlers import build_caller_endpoints
 from bramleyrouter.edges.listeners import listen_http
@@ -66,8 +67,11 @@
     )
 
 
-def build_entry_daemon(cfg: Settings) -> Daemon:
-    """Wire an entry daemon; needs a running event loop."""
+def build_entry_daemon(cfg: Settings, run_step: RunStep = run_once) -> Daemon:
+    """Wire an entry daemon; needs a running event loop.
+
+    ``run_step`` opens its listeners.
+    """
     loop = asyncio.get_running_loop()
     clock, rng = loop.time, random.Random()
     board = Board(build_identity(cfg))
@@ -107,10 +111,11 @@
     stop_http: list[Callable] = []
 
     async def start() -> None:
-        listen()
-        stop_http.append(
-            listen_http(cfg.http_address, endpoints, build_server_endpoints(homes))
+        await run_step(StartStep.INTERNAL_LISTENER, listen)
+        open_http = lambda: listen_http(
+            cfg.http_address, endpoints, build_server_endpoints(homes)
         )
+        stop_http.append(await run_step(StartStep.HTTP_LISTENER, open_http))
         membership.start()
         dissemination.start()
         board.readiness.reasons.discard("starting")
@@ -131,11 +136,14 @@
     return Daemon(board, start, drain, close)
 
 
-def build_control_daemon(cfg: Settings) -> Result[Daemon, Failure]:
+def build_control_daemon(
+    cfg: Settings, run_step: RunStep = run_once
+) -> Result[Daemon, Failure]:
     """Wire a control daemon; needs a running event loop.
 
-    Fails with ``DISK_FAILED`` if the data folder can't be opened, or with the
-    codes of the log's recovery.
+    ``run_step`` opens its HTTP listener. Fails with ``DISK_FAILED`` if the data folder
+    can't be opened, or with the codes of the log's recovery. Raises ``OSError`` if the
+    internal address can't be used. Nothing stays open in both cases.
     """
     loop = asyncio.get_running_loop()
     clock, rng = loop.time, random.Random()
@@ -145,27 +153,32 @@
         board.identity, cfg.cluster_key.encode(), memory
     )
     state_machine = build_control_state_machine()
+    # A member of the log that the others can't reach must not vote or lead, so the
+    # listener comes first. Peers are served once this function has returned.
+    stop_listening = listen()
     try:
         folder = open_folder(Path(cfg.data_folder))
     except OSError as exc:
+        stop_listening()
         text = f'The data folder "{cfg.data_folder}" can\'t be opened: {exc}.'
         return Err(Failure(Code.DISK_FAILED, text))
     opened = build_replicated_log(
         board.identity, cfg.members, network, rng, state_machine.for_log, folder
     )
     if isinstance(opened, Err):
+        stop_listening()
         return opened
     replicated_log = opened.ok_value
     control = start_control_service(network, replicated_log, state_machine, clock)
     return opened.map(
         lambda _: _assemble_control_daemon(
-            cfg, board, network, listen, control, replicated_log, rng
+            cfg, board, network, run_step, control, replicated_log, rng
         )
     )
 
 
 def _assemble_control_daemon(
-    cfg, board, network, listen, control, replicated_log, rng
+    cfg, board, network, run_step, control, replicated_log, rng
 ) -> Daemon:
     clock = asyncio.get_running_loop().time
     source: ConfigSource = control.source
@@ -188,8 +201,8 @@
     stop_http: list[Callable] = []
 
     async def start() -> None:
-        listen()
-        stop_http.append(listen_http(cfg.http_address, endpoints))
+        open_http = lambda: listen_http(cfg.http_address, endpoints)
+        stop_http.append(await run_step(StartStep.HTTP_LISTENER, open_http))
         membership.start()
         dissemination.start()
         board.readiness.reasons.discard("starting")
