Ended a stream whose connection failed unexpectedly

When no thread could be started for a moment, or a connection failed with any other unexpected exception, a call between daemons raised it and a stream was never ended. Its subscriber waited for the end, so it never opened the stream again: an entry daemon would have stayed without the updates of that control daemon until its restart.

Cause: the client resolved even IP addresses in a thread, and only errors of sockets were turned into a failure of the connection.

Peers have IP addresses only, so they are resolved without a thread now. Any other exception is logged with its traceback and ends calls and streams with PEER_UNREACHABLE, after which they are tried again as after any failure.

--- a/src/bramleyrouter/wire/tcp.py
+++ b/src/bramleyrouter/wire/tcp.py
@@ -1,12 +1,14 @@
 """Network over TCP: one authenticated connection per peer and direction."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from absl import logging
 from result import Err, Ok, Result
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
+from tornado.netutil import Resolver
 from tornado.tcpclient import TCPClient
 from tornado.tcpserver import TCPServer
 
@@ -191,11 +193,19 @@
     return True
 
 
+class _AddressResolver(Resolver):
+    """Resolve IP addresses, the only hosts of peers, without a thread."""
+
+    async def resolve(self, host, port, family=socket.AF_UNSPEC):
+        """Return the one address of ``host``."""
+        return [(socket.AF_INET6 if ":" in host else socket.AF_INET, (host, port))]
+
+
 async def _connect(state: TcpState, address: str) -> Result[Link, Failure]:
-    stream = None
+    stream: IOStream | None = None
     try:
         host, port = split_address(address)
-        connecting = TCPClient().connect(
+        connecting = TCPClient(_AddressResolver()).connect(
             host,
             port,
             max_buffer_size=MAX_FRAME_BYTES + READ_CHUNK_BYTES,
@@ -213,11 +223,13 @@
         handshake = authenticate_to_acceptor(stream, state.key, hello)
         authenticated = await asyncio.wait_for(handshake, HANDSHAKE_TIMEOUT_S)
     except (OSError, ValueError, StreamClosedError, TimeoutError) as exc:
-        if stream is not None:
-            # The kernel accepts connections for a peer that is paused.
-            stream.close()
-        text = f'No connection to "{address}": {exc or type(exc).__name__}.'
-        return Err(Failure(Code.PEER_UNREACHABLE, text))
+        _close_if_open(stream)
+        return Err(_build_unreachable(address, exc))
+    except Exception as exc:
+        # A stream whose end isn't reported would never be opened again.
+        logging.exception("wire: the connection to %s failed.", address)
+        _close_if_open(stream)
+        return Err(_build_unreachable(address, exc))
     if isinstance(authenticated, Err):
         stream.close()
         return authenticated
@@ -235,6 +247,17 @@
     return Ok(link)
 
 
+def _close_if_open(stream: IOStream | None) -> None:
+    # The kernel accepts connections for a peer that is paused.
+    if stream is not None:
+        stream.close()
+
+
+def _build_unreachable(address: str, exc: Exception) -> Failure:
+    text = f'No connection to "{address}": {str(exc) or type(exc).__name__}.'
+    return Failure(Code.PEER_UNREACHABLE, text)
+
+
 def _build_closed_failure(address: str) -> Err[Failure]:
     text = f'No connection to "{address}": this daemon stops.'
     return Err(Failure(Code.PEER_UNREACHABLE, text))
--- a/tests/wire/test_networks.py
+++ b/tests/wire/test_networks.py
@@ -294,3 +294,47 @@
             return await fut
 
         assert run_virtual(scenario()).err_value.code is code
+
+
+def refuse_threads(*args, **kwargs):
+    raise RuntimeError("can't start new thread")
+
+
+class TestUnexpectedErrors:
+    """Guard against a stream that is never opened again, as its end isn't reported."""
+
+    def connect(self, monkeypatch, target, name):
+        """Make a call and a stream; return both results."""
+
+        async def scenario():
+            identity = make_identity("two", port=reserve_ports(1)[0])
+            first, _ = build_tcp_network(make_identity("one"), KEY)
+            second, listen = build_tcp_network(identity, KEY)
+            second.serve(MessageKind.CLAIM, echo)
+            second.serve_stream(MessageKind.SHARD_BATCH, send_numbers)
+            listen()
+            address = identity.internal_address
+            ended = asyncio.get_running_loop().create_future()
+            monkeypatch.setattr(target, name, refuse_threads)
+            first.stream(
+                address, MessageKind.SHARD_BATCH, b"3", lambda _: None, ended.set_result
+            )
+            end = await asyncio.wait_for(ended, 5.0)
+            reply = await first.call(address, MessageKind.CLAIM, b"x", 2.0)
+            await first.close()
+            await second.close()
+            return end, reply
+
+        return asyncio.run(scenario())
+
+    def test_connections_need_no_thread(self, monkeypatch):
+        loop_type = asyncio.SelectorEventLoop
+        end, reply = self.connect(monkeypatch, loop_type, "run_in_executor")
+        assert end.err_value.code is Code.OVERLOADED
+        assert reply == Ok(b"one:x")
+
+    def test_error_of_the_client_ends_calls_and_streams(self, monkeypatch):
+        end, reply = self.connect(monkeypatch, TCPClient, "connect")
+        for outcome in (end, reply):
+            assert outcome.err_value.code is Code.PEER_UNREACHABLE
+            assert "can't start new thread" in outcome.err_value.text
