Started the disk thread with the data folder

When no thread could be started for a moment, a control daemon started without the thread of its log. The first write raised an exception that nothing expects there, and the executor kept the job and would have run it with a later one: a write that was reported as failed would have been made after others.

Cause: the executor starts its thread only with the first job.

open_folder now runs an empty job, so the thread stands before the log does. If it can't be started, the folder is released and OSError is raised, which counts as a data folder that can't be used yet: the start is tried again.

Evidence: both tests of tests/consensus/test_files.py failed on the code before, one since the folder was opened without a thread, one since the write raised; they pass now. No such exhaustion of threads was played with real processes.

--- a/src/bramleyrouter/consensus/files.py
+++ b/src/bramleyrouter/consensus/files.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import errno
 import fcntl
 import os
 from collections.abc import Awaitable, Callable
@@ -59,13 +60,22 @@
 def open_folder(folder: Path) -> FileSystem:
     """Create ``folder`` if it is missing, lock it and return its file system.
 
-    Raises ``OSError`` when it can't be created or another process uses it.
+    Raises ``OSError`` when it can't be created, another process uses it or no thread
+    can be started.
     """
     lock = _lock(folder)
     handles: dict[str, int] = {}
     # A thread, because a sync must not block the event loop; only one, so that
     # the jobs run in order.
     executor = ThreadPoolExecutor(1, thread_name_prefix="consensus-disk")
+    try:
+        # Starts the thread now, as a job for which none can be started would be kept
+        # and run with a later one.
+        executor.submit(lambda: None).result()
+    except RuntimeError as exc:
+        executor.shutdown(wait=False)
+        os.close(lock)
+        raise OSError(errno.EAGAIN, str(exc)) from exc
 
     def get_handle(name):
         if name not in handles:
