Kept the event log going after an error

A daemon whose output is a file on a full disk lost all waiting lines without counting them, and its next line could follow the rest of a torn one. An event with a name of the operating system that is no UTF-8, such as the path of the settings file, raised in the code that recorded it, and an unexpected error in one write ended all later writing: the log said nothing more about the process.

Cause: every OSError of a write was taken for a closed pipe, encoding errors were not expected, and the timer was set again only after a write without an error.

Only a closed pipe discards lines now. After other errors the bytes stay, within the bounds of the queue, and are written later. Characters that can't be encoded are replaced, and the timer is set before the write.

Evidence: the three tests of TestWriteErrors failed on the code before and pass now. They were found by reading the code, not in a run of the daemons.

--- a/src/bramleyrouter/telemetry/events.py
+++ b/src/bramleyrouter/telemetry/events.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import json
 import os
 import time
 from collections import deque
@@ -51,7 +52,13 @@
         "event": event,
         **fields,
     }
-    log.pending_lines.append(msgspec.json.encode(line))
+    try:
+        encoded = msgspec.json.encode(line)
+    except UnicodeEncodeError:
+        # Names that the operating system gives can hold bytes that are no UTF-8.
+        text = json.dumps(line, ensure_ascii=False, default=str)
+        encoded = text.encode(errors="replace")
+    log.pending_lines.append(encoded)
 
 
 def record_rate_limited(log: EventLog, part: str, event: str, **fields) -> None:
@@ -83,10 +90,13 @@
         written = os.write(log.descriptor, log.unwritten_bytes)
     except BlockingIOError:
         return
-    except OSError:
+    except BrokenPipeError:
         # The reader closed the pipe; the daemon continues without its event log.
         log.unwritten_bytes = b""
         return
+    except OSError:
+        # A disk that is full, for example: the bytes are written when it has space.
+        return
     log.unwritten_bytes = log.unwritten_bytes[written:]
 
 
@@ -100,8 +110,9 @@
     timer: list[asyncio.TimerHandle] = []
 
     def tick() -> None:
-        flush(log)
+        # Set first, so that an unexpected error does not end the writing.
         timer[:] = [loop.call_later(FLUSH_INTERVAL_S, tick)]
+        flush(log)
 
     def stop() -> None:
         timer[0].cancel()
--- a/tests/telemetry/test_events.py
+++ b/tests/telemetry/test_events.py
@@ -1,17 +1,22 @@
 """Tests of the structured event log."""
 
+import asyncio
+import errno
 import os
 
 import msgspec
 
 from bramleyrouter.telemetry.events import (
+    FLUSH_INTERVAL_S,
     MAX_PENDING_LINES,
     MAX_RATE_LIMITED_PER_INTERVAL,
     EventLog,
     flush,
     record,
     record_rate_limited,
+    start_event_writer,
 )
+from tests.support.virtual_time import run_virtual
 
 
 def build_log():
@@ -95,3 +100,51 @@
 
 # Twice a full queue; each line of the test is shorter than 250 bytes.
 MAX_UNWRITTEN_BYTES = 2 * MAX_PENDING_LINES * 250
+
+
+class TestWriteErrors:
+    """Guard against lines that are lost, or a writer that ends, with one error."""
+
+    def test_full_disk_keeps_the_lines(self, monkeypatch):
+        log, reader = build_log()
+        record(log, "daemon", "started")
+        with monkeypatch.context() as patch:
+
+            def refuse(descriptor, data):
+                raise OSError(errno.ENOSPC, "No space left on device")
+
+            patch.setattr(os, "write", refuse)
+            for _ in range(3):
+                flush(log)
+        flush(log)
+        assert [line["event"] for line in read_lines(reader)] == ["started"]
+
+    def test_text_that_is_no_unicode_is_written(self):
+        # The names of files and variables of the system can hold such characters.
+        log, reader = build_log()
+        record(log, "daemon", "start_delayed", reason='"/etc/\udc80.toml" is missing')
+        record(log, "daemon", "reloaded", seeds=("\udc80",))
+        flush(log)
+        lines = read_lines(reader)
+        assert [line["event"] for line in lines] == ["start_delayed", "reloaded"]
+        assert "is missing" in lines[0]["reason"]
+
+    def test_writer_goes_on_after_an_unexpected_error(self, monkeypatch):
+        async def scenario():
+            log, reader = build_log()
+            asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+            stop = start_event_writer(log)
+            with monkeypatch.context() as patch:
+
+                def fail(descriptor, data):
+                    raise ValueError("odd")
+
+                patch.setattr(os, "write", fail)
+                record(log, "daemon", "started")
+                await asyncio.sleep(2 * FLUSH_INTERVAL_S)
+            await asyncio.sleep(2 * FLUSH_INTERVAL_S)
+            written = read_lines(reader)
+            stop()
+            return [line["event"] for line in written]
+
+        assert run_virtual(scenario()) == ["started"]
