Ended a request at once if no socket is left for its connection

While an entry daemon was at its limit of open files, a request to a backend server for which a new connection was needed waited for its whole time limit, and blocked a place of the pool, although another server might have had an idle connection.

Cause: the socket was made before the part of the code that turns errors of a connection into the end of the exchange, so the error only ended a task.

Making the socket is now part of it: the exchange ends at once as unreached, which may be tried elsewhere, and its place in the pool is free again.

--- a/src/bramleyrouter/edges/servers/forwarding.py
+++ b/src/bramleyrouter/edges/servers/forwarding.py
@@ -433,18 +433,21 @@
 
 async def _connect(pool: Pool, connection: Connection) -> None:
     loop = pool.loop
-    sock = socket.socket(socket.AF_INET6 if ":" in pool.host else socket.AF_INET)
-    sock.setblocking(False)
+    sock: socket.socket | None = None
     try:
+        sock = socket.socket(socket.AF_INET6 if ":" in pool.host else socket.AF_INET)
+        sock.setblocking(False)
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             await loop.sock_connect(sock, (pool.host, pool.port))
         connection.sock, connection.opening = sock, None
         await loop.create_connection(lambda: connection, sock=sock)
     except asyncio.CancelledError:
-        sock.close()
+        if sock is not None:
+            sock.close()
         raise
     except (OSError, TimeoutError) as exc:
-        sock.close()
+        if sock is not None:
+            sock.close()
         connection.opening = None
         connection.close()
         exchange, connection.exchange = connection.exchange, None
