Named the address that can't be parsed, and tested lasting failures

A start that failed on an address of the settings ended with the reason "'' does not appear to be an IPv4 or IPv6 address": the value was missing.

Cause: the error came from the parser of the part before the last colon, which is empty for a text without one.

split_address now quotes the address, at most 60 characters of it, as peers and servers send addresses too.

Evidence: the two cases with an address failed on the code before for the missing value, the one with a damaged log passed; all pass now.

--- a/src/bramleyrouter/utils/addresses.py
+++ b/src/bramleyrouter/utils/addresses.py
@@ -4,6 +4,7 @@
 import re
 
 MAX_PORT = 65535
+MAX_QUOTED_CHARACTERS = 60
 # ``int`` alone also accepts signs, underscores and the digits of other scripts.
 _PORT = re.compile(r"[0-9]{1,5}")
 
@@ -15,7 +16,11 @@
     no IP address or the port is invalid.
     """
     host, _, port = address.rpartition(":")
-    ipaddress.ip_address(host.strip("[]"))
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError as exc:
+        text = f'"{address[:MAX_QUOTED_CHARACTERS]}" is not of the form "ip:port".'
+        raise ValueError(text) from exc
     if not _PORT.fullmatch(port) or int(port) > MAX_PORT:
         raise ValueError(f'Port "{port[:20]}" is not between 0 and {MAX_PORT}.')
     return host.strip("[]"), int(port)
--- a/tests/platform/test_starts.py
+++ b/tests/platform/test_starts.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from bramleyrouter.platform.programs import EXIT_INVALID_SETTINGS
+from bramleyrouter.platform.programs import EXIT_INVALID_SETTINGS, EXIT_START_FAILED
 from tests.support.platform_processes import (
     CALLER_PORT,
     CONTROL_PORT,
@@ -245,3 +245,47 @@
             system.start_program(vm, {"BRAMLEYROUTER_CONFIG": ""})
             assert vm.child.wait(LIMIT_S) == EXIT_INVALID_SETTINGS
             assert "BRAMLEYROUTER_CONFIG" in vm.log_path.read_text()
+
+
+class TestLastingFailure:
+    """Guard against a process that tries again, or says nothing, if it can't start."""
+
+    async def check_end(self, system, vm, step, reason):
+        assert await wait_for_exit(system, vm) == EXIT_START_FAILED
+        events = [event for event in vm.read_events() if event["part"] == "daemon"]
+        assert [event["event"] for event in events] == ["start_failed"]
+        assert events[0]["step"] == step and reason in events[0]["reason"]
+
+    def test_damaged_log(self, tmp_path):
+        async def scenario(system):
+            vm = system.controls[0]
+            system.start(vm)
+            assert await system.publish(LIMIT_S) is not None
+            vm.child.kill()
+            vm.child.wait()
+            vm.log_path.unlink()
+            for path in (system.folder / vm.name).iterdir():
+                path.write_bytes(b"\x00damaged" * 100)
+            system.start(vm)
+            await self.check_end(system, vm, "build", "[602]")
+
+        with run_system(tmp_path, entries=0, controls=1) as system:
+            asyncio.run(scenario(system))
+
+    @pytest.mark.parametrize(
+        "role, step", [("entry", "caller listener"), ("control", "control listener")]
+    )
+    def test_address_that_can_not_be_parsed(self, tmp_path, role, step):
+        async def scenario(system):
+            vm = system.entries[0] if role == "entry" else system.controls[0]
+            text = system.build_settings(vm)
+            port = CALLER_PORT if role == "entry" else CONTROL_PORT
+            name = "front" if role == "entry" else "control"
+            address = f'{name} = "{vm.ip}:{port}"'
+            assert address in text
+            vm.settings_path.write_text(text.replace(address, f'{name} = "nowhere"'))
+            system.start_program(vm)
+            await self.check_end(system, vm, step, "nowhere")
+
+        with run_system(tmp_path, entries=1, controls=1) as system:
+            asyncio.run(scenario(system))
