Bounded the bodies and replies of the calls to control daemons

A control daemon could be killed for its memory by clients that stop in the middle of a body, which may have 4 MiB, or that don't read their reply: each call was bounded, and nothing bounded all of them. Losing control daemons this way takes the log's majority with it.

The listener now collects the bodies itself and counts them in the budget of the process until they are complete; replies that a client has not read count as well. When the budget is exceeded, the largest ends: an incomplete call is refused with 503 and never carried out, and a client that doesn't read is disconnected.

TestStalledRequests needs the new argument and has no run on the old code.

It works because a body counts from its first chunk, and a call that was given up is marked before its remaining bytes are read.

--- a/src/bramleyrouter/platform/control_daemon.py
+++ b/src/bramleyrouter/platform/control_daemon.py
@@ -91,7 +91,9 @@
             cfg.metrics_address, metrics.registry, update_metrics
         )
         spawn(tasks, finish(StartStep.METRICS_LISTENER, open_metrics))
-        open_control = lambda: listen_control(cfg.control_address, calls, stalls)
+        open_control = lambda: listen_control(
+            cfg.control_address, calls, stalls, memory
+        )
         servers.append(await finish(StartStep.CONTROL_LISTENER, open_control))
         parts.board.readiness.reasons.discard("starting")
         observe = lambda: observe_run(stalls, read_boot_clock())
--- a/src/bramleyrouter/platform/listeners.py
+++ b/src/bramleyrouter/platform/listeners.py
@@ -1,5 +1,6 @@
 """Serve readiness and metrics by HTTP and write replies."""
 
+import asyncio
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import NamedTuple
@@ -7,9 +8,17 @@
 from aioprometheus import Registry
 from aioprometheus.renderer import render
 from tornado.httpserver import HTTPServer
-from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.httputil import (
+    HTTPConnection,
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    HTTPServerConnectionDelegate,
+    HTTPServerRequest,
+    ResponseStartLine,
+)
 
 from bramleyrouter.platform import names
+from bramleyrouter.utils.byte_budgets import ByteBudget, Holding, hold, release_all
 from bramleyrouter.utils.listening import listen_on
 
 # Probes and scrapes have no body.
@@ -25,11 +34,20 @@
 
 
 def write_reply(
-    req: HTTPServerRequest, reply: PlatformReply, content_type: str = JSON_TYPE
+    req: HTTPServerRequest,
+    reply: PlatformReply,
+    content_type: str = JSON_TYPE,
+    memory: ByteBudget | None = None,
 ) -> None:
-    """Write a reply, or discard it if the client has disconnected."""
+    """Write a reply, or discard it if the client has disconnected.
+
+    A reply that the client has not read counts in ``memory``, if that is given.
+    """
     conn = req.connection
-    if conn is None or conn.stream.closed():  # type: ignore[attr-defined]
+    if conn is None:
+        return
+    stream = conn.stream  # type: ignore[attr-defined]
+    if stream.closed():
         return
     headers = HTTPHeaders({"Content-Type": content_type})
     headers["Content-Length"] = str(len(reply.body))
@@ -39,6 +57,74 @@
     # Retrieving the exception prevents a log entry if the client disconnected.
     written.add_done_callback(lambda fut: fut.exception())
     conn.finish()
+    if memory is not None and not written.done():
+        holding = Holding(memory, "client", req.remote_ip or "", stream.close)
+        hold(holding, len(reply.body))
+        written.add_done_callback(lambda _: release_all(holding))
+
+
+class _CountedRequest(HTTPMessageDelegate):
+    """Collect one request, and count its body until it is complete."""
+
+    def __init__(
+        self,
+        conn: HTTPConnection,
+        on_request: Callable[[HTTPServerRequest], None],
+        memory: ByteBudget,
+    ):
+        self._conn = conn
+        self._on_request = on_request
+        self._chunks: list[bytes] = []
+        self._request: HTTPServerRequest | None = None
+        self._is_given_up = False
+        self._holding = Holding(memory, "client", "", self._give_up)
+
+    def headers_received(self, start_line, headers):
+        """Store the head of the request."""
+        self._request = HTTPServerRequest(
+            connection=self._conn, start_line=start_line, headers=headers
+        )
+        self._holding.name = self._request.remote_ip or ""
+
+    def data_received(self, chunk):
+        """Store one chunk of the body."""
+        if not self._is_given_up and hold(self._holding, len(chunk)):
+            self._chunks.append(chunk)
+
+    def _give_up(self) -> None:
+        """Refuse the request in the next loop iteration; nothing was done for it."""
+        self._chunks, self._is_given_up = [], True
+        assert self._request is not None
+        busy = PlatformReply(HTTPStatus.SERVICE_UNAVAILABLE)
+        asyncio.get_running_loop().call_soon(write_reply, self._request, busy)
+
+    def finish(self):
+        """Pass the complete request on."""
+        if self._is_given_up:
+            return
+        assert self._request is not None
+        self._request.body, self._chunks = b"".join(self._chunks), []
+        release_all(self._holding)
+        self._on_request(self._request)
+
+    def on_connection_close(self):
+        """Drop the body of a request that will not be complete."""
+        self._chunks = []
+        release_all(self._holding)
+
+
+class CountedRequests(HTTPServerConnectionDelegate):
+    """Collect requests whose bodies count in ``memory`` until they are complete."""
+
+    def __init__(
+        self, on_request: Callable[[HTTPServerRequest], None], memory: ByteBudget
+    ):
+        self._on_request = on_request
+        self._memory = memory
+
+    def start_request(self, server_conn, request_conn):
+        """Return the delegate of the next request."""
+        return _CountedRequest(request_conn, self._on_request, self._memory)
 
 
 def listen_metrics(
--- a/src/bramleyrouter/platform/operators.py
+++ b/src/bramleyrouter/platform/operators.py
@@ -29,10 +29,15 @@
 )
 from bramleyrouter.platform import names
 from bramleyrouter.platform.announcements import decode_heartbeat, decode_withdrawal
-from bramleyrouter.platform.listeners import PlatformReply, write_reply
+from bramleyrouter.platform.listeners import (
+    CountedRequests,
+    PlatformReply,
+    write_reply,
+)
 from bramleyrouter.platform.route_documents import decode_route_table
 from bramleyrouter.telemetry.control_metrics import ObserveCall
 from bramleyrouter.telemetry.events import RecordEvent
+from bramleyrouter.utils.byte_budgets import ByteBudget
 from bramleyrouter.utils.listening import listen_on
 from bramleyrouter.utils.sockets import peek
 from bramleyrouter.utils.stalls import Stalls, is_after_stall, read_boot_clock
@@ -296,9 +301,16 @@
     return peek(conn.stream.socket) != b""  # type: ignore[attr-defined]
 
 
-def listen_control(address: str, calls: ControlCalls, stalls: Stalls) -> HTTPServer:
-    """Serve the calls on "ip:port"; raise ``OSError`` if the address is in use."""
+def listen_control(
+    address: str, calls: ControlCalls, stalls: Stalls, memory: ByteBudget | None = None
+) -> HTTPServer:
+    """Serve the calls on "ip:port"; raise ``OSError`` if the address is in use.
+
+    ``memory`` bounds the bodies that are not complete and the replies that are not
+    read; without it, they have a budget of their own.
+    """
     tasks: set[asyncio.Task] = set()
+    budget = memory or ByteBudget()
 
     async def serve(req: HTTPServerRequest) -> None:
         def is_awaited() -> bool:
@@ -307,7 +319,7 @@
         reply = await handle_call(
             calls, req.method or "", req.path, req.body, is_awaited
         )
-        write_reply(req, reply)
+        write_reply(req, reply, memory=budget)
 
     def on_request(req: HTTPServerRequest) -> None:
         task = asyncio.get_running_loop().create_task(serve(req))
@@ -315,7 +327,9 @@
         task.add_done_callback(tasks.discard)
 
     server = HTTPServer(
-        on_request, idle_connection_timeout=60.0, max_body_size=MAX_MANIFEST_BYTES
+        CountedRequests(on_request, budget),
+        idle_connection_timeout=60.0,
+        max_body_size=MAX_MANIFEST_BYTES,
     )
     listen_on(server, address, backlog=1024)
     return server
--- a/tests/platform/test_listeners.py
+++ b/tests/platform/test_listeners.py
@@ -8,6 +8,7 @@
 
 from bramleyrouter.platform.listeners import listen_metrics, listen_ready
 from bramleyrouter.platform.operators import listen_control
+from bramleyrouter.utils.byte_budgets import ByteBudget
 from bramleyrouter.utils.ports import reserve_address
 from bramleyrouter.utils.stalls import Stalls, read_boot_clock
 from tests.platform.test_operators import Control
@@ -93,3 +94,53 @@
 
     def test_call_that_waited_while_the_process_stalled_is_not(self):
         assert self.serve(Stalls(read_boot_clock() - 5.0), False) == []
+
+
+class TestStalledRequests:
+    """Guard against bodies that are never complete and fill the memory (FAULT)."""
+
+    HEAD = b"PUT /v1/config HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n"
+
+    def test_their_bodies_are_bounded_together_and_other_calls_are_served(self):
+        async def scenario():
+            memory = ByteBudget(2_000_000)
+            control, address = Control(), reserve_address()
+            server = listen_control(
+                address, control.build_calls(), build_stalls(), memory
+            )
+            host, port = address.split(":")
+            stalled = []
+            for _ in range(8):
+                stalled.append(await asyncio.open_connection(host, int(port)))
+                stalled[-1][1].write(self.HEAD + b"x" * 900_000)
+            while memory.ended_count < 6:
+                await asyncio.sleep(0.005)
+            assert 900_000 <= memory.held_bytes <= 2_000_000
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"DELETE /v1/evacuate/se-a HTTP/1.1\r\nHost: h\r\n\r\n")
+            status = (await reader.readline()).split()[1]
+            for _, other in [*stalled, (reader, writer)]:
+                other.close()
+            while memory.held_bytes:
+                await asyncio.sleep(0.005)
+            server.stop()
+            return status, len(control.operations)
+
+        assert asyncio.run(asyncio.wait_for(scenario(), 10.0)) == (b"200", 1)
+
+    @pytest.mark.parametrize("size", [900_000, 1_000_000])
+    def test_a_call_that_was_given_up_is_refused_and_not_carried_out(self, size):
+        async def scenario():
+            control, address = Control(), reserve_address()
+            server = listen_control(
+                address, control.build_calls(), build_stalls(), ByteBudget(500_000)
+            )
+            host, port = address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(self.HEAD + b"x" * size)
+            status = (await reader.readline()).split()[1]
+            writer.close()
+            server.stop()
+            return status, control.operations
+
+        assert asyncio.run(asyncio.wait_for(scenario(), 10.0)) == (b"503", [])
