Bounded what the product's own listeners hold for their clients

A daemon of the product could be killed for its memory by clients that stop in the middle of a body or don't read their reply, as its HTTP listeners bounded each request, and nothing bounded all of them; the requests of its other callers ended with it.

EndpointHandler now counts the body of a request, and then the reply that its client has not read, in the budget of the process. When that is exceeded, the largest ends: a request that was not handed on is refused as not run, one that runs is cancelled and its outcome is unknown, and a client that doesn't read is disconnected.

It works because bytes count from the first chunk until the reply is written or the connection has closed.

--- a/src/bramleyrouter/daemons/wiring.py
+++ b/src/bramleyrouter/daemons/wiring.py
@@ -113,7 +113,10 @@
     async def start() -> None:
         await run_step(StartStep.INTERNAL_LISTENER, listen)
         open_http = lambda: listen_http(
-            cfg.http_address, endpoints, build_server_endpoints(homes)
+            cfg.http_address,
+            endpoints,
+            build_server_endpoints(homes),
+            memory=memory,
         )
         stop_http.append(await run_step(StartStep.HTTP_LISTENER, open_http))
         membership.start()
@@ -172,13 +175,13 @@
     control = start_control_service(network, replicated_log, state_machine, clock)
     return opened.map(
         lambda _: _assemble_control_daemon(
-            cfg, board, network, run_step, control, replicated_log, rng
+            cfg, board, network, run_step, control, replicated_log, rng, memory
         )
     )
 
 
 def _assemble_control_daemon(
-    cfg, board, network, run_step, control, replicated_log, rng
+    cfg, board, network, run_step, control, replicated_log, rng, memory
 ) -> Daemon:
     clock = asyncio.get_running_loop().time
     source: ConfigSource = control.source
@@ -201,7 +204,7 @@
     stop_http: list[Callable] = []
 
     async def start() -> None:
-        open_http = lambda: listen_http(cfg.http_address, endpoints)
+        open_http = lambda: listen_http(cfg.http_address, endpoints, memory=memory)
         stop_http.append(await run_step(StartStep.HTTP_LISTENER, open_http))
         membership.start()
         dissemination.start()
--- a/src/bramleyrouter/edges/http.py
+++ b/src/bramleyrouter/edges/http.py
@@ -12,6 +12,7 @@
 
 from bramleyrouter.codes import Code
 from bramleyrouter.failures import Failure
+from bramleyrouter.utils.byte_budgets import ByteBudget, Holding, hold, release_all
 
 JSON_TYPE = "application/json"
 
@@ -59,8 +60,12 @@
 
 @dataclass
 class RunningRequests:
-    """Hold the requests of a listener whose replies are not yet written completely."""
+    """Hold the requests of a listener whose replies are not yet written completely.
 
+    ``memory`` bounds the bytes of their bodies and replies.
+    """
+
+    memory: ByteBudget = field(default_factory=ByteBudget)
     handlers: set["EndpointHandler"] = field(default_factory=set)
     is_stopping: bool = False
 
@@ -138,6 +143,11 @@
         self._chunks: list[bytes] = []
         self._size = 0
         self._task: asyncio.Task | None = None
+        self._is_given_up = False
+        # Counts the body of the request, then the reply that the client has not read.
+        self._holding = Holding(
+            running.memory, "client", self.request.remote_ip or "", self._give_up
+        )
 
     def prepare(self):
         """Refuse a wrong method, a failed check or an oversized body early."""
@@ -156,14 +166,28 @@
 
     def data_received(self, chunk: bytes):
         """Store a chunk and enforce the limit on bodies without a length."""
-        if self._finished:
+        if self._finished or self._is_given_up:
             return
         self._size += len(chunk)
         spec = self._specs[self.request.method or ""]
         if self._size > spec.max_body_bytes:
             self._refuse_size(spec)
             return
-        self._chunks.append(chunk)
+        if hold(self._holding, len(chunk)):
+            self._chunks.append(chunk)
+
+    def _give_up(self):
+        """End the request, or the writing of its reply, in the next loop iteration."""
+        self._chunks, self._is_given_up = [], True
+        loop = asyncio.get_running_loop()
+        if self._finished:
+            stream = self.request.connection.stream  # type: ignore[union-attr]
+            loop.call_soon(stream.close)
+        else:
+            loop.call_soon(self._end_for_memory)
+
+    def _end_for_memory(self):
+        self._end_unless_replied(Code.OVERLOADED, "This daemon holds too much.")
 
     def _refuse_size(self, spec: EndpointSpec):
         text = f"The body is larger than {spec.max_body_bytes} bytes."
@@ -180,25 +204,35 @@
         if self._running.is_stopping:
             self.set_header("Connection", "close")
         written = super().finish(chunk)
+        release_all(self._holding)
+        if isinstance(chunk, bytes) and not written.done():
+            hold(self._holding, len(chunk))
+            written.add_done_callback(lambda _: release_all(self._holding))
         written.add_done_callback(lambda _: self._running.handlers.discard(self))
         return written
 
     def end_early(self):
         """Reply now because the daemon stops; a reply that is being written goes on."""
+        self._end_unless_replied(Code.STOPPING, "This daemon stops.")
+
+    def _end_unless_replied(self, code: Code, text: str):
+        """Reply with ``code`` if nothing was run, else that the outcome is unknown."""
         if self._finished:
             return
-        if self._task is None:
-            failure = Failure(Code.STOPPING, "This daemon stops.")
-        else:
+        failure = Failure(code, text)
+        if self._task is not None:
             self._task.cancel()
-            failure = Failure(Code.OUTCOME_UNKNOWN, "This daemon stops.")
+            failure = Failure(Code.OUTCOME_UNKNOWN, text)
         self._write_reply(build_failure_reply(failure))
 
     async def _run(self):
+        if self._is_given_up:
+            self._end_for_memory()
         if self._finished:
             return
         spec = self._specs[self.request.method or ""]
-        work = spec.handle(self.request, b"".join(self._chunks))
+        body, self._chunks = b"".join(self._chunks), []
+        work = spec.handle(self.request, body)
         self._task = asyncio.ensure_future(work)
         try:
             reply = await asyncio.shield(self._task)
@@ -213,6 +247,8 @@
     def on_connection_close(self):
         """Cancel the handler of a disconnected client if its endpoint allows it."""
         self._running.handlers.discard(self)
+        self._chunks = []
+        release_all(self._holding)
         spec = self._specs.get(self.request.method or "")
         if spec and spec.cancel_on_close and self._task:
             self._task.cancel()
--- a/src/bramleyrouter/edges/listeners.py
+++ b/src/bramleyrouter/edges/listeners.py
@@ -11,6 +11,7 @@
     RunningRequests,
     build_tornado_routes,
 )
+from bramleyrouter.utils.byte_budgets import ByteBudget
 from bramleyrouter.utils.listening import listen_on
 
 IDLE_TIMEOUT_S = 75.0
@@ -29,14 +30,17 @@
     specs: list[EndpointSpec],
     extra_routes: list[tuple] | None = None,
     last_replies_s: float = LAST_REPLIES_S,
+    memory: ByteBudget | None = None,
 ) -> Callable[[], Awaitable[None]]:
     """Serve the endpoints on "ip:port"; return a closure that stops the server.
 
     Raise ``OSError`` if the address is in use. The closure stops accepting
     connections and waits up to ``last_replies_s`` seconds for running requests. Those
     that are still open then get a failure before all connections are closed.
+    ``memory`` bounds what requests and replies hold; without it, they have a budget of
+    their own.
     """
-    running = RunningRequests()
+    running = RunningRequests(memory or ByteBudget())
     application = Application(
         [*build_tornado_routes(specs, running), *(extra_routes or [])],
         log_function=_skip_access_log,
