--- a/tests/edges/servers/test_reply_memory.py
+++ b/tests/edges/servers/test_reply_memory.py
@@ -115,6 +115,24 @@
         assert {reply.end for reply in ends} == {ExchangeEnd.LOST}
         assert most <= 8 * MB
 
+    def test_replies_that_never_reach_their_length_leave_room_for_others(self):
+        good_ends, most = [], 0
+
+        def scenario(pool, memory):
+            nonlocal most
+            stalled = [start_declared_reply(pool, [], 3 * MB) for _ in range(20)]
+            for _ in range(11):
+                for connection in stalled:
+                    connection.data_received(BLOCK)
+                    most = max(most, memory.held_bytes)
+            good = start_declared_reply(pool, good_ends, MB // 2)
+            good.data_received(b"x" * (MB // 4))
+            good.data_received(b"x" * (MB // 4))
+
+        run_with_pool(scenario)
+        assert good_ends[0].end is ExchangeEnd.COMPLETE
+        assert 5 * MB <= most <= 8 * MB
+
     def test_a_short_reply_without_a_length_outlives_long_ones(self):
         good_ends = []
 
