Kept the connection of a caller that has read its reply after all

A caller whose reply is given up for the memory is disconnected in the next loop iteration. If it has read the reply by then, its connection may carry the next request already, which would have been reset.

The end now applies only while that request is still the busy one of its connection. test_a_reply_that_was_read_meanwhile_does_not_end_the_connection fails before with a reset by the peer, and passes now. It was found by reading; no run has shown it by itself.

--- a/src/bramleyrouter/platform/callers.py
+++ b/src/bramleyrouter/platform/callers.py
@@ -228,6 +228,9 @@
 
     def _drop_reply(self) -> None:
         """Close the connection; its caller does not read the reply in time."""
+        if self._state.busy.get(self._server_conn) is not self:
+            # The reply was read after all, and the connection serves other requests.
+            return
         stream = self._conn.stream
         if not stream.closed():
             stream.socket.setsockopt(
--- a/tests/platform/test_caller_memory.py
+++ b/tests/platform/test_caller_memory.py
@@ -155,6 +155,26 @@
 
         assert run(scenario) == (LARGE_BYTES, [])
 
+    def test_a_reply_that_was_read_meanwhile_does_not_end_the_connection(self):
+        async def scenario(listener):
+            state = listener.listener.state
+            reader, writer = await send(listener, "/large")
+            await wait_until(lambda: listener.memory.held_bytes)
+            holding = next(iter(listener.memory.holdings))
+            request = next(iter(state.busy.values()))
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(LARGE_BYTES)
+            await wait_until(lambda: request not in state.busy.values())
+            holding.on_end()
+            await asyncio.sleep(0.01)
+            head = HEAD.format(path="/small", deadline_ms=1000) + "\r\n"
+            writer.write(head.encode())
+            status = await read_status(reader)
+            writer.close()
+            return status
+
+        assert run(scenario) == 200
+
     def test_a_caller_that_disconnects_holds_nothing(self):
         async def scenario(listener):
             _, writer = await send(listener, "/large")
