Asked a parent for the whole configuration at most twice a second

Callers saw nothing while all updates were sound. A daemon whose parent sent an update that can't be applied subscribed again as fast as the network allows, 500 times in one second with 2 ms per reply, and each reply may hold a manifest of 4 MiB.

Cause: an update that couldn't be applied was followed at once by a request for the whole state, also if it was the whole state that couldn't be applied. Change: that request is sent at most every 0.5 s; meanwhile the periodic report shows that an update is missing, as it does for a lost one. The first request still follows at once.

It works because the limit holds for every way in which an update fails, and the path for lost updates already repairs a copy that stays behind.

--- a/src/bramleyrouter/dissemination/subscriber.py
+++ b/src/bramleyrouter/dissemination/subscriber.py
@@ -44,6 +44,9 @@
 from bramleyrouter.wire.network import Network
 
 REPORT_INTERVAL_S = 0.5
+# Shortest time between two requests for the whole state, which may be 4 MiB large. One
+# that can't be applied would otherwise be sent again and again without a pause.
+WHOLE_STATE_INTERVAL_S = 0.5
 # Longer than the interval, so that slow replies still count; reports may overlap.
 REPORT_TIMEOUT_S = 1.5
 # A parent whose newest confirmation is older than this is replaced. Without faults a
@@ -69,9 +72,9 @@
     ``address`` is empty while there is no subscription. ``confirmed_at`` is the
     loop time of the newest confirmation that the parent passed on.
     ``known_cover_digest`` is the digest of the cover that the parent holds of
-    this daemon, or 0 if the next report must name the cover. ``next_search_at`` and
-    ``next_preferred_check_at`` are loop times; ``search_round`` counts the searches
-    for a parent.
+    this daemon, or 0 if the next report must name the cover. ``next_search_at``,
+    ``next_preferred_check_at`` and ``next_whole_state_at`` are loop times;
+    ``search_round`` counts the searches for a parent.
     """
 
     address: str = ""
@@ -81,6 +84,7 @@
     is_searching: bool = False
     next_search_at: float = 0.0
     next_preferred_check_at: float = 0.0
+    next_whole_state_at: float = 0.0
     search_round: int = 0
 
 
@@ -232,10 +236,20 @@
         previous_revision = store.state.revision
         may_replace = is_fresh(upstream.confirmed_at)
         if not apply_update(store, decoded.ok_value, may_replace=may_replace):
-            subscribe(address, upstream.confirmed_at, is_full=True)
+            subscribe_for_whole_state(address)
         elif store.state.revision != previous_revision:
             report_to_parent()
 
+    def subscribe_for_whole_state(address: str) -> None:
+        """Ask for the whole state, at most once per ``WHOLE_STATE_INTERVAL_S``.
+
+        Until then the next report shows that an update is missing.
+        """
+        now = clock()
+        if now >= upstream.next_whole_state_at:
+            upstream.next_whole_state_at = now + WHOLE_STATE_INTERVAL_S
+            subscribe(address, upstream.confirmed_at, is_full=True)
+
     def ensure_fresh_parent() -> None:
         now = clock()
         if not upstream.address or not is_fresh(upstream.confirmed_at):
