Counted entry daemons as before after a control daemon was paused

Callers could see more load than a common budget allows: entry daemons divide it by their number, and a control daemon that had been paused for longer than 20 s announced a number that was too small while their streams came back. The same after a pause during its first 3 s.

Cause: the times for which an entry daemon stays counted, and for which a new control daemon announces no number, went on during the pause, in which nobody could subscribe.

Evidence: TestCountsAfterAPause in tests/fleet/test_publishing.py, after a pause of 60 s one of ten daemons was counted before and ten now, until the usual 20 s have passed; a start with a pause announced one at once before and waits 3 s now. Shown at the publisher only, with a clock that is passed in; no process was paused. The tests of the fleet pass.

It works because the times then measure how long entry daemons had the chance to subscribe.

--- a/src/bramleyrouter/fleet/publishing.py
+++ b/src/bramleyrouter/fleet/publishing.py
@@ -13,7 +13,7 @@
 from result import Err, Ok, Result
 
 from bramleyrouter.codes import Code
-from bramleyrouter.conf.fleet import StreamTimes
+from bramleyrouter.conf.fleet import MAX_STREAM_TIMEOUT_S, StreamTimes
 from bramleyrouter.consensus.interfaces import ReplicatedLog
 from bramleyrouter.control.codecs import encode_command
 from bramleyrouter.control.messages import PublishRoutes
@@ -47,6 +47,9 @@
 # divide common budgets by the count, so while it may still use its share, the shares
 # of the others must not grow.
 ENTRY_DAEMON_RETENTION_S = 20.0
+# Longest time between two counts, in seconds, as one is made for each keepalive. After
+# a longer one the process was paused.
+MAX_COUNT_INTERVAL_S = MAX_STREAM_TIMEOUT_S
 # A control daemon publishes no count of entry daemons for this time after its start,
 # in seconds, since not all of them have subscribed yet.
 COUNT_STARTUP_DELAY_S = 3.0
@@ -84,6 +87,8 @@
     clock: Callable[[], float]
     data_centre: DataCentre
     started_at: float
+    # Loop time of the last count of entry daemons.
+    counted_at: float = float("inf")
     subscribers: dict[DaemonId, Subscriber] = field(default_factory=dict)
     # Streams to control daemons that forward them.
     mirrors: set[Subscriber] = field(default_factory=set)
@@ -122,6 +127,7 @@
     publisher: FleetPublisherState,
 ) -> dict[DataCentre, int]:
     """Update and expire ``last_subscribed``; return its counts by data centre."""
+    _exclude_pause(publisher)
     now, last_subscribed = publisher.clock(), publisher.last_subscribed
     for daemon_id, subscriber in publisher.subscribers.items():
         last_subscribed[daemon_id] = (now, subscriber.peer.data_centre)
@@ -131,6 +137,21 @@
     return dict(sorted(Counter(name for _, name in last_subscribed.values()).items()))
 
 
+def _exclude_pause(publisher: FleetPublisherState) -> None:
+    """Shift the times that are counted if this process was paused.
+
+    Entry daemons could not subscribe meanwhile, so a pause says nothing about them.
+    """
+    now = publisher.clock()
+    pause_s = now - publisher.counted_at - MAX_COUNT_INTERVAL_S
+    publisher.counted_at = now
+    if pause_s <= 0:
+        return
+    publisher.started_at += pause_s
+    for daemon_id, (at, data_centre) in publisher.last_subscribed.items():
+        publisher.last_subscribed[daemon_id] = (at + pause_s, data_centre)
+
+
 def _take_snapshot(publisher: FleetPublisherState) -> _Snapshot:
     """Collect the values of all subscribers' updates, once for all of them."""
     routes = publisher.state_machine.routes()
@@ -269,7 +290,13 @@
     """Serve the fleet stream and requests for route tables."""
     keepalive_interval_s = times.keepalive_interval_s
     publisher = FleetPublisherState(
-        registry, state_machine, log, clock, data_centre, clock()
+        registry,
+        state_machine,
+        log,
+        clock,
+        data_centre,
+        started_at=clock(),
+        counted_at=clock(),
     )
     tasks = BackgroundTasks("fleet")
 
--- a/tests/fleet/test_publishing.py
+++ b/tests/fleet/test_publishing.py
@@ -7,6 +7,8 @@
 
 from bramleyrouter.fleet.messages import decode_update
 from bramleyrouter.fleet.publishing import (
+    COUNT_STARTUP_DELAY_S,
+    ENTRY_DAEMON_RETENTION_S,
     NAMED_RELAYS_PER_DATA_CENTRE,
     FleetPublisherState,
     Subscriber,
@@ -132,3 +134,56 @@
         del rows["odd"]
         await asyncio.sleep(1.0)
         assert control.publisher.count_subscribers() == 1
+
+
+class TestCountsAfterAPause:
+    """A paused control daemon must not take its subscribers for lost when it goes on.
+
+    Entry daemons divide common budgets by the count; their streams have ended by then
+    and come back one by one.
+    """
+
+    def start(self, started_at):
+        """Return the publisher of ten subscribers, its clock and the counts sent."""
+        sent, now = [], [100.0]
+
+        def append_count(item):
+            counts = decode_update(item).ok_value.update.entry_daemons
+            if counts is not None:
+                sent.append(sum(counts.values()))
+
+        publisher = build_publisher(10, lambda at: append_count)
+        publisher.clock = lambda: now[0]
+        publisher.started_at = started_at
+        _send_updates(publisher, True)
+        return publisher, now, sent
+
+    def keep_one_subscriber(self, publisher):
+        first = next(iter(publisher.subscribers))
+        publisher.subscribers = {first: publisher.subscribers[first]}
+
+    def run(self, publisher, now, seconds):
+        """Send a keepalive every half second."""
+        for _ in range(int(2 * seconds)):
+            now[0] += 0.5
+            _send_updates(publisher, True)
+
+    def test_subscribers_are_counted_for_the_usual_time(self):
+        publisher, now, sent = self.start(0.0)
+        assert sent[-1] == 10
+        now[0] += 60.0
+        self.keep_one_subscriber(publisher)
+        self.run(publisher, now, ENTRY_DAEMON_RETENTION_S - 3.0)
+        assert sent[-1] == 10
+        self.run(publisher, now, 4.0)
+        assert sent[-1] == 1
+
+    def test_the_first_count_waits_for_the_usual_time(self):
+        publisher, now, sent = self.start(100.0)
+        self.keep_one_subscriber(publisher)
+        publisher.last_subscribed.clear()
+        now[0] += 60.0
+        _send_updates(publisher, True)
+        assert sent == []
+        self.run(publisher, now, COUNT_STARTUP_DELAY_S)
+        assert sent == [1]
