Ended a batch at its home although one of its replies could not be processed

Callers waited for their deadline: when an exception was raised for a reply, on the home's own daemon or while replies were encoded for another one, the sender never learnt that the batch had ended, so the shards weren't asked for elsewhere.

Cause: the replies of one loop iteration are passed on before the end is reported, and the exception skipped the rest. Change: it is logged and the end is reported; routing treats an attempt without a reply as lost and retries it. Evidence: TestUnexpectedErrors in tests/homes/test_dispatch.py, no end within 0.5 s before, the end now. The tests of homes and routing pass.

It works because the end of a batch says only that nothing more comes, whatever became of its replies.

--- a/src/bramleyrouter/homes/batches.py
+++ b/src/bramleyrouter/homes/batches.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from absl import logging
+
 from bramleyrouter.codes import Code
 from bramleyrouter.edges.servers.transport import (
     QueryCall,
@@ -151,8 +153,12 @@
     if run.has_ended:
         return
     replies, run.replies = run.replies, []
-    if replies:
-        run.on_replies(replies)
+    try:
+        if replies:
+            run.on_replies(replies)
+    except Exception:
+        # The sender must still learn that the batch has ended.
+        logging.exception("homes: the replies of a batch were not processed.")
     if run.pending_groups == 0 and not run.has_ended:
         run.has_ended = True
         run.on_done()
--- a/tests/homes/test_dispatch.py
+++ b/tests/homes/test_dispatch.py
@@ -3,10 +3,11 @@
 import asyncio
 
 import pytest
+from result import Ok
 
 from bramleyrouter.board.sections import HomeServerStatus
 from bramleyrouter.codes import Code
-from bramleyrouter.homes.messages import ServerGroup
+from bramleyrouter.homes.messages import ServerGroup, ShardBatch
 from bramleyrouter.states import DaemonState, Outcome, ServerState
 from tests.homes.fakes import Cluster, FakeServer
 from tests.support.virtual_time import run_virtual
@@ -356,3 +357,32 @@
             assert await cluster.query_code(request="three") is Code.OK
 
         run_scenario(scenario)
+
+
+class TestUnexpectedErrors:
+    def test_an_exception_for_a_reply_does_not_keep_a_batch_from_ending(self):
+        """Guards against queries that wait for their deadline."""
+
+        async def scenario(cluster):
+            await cluster.register_server()
+            ends = []
+
+            def fail(reply):
+                raise IndexError("odd reply")
+
+            batch = ShardBatch(
+                request_id="r",
+                tenant="t",
+                class_name="c",
+                version="v1",
+                revision=0,
+                remaining_s=1.0,
+                is_stale=False,
+                groups=(ServerGroup("s1", 1, "sheets", ("a",)),),
+                query=b"{}",
+            )
+            cluster.homes["d1"].client.dispatch("d1", batch, fail, ends.append)
+            await asyncio.sleep(0.5)
+            assert ends == [Ok(None)]
+
+        run_scenario(scenario)
