Kept the address of a live backend server when a former holder is withdrawn

Callers could see a live server become silent for up to 60 s at a control daemon: when a server that no longer had the address, an odd entry for example, was withdrawn, the announcements of the one at the address were refused.

Cause: every stored row took its address, also that of a server that has left, and a server that has left is never overruled. Change: such a row takes an address only if no other server has it. Evidence: test_a_withdrawal_of_a_former_holder_frees_or_takes_no_address in tests/fleet/test_registry.py, the address belonged to the odd entry before and stays with the live server now, whose next announcement is accepted. The tests of the fleet pass.

It works because a server that has left needs its address only to recognise late announcements, which the live holder does as well.

--- a/src/bramleyrouter/fleet/registry.py
+++ b/src/bramleyrouter/fleet/registry.py
@@ -83,7 +83,9 @@
         # Another server may use the former address now.
         _release_address(registry, current.row)
     registry.servers[row.server_id] = RegisteredServer(row, now, now + row.cold_s)
-    registry.by_address[row.address] = row.server_id
+    if row.phase is not ServerPhase.GONE or row.address not in registry.by_address:
+        # A server that has left takes no address from one that has it now.
+        registry.by_address[row.address] = row.server_id
     if current is not None:
         aged = _with_current_cold_time(current, now)
         if is_same_for_routing(aged, row):
--- a/tests/fleet/test_registry.py
+++ b/tests/fleet/test_registry.py
@@ -260,3 +260,16 @@
                 assert not self.announce(
                     registry, 1.2 * at + 0.1, at + 1, incarnation=5
                 )
+
+    def test_a_withdrawal_of_a_former_holder_frees_or_takes_no_address(self):
+        """Guards against a live server that is refused once the odd entry is gone."""
+        registry, _ = make_registry()
+        address = build_row("a").address
+        odd = build_row("odd", incarnation=9_000, address=address)
+        assert apply_announcement(registry, odd, 0.0)
+        for at in range(1, 8):
+            self.announce(registry, 1.2 * at, at, incarnation=5)
+        assert registry.by_address[address] == "a"
+        apply_withdrawal(registry, "odd", 9_000, 9.0)
+        assert registry.by_address[address] == "a"
+        assert self.announce(registry, 9.6, 8, incarnation=5)
