Exchanged ids in a first start with two seeds and one tolerated loss

With two seeds, a first start in which one control daemon ended before it had a data folder never finished: no log was formed and nothing was acknowledged. The other member had stored the predefined configuration and waited for an id that never existed. It gives that configuration up only if more ids are gone than disks may be lost, and with one tolerated loss one missing id is no proof.

The predefined way is now used only if a majority remains after the tolerated losses. Otherwise it can't end earlier than the exchange anyway, as it needs all members too, and the exchange works with whatever ids the folders hold.

--- a/src/bramleyrouter/consensus/bootstrap.py
+++ b/src/bramleyrouter/consensus/bootstrap.py
@@ -62,10 +62,13 @@
     """Return whether a first member may go on without waiting for all others.
 
     A majority must be more members than may lose their disks, as what it has
-    acknowledged would otherwise be lost with them.
+    acknowledged would otherwise be lost with them. It must also remain after such a
+    loss: otherwise members that never existed could not be told from lost disks.
     """
-    majority = len(first_members) // 2 + 1
-    return own_address in first_members and majority > tolerated_losses
+    count = len(first_members)
+    majority = count // 2 + 1
+    can_be_told = tolerated_losses < majority <= count - tolerated_losses
+    return own_address in first_members and can_be_told
 
 
 def _build_initial_record(
--- a/tests/consensus/test_first_start.py
+++ b/tests/consensus/test_first_start.py
@@ -168,6 +168,16 @@
         cluster.start(*killed)
         await cluster.propose(b"a")
 
+    @in_virtual_time
+    async def test_one_of_two_members_ends_before_it_has_a_folder(self):
+        """Guards against a first start without end with two seeds."""
+        cluster = LogCluster(is_first_start=True, first_members=ADDRESSES[:2])
+        cluster.start(0)
+        await asyncio.sleep(0.5)
+        cluster.is_first_start = False
+        cluster.start(1)
+        await cluster.propose(b"a")
+
     @in_virtual_time
     async def test_a_lost_disk_does_not_vote_again(self):
         cluster = LogCluster(is_first_start=True)
