--- a/tests/consensus/test_first_start.py
+++ b/tests/consensus/test_first_start.py
@@ -178,6 +178,20 @@
         cluster.start(1)
         await cluster.propose(b"a")
 
+    @in_virtual_time
+    async def test_a_disk_is_lost_before_a_member_without_a_folder_has_joined(self):
+        """Guards against a log without a majority for good, though one disk is lost."""
+        cluster = LogCluster(is_first_start=True)
+        cluster.start(0, 1)
+        await cluster.propose(b"a")
+        await cluster.lose_disk(0)
+        cluster.is_first_start = False
+        cluster.start(0, 2)
+        # What a leader that is cut off still answers has ended by then.
+        await asyncio.sleep(10.0)
+        leader = await cluster.propose(b"b")
+        assert cluster.commands[leader] == [b"a", b"b"]
+
     @in_virtual_time
     async def test_a_lost_disk_does_not_vote_again(self):
         cluster = LogCluster(is_first_start=True)
