--- a/src/bramleyrouter/platform/entry_daemon.py
+++ b/src/bramleyrouter/platform/entry_daemon.py
@@ -79,6 +79,7 @@
             lambda part, event, **fields: record(log, part, event, **fields),
         )
         listeners.append(listener)
+        update_close_after_replies()
 
     def update_close_after_replies() -> None:
         if listeners:
--- a/tests/platform/test_starts_and_ends.py
+++ b/tests/platform/test_starts_and_ends.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import signal
+from http.client import HTTPConnection
 
 import pytest
 
 from bramleyrouter.platform.programs import EXIT_START_FAILED
+from tests.support.platform_processes import CALLER_PORT
 from tests.support.process_events import LIMIT_S, pick, read_names, wait_for_event
 
 
@@ -53,3 +55,25 @@
         ended = vm.read_events()[-1]
         assert (ended["event"], ended["reason"]) == ("ended", "exception")
         assert (ended["type"], ended["text"]) == ("OSError", "damaged")
+
+
+class TestConnections:
+    """Guard against connections that are closed after each reply without a need."""
+
+    def test_ready_daemon_keeps_connections(self, deployment):
+        vm = deployment.entries[0]
+        deployment.start_all()
+
+        async def wait_until_ready():
+            assert await deployment.publish(LIMIT_S) is not None
+            is_ready = lambda: deployment.is_ready(vm)
+            assert await deployment.wait_until(is_ready, LIMIT_S)
+
+        asyncio.run(wait_until_ready())
+        conn = HTTPConnection(vm.ip, CALLER_PORT, timeout=LIMIT_S)
+        for _ in range(2):
+            conn.request("GET", "/")
+            reply = conn.getresponse()
+            reply.read()
+            assert reply.getheader("Connection") != "close"
+        conn.close()
