Ended reloads and timers of the platform's daemons when they close

A reload in that time set the seeds of a closed watcher, which opens streams again on a network that nobody closes any more. Nobody has reported this; it was found by looking for callbacks that come after what they refer to is closed.

`close` now replaces the callback of SIGHUP and cancels the platform's tasks first. It works because no callback of these kinds is left once the parts are closed.

Evidence: test_sighup_and_changed_settings_after_the_close_are_ignored calls the SIGHUP callback after the close; before, it logged "reloaded" after "stopped" for both daemons (2 of 2 failed), now it doesn't, and no periodic task runs (2 of 2 passed).

--- a/src/bramleyrouter/platform/control_daemon.py
+++ b/src/bramleyrouter/platform/control_daemon.py
@@ -18,7 +18,7 @@
     listen_control,
 )
 from bramleyrouter.platform.programs import run_program
-from bramleyrouter.platform.settings_watch import watch_settings
+from bramleyrouter.platform.settings_watch import unwatch_settings, watch_settings
 from bramleyrouter.telemetry.control_metrics import (
     ControlMetrics,
     build_observe_call,
@@ -112,8 +112,9 @@
             server.stop()
 
     async def close() -> None:
-        cancel_all(tasks)
         record(log, "daemon", "stopped")
+        unwatch_settings(launch.inbox)
+        cancel_all(tasks)
         await parts.close()
 
     return built.map(lambda _: Daemon(parts.board, start, drain, close))
--- a/src/bramleyrouter/platform/entry_daemon.py
+++ b/src/bramleyrouter/platform/entry_daemon.py
@@ -23,7 +23,7 @@
 from bramleyrouter.platform.programs import CLOSE_RESERVE_S, run_program
 from bramleyrouter.platform.route_documents import decode_route_table
 from bramleyrouter.platform.server_transport import build_server_transport
-from bramleyrouter.platform.settings_watch import watch_settings
+from bramleyrouter.platform.settings_watch import unwatch_settings, watch_settings
 from bramleyrouter.telemetry.events import EventLog, record
 from bramleyrouter.telemetry.gateway_metrics import set_backed_off
 from bramleyrouter.telemetry.memory import (
@@ -142,8 +142,9 @@
             await stop_listening(listener, timeout_s)
 
     async def close() -> None:
-        cancel_all(tasks)
         record(log, "daemon", "stopped", in_flight=parts.gateway.in_flight())
+        unwatch_settings(launch.inbox)
+        cancel_all(tasks)
         await parts.close()
 
     return Ok(Daemon(parts.board, start, drain, close))
--- a/src/bramleyrouter/platform/settings_watch.py
+++ b/src/bramleyrouter/platform/settings_watch.py
@@ -108,3 +108,8 @@
 
     set_signal_callback(inbox, SIGHUP, reload_on_signal)
     spawn(tasks, run_periodically(POLL_INTERVAL_S, lambda: reload(is_forced=False)))
+
+
+def unwatch_settings(inbox: SignalInbox) -> None:
+    """Apply no more settings on SIGHUP, as the daemon closes its connections."""
+    set_signal_callback(inbox, SIGHUP, lambda: None)
--- a/tests/platform/test_daemons.py
+++ b/tests/platform/test_daemons.py
@@ -9,7 +9,7 @@
 from bramleyrouter.board.blackboard import Section
 from bramleyrouter.daemons.launching import STDOUT, Launch
 from bramleyrouter.daemons.lifecycles import Lifecycle, run_daemon
-from bramleyrouter.daemons.signals import SignalInbox
+from bramleyrouter.daemons.signals import SIGHUP, SignalInbox
 from bramleyrouter.gateway.tables import CallerLimits, RouteTable
 from bramleyrouter.ids import TableVersion
 from bramleyrouter.platform import entry_daemon
@@ -85,6 +85,23 @@
 
         asyncio.run(work())
 
+    def test_sighup_and_changed_settings_after_the_close_are_ignored(
+        self, deployment, role, monkeypatch
+    ):
+        async def work():
+            built = Built(deployment, role, monkeypatch)
+            await built.daemon.start()
+            await built.daemon.drain()
+            await built.daemon.close()
+            await asyncio.sleep(0)
+            built.inbox.callbacks[SIGHUP]()
+            assert "reloaded" not in built.read_names()
+            own = {asyncio.current_task()}
+            running = [str(task) for task in asyncio.all_tasks() - own]
+            assert not [text for text in running if "run_periodically" in text]
+
+        asyncio.run(work())
+
 
 class TestCallerLimits:
     """Guard against limits that are lost as no listener exists yet."""
