Kept a daemon running while nobody reads its standard error

A daemon whose standard error is a pipe that nobody reads stood still with its first line after the pipe was full: it went on existing, answered neither callers nor probes, and did not stop on SIGTERM. A peer with a wrong greeting is enough to write a line. Standard output had been set not to block before; standard error had not.

The launcher now sets standard error not to block if it is a pipe or a socket. Lines that don't fit are lost; the logging library ignores the failed write. Files and terminals are left as they are, as their mode is shared with other programs.

--- a/src/bramleyrouter/daemons/launching.py
+++ b/src/bramleyrouter/daemons/launching.py
@@ -8,6 +8,7 @@
 import faulthandler
 import os
 import select
+import stat
 import sys
 import time
 from importlib import import_module
@@ -78,6 +79,17 @@
     _write_line(state.descriptor, json.dumps(line, separators=(",", ":")))
 
 
+def _stop_waiting_for_readers(descriptor: int) -> None:
+    """Let writes to a pipe or socket fail, instead of wait, while nobody reads it."""
+    try:
+        mode = os.fstat(descriptor).st_mode
+        if stat.S_ISFIFO(mode) or stat.S_ISSOCK(mode):
+            os.set_blocking(descriptor, False)
+    except OSError:
+        # There is no such descriptor.
+        return
+
+
 def _enable_crash_traces() -> None:
     """Write a traceback to standard error if a native library crashes."""
     try:
@@ -126,6 +138,7 @@
         f'{{"at":{time.time():.3f},"daemon":"","part":"daemon","event":"starting",'
         f'"program":"{program}","pid":{os.getpid()}}}',
     )
+    _stop_waiting_for_readers(STDERR)
     _enable_crash_traces()
     try:
         main = import_module(module).main
--- a/tests/soak/processes.py
+++ b/tests/soak/processes.py
@@ -71,7 +71,8 @@
         vm.is_first_start = False
         if item.spoilt:
             self._spoil_settings(item)
-        self.platform.start_program(vm, stdout=item.stdout)
+        outputs = None if item.stdout is None else {"stdout": item.stdout}
+        self.platform.start_program(vm, outputs=outputs)
         if item.stdout is not None:
             os.close(item.stdout)
             item.stdout = None
--- a/tests/support/platform_processes.py
+++ b/tests/support/platform_processes.py
@@ -143,11 +143,11 @@
         self,
         vm: Vm,
         environment: dict[str, str] | None = None,
-        stdout: int | None = None,
+        outputs: dict[str, int] | None = None,
     ) -> None:
         """Start a VM's process with the settings file as it is.
 
-        ``stdout`` is a file descriptor; by default, the output is appended to the log.
+        ``outputs`` gives descriptors for "stdout" and "stderr" in place of the log.
         """
         env = {
             "PATH": os.environ.get("PATH", ""),
@@ -161,8 +161,7 @@
                 cwd=ROOT,
                 env=env,
                 stdin=subprocess.DEVNULL,
-                stdout=output if stdout is None else stdout,
-                stderr=output,
+                **{"stdout": output, "stderr": output, **(outputs or {})},
             )
 
     def start_all(self, but: tuple[Vm, ...] = ()) -> None:
