Closed a daemon whose drain fails

If an exception came out of a daemon's drain, it was not closed: no other daemon was told that it leaves, and its log and its connections stayed open until the process ended with code 1. Nobody has reported this; it was found by looking for stops that don't get as far as they should.

The daemon is now closed in each case, and the exception is raised afterwards, so that `daemon/ended` names it.

Evidence: test_failing_drain_does_not_prevent_the_close saw start and started without close before (1 of 1 failed), and sees close now. test_slow_drain_is_ended_and_closed passed before and after.

--- a/src/bramleyrouter/daemons/lifecycles.py
+++ b/src/bramleyrouter/daemons/lifecycles.py
@@ -98,7 +98,8 @@
 
     Readiness is withdrawn first. Callers are still served for
     ``balancer_wait_s`` seconds, so that the balancer can notice it. Running
-    requests then have ``stop_timeout_s`` seconds to finish.
+    requests then have ``stop_timeout_s`` seconds to finish. The daemon is closed also
+    if ``drain`` raises.
     """
     board = daemon.board
     board.readiness.reasons.add("stopping")
@@ -111,7 +112,8 @@
         logging.error(
             "daemon: requests were still running after %.1f s.", stop_timeout_s
         )
-    await daemon.close()
+    finally:
+        await daemon.close()
     logging.info("daemon: stopped.")
 
 
--- a/tests/daemons/test_lifecycles.py
+++ b/tests/daemons/test_lifecycles.py
@@ -86,6 +86,32 @@
             )
 
 
+class TestStop:
+    """Guard against a stop that leaves connections or the log open."""
+
+    @in_virtual_time
+    async def test_failing_drain_does_not_prevent_the_close(self):
+        async def fail():
+            raise ValueError("a value is wrong")
+
+        fake, lifecycle = FakeDaemon(), Lifecycle()
+        daemon = fake.daemon._replace(drain=fail)
+        asyncio.get_running_loop().call_later(1.0, lifecycle.stop_requested.set)
+        with pytest.raises(ValueError, match="a value is wrong"):
+            await run_daemon(daemon, BALANCER_WAIT_S, STOP_TIMEOUT_S, lifecycle)
+        assert fake.calls == ["start", "started", "close"]
+
+    @in_virtual_time
+    async def test_slow_drain_is_ended_and_closed(self):
+        fake, lifecycle = FakeDaemon(), Lifecycle()
+        daemon = fake.daemon._replace(drain=lambda: asyncio.sleep(1e6))
+        lifecycle_end = BALANCER_WAIT_S + STOP_TIMEOUT_S
+        asyncio.get_running_loop().call_later(1.0, lifecycle.stop_requested.set)
+        await run_daemon(daemon, BALANCER_WAIT_S, STOP_TIMEOUT_S, lifecycle)
+        assert fake.calls == ["start", "started", "close"]
+        assert asyncio.get_running_loop().time() == 1.0 + lifecycle_end
+
+
 class TestRunUntilStopped:
     """Guard against work that is lost, or that is left running."""
 
