Reported a restart of a log member that fails

After a disk failure a control daemon opens its log again in a task that the member holds. If that task ended with an exception other than the expected failures, nobody was told: asyncio reports such an exception only once the task is collected, and the member holds it for good. The member stayed stopped without a line or event.

The task is now started as other background tasks are, so that its exception reaches the event loop's exception handler and is recorded as `callback_failed`.

Evidence: test_failed_restart_of_a_member_is_reported makes the disk raise an unexpected exception; before, no message reached the handler in 3 s of virtual time (1 of 1 failed), now one does.

--- a/src/bramleyrouter/consensus/replicated_log.py
+++ b/src/bramleyrouter/consensus/replicated_log.py
@@ -45,6 +45,7 @@
 )
 from bramleyrouter.failures import Failure
 from bramleyrouter.ids import MemberId
+from bramleyrouter.utils.tasks import BackgroundTasks, spawn
 from bramleyrouter.wire.network import Network
 
 _ID_BYTES = 8
@@ -186,8 +187,7 @@
 
 def _schedule_restart(member: _Member, new_id: Callable[[], str]) -> None:
     # Not a task of the node, as those are cancelled with it.
-    loop = asyncio.get_running_loop()
-    member.restart = loop.create_task(_restart(member, new_id))
+    member.restart = spawn(BackgroundTasks("consensus"), _restart(member, new_id))
 
 
 async def _restart(member: _Member, new_id: Callable[[], str]) -> None:
--- a/tests/consensus/test_replicated_log.py
+++ b/tests/consensus/test_replicated_log.py
@@ -389,6 +389,21 @@
             b"end",
         ]
 
+    @in_virtual_time
+    async def test_failed_restart_of_a_member_is_reported(self):
+        """Guards against a member that stays stopped without a line in the log."""
+        cluster, _ = await start_members(1)
+        messages = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: messages.append(context["message"])
+        )
+        cluster.disks[0].fail_syncs = True
+        assert isinstance(await cluster.logs[0].propose(b"b", 1.0), Err)
+        # Not an ``OSError``, which the member expects and answers by another attempt.
+        cluster.disks[0].files = None
+        await asyncio.sleep(3.0)
+        assert messages == ["consensus: a task failed."]
+
     @in_virtual_time
     async def test_nothing_that_a_failed_sync_left_is_counted_as_durable(self):
         """Guards against entries in the cache of a disk that are confirmed as stored.
