Guarded the first start of a deployment against signals to every process

A new test starts three control and two entry daemons, sends SIGHUP 20 times to each while they start, and expects an acknowledged route table, five processes that still run, and exit code 0 from each after SIGTERM.

--- a/tests/platform/test_signals.py
+++ b/tests/platform/test_signals.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.support.import_gates import Gate, catches_signals, wait_until_caught
+from tests.support.platform_processes import PlatformProcesses
 from tests.support.process_events import LIMIT_S, pick, read_names, wait_for_event
 
 SIGNAL_INTERVAL_S = 0.003
@@ -113,3 +114,25 @@
         assert vm.child.wait(LIMIT_S) == 0
         names = read_names(vm)
         assert names[-2:] == ["stopped", "ended"] and "built" not in names
+
+
+class TestDeployment:
+    """Guard against a first start that never completes, as a signal ended a process."""
+
+    def test_every_process_gets_sighup_while_it_starts(self, tmp_path):
+        processes = PlatformProcesses(tmp_path, entries=2, controls=3)
+        try:
+            processes.start_all()
+            for vm in processes.vms:
+                wait_until_caught(vm.child)
+            for _ in range(20):
+                for vm in processes.vms:
+                    vm.child.send_signal(signal.SIGHUP)
+                time.sleep(SIGNAL_INTERVAL_S)
+            assert asyncio.run(processes.publish(LIMIT_S)) is not None
+            assert [vm.child.poll() for vm in processes.vms] == [None] * 5
+            for vm in processes.vms:
+                vm.child.send_signal(signal.SIGTERM)
+            assert [vm.child.wait(LIMIT_S) for vm in processes.vms] == [0] * 5
+        finally:
+            processes.stop_all()
