Added slow callers to the soak, whose requests arrive late in a stop

Twelve callers now pause for 2.2 to 3.6 s before each request, and backend servers work on those requests for 1 s, which is within the time that a stop grants.

--- a/tests/soak/outside.py
+++ b/tests/soak/outside.py
@@ -31,9 +31,13 @@
 REQUEST_TIMEOUT_S = 3.0
 DEADLINE_LIMIT_MS = 1500
 HOST = "soak.example"
-LONG_PAUSE_SHARE = 0.04
-# Times for which backend servers work, in seconds; requests may last 1.5 s.
-WORK_TIMES_S = (0.002, 0.005, 0.005, 0.02, 0.02, 0.02, 0.2, 1.0)
+# Times for which backend servers work and callers pause, in seconds. Slow callers keep
+# their connections idle for about as long as a daemon waits for the balancer when it
+# stops, so that some requests arrive just before the end of that wait.
+WORK_TIMES_S = (0.002, 0.005, 0.02, 0.2)
+PAUSES_S = (0.01, 0.06)
+SLOW_WORK_S = 1.0
+SLOW_PAUSES_S = (2.2, 3.6)
 # Failures of a call that the other side or the fault causes.
 CALL_ERRORS = (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError)
 
@@ -131,7 +135,9 @@
             else:
                 times = self.record.runs[request_id]
                 times.append(self.record.now_s())
-                await asyncio.sleep(self.rng.choice(WORK_TIMES_S))
+                is_slow = request_id.startswith("slow-")
+                work_s = SLOW_WORK_S if is_slow else self.rng.choice(WORK_TIMES_S)
+                await asyncio.sleep(work_s)
                 signature = f"{server_id}.{request_id}.{len(times)}"
                 headers[SERVER_SEAL] = signature
                 body = make_body(request_id, self.rng.choice((20, 400, 9000)))
@@ -160,9 +166,11 @@
             [vm for vm in entries if self.misses[vm.name] < 2] or entries
         )
 
-    async def run_caller(self, name: str) -> None:
+    async def run_caller(self, name: str, is_slow: bool = False) -> None:
         """Send requests on kept connections, until the daemon closes each."""
         count = 0
+        name = f"slow-{name}" if is_slow else name
+        pauses = SLOW_PAUSES_S if is_slow else PAUSES_S
         while True:
             vm = self._choose_entry()
             try:
@@ -176,12 +184,7 @@
                 while is_open:
                     count += 1
                     is_open = await self._exchange(vm, conn, f"{name}-{count}")
-                    await asyncio.sleep(self._choose_pause())
-
-    def _choose_pause(self) -> float:
-        """Return the time for which a caller keeps its connection idle, seconds."""
-        is_long = self.rng.random() < LONG_PAUSE_SHARE
-        return self.rng.uniform(0.5, 4.0) if is_long else self.rng.uniform(0.01, 0.06)
+                    await asyncio.sleep(self.rng.uniform(*pauses))
 
     async def _exchange(self, vm: Vm, conn, request_id: str) -> bool:
         """Send one request; return whether the connection can be used again."""
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -11,7 +11,8 @@
 from tests.soak.records import CONTACT_S, RECOVERY_S, Record, judge_requests
 from tests.support.platform_processes import DATA_CENTRES, PlatformProcesses
 
-CALLERS = 12
+CALLERS = 6
+SLOW_CALLERS = 12
 OPERATORS = 2
 LAG_CHECK_INTERVAL_S = 0.02
 # Time after which a run is given up in which processes never all run.
@@ -100,6 +101,7 @@
         loops.append(outside.run_server(f"server-{at}", service, data_centre))
     operators = [outside.run_operator() for _ in range(OPERATORS)]
     loops += [outside.run_caller(f"caller-{at}") for at in range(CALLERS)]
+    loops += [outside.run_caller(f"{at}", is_slow=True) for at in range(SLOW_CALLERS)]
     tasks = [asyncio.create_task(loop) for loop in loops]
     try:
         if plan.phase is not Phase.FIRST_START:
