Ended each run of the soak with a graceful stop in calm

Each run in which nothing was broken now waits for the time after which VMs count as undisturbed, and stops two entry daemons at once.

--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from tests.soak.outside import Outside
-from tests.soak.plans import CONTROLS, ENTRIES, Fault, Phase, Plan, make_plan
+from tests.soak.plans import CONTROLS, ENTRIES, Fault, Phase, Plan, Step, make_plan
 from tests.soak.processes import POLL_INTERVAL_S, Supervisor
 from tests.soak.records import CONTACT_S, RECOVERY_S, Record, judge_requests
 from tests.support.platform_processes import DATA_CENTRES, PlatformProcesses
@@ -88,6 +88,12 @@
     record.checks["recovery after, ms"] = round((record.now_s() - begin) * 1000)
 
 
+async def _stop_in_calm(supervisor: Supervisor) -> None:
+    """Stop two of the entry daemons at once, long after any unplanned fault."""
+    await asyncio.sleep(CONTACT_S)
+    await supervisor.apply(Step(0.0, Fault.TERMINATE, ENTRIES[:2]))
+
+
 async def run_plan(plan: Plan, folder: Path) -> Record:
     """Run a plan; the settings, data folders and logs are kept in ``folder``."""
     record = Record()
@@ -114,6 +120,8 @@
         for task in operator_tasks:
             task.cancel()
         await _check_recovery(outside)
+        if not record.violations:
+            await _stop_in_calm(supervisor)
         # A loop ends only by an error of the soak itself.
         for task in tasks:
             if task.done() and not task.cancelled():
