Listed a first start that a lost disk and an early end stop for good

Operators would read nothing back and publish nothing more: a control daemon ends before it has created its data folder, the other two form the log and acknowledge a table, one of them loses its disk, and both come back with empty folders. Two of the three predefined ids are then gone, so the third member never has a majority, though only one disk was lost. No logic is changed.

--- a/tests/processes/test_starts.py
+++ b/tests/processes/test_starts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import shutil
 import signal
 import socket
 
@@ -202,3 +203,28 @@
             assert find_ends(platform.vms) == {}
 
         asyncio.run(start_with_unusable_settings())
+
+
+class TestLossesDuringFirstStart:
+    """Guard against a first start that a lost disk and an early end stop for good."""
+
+    def test_a_disk_is_lost_before_a_killed_member_is_back(self, make_platform):
+        platform = make_platform("losses")
+        lost, kept, killed = platform.controls
+
+        async def lose_both():
+            platform.start_all()
+            # It ends before it has created its data folder.
+            killed.child.kill()
+            killed.child.wait()
+            assert not (platform.folder / killed.name).exists()
+            assert await platform.publish(START_LIMIT_S) is not None
+            lost.child.kill()
+            lost.child.wait()
+            shutil.rmtree(platform.folder / lost.name)
+            platform.start(lost)
+            platform.start(killed)
+            version_2 = platform.publish(RECOVERY_LIMIT_S, version=2)
+            assert await version_2 is not None, "no acknowledgement"
+
+        asyncio.run(lose_both())
