Let the last member of a predefined log go on if the other ids never existed

What callers would see: no configuration acknowledged again, for good, after a first start in which one control daemon ended before it had a data folder and another one lost its disk before the successor of the first had joined. Only one disk is lost, and the member that is left has everything.

Cause: the log lists a derived id that never existed; with the one that is lost two of three are gone, so nobody is elected.

Change: an active member in whose log the predefined configuration is still in force asks the others while there is no leader. If all of them are replaced by members of no cluster, and that is more than disks may be lost, some never existed; the others were no majority without this member, so it has every acknowledged entry and goes on alone, and the successors join it. An active report of the same cluster now also counts as proof that it is active.

--- a/src/bramleyrouter/consensus/bootstrap.py
+++ b/src/bramleyrouter/consensus/bootstrap.py
@@ -110,7 +110,8 @@
 
     ACTIVE = auto()
     STORED = auto()
-    # The listed id is gone with its disk, or never existed.
+    # The listed id is gone with its disk, or never existed; the member that runs at its
+    # address is in no cluster.
     REPLACED = auto()
     PENDING = auto()
 
@@ -120,14 +121,26 @@
 ) -> _Outcome:
     if reported is None:
         return _Outcome.PENDING
+    if reported.is_active and reported.cluster_id == own.cluster_id:
+        return _Outcome.ACTIVE
     own_configuration = (own.cluster_id, own.initial_members)
     if (reported.cluster_id, reported.initial_members) == own_configuration:
-        return _Outcome.ACTIVE if reported.is_active else _Outcome.STORED
-    if reported.member_id != listed.member_id:
+        return _Outcome.STORED
+    if reported.member_id != listed.member_id and not reported.cluster_id:
         return _Outcome.REPLACED
     return _Outcome.PENDING
 
 
+def _count_outcomes(
+    own: MemberRecord, own_address: str, reported_records: dict[str, MemberRecord]
+) -> Counter[_Outcome]:
+    return Counter(
+        _classify_member(own, listed, reported_records.get(listed.address))
+        for listed in own.initial_members
+        if listed.address != own_address
+    )
+
+
 def _compute_record_with_configuration(
     own: MemberRecord,
     own_address: str,
@@ -135,11 +148,7 @@
     tolerated_losses: int,
 ) -> MemberRecord | None:
     """Return the next record of an inactive member that stored a configuration."""
-    counts = Counter(
-        _classify_member(own, listed, reported_records.get(listed.address))
-        for listed in own.initial_members
-        if listed.address != own_address
-    )
+    counts = _count_outcomes(own, own_address, reported_records)
     majority = len(own.initial_members) // 2 + 1
     stored = 1 + counts[_Outcome.STORED] + counts[_Outcome.ACTIVE]
     is_waited_for = counts[_Outcome.PENDING] > 0 and not own.is_predefined
@@ -157,6 +166,27 @@
     return None
 
 
+def compute_survivor_record(
+    own: MemberRecord,
+    own_address: str,
+    reported_records: dict[str, MemberRecord],
+    tolerated_losses: int,
+) -> MemberRecord | None:
+    """Return the record with which an active member goes on alone, or none.
+
+    The predefined configuration must still be in force in this member's log, and all
+    other listed ids be replaced. These are more than disks that may be lost, so some of
+    them never existed, and those that did were no majority without this member. Hence
+    it has stored every acknowledged entry, and no other configuration was agreed on.
+    """
+    replaced = _count_outcomes(own, own_address, reported_records)[_Outcome.REPLACED]
+    are_all_replaced = replaced == len(own.initial_members) - 1
+    if not own.is_predefined or not are_all_replaced or replaced <= tolerated_losses:
+        return None
+    members = tuple(item for item in own.initial_members if item.address == own_address)
+    return msgspec.structs.replace(own, initial_members=members)
+
+
 def list_addresses_to_ask(
     own: MemberRecord, own_address: str, first_members: tuple[str, ...]
 ) -> list[str]:
--- a/src/bramleyrouter/consensus/replicated_log.py
+++ b/src/bramleyrouter/consensus/replicated_log.py
@@ -181,8 +181,7 @@
     start_task(node, run_writer(node))
     if node.member_record.is_active:
         schedule_timer(node)
-    else:
-        start_task(node, run_bootstrap(node, new_id))
+    start_task(node, run_bootstrap(node, new_id))
 
 
 def _schedule_restart(member: _Member, new_id: Callable[[], str]) -> None:
--- a/src/bramleyrouter/consensus/request_handlers.py
+++ b/src/bramleyrouter/consensus/request_handlers.py
@@ -9,6 +9,7 @@
 from bramleyrouter.codes import Code
 from bramleyrouter.consensus.bootstrap import (
     compute_next_member_record,
+    compute_survivor_record,
     list_addresses_to_ask,
 )
 from bramleyrouter.consensus.codec import (
@@ -19,7 +20,7 @@
     encode_presence,
 )
 from bramleyrouter.consensus.driver import call_when_synced, dispatch, schedule_timer
-from bramleyrouter.consensus.entries import MemberRecord
+from bramleyrouter.consensus.entries import NO_MEMBER, MemberRecord
 from bramleyrouter.consensus.membership_changes import request_presence
 from bramleyrouter.consensus.messages import (
     AppendRequest,
@@ -195,21 +196,50 @@
         for address, outcome in zip(others, outcomes, strict=True)
         if isinstance(outcome, Ok)
     }
-    member_record = compute_next_member_record(
-        node.member_record,
-        node.address,
-        node.first_members,
-        reported_records,
-        new_id(),
-        node.may_initiate or node.member_record.may_initiate,
-        node.tolerated_losses,
-    )
+    if node.member_record.is_active:
+        member_record = None
+        if _may_lose_its_majority(node) and not _has_leader(node):
+            member_record = compute_survivor_record(
+                node.member_record,
+                node.address,
+                reported_records,
+                node.tolerated_losses,
+            )
+    else:
+        member_record = compute_next_member_record(
+            node.member_record,
+            node.address,
+            node.first_members,
+            reported_records,
+            new_id(),
+            node.may_initiate or node.member_record.may_initiate,
+            node.tolerated_losses,
+        )
     if member_record is not None:
         update_member_record(node, member_record)
 
 
+def _may_lose_its_majority(node: Node) -> bool:
+    """Return whether ids may be missing that the predefined configuration lists."""
+    member_record, configs = node.member_record, node.raft.configs
+    is_in_force = len(configs) == 1 and configs[0][0] == 0
+    has_others = len(member_record.initial_members) > 1
+    return member_record.is_predefined and is_in_force and has_others
+
+
+def _has_leader(node: Node) -> bool:
+    return node.is_leader or node.raft.leader_id != NO_MEMBER
+
+
 async def run_bootstrap(node: Node, new_id: Callable[[], str]) -> None:
-    """Exchange member records with the first members until this one is active."""
-    while not node.member_record.is_active and node.failure is None:
-        await _poll_first_members(node, new_id)
+    """Exchange member records with the first members until this one is active.
+
+    In a predefined configuration they are also asked while there is no leader, until
+    another configuration is in force.
+    """
+    while node.failure is None and (
+        not node.member_record.is_active or _may_lose_its_majority(node)
+    ):
+        if not node.member_record.is_active or not _has_leader(node):
+            await _poll_first_members(node, new_id)
         await asyncio.sleep(BOOTSTRAP_POLL_S)
--- a/tests/consensus/test_first_start.py
+++ b/tests/consensus/test_first_start.py
@@ -10,6 +10,7 @@
     build_predefined_record,
     can_predefine,
     compute_next_member_record,
+    compute_survivor_record,
 )
 from bramleyrouter.consensus.entries import MemberRecord
 from bramleyrouter.consensus.interfaces import Member
@@ -121,6 +122,39 @@
         assert compute(own, A, replaced).is_active
 
 
+class TestSurvivor:
+    """Guards against a log without a majority for good, and against a second log."""
+
+    NEW = {B: MemberRecord(MemberId("new-b")), C: MemberRecord(MemberId("new-c"))}
+
+    def survive(self, own, reported, tolerated_losses=1):
+        return compute_survivor_record(own, A, reported, tolerated_losses)
+
+    def test_all_others_are_replaced(self):
+        own = make_predefined(A, is_active=True)
+        found = self.survive(own, self.NEW)
+        assert found.initial_members == (Member(own.member_id, A),)
+        assert found.cluster_id == own.cluster_id and found.is_active
+
+    @pytest.mark.parametrize("other", [make_predefined(B), make_predefined(B, True)])
+    def test_a_listed_member_is_there(self, other):
+        own = make_predefined(A, is_active=True)
+        assert self.survive(own, {**self.NEW, B: other}) is None
+
+    def test_a_member_has_not_reported(self):
+        own = make_predefined(A, is_active=True)
+        assert self.survive(own, {B: self.NEW[B]}) is None
+
+    def test_a_replaced_member_was_added_to_the_cluster(self):
+        own = make_predefined(A, is_active=True)
+        added = MemberRecord(MemberId("new-b"), own.cluster_id, (), True)
+        assert self.survive(own, {**self.NEW, B: added}) is None
+
+    def test_so_many_disks_may_be_lost(self):
+        own = make_predefined(A, is_active=True)
+        assert self.survive(own, self.NEW, tolerated_losses=2) is None
+
+
 class TestMissingMembers:
     """Guards against a first start that needs every first member."""
 
@@ -224,8 +258,8 @@
 class TestRandomFirstStarts:
     """Guards against lost acknowledgements and starts without end.
 
-    Processes are late, killed, frozen or cut off, lose power, or their disk, one disk
-    at most.
+    Processes are late, killed (also before they have a folder), frozen or cut off, lose
+    power, or their disk, one disk at most.
     """
 
     @pytest.mark.parametrize("seed", range(40))
@@ -234,7 +268,7 @@
         await play_schedule(seed)
 
 
-KINDS = ("start", "start", "end", "power", "disk", "propose", "cut", "freeze")
+KINDS = ("start",) * 3 + ("early", "end", "power", "disk", "propose", "cut", "freeze")
 
 
 async def play_schedule(seed):
@@ -268,6 +302,9 @@
         kind = rng.choice(KINDS)
         if kind == "start" and number not in cluster.logs:
             start(number)
+        elif kind == "early":
+            # A process that ended before it had a folder.
+            has_started[number] = True
         elif kind == "end" and number in cluster.logs:
             await cluster.end_process(number)
         elif kind == "power" and number in cluster.logs:
