Kept the exit code of an exception while nobody reads its traceback

A process that ended by an exception left the traceback to the interpreter.

The launcher now writes the traceback itself, up to 50,000 characters, waits at most one second for a reader, and ends with 1. The text of sys.exit is written the same way.

Evidence: test_unread_traceback_does_not_change_the_exit_code gives the process a full pipe that nobody reads; before, both cases ended with 120, now with 1.

--- a/src/bramleyrouter/daemons/launching.py
+++ b/src/bramleyrouter/daemons/launching.py
@@ -22,9 +22,13 @@
 
 STDOUT, STDERR = 1, 2
 EXIT_EXCEPTION = 1
-# A write to a pipe that ``select`` reports as writable does not block up to 4096
-# bytes (PIPE_BUF); escaping makes six bytes of a character at most.
+# A write of PIPE_BUF bytes at most to a pipe that ``select`` reports as writable does
+# not block. Escaping makes six bytes of a character of a text at most.
+PIPE_BYTES = 4096
 MAX_TEXT_LENGTH = 500
+MAX_TRACEBACK_LENGTH = 50_000
+# Time that a reader of standard error has to take a last text, in seconds.
+READER_WAIT_S = 1.0
 
 
 class Launch:
@@ -49,18 +53,37 @@
         return round(time.monotonic() - self.started_at, 3)
 
 
-def _write_line(descriptor: int, line: str) -> None:
-    """Write a line at once, or leave it out if nobody reads the descriptor."""
+def _write(descriptor: int, text: str, wait_s: float) -> None:
+    """Write a text; leave out what nobody reads within ``wait_s`` seconds."""
+    unwritten = text.encode(errors="replace")
+    deadline = time.monotonic() + wait_s
     try:
-        _, writable, _ = select.select([], [descriptor], [], 0)
-        if writable:
-            os.write(descriptor, line.encode() + b"\n")
+        while unwritten:
+            remaining_s = max(0.0, deadline - time.monotonic())
+            if not select.select([], [descriptor], [], remaining_s)[1]:
+                return
+            unwritten = unwritten[os.write(descriptor, unwritten[:PIPE_BYTES]) :]
     except (OSError, ValueError):
         # The reader has closed the pipe, or there is no such descriptor. The daemon
         # works without its log.
         return
 
 
+def _write_line(descriptor: int, line: str) -> None:
+    """Write a line at once, or leave it out if nobody reads the descriptor."""
+    _write(descriptor, line + "\n", 0.0)
+
+
+def _write_traceback(exc: BaseException) -> None:
+    """Write what the interpreter would write, with a limit to its length and time."""
+    import traceback
+
+    text = "".join(traceback.format_exception(exc))
+    if len(text) > MAX_TRACEBACK_LENGTH:
+        text = text[:MAX_TRACEBACK_LENGTH] + "...\n"
+    _write(STDERR, text, READER_WAIT_S)
+
+
 def _record_ended(state: Launch, code: int, reason: str, **fields) -> None:
     import json
 
@@ -119,7 +142,7 @@
         return 0
     if isinstance(code, int):
         return code
-    print(code, file=sys.stderr)
+    _write(STDERR, f"{code}\n", READER_WAIT_S)
     return EXIT_EXCEPTION
 
 
@@ -129,7 +152,8 @@
     ``main`` gets the ``Launch`` and is not called if a signal asked the process to stop
     during the import. Signals are caught first and ignored last. The events
     "daemon/starting" and "daemon/ended" are written to ``descriptor``, which belongs to
-    the daemon's log. An exception of the import or of ``main`` is recorded and raised.
+    the daemon's log. An exception of the import or of ``main`` is recorded, and its
+    traceback goes to standard error.
     """
     state = Launch(program, descriptor, catch_signals())
     # Encoded here, as importing an encoder takes several milliseconds.
@@ -140,6 +164,7 @@
     )
     _stop_waiting_for_readers(STDERR)
     _enable_crash_traces()
+    failure: BaseException | None = None
     try:
         main = import_module(module).main
         is_stopped = state.inbox.is_stop_pending()
@@ -147,13 +172,14 @@
     except SystemExit as exc:
         code = _convert_exit_code(exc.code)
     except BaseException as exc:
-        text = str(exc)[:MAX_TEXT_LENGTH]
-        _record_ended(
-            state, EXIT_EXCEPTION, "exception", type=type(exc).__name__, text=text
-        )
-        ignore_signals(state.inbox)
-        raise
-    _record_ended(state, code, "start_failed" if code else "stopped")
+        # Nothing above can handle it; the process ends with the code of an exception.
+        code, failure = EXIT_EXCEPTION, exc
+    if failure is None:
+        _record_ended(state, code, "start_failed" if code else "stopped")
+    else:
+        text = str(failure)[:MAX_TEXT_LENGTH]
+        _record_ended(state, code, "exception", type=type(failure).__name__, text=text)
+        _write_traceback(failure)
     ignore_signals(state.inbox)
     _discard_unwritten(sys.stdout, STDOUT)
     _discard_unwritten(sys.stderr, STDERR)
--- a/tests/daemons/test_launching.py
+++ b/tests/daemons/test_launching.py
@@ -133,6 +133,16 @@
         finished = run(tmp_path, module, stdout=full_pipe)
         assert finished.returncode == 3
 
+    @pytest.mark.parametrize("text", ["a text", "\u2014" * 100_000])
+    def test_unread_traceback_does_not_change_the_exit_code(
+        self, tmp_path, full_pipe, text
+    ):
+        # The interpreter ends with 120 if it can't write the rest of a traceback.
+        module = f"raise ValueError({text!r})\n"
+        finished = run(tmp_path, module, stderr=full_pipe)
+        assert finished.returncode == 1
+        assert read_events(finished)[-1]["type"] == "ValueError"
+
     @pytest.mark.parametrize("descriptors", ["1>&-", "2>&-", "1>&- 2>&-"])
     def test_missing_descriptors_do_not_end_the_process(self, tmp_path, descriptors):
         (tmp_path / "launched_module.py").write_text(
