Named the listener that accepts no connections

The line about a lack of files for connections didn't say which of a daemon's three or four listeners it came from, so three equal lines stood in the log of each daemon.

Cause: the error of accept names no address, and none was added.

The line now starts with the listener's address. It is still written once for each series of failures.

The test of the line checks the address now, and fails without this.

--- a/src/bramleyrouter/utils/listening.py
+++ b/src/bramleyrouter/utils/listening.py
@@ -50,7 +50,10 @@
             if exc.errno not in EXHAUSTED_ERRORS:
                 raise
             if not self._is_exhausted:
-                logging.error("listening: no connections are accepted: %s.", exc)
+                host, port = self.getsockname()[:2]
+                logging.error(
+                    "listening: %s:%d accepts no connections: %s.", host, port, exc
+                )
             self._is_exhausted = True
             self._pause()
             raise BlockingIOError(exc.errno, exc.strerror) from exc
--- a/tests/utils/test_listening.py
+++ b/tests/utils/test_listening.py
@@ -48,7 +48,7 @@
     """Guard against a daemon that spins while it has no file for a connection."""
 
     @pytest.mark.parametrize("number", [errno.EMFILE, errno.ENFILE, errno.ENOMEM])
-    def test_connection_is_accepted_later(self, monkeypatch, number):
+    def test_connection_is_accepted_later(self, monkeypatch, caplog, number):
         failing = FailingAccept(monkeypatch, number)
         monkeypatch.setattr(listening, "ACCEPT_PAUSE_S", 0.05)
         errors = []
@@ -70,9 +70,12 @@
             await wait_until(lambda: server.accepted == 1)
             server.stop()
             client.close()
+            return address
 
-        asyncio.run(scenario())
+        address = asyncio.run(scenario())
         assert errors == []
+        lines = [line for line in caplog.messages if address in line]
+        assert len(lines) == 1 and "accepts no connections" in lines[0]
 
     def test_server_can_stop_during_a_pause(self, monkeypatch):
         failing = FailingAccept(monkeypatch, errno.EMFILE)
