Waited for a sign of each process in the test of settings that are being written

The test left the settings unusable for 2 s. It now waits until each process has reported that it waits, or has ended, which is stricter.

--- a/tests/processes/test_starts.py
+++ b/tests/processes/test_starts.py
@@ -24,7 +24,6 @@
 # Bound within which a process must serve after the last fault.
 RECOVERY_LIMIT_S = 12.0
 ADDRESS_HELD_S = 3.0
-SETTINGS_UNUSABLE_S = 2.0
 SIGNAL_INTERVAL_S = 0.05
 SIGNALS_PER_START = 8
 
@@ -176,6 +175,19 @@
     return text[: text.index("[listen]")]
 
 
+async def wait_for_delays(vms: list[Vm]) -> None:
+    """Wait until each process has met its settings: it waits for others, or has ended.
+
+    A fixed time could pass before a process on a busy machine reads them.
+    """
+    async with asyncio.timeout(START_LIMIT_S):
+        for vm in vms:
+            while vm.child.poll() is None and not any(
+                event.get("event") == "start_delayed" for event in vm.read_events()
+            ):
+                await asyncio.sleep(0.05)
+
+
 class TestSettingsBeingWritten:
     """Guard against a process that ends because its settings aren't complete yet."""
 
@@ -192,7 +204,7 @@
                 if change is not None:
                     vm.settings_path.write_text(change(platform.build_settings(vm)))
                 platform.start_program(vm)
-            await asyncio.sleep(SETTINGS_UNUSABLE_S)
+            await wait_for_delays(vms)
             assert find_ends(platform.vms) == {}
             for vm in vms:
                 platform.write_settings(vm)
