Opened the null device for missing standard descriptors

A daemon that was started without some of the descriptors 0 to 2 opened its own files and sockets under these numbers, and its event log went to one of them (found by the review in real starts; by luck the files were read-only). The launcher now opens the null device for the missing ones first, so that no other file gets their numbers. The new test got descriptor 0 before (exit code 0) and fails without the change; the other tests of launching pass.

--- a/src/bramleyrouter/daemons/launching.py
+++ b/src/bramleyrouter/daemons/launching.py
@@ -102,6 +102,18 @@
     _write_line(state.descriptor, json.dumps(line, separators=(",", ":")))
 
 
+def _open_missing_descriptors() -> None:
+    """Open the null device for the standard descriptors that do not exist.
+
+    The next file that is opened would otherwise take the place of one of them, and get
+    the daemon's log lines.
+    """
+    opened = os.open(os.devnull, os.O_RDWR)
+    while opened <= STDERR:
+        opened = os.open(os.devnull, os.O_RDWR)
+    os.close(opened)
+
+
 def _stop_waiting_for_readers(descriptor: int) -> None:
     """Let writes to a pipe or socket fail, instead of wait, while nobody reads it."""
     try:
@@ -156,6 +168,7 @@
     traceback goes to standard error.
     """
     state = Launch(program, descriptor, catch_signals())
+    _open_missing_descriptors()
     # Encoded here, as importing an encoder takes several milliseconds.
     _write_line(
         descriptor,
--- a/tests/daemons/test_launching.py
+++ b/tests/daemons/test_launching.py
@@ -154,3 +154,15 @@
             [*command, sys.executable, PROGRAM], env=env, timeout=LIMIT_S
         )
         assert finished.returncode == 3
+
+    def test_no_file_takes_the_place_of_a_missing_descriptor(self, tmp_path):
+        """Guards against log lines that are written to a file of the daemon."""
+        (tmp_path / "launched_module.py").write_text(
+            "def main(launch):\n    return open(__file__).fileno()\n"
+        )
+        env = {"PYTHONPATH": f"{ROOT / 'src'}:{tmp_path}", "PATH": os.environ["PATH"]}
+        command = ["sh", "-c", 'exec "$0" -c "$1" 0<&- 1>&- 2>&-']
+        finished = subprocess.run(
+            [*command, sys.executable, PROGRAM], env=env, timeout=LIMIT_S
+        )
+        assert finished.returncode > 2
