Ended replaced processes too at the end of a process test

A test that starts a successor beside a running process left the first one behind if it failed: one entry daemon of an early version of such a test was found running half an hour later. All processes that were started are kept in a list and killed at the end. No check is changed.

--- a/tests/support/platform_processes.py
+++ b/tests/support/platform_processes.py
@@ -93,6 +93,8 @@
         ]
         self.memory_mb = 300
         self.keeper: asyncio.Task | None = None
+        # All processes that were started, also those that a successor has replaced.
+        self.children: list[subprocess.Popen] = []
 
     def _make_vm(self, name: str, role: str, last: int, at: int) -> Vm:
         data_centre = DATA_CENTRES[at % len(DATA_CENTRES)]
@@ -156,13 +158,15 @@
             **(environment or {}),
         }
         with open(vm.log_path, "ab") as output:
-            vm.child = subprocess.Popen(
+            child = subprocess.Popen(
                 [sys.executable, "-m", f"bramleyrouter.platform.{vm.role}"],
                 cwd=ROOT,
                 env=env,
                 stdin=subprocess.DEVNULL,
                 **{"stdout": output, "stderr": output, **(outputs or {})},
             )
+        self.children.append(child)
+        vm.child = child
 
     def start_all(self, but: tuple[Vm, ...] = ()) -> None:
         """Start all processes except those of ``but``."""
@@ -224,11 +228,11 @@
         """Kill every process that this deployment started."""
         if self.keeper is not None:
             self.keeper.cancel()
-        for vm in self.vms:
-            if vm.child is not None and vm.child.poll() is None:
-                vm.child.send_signal(signal.SIGCONT)
-                vm.child.kill()
-                vm.child.wait()
+        for child in self.children:
+            if child.poll() is None:
+                child.send_signal(signal.SIGCONT)
+                child.kill()
+                child.wait()
 
 
 def runs_dependencies(vm: Vm) -> bool:
