--- a/tests/soak/breaches.py
+++ b/tests/soak/breaches.py
@@ -32,9 +32,9 @@
 BREACHES = (
     Breach(
         "a reload signal ends the process",
-        "platform/programs.py",
-        'record(log, "daemon", "reloaded"',
-        'os._exit(1)\n        record(log, "daemon", "reloaded"',
+        "platform/settings_watch.py",
+        "            on_change(new)\n",
+        "            raise SystemExit(1)\n",
         ("ended by itself",),
     ),
     Breach(
