--- a/tests/edges/servers/test_forwarding.py
+++ b/tests/edges/servers/test_forwarding.py
@@ -10,6 +10,7 @@
     Pool,
     start_exchange,
 )
+from bramleyrouter.utils.byte_budgets import ByteBudget
 from tests.support.log_cluster import in_virtual_time
 
 REQUEST = ForwardedRequest(b"GET / HTTP/1.1\r\n\r\n", lambda name, value: True)
@@ -29,7 +30,7 @@
             def socket(family):
                 raise OSError(errno.EMFILE, "Too many open files")
 
-        pool, ends = Pool("127.0.0.1", 9, 2, loop), []
+        pool, ends = Pool("127.0.0.1", 9, 2, loop, ByteBudget()), []
         monkeypatch.setattr(forwarding, "socket", NoSocket)
         for _ in range(5):
             start_exchange(pool, REQUEST, 3.0, ends.append)
