--- a/src/bramleyrouter/gateway/exchanges.py
+++ b/src/bramleyrouter/gateway/exchanges.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 from bramleyrouter.fleet.records import ServerRow
-from bramleyrouter.ids import ServiceName
+from bramleyrouter.ids import ServiceName, TenantName
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -19,7 +19,8 @@
 
     ``target`` is the path with its query string, as sent. ``headers`` are those that
     are forwarded. ``deadline_s`` is how long the caller waits, in seconds from the
-    arrival of the request, or none if the caller gave no deadline.
+    arrival of the request, or none if the caller gave no deadline. ``customer`` is the
+    name of the customer whose request it is, empty if there is none.
     """
 
     request_id: str
@@ -30,6 +31,7 @@
     body: bytes
     has_body: bool
     deadline_s: float | None
+    customer: TenantName = TenantName("")
 
     @property
     def path(self) -> str:
--- a/src/bramleyrouter/gateway/tables.py
+++ b/src/bramleyrouter/gateway/tables.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from bramleyrouter.ids import ServiceName, TableVersion
+from bramleyrouter.ids import ServiceName, TableVersion, TenantName
 
 
 class RequestKind(Enum):
@@ -47,6 +47,23 @@
     shards: tuple[ServiceName, ...] = ()
     top_records: int = 0
     min_coverage: float = 1.0
+    is_public: bool = False
+
+
+class Customer(msgspec.Struct, frozen=True):
+    """Describe a customer: the keys of its requests, its allowance and its priority.
+
+    ``key_digests`` holds the SHA-256 digest of each key; without any, no request is
+    accepted as the customer's. The allowance is ``rate_per_s`` requests per second plus
+    a burst of ``burst`` over all entry daemons together; a rate of 0 means no limit.
+    ``priority`` goes before that of the route, 0 being the most urgent.
+    """
+
+    name: TenantName
+    key_digests: tuple[bytes, ...] = ()
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    priority: int = 0
 
 
 class Service(msgspec.Struct, frozen=True):
@@ -71,20 +88,25 @@
 
 
 class RouteTable(msgspec.Struct, frozen=True):
-    """Hold all routes and services of one version."""
+    """Hold all routes, services and customers of one version.
+
+    Requests need a customer's key if there are customers, except on public routes.
+    """
 
     version: TableVersion
     routes: tuple[Route, ...]
     services: tuple[Service, ...]
     limits: CallerLimits = CallerLimits()
+    customers: tuple[Customer, ...] = ()
 
 
 class RouteIndex(NamedTuple):
-    """Index a table's routes by host and prefix, and its services by name."""
+    """Index a table's routes by host and prefix, services and customers by name."""
 
     table: RouteTable
     by_host: dict[str, dict[str, Route]]
     services: dict[ServiceName, Service]
+    customers: dict[TenantName, Customer]
 
 
 def build_index(table: RouteTable) -> RouteIndex:
@@ -92,7 +114,12 @@
     by_host: dict[str, dict[str, Route]] = {}
     for route in table.routes:
         by_host.setdefault(route.host, {})[route.prefix] = route
-    return RouteIndex(table, by_host, {item.name: item for item in table.services})
+    return RouteIndex(
+        table,
+        by_host,
+        {item.name: item for item in table.services},
+        {item.name: item for item in table.customers},
+    )
 
 
 def match_route(index: RouteIndex, host: str, path: str) -> Route | None:
