Identified customers by API keys before requests are forwarded

Cause: deployments with customers need requests refused without a valid key, and servers told whose request they serve, without any server seeing a key. Waiting requests are ordered by the customer's priority first.

--- a/src/bramleyrouter/daemons/fleet_entry.py
+++ b/src/bramleyrouter/daemons/fleet_entry.py
@@ -138,6 +138,7 @@
         ),
         lambda: "stopping" in board.readiness.reasons,
         memory,
+        lambda result: metrics.identifications.inc({"result": result}),
     )
     network.serve_stream(MessageKind.GATHER_SHARDS, gateway.serve_delegated)
     network.serve(MessageKind.GRANT_ATTEMPTS, gateway.handle_grant)
--- a/src/bramleyrouter/gateway/build.py
+++ b/src/bramleyrouter/gateway/build.py
@@ -7,6 +7,11 @@
 
 from bramleyrouter.fleet.records import ServerRow
 from bramleyrouter.gateway.budgets import ExtraBudget, ExtraLimits
+from bramleyrouter.gateway.customers import (
+    Identification,
+    IdentityResult,
+    identify_customer,
+)
 from bramleyrouter.gateway.data_centre_contacts import build_contacts
 from bramleyrouter.gateway.delegation import (
     OpenStream,
@@ -43,7 +48,7 @@
     set_servers,
 )
 from bramleyrouter.gateway.single_requests import start_single_request
-from bramleyrouter.gateway.tables import RouteTable, build_index, match_route
+from bramleyrouter.gateway.tables import Route, RouteTable, build_index, match_route
 from bramleyrouter.ids import DataCentre, ServiceName
 from bramleyrouter.telemetry.events import RecordEvent
 from bramleyrouter.telemetry.gateway_metrics import ObserveRequest
@@ -98,10 +103,12 @@
     send_grant: SendGrant,
     is_stopping: Callable[[], bool],
     memory: ByteBudget | None = None,
+    count_identification: Callable[[str], None] = lambda result: None,
 ) -> GatewayHandle:
     """Build the gateway on an event loop.
 
     Without ``memory``, the replies that the gateway keeps have a budget of their own.
+    ``count_identification`` is called with the result of each identification.
     """
     gateway = Gateway(
         limits,
@@ -125,10 +132,12 @@
         open_stream,
         send_grant,
         memory=memory or ByteBudget(),
+        count_identification=count_identification,
     )
 
     def set_table(table: RouteTable) -> None:
         gateway.index = build_index(table)
+        gateway.table_applied_at = loop.time()
         names = {route.name for route in table.routes}
         for gone in set(gateway.windows) - names:
             del gateway.windows[gone]
@@ -159,6 +168,25 @@
     )
 
 
+def _identify(gateway: Gateway, route: Route, request: CallerRequest) -> Identification:
+    """Identify the customer of a request; count the result and record a refusal."""
+    assert gateway.index is not None
+    identification = identify_customer(gateway.index, route, request)
+    if identification.result is not IdentityResult.UNCHECKED:
+        gateway.count_identification(identification.result.value)
+    if identification.is_refused:
+        gateway.record_rate_limited(
+            "gateway",
+            "customer_refused",
+            id=request.request_id,
+            route=route.name,
+            reason=identification.result.value,
+            version=gateway.index.table.version,
+            table_age_s=round(gateway.loop.time() - gateway.table_applied_at, 3),
+        )
+    return identification
+
+
 def _handle_request(
     gateway: Gateway,
     request: CallerRequest,
@@ -185,6 +213,12 @@
         version = gateway.index.table.version
         reason = f'no route of version {version} for "{request.host}{request.path}"'
         return reply_at_once(GatewayReply(ReplyKind.NO_ROUTE, reason))
+    identification = _identify(gateway, route, request)
+    if identification.is_refused:
+        reason = identification.result.value
+        on_reply(GatewayReply(ReplyKind.UNAUTHORIZED, reason))
+        return lambda: None
+    request = identification.request
     if is_overloaded(gateway, route):
         reason = f"{gateway.in_flight} requests are under way"
         return reply_at_once(build_refusal(gateway, reason, route.timeout_s / 3))
--- a/src/bramleyrouter/gateway/delegation.py
+++ b/src/bramleyrouter/gateway/delegation.py
@@ -107,6 +107,8 @@
     attempts: tuple[int, ...]
 
 
+# Position in a request from which fields are left out of a query.
+_CUSTOMER_POSITION = CallerRequest._fields.index("customer")
 _ENCODER = msgspec.msgpack.Encoder()
 _QUERY_DECODER = msgspec.msgpack.Decoder(DelegatedQuery)
 _REPLY_DECODER = msgspec.msgpack.Decoder(DelegatedReply)
@@ -116,7 +118,14 @@
 
 
 def encode_message(message: DelegatedQuery | DelegatedReply | AttemptGrant) -> bytes:
-    """Encode a delegated query, a reply or a grant."""
+    """Encode a delegated query, a reply or a grant.
+
+    The request of a query is encoded without its credentials, and without a customer as
+    releases encoded it that knew none.
+    """
+    if isinstance(message, DelegatedQuery):
+        end = _CUSTOMER_POSITION + bool(message.request.customer)
+        message = msgspec.structs.replace(message, request=message.request[:end])
     return _ENCODER.encode(message)
 
 
--- a/src/bramleyrouter/gateway/exchanges.py
+++ b/src/bramleyrouter/gateway/exchanges.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
 from typing import NamedTuple
 
@@ -14,13 +15,28 @@
 Headers = tuple[tuple[str, str], ...]
 
 
+@dataclass(frozen=True, repr=False)
+class Credentials:
+    """Hold the digest of a request's API key, and the headers to forward without it.
+
+    ``key_digest`` is empty if the request has no usable key. ``headers`` lack the key
+    and what the caller itself says of its customer; they are forwarded if the route
+    table has customers.
+    """
+
+    key_digest: bytes
+    headers: Headers
+
+
 class CallerRequest(NamedTuple):
     """Hold one request of a caller.
 
     ``target`` is the path with its query string, as sent. ``headers`` are those that
     are forwarded. ``deadline_s`` is how long the caller waits, in seconds from the
     arrival of the request, or none if the caller gave no deadline. ``customer`` is the
-    name of the customer whose request it is, empty if there is none.
+    name of the customer whose request it is, empty if there is none. ``credentials``
+    are set until the customer was identified, if the caller sent any; they are never
+    sent on.
     """
 
     request_id: str
@@ -32,6 +48,14 @@
     has_body: bool
     deadline_s: float | None
     customer: TenantName = TenantName("")
+    credentials: Credentials | None = None
+
+    def __repr__(self) -> str:
+        """Return a text without headers and body, which may hold keys."""
+        return (
+            f"CallerRequest(request_id={self.request_id!r}, method={self.method!r}, "
+            f"target={self.target!r}, customer={self.customer!r})"
+        )
 
     @property
     def path(self) -> str:
@@ -107,6 +131,7 @@
     GATHERED = "gathered"
     REFUSED = "refused"
     NO_ROUTE = "no_route"
+    UNAUTHORIZED = "unauthorized"
     FAILED = "failed"
     DEADLINE = "deadline"
     TOO_LARGE = "too_large"
--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from bramleyrouter.gateway.budgets import ExtraBudget
+from bramleyrouter.gateway.customers import compute_priority
 from bramleyrouter.gateway.data_centre_contacts import (
     DataCentreContacts,
     record_contact,
@@ -115,6 +116,10 @@
     relayed_gathers: dict[int, "GatherRun"] = field(default_factory=dict)
     # Bounds the replies that are kept while other attempts of their requests run.
     memory: ByteBudget = field(default_factory=ByteBudget)
+    # Loop time at which the table in force was applied.
+    table_applied_at: float = 0.0
+    # Counts the results of identifications in the metrics.
+    count_identification: Callable[[str], None] = lambda result: None
 
 
 def mark_data_centre_reachable(gateway: Gateway, data_centre: DataCentre) -> None:
@@ -238,9 +243,18 @@
     return gateway.in_flight >= limit
 
 
-def compute_urgency(route: Route, arrived_at: float) -> Urgency:
-    """Return the urgency of a request that arrived at the loop time ``arrived_at``."""
-    return Urgency(arrived_at + route.objective_s, route.priority)
+def compute_urgency(
+    gateway: Gateway, route: Route, request: CallerRequest, arrived_at: float
+) -> Urgency:
+    """Return the urgency of a request that arrived at the loop time ``arrived_at``.
+
+    A relay finds the customer by the name that a delegated query carries.
+    """
+    customer = None
+    if request.customer and gateway.index is not None:
+        customer = gateway.index.customers.get(request.customer)
+    priority = compute_priority(route, customer)
+    return Urgency(arrived_at + route.objective_s, priority)
 
 
 def compute_time_limit(route: Route, request: CallerRequest) -> float:
--- a/src/bramleyrouter/gateway/queues.py
+++ b/src/bramleyrouter/gateway/queues.py
@@ -10,16 +10,18 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from bramleyrouter.gateway.customers import Priority
+
 
 class Urgency(NamedTuple):
     """Hold the criteria that order waiting requests.
 
     ``objective_at`` is the loop time in seconds at which the request's objective ends;
-    ``priority`` is that of its route, 0 being the highest.
+    ``priority`` orders them by customer and route; the lowest one goes first.
     """
 
     objective_at: float
-    priority: int
+    priority: Priority
 
 
 @dataclass(eq=False)
@@ -54,7 +56,7 @@
     server, when more requests wait than can be served in time.
     """
 
-    def sort_key(item: QueuedRequest) -> tuple[bool, int, float]:
+    def sort_key(item: QueuedRequest) -> tuple[bool, Priority, float]:
         is_past_objective = item.urgency.objective_at <= now
         return is_past_objective, item.urgency.priority, item.urgency.objective_at
 
--- a/src/bramleyrouter/gateway/relaying.py
+++ b/src/bramleyrouter/gateway/relaying.py
@@ -87,7 +87,7 @@
             if not fut.done():
                 fut.set_result(reply)
 
-        request = query.request._replace(deadline_s=query.deadline_s)
+        request = query.request._replace(deadline_s=query.deadline_s, credentials=None)
 
         def report(part: GatewayReply) -> None:
             leaving = take_leaving()
--- a/src/bramleyrouter/gateway/single_requests.py
+++ b/src/bramleyrouter/gateway/single_requests.py
@@ -186,7 +186,7 @@
         context,
         run.request,
         run.deadline_at,
-        compute_urgency(run.route, run.arrived_at),
+        compute_urgency(gateway, run.route, run.request, run.arrived_at),
         get_latency_window(gateway, run.route),
         lambda attempt, reply: _handle_reply(run, attempt, reply),
         run.pending,
--- a/src/bramleyrouter/gateway/tables.py
+++ b/src/bramleyrouter/gateway/tables.py
@@ -101,12 +101,16 @@
 
 
 class RouteIndex(NamedTuple):
-    """Index a table's routes by host and prefix, services and customers by name."""
+    """Index a table's routes by host and prefix, services and customers by name.
+
+    Customers are indexed by the digests of their keys as well.
+    """
 
     table: RouteTable
     by_host: dict[str, dict[str, Route]]
     services: dict[ServiceName, Service]
     customers: dict[TenantName, Customer]
+    customers_by_digest: dict[bytes, Customer]
 
 
 def build_index(table: RouteTable) -> RouteIndex:
@@ -119,6 +123,7 @@
         by_host,
         {item.name: item for item in table.services},
         {item.name: item for item in table.customers},
+        {digest: item for item in table.customers for digest in item.key_digests},
     )
 
 
--- a/src/bramleyrouter/platform/callers.py
+++ b/src/bramleyrouter/platform/callers.py
@@ -27,6 +27,7 @@
 from bramleyrouter.gateway.reply_times import compute_network_time
 from bramleyrouter.gateway.tables import CallerLimits
 from bramleyrouter.platform import names
+from bramleyrouter.platform.credentials import read_credentials
 from bramleyrouter.telemetry.events import RecordEvent
 from bramleyrouter.utils.byte_budgets import (
     NORMAL_WEIGHT,
@@ -63,6 +64,7 @@
     ReplyKind.GATHERED: 200,
     ReplyKind.REFUSED: 503,
     ReplyKind.NO_ROUTE: 404,
+    ReplyKind.UNAUTHORIZED: 401,
     ReplyKind.FAILED: 502,
     ReplyKind.DEADLINE: 504,
     ReplyKind.TOO_LARGE: 413,
@@ -125,6 +127,7 @@
         body=body,
         has_body=has_body,
         deadline_s=_parse_deadline(headers.get(names.DEADLINE_MS, "")),
+        credentials=read_credentials(headers, forwarded),
     )
 
 
@@ -164,6 +167,8 @@
     if reply.kind is ReplyKind.GATHERED:
         headers[names.PART_SEALS] = ", ".join(reply.signatures)
         headers[names.MISSING_PARTS] = str(reply.missing)
+    if reply.kind is ReplyKind.UNAUTHORIZED:
+        headers[names.AUTHENTICATE] = names.KEY_SCHEME
     if reply.retry_after_s:
         headers["Retry-After"] = f"{reply.retry_after_s:.3f}"
     headers["Content-Length"] = str(len(body))
--- /dev/null
+++ b/src/bramleyrouter/platform/credentials.py
@@ -0,0 +1,41 @@
+"""Read the API key of a caller's request, and remove it from what is forwarded."""
+
+import re
+
+from tornado.httputil import HTTPHeaders
+
+from bramleyrouter.gateway.customers import compute_key_digest
+from bramleyrouter.gateway.exchanges import Credentials, Headers
+from bramleyrouter.platform import names
+
+# The listener maps each byte of a head to one character.
+HEAD_ENCODING = "latin-1"
+_AUTHORIZATION = names.AUTHORIZATION.lower()
+_TENANT = names.TENANT.lower()
+# Several values of the header may share a line, separated by commas.
+_KEY_PART = re.compile(rf"(?:^|,)[ \t]*{names.KEY_SCHEME}(?=[ \t,]|$)", re.I | re.A)
+_KEY = re.compile(rf"[ \t]*{names.KEY_SCHEME}[ \t]+(.*?)[ \t]*", re.I | re.A)
+
+
+def read_credentials(headers: HTTPHeaders, forwarded: Headers) -> Credentials | None:
+    """Return the credentials of a request, or none if nothing has to be removed.
+
+    ``headers`` are all headers of the request and ``forwarded`` those that are sent on
+    without customers. A request with different values of ``Authorization`` has no
+    usable key, as it is unclear which one applies.
+    """
+    values = set(headers.get_list(names.AUTHORIZATION))
+    kept = tuple(header for header in forwarded if not _must_be_removed(*header))
+    if not values and len(kept) == len(forwarded):
+        return None
+    match = _KEY.fullmatch(values.pop()) if len(values) == 1 else None
+    key = match[1] if match else ""
+    return Credentials(compute_key_digest(key.encode(HEAD_ENCODING)), kept)
+
+
+def _must_be_removed(name: str, value: str) -> bool:
+    lowered = name.lower()
+    if lowered == _AUTHORIZATION:
+        return bool(_KEY_PART.search(value))
+    # Many servers take an underscore for a hyphen in the names of headers.
+    return lowered.replace("_", "-") == _TENANT
--- a/src/bramleyrouter/platform/names.py
+++ b/src/bramleyrouter/platform/names.py
@@ -14,6 +14,13 @@
 PART_SEALS = "Bramleyrouter-Part-Seals"
 MISSING_PARTS = "Bramleyrouter-Missing-Parts"
 
+# The customer of a request, set by the system in requests to servers.
+TENANT = "Bramleyrouter-Tenant"
+# Callers send their keys as "Authorization: Token KEY".
+AUTHORIZATION = "Authorization"
+KEY_SCHEME = "Token"
+AUTHENTICATE = "WWW-Authenticate"
+
 READY_PATH = "/v1/ready"
 CONFIG_PATH = "/v1/config"
 REPLICAS_PREFIX = "/v1/replicas/"
--- a/src/bramleyrouter/platform/route_documents.py
+++ b/src/bramleyrouter/platform/route_documents.py
@@ -8,15 +8,17 @@
 from bramleyrouter.codes import Code
 from bramleyrouter.failures import Failure
 from bramleyrouter.fleet.records import VersionNumber
+from bramleyrouter.gateway.customers import compute_key_digest
 from bramleyrouter.gateway.tables import (
     CallerLimits,
+    Customer,
     RequestKind,
     Route,
     RouteTable,
     Service,
     WeightedService,
 )
-from bramleyrouter.ids import ServiceName, TableVersion
+from bramleyrouter.ids import ServiceName, TableVersion, TenantName
 from bramleyrouter.utils.decoding import DECODE_ERRORS
 
 MS_PER_SECOND = 1000.0
@@ -49,6 +51,8 @@
     # The number of records in a reply.
     top_k: Int32 = 0
     min_coverage: float = 1.0
+    # Requests need no key of a customer.
+    public: bool = False
 
 
 class _Service(msgspec.Struct, rename="camel"):
@@ -60,6 +64,19 @@
     warmup_per_s: float = 0.0
 
 
+class _Tenant(msgspec.Struct, rename="camel"):
+    name: str
+    api_keys: list[str] | None = None
+    # Without a rate and a burst there is no limit.
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    priority: Int32 = 0
+
+    def __repr__(self) -> str:
+        """Return a text without the keys."""
+        return f"_Tenant(name={self.name!r})"
+
+
 class _CallerLimits(msgspec.Struct, rename="camel"):
     max_header_bytes: Int32 = 16384
     max_body_bytes: Int32 = 1024 * 1024
@@ -72,6 +89,7 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _CallerLimits = msgspec.field(default_factory=_CallerLimits)
+    tenants: list[_Tenant] | None = None
 
 
 _DOCUMENT_DECODER = msgspec.json.Decoder(_Document)
@@ -90,6 +108,7 @@
             tuple(_build_route(item) for item in document.routes),
             tuple(_build_service(item) for item in document.services),
             _build_limits(document.limits),
+            tuple(_build_customer(item) for item in document.tenants or ()),
         )
     )
 
@@ -113,6 +132,7 @@
         shards=tuple(ServiceName(name) for name in item.gather or ()),
         top_records=item.top_k,
         min_coverage=item.min_coverage,
+        is_public=item.public,
     )
 
 
@@ -122,6 +142,18 @@
     )
 
 
+def _build_customer(item: _Tenant) -> Customer:
+    """Build a customer with the digests of its keys; an empty key is left out."""
+    keys = [key.encode() for key in item.api_keys or () if key]
+    return Customer(
+        TenantName(item.name),
+        tuple(compute_key_digest(key) for key in keys),
+        item.rate_per_s,
+        item.burst,
+        item.priority,
+    )
+
+
 def _build_limits(item: _CallerLimits) -> CallerLimits:
     return CallerLimits(
         item.max_header_bytes,
--- a/src/bramleyrouter/platform/server_transport.py
+++ b/src/bramleyrouter/platform/server_transport.py
@@ -83,6 +83,10 @@
     lines.append(f"{names.REQUEST_ID}: {request.request_id}")
     lines.append(f"{names.DEADLINE_MS}: {max(1, int(timeout_s * MS_PER_SECOND))}")
     lines.append(f"{names.TARGET_INSTANCE}: {server_id}")
+    if request.customer:
+        # The bytes of the name are those of its UTF-8 encoding.
+        customer = request.customer.encode().decode(HEAD_ENCODING)
+        lines.append(f"{names.TENANT}: {customer}")
     if request.has_body:
         lines.append(f"Content-Length: {len(request.body)}")
     lines.append("\r\n")
--- a/src/bramleyrouter/telemetry/gateway_metrics.py
+++ b/src/bramleyrouter/telemetry/gateway_metrics.py
@@ -29,6 +29,7 @@
     results: Counter = field(init=False)
     state: Gauge = field(init=False)
     backed_off: Gauge = field(init=False)
+    identifications: Counter = field(init=False)
     routes: set[str] = field(default_factory=set)
 
     def __post_init__(self):
@@ -60,6 +61,11 @@
             "Servers that asked for no requests, and for how much longer.",
             registry=registry,
         )
+        self.identifications = Counter(
+            "bramley_gateway_identifications_total",
+            "Requests whose customer was looked up, by result.",
+            registry=registry,
+        )
 
 
 def set_backed_off(
--- a/tests/support/gateway_fakes.py
+++ b/tests/support/gateway_fakes.py
@@ -203,6 +203,7 @@
     open_stream=None,
     send_grant=None,
     memory=None,
+    customers=(),
 ) -> GatewayHarness:
     """Build a gateway with fake servers on the running event loop.
 
@@ -251,7 +252,8 @@
     names |= {part.service for item in routes for part in item.targets}
     loop.virtual_now = started_at
     known = services or tuple(Service(name, 16) for name in sorted(names))
-    gateway.set_table(RouteTable(TableVersion(1), tuple(routes), known))
+    table = RouteTable(TableVersion(1), tuple(routes), known, customers=customers)
+    gateway.set_table(table)
     harness = GatewayHarness(servers, gateway, events)
     harness.set_rows(rows)
     return harness
