Withheld route tables with customers while the newest is not known

Cause: a control daemon that is cut off or was restarted handed its table to entry daemons that had just started, so that a withdrawn key was valid again there.

--- a/src/bramleyrouter/control/messages.py
+++ b/src/bramleyrouter/control/messages.py
@@ -39,6 +39,10 @@
     version: TableVersion
     document: bytes
 
+    def __repr__(self) -> str:
+        """Return a text without the document, which may hold keys of customers."""
+        return f"PublishRoutes(version={self.version})"
+
 
 class SetAvailability(msgspec.Struct, frozen=True, tag="availability"):
     """Take a data centre or a backend server out of service, or back in.
--- a/src/bramleyrouter/control/route_tables.py
+++ b/src/bramleyrouter/control/route_tables.py
@@ -4,7 +4,7 @@
 in the same order and must arrive at the same state.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from bramleyrouter.control.messages import PublishRoutes
 from bramleyrouter.ids import TableVersion
@@ -12,10 +12,13 @@
 
 @dataclass
 class RouteTables:
-    """Hold the table in force; ``document`` is empty before the first one."""
+    """Hold the table in force; ``document`` is empty before the first one.
+
+    It may hold keys of customers, so that no text shows it.
+    """
 
     version: TableVersion = TableVersion(0)
-    document: bytes = b""
+    document: bytes = field(default=b"", repr=False)
 
 
 def publish_routes(tables: RouteTables, command: PublishRoutes) -> bool:
--- a/src/bramleyrouter/control/snapshots.py
+++ b/src/bramleyrouter/control/snapshots.py
@@ -51,6 +51,10 @@
     routes_document: bytes = b""
     departures: tuple[Departure, ...] = ()
 
+    def __repr__(self) -> str:
+        """Return a text without the route table, which may hold keys of customers."""
+        return f"Snapshot(now_ms={self.now_ms}, revision={self.revision})"
+
 
 def encode_snapshot(state: ControlState) -> bytes:
     """Encode the replicated state."""
--- a/src/bramleyrouter/daemons/fleet_control.py
+++ b/src/bramleyrouter/daemons/fleet_control.py
@@ -66,11 +66,12 @@
     log: EventLog,
     seeds: Callable[[], tuple[str, ...]],
     memory: ByteBudget | None = None,
+    must_be_current: Callable[[bytes], bool] = lambda document: False,
 ) -> Result[ControlParts, Failure]:
     """Wire a control daemon; needs a running event loop.
 
     ``memory`` bounds the frames that other daemons have not read; without it, they have
-    a budget of their own.
+    a budget of their own. ``must_be_current`` is that of ``start_fleet_publisher``.
 
     Fails with ``DISK_FAILED`` if the data folder can't be opened, or with the
     codes of the log's recovery. Raises ``OSError`` if the internal address can't be
@@ -114,6 +115,7 @@
             replicated_log,
             clock,
             rng,
+            must_be_current,
         )
     )
 
@@ -129,7 +131,16 @@
 
 
 def _assemble_control_parts(
-    cfg, log, seeds, board, network, state_machine, replicated_log, clock, rng
+    cfg,
+    log,
+    seeds,
+    board,
+    network,
+    state_machine,
+    replicated_log,
+    clock,
+    rng,
+    must_be_current,
 ) -> ControlParts:
     tasks = BackgroundTasks("control")
     control = start_control_service(
@@ -144,6 +155,7 @@
         clock,
         cfg.data_centre,
         compute_stream_times(cfg.bounds),
+        must_be_current,
     )
     leader_client = LeaderClient(network, list(cfg.seeds), clock, rng)
     departures = start_departures(
--- a/src/bramleyrouter/fleet/publishing.py
+++ b/src/bramleyrouter/fleet/publishing.py
@@ -286,8 +286,13 @@
     clock: Callable[[], float],
     data_centre: DataCentre,
     times: StreamTimes,
+    must_be_current: Callable[[bytes], bool] = lambda document: False,
 ) -> FleetPublisher:
-    """Serve the fleet stream and requests for route tables."""
+    """Serve the fleet stream and requests for route tables.
+
+    ``must_be_current(document)`` returns whether a table may only be handed out while
+    this daemon knows that it is the newest.
+    """
     keepalive_interval_s = times.keepalive_interval_s
     publisher = FleetPublisherState(
         registry,
@@ -329,6 +334,11 @@
 
     async def handle_fetch_routes(peer: Peer, payload: bytes) -> Result[bytes, Failure]:
         routes = state_machine.routes()
+        # An entry daemon that has just started knows no newer table that would protect
+        # it from one in which a withdrawn key is still valid.
+        if must_be_current(routes.document) and not log.is_current():
+            text = "It is not known here whether the route table is the newest."
+            return Err(Failure(Code.NO_MAJORITY, text))
         return Ok(encode_command(PublishRoutes(routes.version, routes.document)))
 
     network.serve_stream(MessageKind.WATCH_FLEET, handle_subscription)
--- a/src/bramleyrouter/platform/route_documents.py
+++ b/src/bramleyrouter/platform/route_documents.py
@@ -1,5 +1,6 @@
 """Decode the JSON documents of operators into route tables."""
 
+from functools import lru_cache
 from typing import Annotated
 
 import msgspec
@@ -113,6 +114,17 @@
     )
 
 
+# Every entry daemon fetches the same table.
+@lru_cache(maxsize=1)
+def has_customers(body: bytes) -> bool:
+    """Return whether a route table has customers, and thus keys that can be withdrawn.
+
+    One that can't be decoded has none.
+    """
+    table = decode_route_table(body).ok()
+    return table is not None and bool(table.customers)
+
+
 def _build_route(item: _Route) -> Route:
     targets = [WeightedService(ServiceName(item.service))] if item.service else []
     for part in item.traffic_split or ():
--- a/tests/fleet/fleet_cluster.py
+++ b/tests/fleet/fleet_cluster.py
@@ -69,6 +69,7 @@
             loop.time,
             cluster.get_data_centre(number),
             StreamTimes(),
+            lambda document: cluster.must_be_current(document),
         )
         leader_client = LeaderClient(
             self.network, list(INITIAL_ADDRESSES), loop.time, rng
@@ -163,6 +164,7 @@
     def __init__(self, seed=1, data_centres=("dc0", "dc1", "dc2", "dc3")):
         self.seed, self.starts, self.data_centres = seed, 0, data_centres
         self.fabric = MemoryFabric()
+        self.must_be_current = lambda document: False
         self.disks = [MemoryDisk() for _ in ADDRESSES]
         self.controls = {}
 
--- a/tests/fleet/test_streams.py
+++ b/tests/fleet/test_streams.py
@@ -105,6 +105,30 @@
         assert now() - acknowledged < 1.0
 
 
+class TestTablesWithCustomers:
+    """Guard against withdrawn keys that become valid again through a restart."""
+
+    @in_virtual_time
+    async def test_no_older_table_while_the_newest_is_not_known(self):
+        cluster, _ = await start_cluster()
+        cluster.must_be_current = lambda document: True
+        number = (cluster.leader() + 1) % 3
+        others = [
+            address for address in INITIAL_ADDRESSES if address != ADDRESSES[number]
+        ]
+        # The table with the withdrawal reaches the others only, and then an entry
+        # daemon starts that reaches none of them.
+        cluster.fabric.cut_groups([ADDRESSES[number], "127.0.0.1:7600"], others)
+        await cluster.publish(9, number=(number + 1) % 3)
+        await asyncio.sleep(2.0)
+        assert cluster.controls[number].state_machine.routes().version == 3
+        entry = EntryDaemon(cluster, "e9", 7600)
+        await asyncio.sleep(5.0)
+        assert entry.versions == []
+        cluster.fabric.heal()
+        await cluster.wait_until(lambda: entry.versions == [(9, b'{"v":9}')])
+
+
 class TestAvailability:
     @in_virtual_time
     async def test_availability_reaches_the_entry_daemons(self):
--- a/tests/platform/test_credentials.py
+++ b/tests/platform/test_credentials.py
@@ -1,15 +1,21 @@
 """Tests of keys of customers from the caller's head to the server's."""
 
+import asyncio
+import logging
+
 import pytest
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from bramleyrouter.gateway.customers import IdentityResult, identify_customer
 from bramleyrouter.gateway.exchanges import GatewayReply, ReplyKind
-from bramleyrouter.gateway.tables import build_index
-from bramleyrouter.platform.callers import encode_reply, read_request
+from bramleyrouter.gateway.tables import CallerLimits, build_index
+from bramleyrouter.platform.callers import encode_reply, listen_callers, read_request
 from bramleyrouter.platform.route_documents import decode_route_table
 from bramleyrouter.platform.server_transport import encode_request
+from bramleyrouter.utils.ports import reserve_address
+from tests.platform.test_callers import read_reply
 from tests.platform.test_route_documents import ROUTE, document
+from tests.support.gateway_fakes import build_harness, build_row
 
 KEY = "s3cr\u00e9t-k1"
 TENANTS = [{"name": "Caf\u00e9", "apiKeys": [KEY]}, {"name": "other"}]
@@ -89,3 +95,37 @@
     def test_a_refusal_names_the_scheme(self):
         status, headers, _ = encode_reply(GatewayReply(ReplyKind.UNAUTHORIZED), "q1")
         assert (status, headers["WWW-Authenticate"]) == (401, "Token")
+
+
+class TestOpenConnections:
+    """Guard against a withdrawn key that stays valid, and keys in log lines."""
+
+    def test_a_withdrawn_key_is_refused_on_an_open_connection(self, caplog):
+        caplog.set_level(logging.WARNING)
+
+        async def scenario():
+            # The harness sets back a clock that only virtual time has.
+            asyncio.get_running_loop().virtual_now = 0.0
+            harness = build_harness([], [build_row("a0")])
+            address = reserve_address()
+            listener = listen_callers(address, harness.gateway.handle, CallerLimits())
+            reader, writer = await asyncio.open_connection(*address.split(":"))
+            statuses = []
+            for name in ("Caf\u00e9", "other"):
+                tenants = [{"name": name, "apiKeys": [KEY] if name != "other" else []}]
+                decoded = decode_route_table(document(tenants=tenants)).ok_value
+                harness.gateway.set_table(decoded)
+                head = b"GET /a/x HTTP/1.1\r\nHost: h.example\r\n" + TOKEN
+                writer.write(head + b"\r\n\r\n")
+                statuses.append((await read_reply(reader))[0])
+            # The listener refuses a value that ends a line early and logs it.
+            writer.write(head + b"\x00\r\n\r\n")
+            await reader.read()
+            writer.close()
+            listener.server.stop()
+            return statuses, harness
+
+        statuses, harness = asyncio.run(scenario())
+        assert statuses == [200, 401]
+        assert len(harness.servers.arrivals) == 1
+        assert "-k1" not in caplog.text + str(harness.events)
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -3,16 +3,20 @@
 import asyncio
 
 import msgspec
+import pytest
 from result import Err, Ok
 
 from bramleyrouter.codes import Code
 from bramleyrouter.control.messages import OperatorResult, PublishRoutes
+from bramleyrouter.control.route_tables import publish_routes
+from bramleyrouter.control.snapshots import Snapshot, encode_snapshot
+from bramleyrouter.control.state import ControlState
 from bramleyrouter.failures import Failure
 from bramleyrouter.fleet.records import ServerPhase
 from bramleyrouter.ids import DataCentre, Generation, Revision, TableVersion
 from bramleyrouter.platform.operators import ControlCalls, handle_call
 from tests.platform.test_announcements import HEARTBEAT, NOW_S
-from tests.platform.test_route_documents import ROUTE, document
+from tests.platform.test_route_documents import KEY, ROUTE, document
 
 ACCEPTED = Ok(OperatorResult(Revision(1), Generation(7)))
 CONFLICT = Ok(
@@ -30,6 +34,7 @@
         self.operations, self.rows, self.withdrawn, self.observed = [], [], [], []
         self.outcome, self.table, self.outcomes = outcome, table, []
         self.departed, self.departure = [], Ok(None)
+        self.events = []
 
     async def operate(self, command, timeout_s):
         self.operations.append(command)
@@ -60,7 +65,7 @@
             withdraw=self.withdraw,
             data_centres=(DataCentre("se-a"), DataCentre("se-b")),
             wall_clock=lambda: NOW_S,
-            record=lambda part, event, **fields: None,
+            record=lambda part, event, **fields: self.events.append((event, fields)),
             observe=lambda call, status, latency_s: self.observed.append(
                 (call, status)
             ),
@@ -104,6 +109,29 @@
         assert control.call("GET", "/v1/config").status == 503
 
 
+class TestKeysOfCustomers:
+    """Guard against keys in events, refusals and texts of what holds a document."""
+
+    @pytest.mark.parametrize("keys", [KEY, [KEY, 5], [KEY]])
+    def test_a_publication_shows_no_key(self, keys):
+        tenants = [{"name": name, "apiKeys": keys} for name in ("a", "b")]
+        for outcome in (ACCEPTED, NO_MAJORITY):
+            control = Control(outcome)
+            reply = control.call("PUT", "/v1/config", document(tenants=tenants))
+            assert reply.status == 400
+            assert KEY.encode() not in reply.body
+            assert control.events and KEY not in str(control.events)
+
+    def test_texts_of_tables_show_no_key(self):
+        body = document(tenants=[{"name": "a", "apiKeys": [KEY]}])
+        command = PublishRoutes(TableVersion(7), body)
+        state = ControlState()
+        publish_routes(state.routes, command)
+        snapshot = msgspec.msgpack.decode(encode_snapshot(state), type=Snapshot)
+        assert state.routes.document == snapshot.routes_document == body
+        assert KEY not in repr(command) + repr(state) + repr(snapshot)
+
+
 class TestEvacuations:
     """Guard against a repeated change that is discarded as a duplicate."""
 
