--- a/src/bramleyrouter/platform/credentials.py
+++ b/src/bramleyrouter/platform/credentials.py
@@ -11,10 +11,12 @@
 # The listener maps each byte of a head to one character.
 HEAD_ENCODING = "latin-1"
 _AUTHORIZATION = names.AUTHORIZATION.lower()
-_TENANT = names.TENANT.lower()
+# Many servers take an underscore for a hyphen in the names of headers.
+_TENANT_NAMES = (names.TENANT, names.TENANT.replace("-", "_"))
+_REMOVED_NAMES = frozenset(name.lower() for name in _TENANT_NAMES)
 # Several values of the header may share a line, separated by commas.
 _KEY_PART = re.compile(rf"(?:^|,)[ \t]*{names.KEY_SCHEME}(?=[ \t,]|$)", re.I | re.A)
-_KEY = re.compile(rf"[ \t]*{names.KEY_SCHEME}[ \t]+(.*?)[ \t]*", re.I | re.A)
+_SCHEME = re.compile(rf"{names.KEY_SCHEME}[ \t]+", re.I | re.A)
 
 
 def read_credentials(headers: HTTPHeaders, forwarded: Headers) -> Credentials | None:
@@ -24,18 +26,23 @@
     without customers. A request with different values of ``Authorization`` has no
     usable key, as it is unclear which one applies.
     """
+    if not any(name in headers for name in (names.AUTHORIZATION, *_TENANT_NAMES)):
+        return None
     values = set(headers.get_list(names.AUTHORIZATION))
+    key = _read_key(values.pop()) if len(values) == 1 else ""
     kept = tuple(header for header in forwarded if not _must_be_removed(*header))
-    if not values and len(kept) == len(forwarded):
-        return None
-    match = _KEY.fullmatch(values.pop()) if len(values) == 1 else None
-    key = match[1] if match else ""
     return Credentials(compute_key_digest(key.encode(HEAD_ENCODING)), kept)
 
 
+def _read_key(value: str) -> str:
+    """Return the key in a value of ``Authorization``, empty if it holds none."""
+    value = value.strip(" \t")
+    scheme = _SCHEME.match(value)
+    return value[scheme.end() :] if scheme else ""
+
+
 def _must_be_removed(name: str, value: str) -> bool:
     lowered = name.lower()
     if lowered == _AUTHORIZATION:
         return bool(_KEY_PART.search(value))
-    # Many servers take an underscore for a hyphen in the names of headers.
-    return lowered.replace("_", "-") == _TENANT
+    return lowered in _REMOVED_NAMES
--- a/tests/commands/test_bramleyctl.py
+++ b/tests/commands/test_bramleyctl.py
@@ -113,6 +113,16 @@
         assert codes == [Exit.DONE, Exit.INVALID_MANIFEST]
         assert capsys.readouterr().err.count("(manifest.E002)") == 3
 
+    @pytest.mark.parametrize("cut", [None, -20])
+    def test_a_route_table_given_by_mistake_shows_no_key(self, tmp_path, capsys, cut):
+        path = tmp_path / "routes.json"
+        tenants = [{"name": "a", "apiKeys": ["s3cret-k1"]}]
+        path.write_text(json.dumps({"tenants": tenants, "services": tenants})[:cut])
+        code = asyncio.run(run_command(["check", str(path)]))
+        seen = capsys.readouterr()
+        assert code == Exit.INVALID_MANIFEST
+        assert "k1" not in seen.out + seen.err
+
 
 class TestResends:
     """Guard against a lost reply that makes a change take effect twice or fail."""
