--- a/tests/gateway/test_customers.py
+++ b/tests/gateway/test_customers.py
@@ -151,3 +151,23 @@
             for objective_at, priority in ((1.0, second), (2.0, first))
         ]
         assert choose_next_request(waiting, 0.0) is waiting[1]
+
+    def test_a_relay_orders_by_the_customer_that_a_query_names(self):
+        async def scenario():
+            known = (ACME, Customer("urgent", priority=0))
+            routes, rows = [build_gather_route(1)], [build_row("a0")]
+            harness = build_harness(routes, rows, entry_daemons=100, customers=known)
+            names = ("acme", "acme", "urgent")
+            async with asyncio.TaskGroup() as group:
+                for name in names:
+                    query = DelegatedQuery(
+                        build_request(customer=name), "r", ("s0",), 1.0, 0.5, 1, 1, 5
+                    )
+                    serving = harness.gateway.serve_delegated(
+                        REQUESTING_PEER, encode_message(query), [].append
+                    )
+                    group.create_task(serving)
+            arrived = [item.request.customer for item in harness.servers.arrivals]
+            assert arrived == ["acme", "urgent", "acme"]
+
+        run_virtual(scenario())
