Took only the statuses 200 to 599 of a server as answers

Cause: a server's reply with status 600 or 999 reached the caller as an answer, and one with 000, 099 or 199 was read as an interim reply until the caller's deadline. Change: another status ends the exchange as lost, which counts against the server and lets the request go to another one; interim replies are limited to 8 per request and a third of the request's time.

--- a/src/bramleyrouter/edges/servers/forwarding.py
+++ b/src/bramleyrouter/edges/servers/forwarding.py
@@ -42,7 +42,17 @@
 # Parts of a body smaller than this are joined as they arrive, because as separate
 # objects they take more memory than their bytes.
 MIN_PART_BYTES = 4096
+# Only these statuses are answers. A faulty server may send any three digits, which a
+# caller must not get as an answer.
+MIN_FINAL_STATUS, MAX_FINAL_STATUS = 200, 599
+MIN_INTERIM_STATUS = 100
+# Limit on the interim replies (100 to 199) to one request, and the share of the
+# request's time within which the final reply must follow the first of them. A server
+# that sends nothing else costs one attempt, so there is time left for another server.
+MAX_INTERIM_REPLIES = 8
+INTERIM_WAIT_SHARE = 1 / 3
 REPLY_TOO_LONG_TEXT = "the reply is too long"
+INTERIM_TEXT = "no final reply followed the interim replies"
 MEMORY_TEXT = "the reply used too much of the memory for all replies"
 
 Headers = list[tuple[bytes, bytes]]
@@ -132,6 +142,8 @@
         self.sock: socket.socket | None = None
         self.opening: asyncio.Task | None = None
         self.idle_until = 0.0
+        # Runs from the first interim reply until the final one.
+        self.interim_timer: asyncio.TimerHandle | None = None
         # Counts the request and the reply of the exchange.
         self.holding = Holding(
             pool.memory,
@@ -162,6 +174,8 @@
         self.is_complete = False
         self.is_reusable = False
         self.error = ""
+        self.interim_count = 0
+        self._stop_interim_timer()
 
     def send(self, exchange: Exchange) -> None:
         """Send the next request on an idle connection."""
@@ -247,9 +261,39 @@
         if self.is_complete:
             return
         self.status = self.parser.get_status_code()
-        self.is_head_complete = self.status >= 200
+        if MIN_INTERIM_STATUS <= self.status < MIN_FINAL_STATUS:
+            self._count_interim_reply()
+            return
+        if not MIN_FINAL_STATUS <= self.status <= MAX_FINAL_STATUS:
+            self.error = f"{self.status:03} is no status of an answer"
+            return
+        self._stop_interim_timer()
+        self.is_head_complete = True
         is_head = self.exchange is not None and self.exchange.request.is_head
-        self.is_complete = self.is_head_complete and is_head
+        self.is_complete = is_head and not self.error
+
+    def _count_interim_reply(self) -> None:
+        """Bound the interim replies to one request in number and time."""
+        self.interim_count += 1
+        if self.interim_count > MAX_INTERIM_REPLIES:
+            self.error = f"more than {MAX_INTERIM_REPLIES} interim replies"
+        exchange = self.exchange
+        if self.interim_timer is None and exchange is not None and exchange.timer:
+            loop = self.pool.loop
+            wait_s = INTERIM_WAIT_SHARE * (exchange.timer.when() - loop.time())
+            self.interim_timer = loop.call_later(wait_s, self._end_without_final_reply)
+
+    def _stop_interim_timer(self) -> None:
+        if self.interim_timer is not None:
+            self.interim_timer.cancel()
+            self.interim_timer = None
+
+    def _end_without_final_reply(self) -> None:
+        exchange, self.exchange = self.exchange, None
+        self.close()
+        if exchange is not None:
+            end_exchange(exchange, ForwardedReply(ExchangeEnd.LOST, INTERIM_TEXT))
+        _start_waiting(self.pool)
 
     def on_body(self, body: bytes):
         """Store a part of the body."""
@@ -342,6 +386,7 @@
     def close(self) -> None:
         """Close the connection at once; unsent bytes are discarded."""
         release_all(self.holding)
+        self._stop_interim_timer()
         self.chunks = []
         pool = self.pool
         pool.connections.discard(self)
--- a/tests/platform/test_server_transport.py
+++ b/tests/platform/test_server_transport.py
@@ -206,6 +206,40 @@
         assert replies[0].outcome is ExchangeOutcome.REFUSED
 
 
+class TestStatuses:
+    """Guard against statuses outside 200 to 599 that reach a caller as answers."""
+
+    @pytest.mark.parametrize("status", ["000", "007", "099", "600", "999"])
+    @pytest.mark.parametrize("method", ["GET", "HEAD"])
+    def test_another_status_is_no_answer(self, status, method):
+        data = reply(b"" if method == "HEAD" else b"hello", f"{status} Odd")
+        replies, server = run(
+            build_script(data), build_request(method=method), build_request()
+        )
+        assert replies[0].outcome is ExchangeOutcome.LOST
+        assert status in replies[0].text
+        # What may follow on the connection must not be read as the next answer.
+        assert server.connections == 2
+
+    @pytest.mark.parametrize("status", ["200 OK", "304 Not Modified", "599 Odd"])
+    def test_the_statuses_of_answers_are_forwarded(self, status):
+        replies, _ = run(build_script(reply(b"", status)), build_request())
+        assert replies[0].outcome is ExchangeOutcome.ANSWERED
+        assert replies[0].status == int(status[:3])
+
+    def test_interim_replies_without_end_are_no_answer(self):
+        interim = b"HTTP/1.1 199 Odd\r\n\r\n"
+        replies, _ = run(build_script(20 * interim), build_request())
+        assert replies[0].outcome is ExchangeOutcome.LOST
+
+    def test_silence_after_an_interim_reply_costs_an_attempt_only(self):
+        """The exchange would otherwise last until the caller's deadline."""
+        interim = b"HTTP/1.1 199 Odd\r\n\r\n"
+        replies, _ = run(build_script(interim), build_request())
+        assert replies[0].outcome is ExchangeOutcome.LOST
+        assert "interim" in replies[0].text
+
+
 class TestConnections:
     """Guard against repeated requests and wrongly classified failures."""
 
