Added permits that bound a customer's requests over all entry daemons

Cause: a customer's quota holds for the sum over all entry daemons, and equal parts of about one request per second over 62 daemons are unusable. Change: control daemons issue permits of a fixed part of each bound, entry daemons acquire one for each request before its first attempt and renew or refuse it when it expires unsent; over the quota the caller gets 429 with a slot.

--- a/src/bramleyrouter/conf/fleet.py
+++ b/src/bramleyrouter/conf/fleet.py
@@ -24,6 +24,9 @@
     its requests plus ``extra_slack``, within any ``extra_window_s``. A cold server
     receives at most ``cold_factor`` times its cold rate plus ``cold_slack``
     requests per second.
+
+    In any ``quota_window_s``, a customer has at most ``rate * quota_window_s + burst``
+    requests times 1 plus ``quota_excess``, plus ``quota_slack``.
     """
 
     drain_s: float = 3.0
@@ -37,6 +40,9 @@
     extra_slack: float = 50.0
     cold_factor: float = 1.5
     cold_slack: float = 5.0
+    quota_window_s: float = 5.0
+    quota_excess: float = 0.1
+    quota_slack: float = 20.0
 
 
 # Share of the shortest bound after which a silent stream counts as dead; the rest is
--- a/src/bramleyrouter/daemons/fleet_control.py
+++ b/src/bramleyrouter/daemons/fleet_control.py
@@ -36,15 +36,29 @@
 from bramleyrouter.fleet.departures import DepartureCalls, start_departures
 from bramleyrouter.fleet.publishing import start_fleet_publisher
 from bramleyrouter.fleet.registry import ServerRegistry
+from bramleyrouter.gateway.tables import RouteTable
 from bramleyrouter.ids import DataCentre, Revision
+from bramleyrouter.permits.issuing import Issuer, QuotaBounds
+from bramleyrouter.permits.server import (
+    IssuerFacts,
+    build_read_quotas,
+    serve_permits,
+)
 from bramleyrouter.telemetry.events import EventLog, record
 from bramleyrouter.utils.byte_budgets import ByteBudget
-from bramleyrouter.utils.tasks import BackgroundTasks, cancel_all, spawn
+from bramleyrouter.utils.tasks import (
+    BackgroundTasks,
+    cancel_all,
+    run_periodically,
+    spawn,
+)
 from bramleyrouter.wire.tcp import build_tcp_network
 
 # A silent voter may be removed from the log after this share of ``catch_up_s``,
 # the time within which a VM that came back must count as available again.
 SILENT_VOTER_SHARE = 0.6
+# Time between two checks whether this daemon is a member of the log, in seconds.
+ISSUER_UPDATE_INTERVAL_S = 0.5
 
 
 class ControlParts(NamedTuple):
@@ -66,11 +80,12 @@
     log: EventLog,
     seeds: Callable[[], tuple[str, ...]],
     memory: ByteBudget | None = None,
+    decode_table: Callable[[bytes], Result[RouteTable, Failure]] | None = None,
 ) -> Result[ControlParts, Failure]:
     """Wire a control daemon; needs a running event loop.
 
     ``memory`` bounds the frames that other daemons have not read; without it, they have
-    a budget of their own.
+    a budget of their own. Without ``decode_table``, no permits are issued.
 
     Fails with ``DISK_FAILED`` if the data folder can't be opened, or with the
     codes of the log's recovery. Raises ``OSError`` if the internal address can't be
@@ -114,6 +129,7 @@
             replicated_log,
             clock,
             rng,
+            decode_table,
         )
     )
 
@@ -129,7 +145,16 @@
 
 
 def _assemble_control_parts(
-    cfg, log, seeds, board, network, state_machine, replicated_log, clock, rng
+    cfg,
+    log,
+    seeds,
+    board,
+    network,
+    state_machine,
+    replicated_log,
+    clock,
+    rng,
+    decode_table,
 ) -> ControlParts:
     tasks = BackgroundTasks("control")
     control = start_control_service(
@@ -166,6 +191,27 @@
     )
     spawn(tasks, polling)
     record_leader_changes(log, replicated_log)
+    issuer = Issuer(
+        QuotaBounds(
+            cfg.bounds.quota_window_s, cfg.bounds.quota_excess, cfg.bounds.quota_slack
+        )
+    )
+    if decode_table is not None:
+        update_issuer = serve_permits(
+            network,
+            issuer,
+            IssuerFacts(
+                cfg.internal_address,
+                cfg.tolerated_losses,
+                lambda: frozenset(
+                    member.address for member in replicated_log.status().members
+                ),
+                build_read_quotas(state_machine.routes, decode_table),
+            ),
+            clock,
+            lambda part, event, **fields: record(log, part, event, **fields),
+        )
+        spawn(tasks, run_periodically(ISSUER_UPDATE_INTERVAL_S, update_issuer))
 
     async def close() -> None:
         cancel_all(tasks)
@@ -185,14 +231,14 @@
         build_read_routes(leader_client),
         lambda: state_machine.config().revision,
         lambda: _read_control_metrics(
-            replicated_log, state_machine, registry, publisher
+            replicated_log, state_machine, registry, publisher, issuer
         ),
         close,
     )
 
 
 def _read_control_metrics(
-    replicated_log, state_machine, registry, publisher
+    replicated_log, state_machine, registry, publisher, issuer
 ) -> dict[str, float]:
     """Return the metric values of a control daemon by name."""
     status = replicated_log.status()
@@ -205,6 +251,8 @@
         "revision": float(state_machine.config().revision),
         "servers": float(len(registry.servers)),
         "streams": float(publisher.count_subscribers()),
+        "permits_issued": float(issuer.issued_count),
+        "permits_refused": float(issuer.refused_count),
     }
 
 
--- a/src/bramleyrouter/daemons/fleet_entry.py
+++ b/src/bramleyrouter/daemons/fleet_entry.py
@@ -23,9 +23,18 @@
 from bramleyrouter.gateway.gateways import GatewayLimits
 from bramleyrouter.gateway.tables import RouteTable
 from bramleyrouter.ids import ServiceName, TableVersion
+from bramleyrouter.permits.client import (
+    PermitClient,
+    acquire_permit,
+    close_client,
+    set_customers,
+)
+from bramleyrouter.permits.issuing import PERMIT_LIFETIME_S
+from bramleyrouter.permits.stock import IssuerLocation, Stock
 from bramleyrouter.telemetry.events import EventLog, record, record_rate_limited
 from bramleyrouter.telemetry.gateway_metrics import (
     GatewayMetrics,
+    build_observe_permit,
     build_observe_request,
 )
 from bramleyrouter.utils.byte_budgets import ByteBudget
@@ -89,6 +98,8 @@
             )
             return
         parts[0].gateway.set_table(decoded.ok_value)
+        limited = {item.name for item in decoded.ok_value.customers if item.rate_per_s}
+        set_customers(permits, version, limited)
         on_table(decoded.ok_value)
         if "starting" in board.readiness.reasons:
             board.readiness.reasons.discard("starting")
@@ -111,6 +122,19 @@
         stream_times,
     )
     bounds, metrics = cfg.bounds, GatewayMetrics()
+    permits = PermitClient(
+        network,
+        loop,
+        random.Random(),
+        cfg.data_centre,
+        Stock(PERMIT_LIFETIME_S),
+        lambda: [
+            IssuerLocation(address, watcher.state.data_centres.get(address))
+            for address in watcher.state.members
+        ],
+        record_rate_limited_event,
+        build_observe_permit(metrics),
+    )
     gateway = build_gateway(
         loop,
         GatewayLimits(
@@ -138,6 +162,7 @@
         ),
         lambda: "stopping" in board.readiness.reasons,
         memory,
+        lambda customer, on_permit: acquire_permit(permits, customer, on_permit),
     )
     network.serve_stream(MessageKind.GATHER_SHARDS, gateway.serve_delegated)
     network.serve(MessageKind.GRANT_ATTEMPTS, gateway.handle_grant)
@@ -162,6 +187,7 @@
 
     async def close() -> None:
         cancel_all(tasks)
+        close_client(permits)
         watcher.close()
         await network.close()
 
--- a/src/bramleyrouter/gateway/attempts.py
+++ b/src/bramleyrouter/gateway/attempts.py
@@ -12,6 +12,7 @@
 )
 from bramleyrouter.gateway.gateways import Gateway, mark_data_centre_reachable
 from bramleyrouter.gateway.latencies import LatencyWindow, add_sample
+from bramleyrouter.gateway.permits import Permit, may_send
 from bramleyrouter.gateway.queues import (
     QueuedRequest,
     Urgency,
@@ -38,6 +39,7 @@
 # request.
 SPARE_CONNECTIONS = 2
 UNUSABLE_TEXT = "the server left or wants no requests"
+NO_PERMIT_TEXT = "the request's permit has expired"
 
 
 @dataclass(eq=False)
@@ -58,6 +60,7 @@
     on_end: "OnAttemptEnd"
     siblings: "list[Attempt]"
     is_extra: bool
+    permit: Permit | None = None
     queued: QueuedRequest = field(init=False)
     sent_at: float = 0.0
     cancel: Callable[[], None] = lambda: None
@@ -82,17 +85,27 @@
     on_end: OnAttemptEnd,
     siblings: list[Attempt],
     is_extra: bool,
+    permit: Permit | None = None,
 ) -> Attempt:
     """Send a request to a server and record the result in the server's state.
 
     The request waits while all connections to the server are in use, at most until the
     loop time ``expires_at``. ``on_end`` is called once unless the attempt is cancelled.
     If ``is_extra`` is set, the caller has consumed an extra send of the budget. It ends
-    with this attempt, or with one of its ``siblings`` that ends later.
+    with this attempt, or with one of its ``siblings`` that ends later. The first
+    attempt of a request with a ``permit`` is sent only while that is valid.
     """
     record_sent(server, context)
     attempt = Attempt(
-        gateway, server, request, expires_at, window, on_end, siblings, is_extra
+        gateway,
+        server,
+        request,
+        expires_at,
+        window,
+        on_end,
+        siblings,
+        is_extra,
+        permit,
     )
     attempt.queued = QueuedRequest(
         urgency, lambda: _send_now(attempt), lambda: _abandon_waiting(attempt)
@@ -117,6 +130,11 @@
         unsent = ServerReply(ExchangeOutcome.UNSENT, text=UNUSABLE_TEXT)
         attempt.cancel = gateway.loop.call_soon(_finish_attempt, attempt, unsent).cancel
         return
+    # The clock is read again, as late as possible before the request leaves.
+    if not may_send(attempt.permit, gateway.loop.time()):
+        unsent = ServerReply(ExchangeOutcome.UNSENT, text=NO_PERMIT_TEXT)
+        attempt.cancel = gateway.loop.call_soon(_finish_attempt, attempt, unsent).cancel
+        return
     try:
         attempt.cancel = gateway.send_to_server(
             server.row,
--- a/src/bramleyrouter/gateway/build.py
+++ b/src/bramleyrouter/gateway/build.py
@@ -21,15 +21,24 @@
     SendToServer,
 )
 from bramleyrouter.gateway.gateways import (
+    DEADLINE_MARGIN_S,
     Cancel,
     Gateway,
     GatewayLimits,
     OnGatewayReply,
     build_refusal,
+    compute_time_limit,
     is_overloaded,
     mark_data_centre_reachable,
 )
 from bramleyrouter.gateway.gathers import start_gather
+from bramleyrouter.gateway.permits import (
+    AcquirePermit,
+    Permit,
+    PermitRun,
+    end_permit,
+    start_with_permit,
+)
 from bramleyrouter.gateway.reachability import is_cut_off
 from bramleyrouter.gateway.relaying import (
     build_delegated_handler,
@@ -43,7 +52,12 @@
     set_servers,
 )
 from bramleyrouter.gateway.single_requests import start_single_request
-from bramleyrouter.gateway.tables import RouteTable, build_index, match_route
+from bramleyrouter.gateway.tables import (
+    Route,
+    RouteTable,
+    build_index,
+    match_route,
+)
 from bramleyrouter.ids import DataCentre, ServiceName
 from bramleyrouter.telemetry.events import RecordEvent
 from bramleyrouter.telemetry.gateway_metrics import ObserveRequest
@@ -98,10 +112,12 @@
     send_grant: SendGrant,
     is_stopping: Callable[[], bool],
     memory: ByteBudget | None = None,
+    acquire_permit: AcquirePermit | None = None,
 ) -> GatewayHandle:
     """Build the gateway on an event loop.
 
-    Without ``memory``, the replies that the gateway keeps have a budget of their own.
+    Without ``acquire_permit``, customers' quotas are not applied. Without ``memory``,
+    the replies that the gateway keeps have a budget of their own.
     """
     gateway = Gateway(
         limits,
@@ -125,6 +141,7 @@
         open_stream,
         send_grant,
         memory=memory or ByteBudget(),
+        acquire_permit=acquire_permit,
     )
 
     def set_table(table: RouteTable) -> None:
@@ -191,12 +208,15 @@
     gateway.in_flight += 1
     arrived_at = gateway.loop.time()
     is_open = True
+    permit_run = _build_permit_run(gateway, request, route, arrived_at)
 
     def mark_ended() -> None:
         nonlocal is_open
         if is_open:
             is_open = False
             gateway.in_flight -= 1
+            if permit_run is not None:
+                end_permit(permit_run)
 
     def finish(reply: GatewayReply) -> None:
         if not is_open:
@@ -209,22 +229,58 @@
         gateway.observe(route.name, reply.kind.value, waited_s, coverage)
         on_reply(reply)
 
-    try:
-        if route.shards:
-            cancel = start_gather(gateway, route, request, finish, network_s)
-        else:
-            cancel = start_single_request(gateway, route, request, finish)
-    except Exception as exc:
-        # The request would otherwise count as in flight for good, and its caller would
-        # get no reply. It may have been sent to some server.
-        finish(GatewayReply(ReplyKind.FAILED, f"unexpected error: {exc!r}"))
-        gateway.record(
-            "gateway", "unexpected_error", id=request.request_id, reason=repr(exc)
+    def start(permit: Permit | None) -> Cancel:
+        try:
+            if route.shards:
+                return start_gather(
+                    gateway, route, request, finish, network_s, arrived_at, permit
+                )
+            return start_single_request(
+                gateway, route, request, finish, arrived_at, permit
+            )
+        except Exception as exc:
+            # The request would otherwise count as in flight for good, and its caller
+            # would get no reply. It may have been sent to some server.
+            finish(GatewayReply(ReplyKind.FAILED, f"unexpected error: {exc!r}"))
+            gateway.record(
+                "gateway", "unexpected_error", id=request.request_id, reason=repr(exc)
+            )
+            return lambda: None
+
+    def refuse(reply: GatewayReply) -> None:
+        gateway.record_rate_limited(
+            "gateway",
+            "permit_refused",
+            id=request.request_id,
+            route=route.name,
+            customer=request.customer,
+            outcome=reply.kind.value,
+            retry_after_s=round(reply.retry_after_s, 3),
+            waited_ms=round(1000 * (gateway.loop.time() - arrived_at)),
+            reason=reply.reason,
         )
-        return lambda: None
+        finish(reply)
+
+    if permit_run is None:
+        cancel = start(None)
+    else:
+        cancel = start_with_permit(permit_run, start, refuse)
 
     def cancel_request() -> None:
         mark_ended()
         cancel()
 
     return cancel_request
+
+
+def _build_permit_run(
+    gateway: Gateway, request: CallerRequest, route: Route, arrived_at: float
+) -> PermitRun | None:
+    """Return what acquires the request's permit, or none if it needs no permit."""
+    if gateway.acquire_permit is None or gateway.index is None or not request.customer:
+        return None
+    customer = gateway.index.customers.get(request.customer)
+    if customer is None or not customer.rate_per_s:
+        return None
+    give_up_at = arrived_at + compute_time_limit(route, request) - DEADLINE_MARGIN_S
+    return PermitRun(gateway.loop, gateway.acquire_permit, request.customer, give_up_at)
--- a/src/bramleyrouter/gateway/delegated_shards.py
+++ b/src/bramleyrouter/gateway/delegated_shards.py
@@ -93,6 +93,13 @@
 
 
 def _start_delegation(run: GatherRun, relay: Relay, shards: list[ShardRun]) -> None:
+    if run.permit is not None:
+        run.permit.is_delegated = True
+        # One shard stays here: nobody bounds when a relay sends, so the attempt that
+        # counts against the quota is sent by this daemon while the permit is valid.
+        others = sum(shard.delegation is not None for shard in run.shards)
+        if others + len(shards) == len(run.shards):
+            shards = shards[:-1]
     attempts = compute_delegated_attempts(run.route.attempts)
     has_reserve = attempts < run.route.attempts
     delegation = Delegation(
--- a/src/bramleyrouter/gateway/exchanges.py
+++ b/src/bramleyrouter/gateway/exchanges.py
@@ -111,13 +111,15 @@
     DEADLINE = "deadline"
     TOO_LARGE = "too_large"
     MALFORMED = "malformed"
+    OVER_QUOTA = "over_quota"
 
 
 class GatewayReply(NamedTuple):
     """Hold the reply to a caller.
 
-    ``REFUSED`` promises that nothing ran and nothing will; ``retry_after_s`` is then
-    the time after which the caller should retry, in seconds. ``signatures``,
+    ``REFUSED`` and ``OVER_QUOTA`` promise that nothing ran and nothing will;
+    ``retry_after_s`` is then the time after which the caller should retry, in seconds.
+    ``signatures``,
     ``included`` and ``missing`` describe which shards a gathered reply covers.
     ``reason`` is for the log.
     """
--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -19,6 +19,7 @@
     SendToServer,
 )
 from bramleyrouter.gateway.latencies import LatencyWindow
+from bramleyrouter.gateway.permits import AcquirePermit
 from bramleyrouter.gateway.queues import (
     Urgency,
 )
@@ -115,6 +116,8 @@
     relayed_gathers: dict[int, "GatherRun"] = field(default_factory=dict)
     # Bounds the replies that are kept while other attempts of their requests run.
     memory: ByteBudget = field(default_factory=ByteBudget)
+    # Acquires a permit for a request of a customer with a limit.
+    acquire_permit: AcquirePermit | None = None
 
 
 def mark_data_centre_reachable(gateway: Gateway, data_centre: DataCentre) -> None:
--- a/src/bramleyrouter/gateway/gather_runs.py
+++ b/src/bramleyrouter/gateway/gather_runs.py
@@ -10,6 +10,7 @@
 from bramleyrouter.gateway.exchanges import CallerRequest, ServerReply
 from bramleyrouter.gateway.gateways import Cancel, Gateway, OnGatewayReply
 from bramleyrouter.gateway.gather_deadlines import GatherProgress
+from bramleyrouter.gateway.permits import Permit
 from bramleyrouter.gateway.tables import Route
 from bramleyrouter.ids import DataCentre, ServerId, ServerIncarnation, ServiceName
 
@@ -155,6 +156,8 @@
     is_started: bool = False
     # Set if this daemon is a relay.
     requesting_daemon: RequestingDaemon | None = None
+    # Set if the customer has a quota; a relay needs no permit.
+    permit: Permit | None = None
     # Shards for which the requesting daemon will be asked for one more attempt.
     wanted: list[ShardRun] = field(default_factory=list)
     delegations: list[Delegation] = field(default_factory=list)
--- a/src/bramleyrouter/gateway/gathers.py
+++ b/src/bramleyrouter/gateway/gathers.py
@@ -34,6 +34,7 @@
 )
 from bramleyrouter.gateway.latencies import compute_hedge_delay
 from bramleyrouter.gateway.merging import merge_greatest
+from bramleyrouter.gateway.permits import Permit
 from bramleyrouter.gateway.reply_times import (
     MIN_NETWORK_S,
     compute_reserved_time,
@@ -68,11 +69,14 @@
     request: CallerRequest,
     on_reply: OnGatewayReply,
     network_s: float = MIN_NETWORK_S,
+    arrived_at: float | None = None,
+    permit: Permit | None = None,
 ) -> Cancel:
     """Run a gather and return the closure that cancels it.
 
     ``on_reply`` is called once unless the gather is cancelled. ``network_s`` is the
-    network's part of the caller's latency, in seconds.
+    network's part of the caller's latency, in seconds. A gather that waited for its
+    ``permit`` has arrived before, at the loop time ``arrived_at``.
     """
     now = gateway.loop.time()
     lag_s = estimate_lag(gateway.lag, now) + estimate_lag(gateway.reply_lag, now)
@@ -80,7 +84,11 @@
         route.objective_s, network_s, lag_s, gateway.limits.cores
     )
     useful_s = route.objective_s - reserved_s
-    return run_gather(build_gather_run(gateway, route, request, on_reply, useful_s))
+    run = build_gather_run(
+        gateway, route, request, on_reply, useful_s, arrived_at=arrived_at
+    )
+    run.permit = permit
+    return run_gather(run)
 
 
 def build_gather_run(
@@ -90,12 +98,13 @@
     on_reply: OnGatewayReply,
     useful_s: float,
     requesting_daemon: RequestingDaemon | None = None,
+    arrived_at: float | None = None,
 ) -> GatherRun:
     """Build the state of a gather; ``requesting_daemon`` is given by a relay.
 
-    A reply that leaves within ``useful_s`` seconds meets the objective.
+    A reply that leaves within ``useful_s`` seconds of the arrival meets the objective.
     """
-    now = gateway.loop.time()
+    now = gateway.loop.time() if arrived_at is None else arrived_at
     deadline_s = compute_time_limit(route, request)
     run = GatherRun(
         gateway,
--- a/src/bramleyrouter/gateway/shard_attempts.py
+++ b/src/bramleyrouter/gateway/shard_attempts.py
@@ -107,6 +107,7 @@
         lambda attempt, reply: _handle_reply(run, shard, attempt, reply),
         shard.pending,
         is_extra,
+        run.permit,
     )
     shard.pending.append(attempt)
     return True
--- a/src/bramleyrouter/gateway/single_requests.py
+++ b/src/bramleyrouter/gateway/single_requests.py
@@ -37,6 +37,7 @@
     get_tracked_servers,
 )
 from bramleyrouter.gateway.latencies import compute_hedge_delay
+from bramleyrouter.gateway.permits import Permit
 from bramleyrouter.gateway.servers import (
     choose_server,
     format_servers,
@@ -64,6 +65,7 @@
     arrived_at: float
     deadline_at: float
     on_reply: OnGatewayReply
+    permit: Permit | None = None
     tried: set[ServerId] = field(default_factory=set)
     pending: list[Attempt] = field(default_factory=list)
     # The last reply with a 5xx status, for the caller if no other attempt succeeds.
@@ -108,16 +110,26 @@
     route: Route,
     request: CallerRequest,
     on_reply: OnGatewayReply,
+    arrived_at: float | None = None,
+    permit: Permit | None = None,
 ) -> Cancel:
     """Run a request and return the closure that cancels it.
 
-    ``on_reply`` is called once unless the request is cancelled.
+    ``on_reply`` is called once unless the request is cancelled. A request that waited
+    for its ``permit`` has arrived before, at the loop time ``arrived_at``.
     """
-    now = gateway.loop.time()
+    arrived_at = gateway.loop.time() if arrived_at is None else arrived_at
     deadline_s = compute_time_limit(route, request)
     service = choose_service(gateway, route)
     run = SingleRequestRun(
-        gateway, route, request, service, now, now + deadline_s, on_reply
+        gateway,
+        route,
+        request,
+        service,
+        arrived_at,
+        arrived_at + deadline_s,
+        on_reply,
+        permit,
     )
     lateness_s = _estimate_lateness(run)
     if lateness_s > 0:
@@ -150,7 +162,7 @@
     reply_s = estimate_reply_time(
         gateway, server, get_latency_window(gateway, run.route)
     )
-    return reply_s - (run.deadline_at - run.arrived_at)
+    return reply_s - (run.deadline_at - gateway.loop.time())
 
 
 def _choose_server(run: SingleRequestRun):
@@ -191,6 +203,7 @@
         lambda attempt, reply: _handle_reply(run, attempt, reply),
         run.pending,
         is_extra,
+        run.permit,
     )
     run.pending.append(attempt)
     return True
--- /dev/null
+++ b/src/bramleyrouter/permits/__init__.py
@@ -0,0 +1,1 @@
+"""Permits for requests that count against a bound of all entry daemons together."""
--- a/src/bramleyrouter/platform/callers.py
+++ b/src/bramleyrouter/platform/callers.py
@@ -67,6 +67,7 @@
     ReplyKind.DEADLINE: 504,
     ReplyKind.TOO_LARGE: 413,
     ReplyKind.MALFORMED: 400,
+    ReplyKind.OVER_QUOTA: 429,
 }
 # The caller's headers that are not forwarded, because the request to the server gets
 # its own ones.
--- a/src/bramleyrouter/platform/control_daemon.py
+++ b/src/bramleyrouter/platform/control_daemon.py
@@ -18,6 +18,7 @@
     listen_control,
 )
 from bramleyrouter.platform.programs import run_program
+from bramleyrouter.platform.route_documents import decode_route_table
 from bramleyrouter.platform.settings_watch import unwatch_settings, watch_settings
 from bramleyrouter.telemetry.control_metrics import (
     ControlMetrics,
@@ -51,7 +52,7 @@
     tasks = BackgroundTasks("platform")
     clock = asyncio.get_running_loop().time
     memory = build_memory_budget(cfg.memory_bytes, log)
-    built = build_control_parts(cfg, log, lambda: seeds[0], memory)
+    built = build_control_parts(cfg, log, lambda: seeds[0], memory, decode_route_table)
     if isinstance(built, Err):
         return built
     parts, metrics = built.ok_value, ControlMetrics()
--- a/src/bramleyrouter/platform/settings.py
+++ b/src/bramleyrouter/platform/settings.py
@@ -55,6 +55,9 @@
     budget_slack: float = 50
     warmup_factor: float = 1.5
     warmup_slack: float = 5
+    quota_window_s: float = 5
+    quota_excess: float = 0.1
+    quota_slack: float = 20
 
 
 class _SettingsFile(msgspec.Struct, rename="camel"):
@@ -145,5 +148,8 @@
             extra_slack=file.bounds.budget_slack,
             cold_factor=file.bounds.warmup_factor,
             cold_slack=file.bounds.warmup_slack,
+            quota_window_s=file.bounds.quota_window_s,
+            quota_excess=file.bounds.quota_excess,
+            quota_slack=file.bounds.quota_slack,
         ),
     )
--- a/src/bramleyrouter/telemetry/gateway_metrics.py
+++ b/src/bramleyrouter/telemetry/gateway_metrics.py
@@ -29,6 +29,7 @@
     results: Counter = field(init=False)
     state: Gauge = field(init=False)
     backed_off: Gauge = field(init=False)
+    permits: Histogram = field(init=False)
     routes: set[str] = field(default_factory=set)
 
     def __post_init__(self):
@@ -55,6 +56,12 @@
             "What the daemon believes: table version, servers, control silence.",
             registry=registry,
         )
+        self.permits = Histogram(
+            "bramley_gateway_permit_seconds",
+            "Time that requests of customers waited for a permit, by outcome.",
+            registry=registry,
+            buckets=list(LATENCY_BUCKETS_S),
+        )
         self.backed_off = Gauge(
             "bramley_gateway_backed_off_seconds",
             "Servers that asked for no requests, and for how much longer.",
@@ -93,3 +100,10 @@
             metrics.coverage.observe(labels, coverage)
 
     return observe
+
+
+def build_observe_permit(metrics: GatewayMetrics) -> Callable[[str, float], None]:
+    """Return a closure that records one permit, or its refusal, and the time waited."""
+    return lambda outcome, waited_s: metrics.permits.observe(
+        {"outcome": outcome}, waited_s
+    )
--- a/src/bramleyrouter/wire/kinds.py
+++ b/src/bramleyrouter/wire/kinds.py
@@ -46,3 +46,6 @@
     DESCRIBE = 93
     GRANT_ATTEMPTS = 94
     FIND_SERVER = 95
+
+    # Permits of customers, requested by entry daemons.
+    ACQUIRE_PERMITS = 96
