Checked permits when a request is written, and tested requests that need one

Cause: a request can wait in the connection pool and while its connection opens (up to 0.3 s), after the gateway has decided to send it. Change: the transport asks right before it writes whether the request may still be sent, and ends it as unsent otherwise; the permit counts as used only then.

--- a/src/bramleyrouter/edges/servers/forwarding.py
+++ b/src/bramleyrouter/edges/servers/forwarding.py
@@ -77,13 +77,15 @@
 
     ``data`` is the encoded head and body. ``accepts_header`` checks each header of the
     reply. If it returns false, the reply belongs to another request and the connection
-    is closed. The reply to a HEAD request has no body.
+    is closed. The reply to a HEAD request has no body. ``may_send`` is called right
+    before the request is written; if it returns false, the exchange ends as ``UNSENT``.
     """
 
     data: bytes
     accepts_header: Callable[[bytes, bytes], bool]
     is_head: bool = False
     needs_new_connection: bool = False
+    may_send: Callable[[], bool] | None = None
 
 
 OnEnd = Callable[[ForwardedReply], None]
@@ -168,16 +170,25 @@
         assert self.transport is not None
         exchange.connection, self.exchange = self, exchange
         self._reset()
-        if hold(self.holding, len(exchange.request.data)):
-            self.transport.write(exchange.request.data)
+        self._write(exchange)
 
     def connection_made(self, transport):
         """Send the request for which the connection was opened."""
         self.transport = transport
         if self.exchange is None:
             self.close()
-        elif hold(self.holding, len(self.exchange.request.data)):
-            transport.write(self.exchange.request.data)
+        else:
+            self._write(self.exchange)
+
+    def _write(self, exchange: Exchange) -> None:
+        assert self.transport is not None
+        request = exchange.request
+        if request.may_send is not None and not request.may_send():
+            exchange.connection = self.exchange = None
+            self.close()
+            self.pool.loop.call_soon(_end_unsent, self.pool, exchange)
+        elif hold(self.holding, len(request.data)):
+            self.transport.write(request.data)
 
     def data_received(self, data):
         """Parse a part of the reply; bytes that belong to no request end the use."""
@@ -497,6 +508,12 @@
     _start_waiting(pool)
 
 
+def _end_unsent(pool: Pool, exchange: Exchange) -> None:
+    text = "the request may no longer be sent"
+    end_exchange(exchange, ForwardedReply(ExchangeEnd.UNSENT, text))
+    _start_waiting(pool)
+
+
 def _detach(pool: Pool, exchange: Exchange) -> Connection | None:
     """Remove an exchange from the queue, or from its connection, which is closed."""
     connection = exchange.connection
--- a/src/bramleyrouter/gateway/attempts.py
+++ b/src/bramleyrouter/gateway/attempts.py
@@ -8,11 +8,12 @@
     NOT_ARRIVED,
     CallerRequest,
     ExchangeOutcome,
+    MaySend,
     ServerReply,
 )
 from bramleyrouter.gateway.gateways import Gateway, mark_data_centre_reachable
 from bramleyrouter.gateway.latencies import LatencyWindow, add_sample
-from bramleyrouter.gateway.permits import Permit, may_send
+from bramleyrouter.gateway.permits import Permit, has_expired, use_permit
 from bramleyrouter.gateway.queues import (
     QueuedRequest,
     Urgency,
@@ -130,8 +131,7 @@
         unsent = ServerReply(ExchangeOutcome.UNSENT, text=UNUSABLE_TEXT)
         attempt.cancel = gateway.loop.call_soon(_finish_attempt, attempt, unsent).cancel
         return
-    # The clock is read again, as late as possible before the request leaves.
-    if not may_send(attempt.permit, gateway.loop.time()):
+    if has_expired(attempt.permit, attempt.sent_at):
         unsent = ServerReply(ExchangeOutcome.UNSENT, text=NO_PERMIT_TEXT)
         attempt.cancel = gateway.loop.call_soon(_finish_attempt, attempt, unsent).cancel
         return
@@ -142,6 +142,7 @@
             max(0.0, attempt.expires_at - attempt.sent_at),
             compute_connection_limit(gateway, server),
             lambda reply: _finish_attempt(attempt, reply),
+            _build_may_send(attempt),
         )
     except Exception as exc:
         # The connection and the request would otherwise count as in use for good. The
@@ -157,6 +158,13 @@
         attempt.cancel = gateway.loop.call_soon(_finish_attempt, attempt, lost).cancel
 
 
+def _build_may_send(attempt: Attempt) -> MaySend | None:
+    """Return what checks the permit once the connection is open."""
+    if attempt.permit is None:
+        return None
+    return lambda: use_permit(attempt.permit, attempt.gateway.loop.time())
+
+
 def _do_nothing() -> None:
     """Cancel nothing, as the attempt has ended."""
 
--- a/src/bramleyrouter/gateway/exchanges.py
+++ b/src/bramleyrouter/gateway/exchanges.py
@@ -91,12 +91,18 @@
 
 
 OnReply = Callable[[ServerReply], None]
-# ``send_to_server(server, request, timeout_s, max_connections, on_reply)`` sends a
+# Returns whether a request may still be sent.
+MaySend = Callable[[], bool]
+# ``send_to_server(server, request, timeout_s, max_connections, on_reply, may_send)``
+# sends a
 # request and returns the closure that cancels it. Cancelling closes the connection, so
 # that the server stops working on the request. ``on_reply`` is called once unless
-# cancelled, and never before the function returns.
+# cancelled, and never before the function returns. ``may_send`` is called when a
+# connection is open, right before the request is written; if it returns false, the
+# exchange ends as ``UNSENT``.
 SendToServer = Callable[
-    [ServerRow, CallerRequest, float, int, OnReply], Callable[[], None]
+    [ServerRow, CallerRequest, float, int, OnReply, MaySend | None],
+    Callable[[], None],
 ]
 
 
--- a/src/bramleyrouter/gateway/permits.py
+++ b/src/bramleyrouter/gateway/permits.py
@@ -3,7 +3,8 @@
 Load pattern: requests that wait, for a permit or for a connection, longer than a permit
 is valid. The first attempt counts against the customer's quota, so it must be sent
 while the permit is valid. The request gets another permit shortly before the end, or is
-refused as not run.
+refused as not run. Opening the connection takes time as well, so the permit is checked
+when the request is written.
 """
 
 import asyncio
@@ -54,12 +55,18 @@
     cancel_waiting: Cancel = lambda: None
 
 
-def may_send(permit: Permit | None, now: float) -> bool:
-    """Return whether an attempt may be sent now; it then counts as sent."""
-    if permit is None or permit.is_used:
-        return True
-    permit.is_used = now < permit.expires_at
-    return permit.is_used
+def has_expired(permit: Permit | None, now: float) -> bool:
+    """Return whether a request may not be sent because its permit has expired."""
+    return permit is not None and not permit.is_used and now >= permit.expires_at
+
+
+def use_permit(permit: Permit | None, now: float) -> bool:
+    """Return whether an attempt may be sent now; the permit then counts as used."""
+    if has_expired(permit, now):
+        return False
+    if permit is not None:
+        permit.is_used = True
+    return True
 
 
 def build_permit_refusal(customer: TenantName, result: PermitResult) -> GatewayReply:
@@ -88,7 +95,7 @@
 
     ``start`` returns the closure that cancels the request. ``refuse`` is called at most
     once, only if nothing was sent and nothing will be. Call ``end_permit`` when the
-    request has ended.
+    request has ended, also before it is cancelled.
     """
     cancel_request: Cancel = lambda: None
 
@@ -129,7 +136,6 @@
 
     def cancel() -> None:
         give_up.cancel()
-        end_permit(run)
         cancel_request()
 
     give_up = run.loop.call_at(run.give_up_at, on_late)
--- a/src/bramleyrouter/platform/server_transport.py
+++ b/src/bramleyrouter/platform/server_transport.py
@@ -20,6 +20,7 @@
 from bramleyrouter.gateway.exchanges import (
     CallerRequest,
     ExchangeOutcome,
+    MaySend,
     OnReply,
     SendToServer,
     ServerReply,
@@ -176,6 +177,7 @@
         timeout_s: float,
         max_connections: int,
         on_reply: OnReply,
+        may_send: MaySend | None = None,
     ) -> Callable[[], None]:
         pool = _get_pool(pools, server, max_connections)
         own_id = request.request_id.encode(HEAD_ENCODING)
@@ -190,6 +192,7 @@
             # The server may close a connection that was idle while the request is on
             # its way, and a request that may run once can't be repeated then.
             needs_new_connection=request.method not in _IDEMPOTENT_METHODS,
+            may_send=may_send,
         )
         exchange = start_exchange(
             pool,
--- a/tests/permits/permit_schedules.py
+++ b/tests/permits/permit_schedules.py
@@ -8,7 +8,7 @@
 
 from bramleyrouter.codes import Code
 from bramleyrouter.failures import Failure
-from bramleyrouter.gateway.permits import Permit, may_send
+from bramleyrouter.gateway.permits import Permit, use_permit
 from bramleyrouter.ids import DataCentre, TenantName
 from bramleyrouter.permits.client import PermitClient, PermitOutcome, acquire_permit
 from bramleyrouter.permits.issuing import PERMIT_LIFETIME_S, Issuer, Quota, QuotaBounds
@@ -128,7 +128,7 @@
         asked_at = loop.time()
 
         def use(permit):
-            if may_send(permit, loop.time()):
+            if use_permit(permit, loop.time()):
                 self.uses.append(loop.time())
 
         def on_permit(result):
--- a/tests/platform/test_server_transport.py
+++ b/tests/platform/test_server_transport.py
@@ -510,6 +510,28 @@
 
         asyncio.run(scenario())
 
+    @pytest.mark.parametrize("is_reused", [False, True])
+    def test_a_request_that_may_no_longer_be_sent_is_not_written(self, is_reused):
+        # Opening a connection or waiting for one can outlast the request's permit.
+        async def scenario():
+            server = await start_raw_server(build_script(reply(), reply()))
+            transport, _ = build_server_transport()
+            row = build_row("i-1", address=server.address)
+            if is_reused:
+                assert (await exchange(transport, server, build_request())).is_success
+            sent = len(server.requests)
+            fut = asyncio.get_running_loop().create_future()
+            transport(row, build_request(), 2.0, 1, fut.set_result, lambda: False)
+            assert (await fut).outcome is ExchangeOutcome.UNSENT
+            assert len(server.requests) == sent
+            # The connection that was opened for it must not count as in use.
+            fut = asyncio.get_running_loop().create_future()
+            transport(row, build_request(), 2.0, 1, fut.set_result, lambda: True)
+            assert (await fut).is_success
+            server.server.close()
+
+        asyncio.run(scenario())
+
     def test_a_request_that_gets_no_connection_is_unsent(self):
         async def scenario():
             async def script(request, writer):
--- a/tests/support/delegation_schedules.py
+++ b/tests/support/delegation_schedules.py
@@ -246,7 +246,9 @@
     def build_send_to_server(self, process):
         """Return a ``SendToServer`` whose servers reply, fail or stay silent."""
 
-        def send_to_server(server, request, timeout_s, max_connections, on_reply):
+        def send_to_server(
+            server, request, timeout_s, max_connections, on_reply, may_send
+        ):
             outcome, delay_s = _choose_outcome(self.rng)
             if outcome not in NOT_ARRIVED:
                 now, request_id = self.loop.time(), request.request_id
--- a/tests/support/gateway_fakes.py
+++ b/tests/support/gateway_fakes.py
@@ -83,8 +83,13 @@
     behaviours: dict[str, Behaviour] = field(default_factory=dict)
     arrivals: list[Arrival] = field(default_factory=list)
 
-    def send_to_server(self, server, request, timeout_s, max_connections, on_reply):
+    def send_to_server(
+        self, server, request, timeout_s, max_connections, on_reply, may_send=None
+    ):
         """Replace the platform's ``SendToServer``."""
+        if may_send is not None and not may_send():
+            unsent = ServerReply(ExchangeOutcome.UNSENT)
+            return self.loop.call_soon(on_reply, unsent).cancel
         arrival = Arrival(server, request, timeout_s, self.loop.time())
         self.arrivals.append(arrival)
         behaviour = self.behaviours.get(server.server_id, answer_after(0.01))
@@ -203,6 +208,7 @@
     open_stream=None,
     send_grant=None,
     memory=None,
+    acquire_permit=None,
 ) -> GatewayHarness:
     """Build a gateway with fake servers on the running event loop.
 
@@ -246,6 +252,7 @@
         send_grant or (lambda address, payload: None),
         lambda: False,
         memory,
+        acquire_permit,
     )
     names = {name for item in routes for name in item.shards}
     names |= {part.service for item in routes for part in item.targets}
