--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -168,6 +168,11 @@
         status, fields, _ = self.send_request(reply)
         assert (status, fields["Retry-After"]) == (503, "0.250")
 
+    def test_a_request_over_the_quota_has_a_retry_after_header(self):
+        reply = GatewayReply(ReplyKind.OVER_QUOTA, retry_after_s=1.5)
+        status, fields, _ = self.send_request(reply)
+        assert (status, fields["Retry-After"]) == (429, "1.500")
+
     def test_only_a_refusal_promises_that_nothing_ran(self):
         not_run_statuses = {408, 421, 429, 503}
         for kind in (ReplyKind.FAILED, ReplyKind.DEADLINE):
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -33,6 +33,7 @@
 retryBudget = 0.2
 budgetSlack = 56
 warmupFactor = 1.5
+quotaSlack = 30
 """
 
 
@@ -57,6 +58,7 @@
         assert cfg.memory_bytes == 300_000_000
         assert (cfg.bounds.drain_s, cfg.bounds.stop_s) == (3.0, 6.0)
         assert (cfg.bounds.extra_ratio, cfg.bounds.extra_slack) == (0.2, 56.0)
+        assert (cfg.bounds.quota_window_s, cfg.bounds.quota_slack) == (5.0, 30.0)
 
     def test_without_a_memory_limit_the_least_one_is_assumed(self, tmp_path):
         text = SETTINGS_FILE.replace("memoryMb = 300\n", "")
