--- a/tests/permits/permit_schedules.py
+++ b/tests/permits/permit_schedules.py
@@ -44,6 +44,7 @@
     seed: int
     tolerated_losses: int = 1
     lifetime_s: float = PERMIT_LIFETIME_S
+    delay_s: float = 0.0005
     rng: random.Random = None
     delay: object = None
     issuers: dict = field(default_factory=dict)
@@ -54,7 +55,7 @@
 
     def __post_init__(self):
         self.rng = random.Random(self.seed)
-        self.delay = lambda: 0.0005
+        self.delay = lambda: self.delay_s
 
     def start_issuer(self, address, quota):
         """Start an issuer, or start it again without what it had issued."""
--- a/tests/permits/test_quota_bound.py
+++ b/tests/permits/test_quota_bound.py
@@ -6,7 +6,13 @@
 import pytest
 
 from bramleyrouter.permits.client import PermitOutcome
-from bramleyrouter.permits.issuing import Issuer, Quota, compute_bound, issue
+from bramleyrouter.permits.issuing import (
+    PERMIT_LIFETIME_S,
+    Issuer,
+    Quota,
+    compute_bound,
+    issue,
+)
 from tests.permits.permit_schedules import (
     BOUNDS,
     CUSTOMER,
@@ -219,6 +225,22 @@
 
         run_virtual(scenario())
 
+    def test_a_slow_answer_does_not_extend_the_lifetime(self):
+        # The issuer has counted the permit since before its answer left.
+        async def scenario():
+            schedule = Schedule(1, delay_s=0.035)
+            schedule.members = frozenset({"i0"})
+            schedule.start_issuer("i0", Quota(20.0, 10.0))
+            await asyncio.sleep(BOUNDS.window_s + 1.0)
+            asked_at = asyncio.get_running_loop().time()
+            schedule.send_request(schedule.build_client())
+            await asyncio.sleep(1.0)
+            _, waited_s, result = schedule.results[0]
+            assert waited_s >= 0.07
+            assert result.expires_at <= asked_at + PERMIT_LIFETIME_S
+
+        run_virtual(scenario())
+
     def test_no_issuer_within_a_window_of_the_first_start(self):
         async def scenario():
             schedule = Schedule(1)
