--- a/src/bramleyrouter/gateway/attempts.py
+++ b/src/bramleyrouter/gateway/attempts.py
@@ -8,10 +8,12 @@
     NOT_ARRIVED,
     CallerRequest,
     ExchangeOutcome,
+    MaySend,
     ServerReply,
 )
 from bramleyrouter.gateway.gateways import Gateway, mark_data_centre_reachable
 from bramleyrouter.gateway.latencies import LatencyWindow, add_sample
+from bramleyrouter.gateway.permits import Permit, has_expired, use_permit
 from bramleyrouter.gateway.queues import (
     QueuedRequest,
     Urgency,
@@ -38,6 +40,7 @@
 # request.
 SPARE_CONNECTIONS = 2
 UNUSABLE_TEXT = "the server left or wants no requests"
+NO_PERMIT_TEXT = "the request's permit has expired"
 
 
 @dataclass(eq=False)
@@ -58,6 +61,7 @@
     on_end: "OnAttemptEnd"
     siblings: "list[Attempt]"
     is_extra: bool
+    permit: Permit | None = None
     queued: QueuedRequest = field(init=False)
     sent_at: float = 0.0
     cancel: Callable[[], None] = lambda: None
@@ -82,17 +86,27 @@
     on_end: OnAttemptEnd,
     siblings: list[Attempt],
     is_extra: bool,
+    permit: Permit | None = None,
 ) -> Attempt:
     """Send a request to a server and record the result in the server's state.
 
     The request waits while all connections to the server are in use, at most until the
     loop time ``expires_at``. ``on_end`` is called once unless the attempt is cancelled.
     If ``is_extra`` is set, the caller has consumed an extra send of the budget. It ends
-    with this attempt, or with one of its ``siblings`` that ends later.
+    with this attempt, or with one of its ``siblings`` that ends later. The first
+    attempt of a request with a ``permit`` is sent only while that is valid.
     """
     record_sent(server, context)
     attempt = Attempt(
-        gateway, server, request, expires_at, window, on_end, siblings, is_extra
+        gateway,
+        server,
+        request,
+        expires_at,
+        window,
+        on_end,
+        siblings,
+        is_extra,
+        permit,
     )
     attempt.queued = QueuedRequest(
         urgency, lambda: _send_now(attempt), lambda: _abandon_waiting(attempt)
@@ -117,6 +131,10 @@
         unsent = ServerReply(ExchangeOutcome.UNSENT, text=UNUSABLE_TEXT)
         attempt.cancel = gateway.loop.call_soon(_finish_attempt, attempt, unsent).cancel
         return
+    if has_expired(attempt.permit, attempt.sent_at):
+        unsent = ServerReply(ExchangeOutcome.UNSENT, text=NO_PERMIT_TEXT)
+        attempt.cancel = gateway.loop.call_soon(_finish_attempt, attempt, unsent).cancel
+        return
     try:
         attempt.cancel = gateway.send_to_server(
             server.row,
@@ -124,6 +142,7 @@
             max(0.0, attempt.expires_at - attempt.sent_at),
             compute_connection_limit(gateway, server),
             lambda reply: _finish_attempt(attempt, reply),
+            _build_may_send(attempt),
         )
     except Exception as exc:
         # The connection and the request would otherwise count as in use for good. The
@@ -139,6 +158,13 @@
         attempt.cancel = gateway.loop.call_soon(_finish_attempt, attempt, lost).cancel
 
 
+def _build_may_send(attempt: Attempt) -> MaySend | None:
+    """Return what checks the permit once the connection is open."""
+    if attempt.permit is None:
+        return None
+    return lambda: use_permit(attempt.permit, attempt.gateway.loop.time())
+
+
 def _do_nothing() -> None:
     """Cancel nothing, as the attempt has ended."""
 
--- a/src/bramleyrouter/gateway/exchanges.py
+++ b/src/bramleyrouter/gateway/exchanges.py
@@ -115,12 +115,18 @@
 
 
 OnReply = Callable[[ServerReply], None]
-# ``send_to_server(server, request, timeout_s, max_connections, on_reply)`` sends a
+# Returns whether a request may still be sent.
+MaySend = Callable[[], bool]
+# ``send_to_server(server, request, timeout_s, max_connections, on_reply, may_send)``
+# sends a
 # request and returns the closure that cancels it. Cancelling closes the connection, so
 # that the server stops working on the request. ``on_reply`` is called once unless
-# cancelled, and never before the function returns.
+# cancelled, and never before the function returns. ``may_send`` is called when a
+# connection is open, right before the request is written; if it returns false, the
+# exchange ends as ``UNSENT``.
 SendToServer = Callable[
-    [ServerRow, CallerRequest, float, int, OnReply], Callable[[], None]
+    [ServerRow, CallerRequest, float, int, OnReply, MaySend | None],
+    Callable[[], None],
 ]
 
 
@@ -136,13 +142,15 @@
     DEADLINE = "deadline"
     TOO_LARGE = "too_large"
     MALFORMED = "malformed"
+    OVER_QUOTA = "over_quota"
 
 
 class GatewayReply(NamedTuple):
     """Hold the reply to a caller.
 
-    ``REFUSED`` promises that nothing ran and nothing will; ``retry_after_s`` is then
-    the time after which the caller should retry, in seconds. ``signatures``,
+    ``REFUSED`` and ``OVER_QUOTA`` promise that nothing ran and nothing will;
+    ``retry_after_s`` is then the time after which the caller should retry, in seconds.
+    ``signatures``,
     ``included`` and ``missing`` describe which shards a gathered reply covers.
     ``reason`` is for the log.
     """
--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -20,6 +20,7 @@
     SendToServer,
 )
 from bramleyrouter.gateway.latencies import LatencyWindow
+from bramleyrouter.gateway.permits import AcquirePermit
 from bramleyrouter.gateway.queues import (
     Urgency,
 )
@@ -120,6 +121,8 @@
     table_applied_at: float = 0.0
     # Counts the results of identifications in the metrics.
     count_identification: Callable[[str], None] = lambda result: None
+    # Acquires a permit for a request of a customer with a limit.
+    acquire_permit: AcquirePermit | None = None
 
 
 def mark_data_centre_reachable(gateway: Gateway, data_centre: DataCentre) -> None:
