Gave the tests of permits customers with keys

Cause: requests are identified by their keys since the merge of customers, so a name set by a test was ignored and the request refused with 401. Change: the tests send keys, and a public route stands for requests without a customer.

--- a/tests/gateway/test_permits.py
+++ b/tests/gateway/test_permits.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+import msgspec
 import pytest
 
-from bramleyrouter.gateway.exchanges import ReplyKind
+from bramleyrouter.gateway.customers import compute_key_digest
+from bramleyrouter.gateway.exchanges import Credentials, ReplyKind
 from bramleyrouter.gateway.tables import Customer, RouteTable, Service
 from bramleyrouter.ids import ServiceName, TableVersion, TenantName
 from bramleyrouter.permits.client import PermitOutcome, PermitResult
@@ -57,7 +59,11 @@
     route = route or build_single_route(timeout_s=2.0, objective_s=0.4, attempts=1)
     rows = rows or [build_row("a")]
     harness = build_harness([route], rows, acquire_permit=permits.acquire, **fields)
-    customers = (Customer(LIMITED, rate_per_s=1.0), Customer(FREE))
+    customers = (
+        Customer(LIMITED, (compute_key_digest(LIMITED.encode()),), rate_per_s=1.0),
+        Customer(FREE, (compute_key_digest(FREE.encode()),)),
+    )
+    route = msgspec.structs.replace(route, is_public=True)
     names = [*route.shards, *(target.service for target in route.targets)]
     services = tuple(Service(ServiceName(name), 1) for name in names)
     harness.gateway.set_table(
@@ -67,7 +73,9 @@
 
 
 def request_of(customer, **fields):
-    return build_request(**fields)._replace(customer=customer)
+    """Build a request with a customer's key, which is the customer's name."""
+    digest = compute_key_digest(customer.encode())
+    return build_request(credentials=Credentials(digest, ()), **fields)
 
 
 class TestPermitsOfRequests:
--- a/tests/platform/test_quotas.py
+++ b/tests/platform/test_quotas.py
@@ -8,7 +8,8 @@
 from bramleyrouter.daemons.fleet_control import build_control_parts
 from bramleyrouter.daemons.fleet_entry import build_entry_parts
 from bramleyrouter.fleet.registry import apply_announcement
-from bramleyrouter.gateway.exchanges import ReplyKind
+from bramleyrouter.gateway.customers import compute_key_digest
+from bramleyrouter.gateway.exchanges import Credentials, ReplyKind
 from bramleyrouter.gateway.tables import Customer, RouteTable, Service
 from bramleyrouter.ids import ServiceName, TableVersion, TenantName
 from bramleyrouter.platform.settings import read_settings
@@ -22,11 +23,12 @@
 )
 
 CUSTOMER = TenantName("limited")
+KEY_DIGEST = compute_key_digest(b"key")
 TABLE = RouteTable(
     TableVersion(7),
     (build_single_route(),),
     (Service(ServiceName("s0")),),
-    customers=(Customer(CUSTOMER, rate_per_s=40.0),),
+    customers=(Customer(CUSTOMER, (KEY_DIGEST,), rate_per_s=40.0),),
 )
 LIMIT_S = 20.0
 
@@ -44,10 +46,11 @@
 
     def test_one_control_daemon_issues_its_part(self, deployment):
         decode = lambda document: Ok(TABLE)
+        must_be_current = lambda document: True
 
         async def send(entry):
             fut = asyncio.get_running_loop().create_future()
-            request = build_request()._replace(customer=CUSTOMER)
+            request = build_request(credentials=Credentials(KEY_DIGEST, ()))
             entry.gateway.handle(request, fut.set_result)
             return await fut
 
@@ -55,7 +58,12 @@
             loop, log = asyncio.get_running_loop(), EventLog()
             control_cfg = read_cfg(deployment, deployment.controls[0])
             control = build_control_parts(
-                control_cfg, log, lambda: control_cfg.seeds, None, decode
+                control_cfg,
+                log,
+                lambda: control_cfg.seeds,
+                None,
+                must_be_current,
+                decode,
             ).unwrap()
             servers = FakeServers(loop)
             entry = build_entry_parts(
