Delayed hedges while the budget of extra sends is scarce

Change: `gateway/hedge_timing.py` decides per service. While the allowance is ample, a hedge is sent as early as before; the scarcer it is, the later, up to the last moment at which a second server still replies in the useful time. A route leaves half of the hedges to more urgent routes of its services. The bound on extra sends is unchanged.

--- a/src/bramleyrouter/gateway/budgets.py
+++ b/src/bramleyrouter/gateway/budgets.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from bramleyrouter.gateway.hedge_timing import HedgeAllowance
 from bramleyrouter.ids import ServiceName
 
 # Extra sends are summed over one bucket more than the window, requests over one fewer,
@@ -118,14 +119,18 @@
 
 
 def try_consume_extra_send(
-    budget: ExtraBudget, service: ServiceName, is_hedge: bool = False
+    budget: ExtraBudget,
+    service: ServiceName,
+    is_hedge: bool = False,
+    reserved_share: float = 0.0,
 ) -> bool:
     """Count an extra send if the budget allows one; return whether it does.
 
     Hedges may use only ``HEDGE_SHARE`` of the allowance, so that retries remain
-    possible. If it returns true, the caller must call ``end_extra_send`` later.
+    possible, and of this not the share that is reserved for more urgent routes. If it
+    returns true, the caller must call ``end_extra_send`` later.
     """
-    if not has_allowance(budget, service, is_hedge):
+    if not has_allowance(budget, service, is_hedge, reserved_share):
         return False
     _get_counts(budget, service).open_extras += 1
     return True
@@ -141,10 +146,29 @@
         _increment(counts.extras, _get_bucket_number(budget))
 
 
-def has_allowance(budget: ExtraBudget, service: ServiceName, is_hedge: bool) -> bool:
+def has_allowance(
+    budget: ExtraBudget,
+    service: ServiceName,
+    is_hedge: bool,
+    reserved_share: float = 0.0,
+) -> bool:
     """Return whether the budget allows an extra send now."""
-    remaining = compute_remaining_allowance(budget, service)
     if is_hedge:
-        used = _count_extras(budget, service)
-        remaining -= (1.0 - HEDGE_SHARE) * (remaining + used)
-    return remaining >= 1.0
+        allowance = compute_hedge_allowance(budget, service, reserved_share)
+        return allowance.remaining >= 1.0
+    return compute_remaining_allowance(budget, service) >= 1.0
+
+
+def compute_hedge_allowance(
+    budget: ExtraBudget, service: ServiceName, reserved_share: float
+) -> HedgeAllowance:
+    """Return how many hedges the window allows to a route, still and altogether.
+
+    The route leaves ``reserved_share`` of the hedges to more urgent routes.
+    """
+    remaining = compute_remaining_allowance(budget, service)
+    used = _count_extras(budget, service)
+    total = remaining + used
+    # Subtracted, as rounding must not change what a route without reserve may send.
+    reserved = (1.0 - HEDGE_SHARE) * total + reserved_share * HEDGE_SHARE * total
+    return HedgeAllowance(remaining - reserved, total - reserved)
--- a/src/bramleyrouter/gateway/build.py
+++ b/src/bramleyrouter/gateway/build.py
@@ -28,6 +28,7 @@
     build_refusal,
     is_overloaded,
     mark_data_centre_reachable,
+    set_route_index,
 )
 from bramleyrouter.gateway.gathers import start_gather
 from bramleyrouter.gateway.reachability import is_cut_off
@@ -128,10 +129,7 @@
     )
 
     def set_table(table: RouteTable) -> None:
-        gateway.index = build_index(table)
-        names = {route.name for route in table.routes}
-        for gone in set(gateway.windows) - names:
-            del gateway.windows[gone]
+        set_route_index(gateway, build_index(table))
 
     def update_servers(service: ServiceName, rows: Collection[ServerRow]) -> None:
         set_servers(gateway.servers, service, rows, loop.time())
--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
 
-from bramleyrouter.gateway.budgets import ExtraBudget
+from bramleyrouter.gateway.budgets import ExtraBudget, compute_hedge_allowance
 from bramleyrouter.gateway.data_centre_contacts import (
     DataCentreContacts,
     record_contact,
@@ -18,6 +18,11 @@
     ReplyKind,
     SendToServer,
 )
+from bramleyrouter.gateway.hedge_timing import (
+    HedgeAllowance,
+    compute_reserved_share,
+    find_most_urgent,
+)
 from bramleyrouter.gateway.latencies import LatencyWindow
 from bramleyrouter.gateway.queues import (
     Urgency,
@@ -102,6 +107,8 @@
     open_stream: OpenStream
     send_grant: SendGrant
     index: RouteIndex | None = None
+    # Priority of the most urgent route that may hedge, by service.
+    most_urgent: dict[ServiceName, int] = field(default_factory=dict)
     servers: TrackedServers = field(default_factory=TrackedServers)
     windows: dict[str, LatencyWindow] = field(default_factory=dict)
     split_credit: dict[str, dict[ServiceName, float]] = field(default_factory=dict)
@@ -190,6 +197,29 @@
     return window
 
 
+def set_route_index(gateway: Gateway, index: RouteIndex) -> None:
+    """Put a route table in force."""
+    gateway.index = index
+    gateway.most_urgent = find_most_urgent(index.table.routes)
+    names = {route.name for route in index.table.routes}
+    for gone in set(gateway.windows) - names:
+        del gateway.windows[gone]
+
+
+def get_reserved_share(gateway: Gateway, route: Route, service: ServiceName) -> float:
+    """Return the share of a service's hedges that ``route`` leaves to others."""
+    return compute_reserved_share(gateway.most_urgent, service, route.priority)
+
+
+def get_hedge_allowance(
+    gateway: Gateway, route: Route, service: ServiceName
+) -> HedgeAllowance:
+    """Return how many hedges to a service the budget allows to ``route``."""
+    return compute_hedge_allowance(
+        gateway.budget, service, get_reserved_share(gateway, route, service)
+    )
+
+
 def choose_retry_after(
     gateway: Gateway, max_wait_s: float = MAX_RETRY_AFTER_S
 ) -> float:
--- a/src/bramleyrouter/gateway/gather_runs.py
+++ b/src/bramleyrouter/gateway/gather_runs.py
@@ -10,6 +10,7 @@
 from bramleyrouter.gateway.exchanges import CallerRequest, ServerReply
 from bramleyrouter.gateway.gateways import Cancel, Gateway, OnGatewayReply
 from bramleyrouter.gateway.gather_deadlines import GatherProgress
+from bramleyrouter.gateway.hedge_timing import HedgeTiming
 from bramleyrouter.gateway.tables import Route
 from bramleyrouter.ids import DataCentre, ServerId, ServerIncarnation, ServiceName
 
@@ -148,7 +149,12 @@
     timer: asyncio.TimerHandle | None = None
     # Position before which no shard is open.
     first_open: int = 0
-    hedge_checks: int = 0
+    hedge_timing: HedgeTiming | None = None
+    # Delay of the next check for stragglers, in seconds from the arrival; none after
+    # the last one.
+    next_hedge_check_s: float | None = None
+    # Number of hedges that were postponed because the allowance was scarce.
+    postponed_hedges: int = 0
     hedges: int = 0
     is_finished: bool = False
     are_late_servers_recorded: bool = False
--- a/src/bramleyrouter/gateway/gathers.py
+++ b/src/bramleyrouter/gateway/gathers.py
@@ -32,7 +32,12 @@
     cancel_delegations,
     compute_progress,
 )
-from bramleyrouter.gateway.latencies import compute_hedge_delay
+from bramleyrouter.gateway.hedge_timing import (
+    HedgeTiming,
+    compute_hedge_timing,
+    deduct_grant,
+    find_next_check,
+)
 from bramleyrouter.gateway.merging import merge_greatest
 from bramleyrouter.gateway.reply_times import (
     MIN_NETWORK_S,
@@ -50,9 +55,6 @@
 from bramleyrouter.gateway.tables import Route
 from bramleyrouter.telemetry.events import RecordEvent
 
-# Limit on the checks for stragglers per gather. Later checks retry the shards for which
-# an earlier one had no budget or no server.
-MAX_HEDGE_CHECKS = 3
 # A server that takes longer than this multiple of the median latency is recorded as
 # late at the objective.
 LATE_SERVER_FACTOR = 2.0
@@ -146,6 +148,8 @@
     run.is_started = True
     _reply_if_due(run)
     if not run.is_finished:
+        run.hedge_timing = _compute_hedge_timing(run)
+        run.next_hedge_check_s = run.hedge_timing.earliest_s
         _schedule_timer(run)
     return lambda: _cancel(run)
 
@@ -188,12 +192,26 @@
     return True
 
 
-def _compute_next_hedge_check(run: GatherRun) -> float:
-    """Return the loop time of the next check for stragglers."""
-    delay_s = compute_hedge_delay(
-        get_latency_window(run.gateway, run.route), run.route.objective_s
-    )
-    return run.arrived_at + delay_s * (run.hedge_checks + 1)
+def _compute_hedge_timing(run: GatherRun) -> HedgeTiming:
+    window = get_latency_window(run.gateway, run.route)
+    useful_s = run.reply_at - run.arrived_at
+    timing = compute_hedge_timing(window, run.route.objective_s, useful_s)
+    # A relay asks for each hedge.
+    return timing if run.requesting_daemon is None else deduct_grant(timing)
+
+
+def _check_stragglers(run: GatherRun) -> None:
+    """Send the hedges that are due if it is time for a check."""
+    check_s = run.next_hedge_check_s
+    if check_s is None or run.gateway.loop.time() < run.arrived_at + check_s:
+        return
+    # The timing is that of the gather's start, so that no check is repeated.
+    timing = run.hedge_timing or _compute_hedge_timing(run)
+    # Whether a hedge is due depends on the planned time, as a late timer must not make
+    # the latest hedge pass for a useless one.
+    postponed = send_hedges(run, timing, check_s)
+    run.postponed_hedges += postponed
+    run.next_hedge_check_s = find_next_check(timing, check_s, postponed > 0)
 
 
 def _schedule_timer(run: GatherRun) -> None:
@@ -201,8 +219,8 @@
     now = run.gateway.loop.time()
     route = run.route
     times = [run.deadline_at - DEADLINE_MARGIN_S]
-    if run.hedge_checks < MAX_HEDGE_CHECKS:
-        times.append(_compute_next_hedge_check(run))
+    if run.next_hedge_check_s is not None:
+        times.append(run.arrived_at + run.next_hedge_check_s)
     decisions = (
         run.reply_at,
         # At the objective, shards that wait only for suspected servers are abandoned.
@@ -221,9 +239,7 @@
     record_lateness(gateway.reply_lag if is_reply_timer else gateway.lag, now - at, now)
     if run.is_finished:
         return
-    if run.hedge_checks < MAX_HEDGE_CHECKS and now >= _compute_next_hedge_check(run):
-        run.hedge_checks += 1
-        send_hedges(run)
+    _check_stragglers(run)
     _record_late_servers(run)
     _reply_if_due(run)
     if not run.is_finished:
@@ -408,6 +424,7 @@
         included=sum(shard.reply is not None for shard in run.shards),
         shards=len(run.shards),
         hedges=run.hedges,
+        postponed_hedges=run.postponed_hedges,
         relays=[item.address for item in run.delegations],
         waited_ms=round(1000 * (run.gateway.loop.time() - run.arrived_at)),
         objective_ms=round(1000 * run.route.objective_s),
--- a/src/bramleyrouter/gateway/latencies.py
+++ b/src/bramleyrouter/gateway/latencies.py
@@ -12,6 +12,9 @@
 # factor keeps the tail of an ordinary distribution below the limit.
 HEDGE_QUANTILE = 0.90
 HEDGE_FACTOR = 1.3
+# Quantile within which a second server is expected to reply. It lies below the replies
+# of servers that pause.
+REPLY_QUANTILE = 0.75
 # Bounds of the delay before a hedge. Below the minimum, in seconds, delays of the event
 # loop itself would cause hedges. Above the maximum, a share of the objective, a second
 # server would have too little time left to reply.
@@ -28,6 +31,7 @@
     samples_since_update: int = 0
     hedge_quantile_s: float = 0.0
     median_s: float = 0.0
+    reply_quantile_s: float = 0.0
 
 
 def add_sample(window: LatencyWindow, latency_s: float) -> None:
@@ -43,6 +47,7 @@
         ordered = sorted(window.samples)
         window.hedge_quantile_s = ordered[int(HEDGE_QUANTILE * (len(ordered) - 1))]
         window.median_s = ordered[len(ordered) // 2]
+        window.reply_quantile_s = ordered[int(REPLY_QUANTILE * (len(ordered) - 1))]
 
 
 def compute_hedge_delay(window: LatencyWindow, objective_s: float) -> float:
--- a/src/bramleyrouter/gateway/shard_attempts.py
+++ b/src/bramleyrouter/gateway/shard_attempts.py
@@ -17,7 +17,9 @@
     build_choice_context,
     compute_urgency,
     find_backed_off_ids,
+    get_hedge_allowance,
     get_latency_window,
+    get_reserved_share,
     get_tracked_servers,
 )
 from bramleyrouter.gateway.gather_runs import (
@@ -28,6 +30,7 @@
     ShardRun,
     has_open_shard,
 )
+from bramleyrouter.gateway.hedge_timing import HedgeTiming, is_hedge_due
 from bramleyrouter.gateway.merging import drop_useless_records
 from bramleyrouter.gateway.servers import (
     ChoiceContext,
@@ -90,7 +93,10 @@
     if server is None or remaining_s < MIN_ATTEMPT_S:
         return False
     is_hedge = purpose is AttemptPurpose.HEDGE
-    if is_extra and not try_consume_extra_send(gateway.budget, shard.service, is_hedge):
+    reserved_share = get_reserved_share(gateway, run.route, shard.service)
+    if is_extra and not try_consume_extra_send(
+        gateway.budget, shard.service, is_hedge, reserved_share
+    ):
         return False
     shard.tried.add(server.row.server_id)
     shard.attempt_count += 1
@@ -201,16 +207,37 @@
         shard.is_missing = not shard.is_delegated
 
 
-def send_hedges(run: GatherRun) -> None:
-    """Send a hedge for each shard that still waits for its only attempt."""
+def send_hedges(run: GatherRun, timing: HedgeTiming, waited_s: float) -> int:
+    """Send the hedges that are due for shards that still wait for their only attempt.
+
+    Return the number of hedges that are postponed because the allowance is scarce.
+    """
+    postponed = 0
     for shard in run.shards:
         is_straggler = shard.is_open and len(shard.pending) == 1
-        if not is_straggler or _request_attempt(run, shard, is_hedge=True):
+        if not is_straggler:
             continue
-        if shard.possible_runs >= shard.max_runs:
+        needs_grant = shard.possible_runs >= shard.max_runs
+        if needs_grant and not _may_request_attempt(run, shard):
             continue
-        if send_attempt(run, shard, AttemptPurpose.HEDGE, is_extra=True):
+        allowance = get_hedge_allowance(run.gateway, run.route, shard.service)
+        if not is_hedge_due(timing, allowance, waited_s):
+            postponed += 1
+        elif needs_grant:
+            _request_attempt(run, shard, is_hedge=True)
+        elif send_attempt(run, shard, AttemptPurpose.HEDGE, is_extra=True):
             run.hedges += 1
+    return postponed
+
+
+def _may_request_attempt(run: GatherRun, shard: ShardRun) -> bool:
+    """Return whether the requesting daemon can still be asked for an attempt."""
+    daemon = run.requesting_daemon
+    return (
+        daemon is not None
+        and daemon.request_attempts is not None
+        and shard.grant is GrantState.NOT_REQUESTED
+    )
 
 
 def _request_attempt(run: GatherRun, shard: ShardRun, is_hedge: bool) -> bool:
@@ -223,11 +250,14 @@
         return False
     if shard.grant is not GrantState.NOT_REQUESTED:
         return shard.grant is GrantState.REQUESTED
+    reserved_share = get_reserved_share(run.gateway, run.route, shard.service)
     if (
         run.requesting_daemon.request_attempts is None
         or shard.attempt_count >= MAX_ATTEMPTS_PER_SHARD
         or choose_shard_server(run, shard) is None
-        or not has_allowance(run.gateway.budget, shard.service, is_hedge)
+        or not has_allowance(
+            run.gateway.budget, shard.service, is_hedge, reserved_share
+        )
     ):
         return False
     shard.grant = GrantState.REQUESTED
--- a/src/bramleyrouter/gateway/single_requests.py
+++ b/src/bramleyrouter/gateway/single_requests.py
@@ -33,10 +33,18 @@
     compute_urgency,
     compute_wait_for_service,
     find_backed_off_ids,
+    get_hedge_allowance,
     get_latency_window,
+    get_reserved_share,
     get_tracked_servers,
 )
-from bramleyrouter.gateway.latencies import compute_hedge_delay
+from bramleyrouter.gateway.hedge_timing import (
+    HedgeTiming,
+    compute_hedge_timing,
+    find_next_check,
+    is_hedge_due,
+)
+from bramleyrouter.gateway.reply_times import MIN_NETWORK_S
 from bramleyrouter.gateway.servers import (
     choose_server,
     format_servers,
@@ -74,6 +82,8 @@
     has_arrived: bool = False
     # Servers that were not chosen because they leave or want no requests for a while.
     backed_off: set[ServerId] = field(default_factory=set)
+    # Delay of the next check for a hedge, in seconds; none if there is none.
+    next_hedge_check_s: float | None = None
     timer: asyncio.TimerHandle | None = None
     is_finished: bool = False
 
@@ -133,6 +143,8 @@
         reason = f'service "{service}" has no server that may be asked ({servers_text})'
         _finish(run, _build_not_run_refusal(run, reason))
         return lambda: None
+    if _may_hedge(run):
+        run.next_hedge_check_s = _compute_hedge_timing(run).earliest_s
     _schedule_timer(run)
     return lambda: _cancel(run)
 
@@ -174,7 +186,10 @@
     server = _choose_server(run)
     if server is None or remaining_s < MIN_ATTEMPT_S:
         return False
-    if is_extra and not try_consume_extra_send(gateway.budget, run.service, is_hedge):
+    reserved_share = get_reserved_share(gateway, run.route, run.service)
+    if is_extra and not try_consume_extra_send(
+        gateway.budget, run.service, is_hedge, reserved_share
+    ):
         return False
     run.tried.add(server.row.server_id)
     run.attempt_count += 1
@@ -293,11 +308,8 @@
     if run.is_finished:
         return
     at = run.deadline_at - DEADLINE_MARGIN_S
-    if _may_hedge(run):
-        window = get_latency_window(run.gateway, run.route)
-        at = min(
-            at, run.arrived_at + compute_hedge_delay(window, run.route.objective_s)
-        )
+    if run.next_hedge_check_s is not None and _may_hedge(run):
+        at = min(at, run.arrived_at + run.next_hedge_check_s)
     run.timer = run.gateway.loop.call_at(at, _on_timer, run)
 
 
@@ -314,10 +326,30 @@
         _finish(run, GatewayReply(ReplyKind.DEADLINE, "no server answered in time"))
         return
     if _may_hedge(run):
+        _hedge_if_due(run)
+    _schedule_timer(run)
+
+
+def _compute_hedge_timing(run: SingleRequestRun) -> HedgeTiming:
+    window = get_latency_window(run.gateway, run.route)
+    useful_s = run.route.objective_s - MIN_NETWORK_S
+    return compute_hedge_timing(window, run.route.objective_s, useful_s)
+
+
+def _hedge_if_due(run: SingleRequestRun) -> None:
+    """Send the hedge, or plan another check if the allowance is scarce."""
+    check_s = run.next_hedge_check_s
+    run.next_hedge_check_s = None
+    if check_s is None:
+        return
+    timing = _compute_hedge_timing(run)
+    allowance = get_hedge_allowance(run.gateway, run.route, run.service)
+    if is_hedge_due(timing, allowance, check_s):
         _send_attempt(run, is_extra=True, is_hedge=True)
-    run.timer = run.gateway.loop.call_at(
-        run.deadline_at - DEADLINE_MARGIN_S, _on_timer, run
-    )
+        return
+    next_s = find_next_check(timing, check_s, is_postponed=True)
+    if next_s is not None and next_s <= timing.latest_s:
+        run.next_hedge_check_s = next_s
 
 
 def _finish(run: SingleRequestRun, reply: GatewayReply) -> None:
