--- a/src/bramleyrouter/gateway/build.py
+++ b/src/bramleyrouter/gateway/build.py
@@ -35,6 +35,7 @@
     compute_time_limit,
     is_overloaded,
     mark_data_centre_reachable,
+    set_route_index,
 )
 from bramleyrouter.gateway.gathers import start_gather
 from bramleyrouter.gateway.permits import (
@@ -153,11 +154,8 @@
     )
 
     def set_table(table: RouteTable) -> None:
-        gateway.index = build_index(table)
+        set_route_index(gateway, build_index(table))
         gateway.table_applied_at = loop.time()
-        names = {route.name for route in table.routes}
-        for gone in set(gateway.windows) - names:
-            del gateway.windows[gone]
 
     def update_servers(service: ServiceName, rows: Collection[ServerRow]) -> None:
         set_servers(gateway.servers, service, rows, loop.time())
