Issued a reserve of permits right after a common restart of all control daemons

Cause: an issuer that has just started waits until the permits of earlier runs have left the window, so after a power loss every customer with a quota was refused for 5.3 s. Change: the spare parts, which are for removed members, are shared by members that have just started while no removal is known; a file in the data folder is consumed by one run, so that no second start within the window has the reserve.

--- a/src/bramleyrouter/daemons/fleet_control.py
+++ b/src/bramleyrouter/daemons/fleet_control.py
@@ -44,6 +44,7 @@
     build_read_quotas,
     serve_permits,
 )
+from bramleyrouter.permits.start_reserves import maintain_start_reserve
 from bramleyrouter.telemetry.events import EventLog, record
 from bramleyrouter.utils.byte_budgets import ByteBudget
 from bramleyrouter.utils.tasks import (
@@ -133,6 +134,7 @@
             rng,
             must_be_current,
             decode_table,
+            folder,
         )
     )
 
@@ -159,6 +161,7 @@
     rng,
     must_be_current,
     decode_table,
+    folder,
 ) -> ControlParts:
     tasks = BackgroundTasks("control")
     control = start_control_service(
@@ -201,6 +204,10 @@
             cfg.bounds.quota_window_s, cfg.bounds.quota_excess, cfg.bounds.quota_slack
         )
     )
+    record_event = lambda part, event, **fields: record(log, part, event, **fields)
+    list_members = lambda: frozenset(
+        member.address for member in replicated_log.status().members
+    )
     if decode_table is not None:
         update_issuer = serve_permits(
             network,
@@ -208,15 +215,17 @@
             IssuerFacts(
                 cfg.internal_address,
                 cfg.tolerated_losses,
-                lambda: frozenset(
-                    member.address for member in replicated_log.status().members
-                ),
+                list_members,
                 build_read_quotas(state_machine.routes, decode_table),
             ),
             clock,
-            lambda part, event, **fields: record(log, part, event, **fields),
+            record_event,
         )
         spawn(tasks, run_periodically(ISSUER_UPDATE_INTERVAL_S, update_issuer))
+        reserve = maintain_start_reserve(
+            folder, issuer, list_members, clock, record_event
+        )
+        spawn(tasks, reserve)
 
     async def close() -> None:
         cancel_all(tasks)
--- a/src/bramleyrouter/permits/server.py
+++ b/src/bramleyrouter/permits/server.py
@@ -13,9 +13,10 @@
     Issuer,
     Quota,
     compute_wait,
-    count_parts,
+    divide,
     forget_customers,
     issue,
+    may_issue,
     set_membership,
 )
 from bramleyrouter.permits.messages import (
@@ -95,10 +96,10 @@
             return decoded
         members, now = facts.list_members(), clock()
         set_membership(issuer, facts.own_address in members, now)
-        wait_s = compute_wait(issuer, now)
-        if wait_s != 0.0:
+        if not may_issue(issuer, members, now):
+            wait_s = compute_wait(issuer, now)
             return Ok(encode_message(PermitReply(wait_s=wait_s)))
-        parts = count_parts(len(members), facts.tolerated_losses)
+        division = divide(len(members), facts.tolerated_losses)
         quotas = facts.get_quotas()
         grants = []
         for name, wanted in decoded.ok_value.wanted:
@@ -106,9 +107,9 @@
             if quota is None:
                 grants.append(PermitGrant(is_known=False))
                 continue
-            issued = issue(issuer, name, quota, parts, wanted, now)
+            issued = issue(issuer, name, quota, division, wanted, now)
             grants.append(PermitGrant(issued.granted, issued.slots, issued.free_in_s))
-        return Ok(encode_message(PermitReply(tuple(grants), wait_s)))
+        return Ok(encode_message(PermitReply(tuple(grants), 0.0)))
 
     network.serve(MessageKind.ACQUIRE_PERMITS, handle)
     return update
--- a/tests/permits/permit_schedules.py
+++ b/tests/permits/permit_schedules.py
@@ -13,8 +13,10 @@
 from bramleyrouter.permits.client import PermitClient, PermitOutcome, acquire_permit
 from bramleyrouter.permits.issuing import PERMIT_LIFETIME_S, Issuer, Quota, QuotaBounds
 from bramleyrouter.permits.server import IssuerFacts, serve_permits
+from bramleyrouter.permits.start_reserves import maintain_start_reserve
 from bramleyrouter.permits.stock import IssuerLocation, Stock
 from bramleyrouter.wire.network import Network, Peer
+from tests.support.memory_disk import MemoryDisk
 
 BOUNDS = QuotaBounds(5.0, 0.1, 20.0)
 CUSTOMER = TenantName("c")
@@ -31,6 +33,7 @@
     handle: object = None
     issuer: Issuer = None
     update: object = None
+    reserve: object = None
     paused_until: float = 0.0
 
 
@@ -48,6 +51,7 @@
     rng: random.Random = None
     delay: object = None
     issuers: dict = field(default_factory=dict)
+    disks: dict = field(default_factory=dict)
     members: frozenset = frozenset()
     calls: int = 0
     uses: list = field(default_factory=list)
@@ -77,6 +81,18 @@
         )
         process.update()
         self.issuers[address] = process
+        # The process before it can't write any more.
+        disk = self.disks.setdefault(address, MemoryDisk())
+        disk.crash()
+        process.reserve = asyncio.get_running_loop().create_task(
+            maintain_start_reserve(
+                disk.open(),
+                process.issuer,
+                lambda: process.members,
+                _now,
+                lambda *args, **fields: None,
+            )
+        )
 
     async def call(self, address, kind, payload, timeout_s):
         """Carry a request and its reply; both may be late, lost or reordered."""
--- a/tests/permits/test_quota_bound.py
+++ b/tests/permits/test_quota_bound.py
@@ -8,6 +8,7 @@
 from bramleyrouter.permits.client import PermitOutcome
 from bramleyrouter.permits.issuing import (
     PERMIT_LIFETIME_S,
+    Division,
     Issuer,
     Quota,
     compute_bound,
@@ -196,7 +197,7 @@
         issuer = Issuer(BOUNDS, member_since=-10.0)
         times = []
         for step in range(200):
-            issued = issue(issuer, CUSTOMER, LOW, 3, 3, step / 100)
+            issued = issue(issuer, CUSTOMER, LOW, Division(3, 0.0), 3, step / 100)
             times += [round(step / 100 + slot, 3) for slot in issued.slots]
         assert len(times) > 500
         assert len(set(times)) == len(times)
