Listed the decoders of permit messages among those that read odd input

Cause: the test that names each module that decodes failed, as permits/messages.py was not listed. Change: both decoders are in the list.

--- a/tests/boundaries/test_odd_input.py
+++ b/tests/boundaries/test_odd_input.py
@@ -53,6 +53,8 @@
 from bramleyrouter.gateway.delegation import decode_grant, decode_query, decode_reply
 from bramleyrouter.homes import codecs as home_codecs
 from bramleyrouter.membership import messages as membership_messages
+from bramleyrouter.permits.messages import decode_reply as decode_permit_reply
+from bramleyrouter.permits.messages import decode_request as decode_permit_request
 from bramleyrouter.platform.announcements import decode_heartbeat, decode_withdrawal
 from bramleyrouter.platform.route_documents import decode_route_table
 from bramleyrouter.platform.settings import read_settings
@@ -76,6 +78,7 @@
     "fleet/messages.py": [decode_update],
     "fleet/departures.py": [decode_found_server],
     "gateway/delegation.py": [decode_query, decode_reply, decode_grant],
+    "permits/messages.py": [decode_permit_request, decode_permit_reply],
     "wire/envelopes.py": [decode_envelope],
     "homes/codecs.py": [
         home_codecs.decode_batch,
