--- a/tests/permits/test_quota_bound.py
+++ b/tests/permits/test_quota_bound.py
@@ -174,6 +174,23 @@
 
         run_virtual(scenario())
 
+    def test_a_large_customer_at_its_full_rate(self):
+        # Requests within the quota must not be refused, also without any fault.
+        async def scenario():
+            schedule, quota = Schedule(1, tolerated_losses=2), Quota(20.0, 5.0)
+            schedule.members = frozenset(f"i{at}" for at in range(5))
+            for address in schedule.members:
+                schedule.start_issuer(address, quota)
+            clients = [schedule.build_client(f"dc{at % 3}") for at in range(62)]
+            await asyncio.sleep(BOUNDS.window_s + 1.0)
+            for _ in range(1200):
+                schedule.send_request(schedule.rng.choice(clients))
+                await asyncio.sleep(0.05)
+            outcomes = Counter(result.outcome for _, _, result in schedule.results)
+            assert set(outcomes) == {PermitOutcome.GRANTED}, outcomes
+
+        run_virtual(scenario())
+
     def test_refused_requests_get_distinct_slots(self):
         # Callers that are told the same time come back together and collide again. Two
         # issuers may name the same time, as each then has a free permit.
