Replaced the fixed limit on requests in flight by admission rules

Cause: with a hot customer, a burst and slow servers together, no request was refused and all were late; a daemon that got all load back after a start accepted everything. Change: `gateway/overload.py` accepts a request or rejects it at once with Retry-After: by the limits in flight as before, the deadline, the customer's share, the priority (customer's before route's), and the work that the processor does while it starts or lags. A relay counts the parts of other daemons' gathers that end short.

--- a/src/bramleyrouter/gateway/build.py
+++ b/src/bramleyrouter/gateway/build.py
@@ -26,17 +26,33 @@
     GatewayLimits,
     OnGatewayReply,
     build_refusal,
-    is_overloaded,
+    compute_time_limit,
     mark_data_centre_reachable,
+    record_result,
     set_route_index,
 )
 from bramleyrouter.gateway.gathers import start_gather
+from bramleyrouter.gateway.overload import (
+    LATE_FACTOR,
+    Arrival,
+    Load,
+    OverloadState,
+    choose_retry_after,
+    record_duration,
+    record_end,
+    record_start,
+    reject_request,
+)
 from bramleyrouter.gateway.reachability import is_cut_off
 from bramleyrouter.gateway.relaying import (
     build_delegated_handler,
     build_grant_handler,
 )
-from bramleyrouter.gateway.reply_times import MIN_NETWORK_S, estimate_lag
+from bramleyrouter.gateway.reply_times import (
+    MIN_NETWORK_S,
+    estimate_average_lag,
+    estimate_lag,
+)
 from bramleyrouter.gateway.rotation import Rotation, record_readiness_probe
 from bramleyrouter.gateway.servers import (
     BackedOffServer,
@@ -126,6 +142,7 @@
         open_stream,
         send_grant,
         memory=memory or ByteBudget(),
+        overload=OverloadState(loop.time()),
     )
 
     def set_table(table: RouteTable) -> None:
@@ -157,6 +174,43 @@
     )
 
 
+def _reject_if_overloaded(
+    gateway: Gateway, arrival: Arrival, request: CallerRequest
+) -> GatewayReply | None:
+    """Return the refusal of a request that is rejected, or none."""
+    now, route = arrival.now, arrival.route
+    assert gateway.index is not None
+    load = Load(
+        gateway.in_flight,
+        estimate_average_lag(gateway.lag, now),
+        max(0.0, now - gateway.lag.at),
+        gateway.limits.cores,
+    )
+    rejection = reject_request(gateway.overload, gateway.index, arrival, load)
+    if rejection is None:
+        return None
+    retry_after_s = choose_retry_after(
+        gateway.overload, arrival, load, gateway.rng.random()
+    )
+    gateway.record(
+        "gateway",
+        "request_rejected",
+        id=request.request_id,
+        route=route.name,
+        customer=arrival.customer,
+        rule=rejection.rule.value,
+        reason=rejection.reason,
+        age_ms=round(1000 * rejection.age_s),
+        in_flight=load.in_flight,
+        lag_ms=round(1000 * load.lag_s, 1),
+        retry_after_ms=round(1000 * retry_after_s),
+    )
+    gateway.observe(route.name, ReplyKind.REFUSED.value, 0.0, None)
+    return GatewayReply(
+        ReplyKind.REFUSED, rejection.reason, retry_after_s=retry_after_s
+    )
+
+
 def _handle_request(
     gateway: Gateway,
     request: CallerRequest,
@@ -183,11 +237,17 @@
         version = gateway.index.table.version
         reason = f'no route of version {version} for "{request.host}{request.path}"'
         return reply_at_once(GatewayReply(ReplyKind.NO_ROUTE, reason))
-    if is_overloaded(gateway, route):
-        reason = f"{gateway.in_flight} requests are under way"
-        return reply_at_once(build_refusal(gateway, reason, route.timeout_s / 3))
-    gateway.in_flight += 1
     arrived_at = gateway.loop.time()
+    arrival = Arrival(
+        route, request.customer, compute_time_limit(route, request), arrived_at
+    )
+    refusal = _reject_if_overloaded(gateway, arrival, request)
+    if refusal is not None:
+        on_reply(refusal)
+        return lambda: None
+    record_start(gateway.overload, arrival)
+    gateway.in_flight += 1
+    in_flight = gateway.in_flight
     is_open = True
 
     def mark_ended() -> None:
@@ -195,15 +255,21 @@
         if is_open:
             is_open = False
             gateway.in_flight -= 1
+            record_end(gateway.overload, arrival, gateway.loop.time())
 
     def finish(reply: GatewayReply) -> None:
         if not is_open:
             return
         mark_ended()
-        waited_s = gateway.loop.time() - arrived_at
+        now = gateway.loop.time()
+        waited_s = now - arrived_at
         coverage = None
         if reply.kind is ReplyKind.GATHERED:
             coverage = len(reply.signatures) / len(route.shards)
+        is_answered = reply.kind in (ReplyKind.SERVER, ReplyKind.GATHERED)
+        if is_answered or reply.kind is ReplyKind.DEADLINE:
+            record_duration(gateway.overload, arrival, in_flight, is_answered, now)
+            record_result(gateway, route, request, waited_s, coverage)
         gateway.observe(route.name, reply.kind.value, waited_s, coverage)
         on_reply(reply)
 
@@ -222,6 +288,11 @@
         return lambda: None
 
     def cancel_request() -> None:
+        now = gateway.loop.time()
+        if is_open and now > arrived_at + LATE_FACTOR * route.objective_s:
+            # The caller has waited in vain.
+            record_duration(gateway.overload, arrival, in_flight, False, now)
+            record_result(gateway, route, request, now - arrived_at, None)
         mark_ended()
         cancel()
 
--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -24,6 +24,8 @@
     find_most_urgent,
 )
 from bramleyrouter.gateway.latencies import LatencyWindow
+from bramleyrouter.gateway.overload import OverloadState, get_rank, set_index
+from bramleyrouter.gateway.overload import record_result as record_overload_result
 from bramleyrouter.gateway.queues import (
     Urgency,
 )
@@ -58,13 +60,6 @@
 MAX_RETRY_AFTER_S = 1.0
 # Share of a known waiting time over which retries of callers are spread.
 RETRY_SPREAD = 0.2
-# Limit on the requests in flight in one entry daemon. It is lower for each step of
-# priority, so that the least urgent requests are refused first when servers stop
-# answering.
-MAX_IN_FLIGHT = 400
-IN_FLIGHT_STEP_PER_PRIORITY = 60
-
-
 # Interval of trial gathers, in seconds. While too many shards have only suspected
 # servers, one gather per interval is sent to detect their recovery.
 TRIAL_INTERVAL_S = 0.5
@@ -113,6 +108,7 @@
     windows: dict[str, LatencyWindow] = field(default_factory=dict)
     split_credit: dict[str, dict[ServiceName, float]] = field(default_factory=dict)
     in_flight: int = 0
+    overload: OverloadState = field(default_factory=OverloadState)
     lag: LoopLag = field(default_factory=LoopLag)
     # The lag of the timers at which gathers reply.
     reply_lag: LoopLag = field(default_factory=LoopLag)
@@ -201,6 +197,7 @@
     """Put a route table in force."""
     gateway.index = index
     gateway.most_urgent = find_most_urgent(index.table.routes)
+    set_index(gateway.overload, index)
     names = {route.name for route in index.table.routes}
     for gone in set(gateway.windows) - names:
         del gateway.windows[gone]
@@ -220,6 +217,21 @@
     )
 
 
+def record_result(
+    gateway: Gateway,
+    route: Route,
+    request: CallerRequest,
+    waited_s: float,
+    coverage: float | None,
+) -> None:
+    """Record how a request, or a delegated part of a gather, has ended."""
+    if gateway.index is None:
+        return
+    rank = get_rank(gateway.index, route, request.customer)
+    now = gateway.loop.time()
+    record_overload_result(gateway.overload, route, rank, waited_s, coverage, now)
+
+
 def choose_retry_after(
     gateway: Gateway, max_wait_s: float = MAX_RETRY_AFTER_S
 ) -> float:
@@ -262,12 +274,6 @@
     return build_refusal_until(gateway, reason, min_wait_s, max_wait_s)
 
 
-def is_overloaded(gateway: Gateway, route: Route) -> bool:
-    """Return whether too many requests are in flight to accept one of this route."""
-    limit = MAX_IN_FLIGHT - IN_FLIGHT_STEP_PER_PRIORITY * min(route.priority, 4)
-    return gateway.in_flight >= limit
-
-
 def compute_urgency(route: Route, arrived_at: float) -> Urgency:
     """Return the urgency of a request that arrived at the loop time ``arrived_at``."""
     return Urgency(arrived_at + route.objective_s, route.priority)
--- a/src/bramleyrouter/gateway/gathers.py
+++ b/src/bramleyrouter/gateway/gathers.py
@@ -15,6 +15,7 @@
     compute_time_limit,
     compute_wait_for_service,
     get_latency_window,
+    record_result,
 )
 from bramleyrouter.gateway.gather_deadlines import (
     MAX_LATE_FACTOR,
@@ -268,6 +269,17 @@
     return count
 
 
+def _record_part(run: GatherRun) -> None:
+    """Record the coverage that a relay's part has when its useful time ends.
+
+    The part goes on for its last shards, which doesn't make it late.
+    """
+    if run.requesting_daemon is None:
+        return
+    coverage = sum(shard.reply is not None for shard in run.shards) / len(run.shards)
+    record_result(run.gateway, run.route, run.request, 0.0, coverage)
+
+
 def _record_late_servers(run: GatherRun) -> None:
     """Record as late the servers that have not replied by the objective.
 
@@ -277,6 +289,7 @@
     if run.are_late_servers_recorded or now < run.reply_at:
         return
     run.are_late_servers_recorded = True
+    _record_part(run)
     late_s = LATE_SERVER_FACTOR * get_latency_window(run.gateway, run.route).median_s
     for shard in run.shards:
         for attempt in shard.pending if shard.is_open else ():
@@ -395,6 +408,8 @@
     for shard in run.shards:
         discard_unsent(shard.pending)
     _record_end(run, reply)
+    if not run.are_late_servers_recorded:
+        _record_part(run)
     run.on_reply(reply)
 
 
--- a/src/bramleyrouter/gateway/reply_times.py
+++ b/src/bramleyrouter/gateway/reply_times.py
@@ -45,6 +45,11 @@
     return (lag.average_s + LAG_DEVIATIONS * lag.deviation_s) * _decay(lag, now)
 
 
+def estimate_average_lag(lag: LoopLag, now: float) -> float:
+    """Return the average lag to expect now, in seconds."""
+    return lag.average_s * _decay(lag, now)
+
+
 def _decay(lag: LoopLag, now: float) -> float:
     return 0.5 ** (max(0.0, now - lag.at) / LAG_HALF_LIFE_S)
 
