--- a/src/bramleyrouter/gateway/build.py
+++ b/src/bramleyrouter/gateway/build.py
@@ -96,6 +96,7 @@
     record_readiness_probe: Callable[[bool], None]
     in_flight: Callable[[], int]
     list_backed_off: Callable[[], list[BackedOffServer]]
+    list_rejections: Callable[[], dict[str, int]]
     estimate_lag: Callable[[], float]
     has_table: Callable[[], bool]
 
@@ -168,6 +169,9 @@
             gateway.rotation, is_ready, loop.time()
         ),
         in_flight=lambda: gateway.in_flight,
+        list_rejections=lambda: {
+            rule.value: count for rule, count in gateway.overload.rejected.items()
+        },
         list_backed_off=lambda: list_backed_off(gateway.servers, loop.time()),
         estimate_lag=lambda: estimate_lag(gateway.lag, loop.time()),
         has_table=lambda: gateway.index is not None,
@@ -192,10 +196,12 @@
     retry_after_s = choose_retry_after(
         gateway.overload, arrival, load, gateway.rng.random()
     )
-    gateway.record(
+    # The metric counts those that are left out.
+    gateway.record_rate_limited(
         "gateway",
-        "request_rejected",
+        "not_forwarded",
         id=request.request_id,
+        outcome=ReplyKind.REFUSED.value,
         route=route.name,
         customer=arrival.customer,
         rule=rejection.rule.value,
--- a/src/bramleyrouter/platform/entry_daemon.py
+++ b/src/bramleyrouter/platform/entry_daemon.py
@@ -25,7 +25,7 @@
 from bramleyrouter.platform.server_transport import build_server_transport
 from bramleyrouter.platform.settings_watch import unwatch_settings, watch_settings
 from bramleyrouter.telemetry.events import EventLog, record
-from bramleyrouter.telemetry.gateway_metrics import set_backed_off
+from bramleyrouter.telemetry.gateway_metrics import set_backed_off, set_rejections
 from bramleyrouter.telemetry.memory import (
     build_memory_budget,
     read_resident_bytes,
@@ -104,6 +104,7 @@
         state.set({"value": "ended_holders"}, memory.ended_count)
         state.set({"value": "loop_lag_s"}, parts.gateway.estimate_lag())
         set_backed_off(parts.metrics, parts.gateway.list_backed_off())
+        set_rejections(parts.metrics, parts.gateway.list_rejections())
 
     async def start() -> None:
         parts.board.watch(Section.READINESS, update_close_after_replies)
--- a/src/bramleyrouter/telemetry/gateway_metrics.py
+++ b/src/bramleyrouter/telemetry/gateway_metrics.py
@@ -1,6 +1,6 @@
 """Metrics of an entry daemon that serves by route table."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
@@ -29,6 +29,7 @@
     results: Counter = field(init=False)
     state: Gauge = field(init=False)
     backed_off: Gauge = field(init=False)
+    rejections: Counter = field(init=False)
     routes: set[str] = field(default_factory=set)
 
     def __post_init__(self):
@@ -60,6 +61,11 @@
             "Servers that asked for no requests, and for how much longer.",
             registry=registry,
         )
+        self.rejections = Counter(
+            "bramley_gateway_rejections_total",
+            "Requests rejected on arrival because of overload, by rule.",
+            registry=registry,
+        )
 
 
 def set_backed_off(
@@ -76,6 +82,12 @@
         metrics.backed_off.set(labels, float("inf") if wait_s is None else wait_s)
 
 
+def set_rejections(metrics: GatewayMetrics, counts: Mapping[str, int]) -> None:
+    """Set the number of requests that each rule has rejected since the start."""
+    for rule, count in counts.items():
+        metrics.rejections.set({"rule": rule}, count)
+
+
 def build_observe_request(metrics: GatewayMetrics) -> ObserveRequest:
     """Return a closure that records one ended request."""
 
