Kept the sums of the admission rules for 50 ms

Cause: while the daemon is loaded, the rule on customers' shares summed over all customers and routes for each request, which cost 1.4 ms with 1,000 customers and 320 routes, at the moment when the processor is short. Change: the fair parts and the largest share of late requests are computed at most every 50 ms, and again after a new route table.

--- a/src/bramleyrouter/gateway/overload.py
+++ b/src/bramleyrouter/gateway/overload.py
@@ -44,6 +44,9 @@
 # Time in seconds in which counts and estimates lose half of their weight. It covers a
 # few requests of an entry daemon that sees one per second.
 HALF_LIFE_S = 3.0
+# Time in seconds for which sums over all customers or routes are kept. Computing them
+# for each request cost 1.4 ms with 1,000 customers and 320 routes.
+REFRESH_S = 0.05
 # A customer is rejected for its share only with more than this multiple of the average
 # of the others, and with at least so many requests in progress.
 FAR_ABOVE = 2.0
@@ -164,6 +167,18 @@
     late: DecayingCount = field(default_factory=DecayingCount)
 
 
+class FairPart(NamedTuple):
+    """Hold the fair part of the customers of one priority, computed at time ``at``.
+
+    ``total`` is what these customers have in progress together.
+    """
+
+    at: float
+    customers: int
+    total: float
+    limit: float
+
+
 @dataclass
 class OverloadState:
     """Hold what a daemon knows of its load; ``started_at`` is its time of start."""
@@ -178,6 +193,10 @@
     # Credit of each rank that is rejected in part, so that the share holds exactly.
     credit: dict[tuple[str, Rank], float] = field(default_factory=dict)
     next_slot_at: float = 0.0
+    # The fair parts by the customers' priority, and the largest share of late requests
+    # of any route with the time of its computation.
+    parts: dict[int, FairPart] = field(default_factory=dict)
+    late_share: tuple[float, float] = (0.0, float("-inf"))
     rejected: dict[Rule, int] = field(default_factory=dict)
     # What follows from the route table alone.
     levels: dict[Rank, int] = field(default_factory=dict)
@@ -213,6 +232,7 @@
         for at, rank in enumerate(ranks)
     }
     state.sharing.clear()
+    state.parts.clear()
     state.durations = {
         name: item for name, item in state.durations.items() if name in routes
     }
@@ -353,24 +373,42 @@
     present_load = compute_load(state, load, now)
     if present_load <= 1.0:
         return None
-    own_rank = get_rank(index, arrival.route, arrival.customer)
-    progress = {
-        name: compute_progress(item, now)
-        for name, item in state.customers.items()
-        if get_rank(index, arrival.route, name).customer == own_rank.customer
-    }
-    part = compute_fair_part(progress, sum(progress.values()) / present_load)
-    mine = progress[arrival.customer]
-    others = [value for name, value in progress.items() if name != arrival.customer]
-    if not others or mine < MIN_REJECTED_PROGRESS:
+    priority = get_rank(index, arrival.route, arrival.customer).customer
+    part = _get_fair_part(state, index, priority, present_load, now)
+    mine = compute_progress(state.customers[arrival.customer], now)
+    if part.customers < 2 or mine < MIN_REJECTED_PROGRESS:
         return None
-    if mine <= max(part, FAR_ABOVE * sum(others) / len(others)):
+    average_of_others = (part.total - mine) / (part.customers - 1)
+    if mine <= max(part.limit, FAR_ABOVE * average_of_others):
         return None
     reason = f'customer "{arrival.customer}" has {mine:.1f} in progress, '
-    reason += f"the fair part is {part:.1f}"
+    reason += f"the fair part is {part.limit:.1f}"
     return Rejection(Rule.CUSTOMER_SHARE, reason, load.lag_age_s)
 
 
+def _get_fair_part(
+    state: OverloadState,
+    index: RouteIndex,
+    priority: int,
+    present_load: float,
+    now: float,
+) -> FairPart:
+    """Return the fair part of the customers of one priority."""
+    known = state.parts.get(priority)
+    if known is not None and now < known.at + REFRESH_S:
+        return known
+    progress = {
+        name: compute_progress(item, now)
+        for name, item in state.customers.items()
+        if (index.customers[name].priority if name in index.customers else 0)
+        == priority
+    }
+    total = sum(progress.values())
+    limit = compute_fair_part(progress, total / present_load)
+    part = state.parts[priority] = FairPart(now, len(progress), total, limit)
+    return part
+
+
 def compute_progress(progress: CustomerProgress, now: float) -> float:
     """Return a customer's requests in flight plus those accepted recently."""
     return progress.in_flight + read_count(progress.accepted, now)
@@ -452,15 +490,17 @@
 
 def compute_load(state: OverloadState, load: Load, now: float) -> float:
     """Return the load of the daemon; above 1 it is loaded."""
-    shares = [
-        compute_late_share(ends, now)
-        for by_rank in state.ends.values()
-        for ends in by_rank.values()
-    ]
+    if now >= state.late_share[1] + REFRESH_S:
+        shares = [
+            compute_late_share(ends, now)
+            for by_rank in state.ends.values()
+            for ends in by_rank.values()
+        ]
+        state.late_share = max(shares, default=0.0), now
     return max(
         load.in_flight / (MAX_IN_FLIGHT / 2),
         load.lag_s / LOADED_LAG_S,
-        max(shares, default=0.0) / LOADED_LATE_SHARE,
+        state.late_share[0] / LOADED_LATE_SHARE,
     )
 
 
