--- a/src/bramleyrouter/telemetry/gateway_metrics.py
+++ b/src/bramleyrouter/telemetry/gateway_metrics.py
@@ -1,6 +1,6 @@
 """Metrics of an entry daemon that serves by route table."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
@@ -31,6 +31,7 @@
     backed_off: Gauge = field(init=False)
     identifications: Counter = field(init=False)
     permits: Histogram = field(init=False)
+    rejections: Counter = field(init=False)
     routes: set[str] = field(default_factory=set)
 
     def __post_init__(self):
@@ -73,6 +74,11 @@
             "Requests whose customer was looked up, by result.",
             registry=registry,
         )
+        self.rejections = Counter(
+            "bramley_gateway_rejections_total",
+            "Requests rejected on arrival because of overload, by rule.",
+            registry=registry,
+        )
 
 
 def set_backed_off(
@@ -89,6 +95,12 @@
         metrics.backed_off.set(labels, float("inf") if wait_s is None else wait_s)
 
 
+def set_rejections(metrics: GatewayMetrics, counts: Mapping[str, int]) -> None:
+    """Set the number of requests that each rule has rejected since the start."""
+    for rule, count in counts.items():
+        metrics.rejections.set({"rule": rule}, count)
+
+
 def build_observe_request(metrics: GatewayMetrics) -> ObserveRequest:
     """Return a closure that records one ended request."""
 
