--- a/tests/support/platform_processes.py
+++ b/tests/support/platform_processes.py
@@ -92,6 +92,8 @@
             self._make_vm(f"front-{at}", "entry", 40 + at, at) for at in range(entries)
         ]
         self.memory_mb = 300
+        # Further fields of the section "limits", by name.
+        self.extra_limits: dict[str, int] = {}
         self.keeper: asyncio.Task | None = None
         # All processes that were started, also those that a successor has replaced.
         self.children: list[subprocess.Popen] = []
@@ -128,7 +130,9 @@
             lines.append(f'front = "{vm.ip}:{CALLER_PORT}"')
             lines.append(f'ready = "{vm.ip}:{READY_PORT}"')
         lines += ["[limits]", "cpuShare = 0.5", "cores = 2"]
-        lines += [f"memoryMb = {self.memory_mb}", "[faultTolerance]", "machines = 1"]
+        lines.append(f"memoryMb = {self.memory_mb}")
+        lines += [f"{name} = {value}" for name, value in self.extra_limits.items()]
+        lines += ["[faultTolerance]", "machines = 1"]
         return "\n".join(lines) + "\n"
 
     def write_settings(self, vm: Vm) -> None:
