Refused heads that wait for a turn when an entry daemon stops

Cause: a head of many fields that waits for its turn is in no request yet, so a stop closed its connection without a reply, which earlier code never did. Change: stopping refuses such a connection with 503; nothing of it has run. Measured: the new test got no reply without the change of callers.py and gets 503 with it; the tests of abusive clients, callers and docs passed twice, and lint and types.

--- a/src/bramleyrouter/platform/callers.py
+++ b/src/bramleyrouter/platform/callers.py
@@ -37,7 +37,11 @@
 )
 from bramleyrouter.utils.guarded_http import ClientGuard, GuardedServer
 from bramleyrouter.utils.listening import listen_on
-from bramleyrouter.utils.parse_turns import MAX_CONNECTIONS, ParseTurns
+from bramleyrouter.utils.parse_turns import (
+    MAX_CONNECTIONS,
+    ParseTurns,
+    RefusalReason,
+)
 from bramleyrouter.utils.sockets import measure_round_trip, peek
 
 MS_PER_SECOND = 1000.0
@@ -458,6 +462,9 @@
     state = listener.state
     state.closes_after_replies = True
     for conn in state.connections - state.busy.keys():
+        if conn.stream.is_waiting():
+            conn.stream.refuse(RefusalReason.STOPPING)
+            continue
         # A stream that its caller has closed has no socket.
         if conn.stream.closed() or not peek(conn.stream.socket):
             conn.stream.close()
--- a/src/bramleyrouter/utils/guarded_http.py
+++ b/src/bramleyrouter/utils/guarded_http.py
@@ -67,6 +67,7 @@
     RefusalReason.PIPELINED: 429,
     RefusalReason.CROWD: 503,
     RefusalReason.CONNECTIONS: 503,
+    RefusalReason.STOPPING: 503,
 }
 
 RecordRefusal = Callable[..., None]
@@ -305,6 +306,10 @@
         _schedule_turn(turns)
         return waiting
 
+    def is_waiting(self) -> bool:
+        """Return whether a part of a request waits for a turn."""
+        return self._waiting_future is not None
+
     def _take_turn(self) -> None:
         self._waiting_future, proceed = None, self._proceed
         self._proceed = None
--- a/src/bramleyrouter/utils/parse_turns.py
+++ b/src/bramleyrouter/utils/parse_turns.py
@@ -32,6 +32,7 @@
     PIPELINED = "pipelined"
     CROWD = "crowd"
     CONNECTIONS = "connections"
+    STOPPING = "stopping"
 
 
 class ClientLimits(NamedTuple):
--- a/tests/platform/test_abusive_clients.py
+++ b/tests/platform/test_abusive_clients.py
@@ -18,7 +18,7 @@
     ServerReply,
 )
 from bramleyrouter.gateway.tables import CallerLimits
-from bramleyrouter.platform.callers import listen_callers
+from bramleyrouter.platform.callers import listen_callers, stop_listening
 from bramleyrouter.platform.listeners import listen_metrics, listen_ready
 from bramleyrouter.platform.operators import listen_control
 from bramleyrouter.utils import guarded_http
@@ -266,6 +266,25 @@
         run(scenario)
 
 
+class TestStops:
+    """Guard against a head that waits for a turn when the daemon stops."""
+
+    def test_it_is_refused_and_not_dropped(self):
+        async def scenario():
+            callers = Callers()
+            turns = callers.listener.server.guard.turns
+            # No turn is run.
+            turns.is_scheduled = True
+            sending = asyncio.ensure_future(send(callers.address, MANY_FIELDS))
+            while not turns.waiting:
+                await asyncio.sleep(0.01)
+            await stop_listening(callers.listener, 1.0)
+            assert (await sending).startswith(b"HTTP/1.1 503 ")
+            assert callers.requests == []
+
+        run(scenario)
+
+
 class TestSlowCallers:
     """Guard against limits of the configuration that are not enforced."""
 
