Recorded canary rollouts in the control log, and served their orders

Cause: nothing kept an order to move a service to another version, and the version that servers announce was dropped. An order names the newest rollout that was known while its client waited, so a delayed one starts nothing after a later one.

--- a/src/bramleyrouter/codes.py
+++ b/src/bramleyrouter/codes.py
@@ -74,6 +74,9 @@
     OPERATOR_REQUEST_REUSED = 504
     TOO_MANY_OUT = 505
     REVISION_CONFLICT = 506
+    ROLLOUT_ACTIVE = 507
+    INVALID_ROLLOUT = 508
+    UNKNOWN_ROLLOUT = 509
 
     # 600: control daemons and their log.
     NOT_LEADER = 600
--- a/src/bramleyrouter/conf/fleet.py
+++ b/src/bramleyrouter/conf/fleet.py
@@ -24,6 +24,10 @@
     its requests plus ``extra_slack``, within any ``extra_window_s``. A cold server
     receives at most ``cold_factor`` times its cold rate plus ``cold_slack``
     requests per second.
+
+    A server version under trial receives at most ``canary_share`` of the requests of
+    its service plus ``canary_slack``, and nothing from ``rollback_s`` seconds after its
+    50th bad answer on.
     """
 
     drain_s: float = 3.0
@@ -37,6 +41,9 @@
     extra_slack: float = 50.0
     cold_factor: float = 1.5
     cold_slack: float = 5.0
+    canary_share: float = 0.1
+    canary_slack: float = 50.0
+    rollback_s: float = 5.0
 
 
 # Share of the shortest bound after which a silent stream counts as dead; the rest is
--- a/src/bramleyrouter/control/client.py
+++ b/src/bramleyrouter/control/client.py
@@ -28,6 +28,7 @@
     Depart,
     OperatorResult,
     PublishRoutes,
+    StartRollout,
 )
 from bramleyrouter.control.replies import (
     MemberChange,
@@ -45,6 +46,7 @@
 from bramleyrouter.control.settlement_batches import build_settle
 from bramleyrouter.dissemination.interfaces import Rollout
 from bramleyrouter.failures import Failure
+from bramleyrouter.fleet.rollout_records import VersionRollout, decode_rollouts
 from bramleyrouter.ids import MemberId, Revision
 from bramleyrouter.wire.kinds import MessageKind
 from bramleyrouter.wire.network import Network
@@ -105,7 +107,7 @@
     """Return a function that sends an operator's request to the leader."""
 
     async def operate(
-        operation: Operation | PublishRoutes | Depart, timeout_s: float
+        operation: Operation | PublishRoutes | Depart | StartRollout, timeout_s: float
     ) -> Result[OperatorResult, Failure]:
         encoded = try_encode_command(operation)
         if isinstance(encoded, Err):
@@ -170,6 +172,26 @@
     return read_routes
 
 
+def build_read_rollouts(leader_client: LeaderClient):
+    """Return a function that reads the newest rollout of each service.
+
+    The function fails unless the leader proves with a read barrier that no newer state
+    has been committed.
+    """
+
+    async def read_rollouts(
+        timeout_s: float,
+    ) -> Result[tuple[VersionRollout, ...], Failure]:
+        reply = await call_leader(
+            leader_client, MessageKind.READ_ROLLOUTS, b"", timeout_s
+        )
+        if isinstance(reply, Err):
+            return reply
+        return decode_rollouts(reply.ok_value)
+
+    return read_rollouts
+
+
 def _build_read_config(leader_client: LeaderClient):
     # Holds the last reply, if any: the leader does not resend an unchanged state.
     cached_states: list[ConfigState] = []
--- a/src/bramleyrouter/control/codecs.py
+++ b/src/bramleyrouter/control/codecs.py
@@ -26,13 +26,20 @@
 from bramleyrouter.control.messages import (
     Claim,
     Depart,
+    EndRollout,
     Publish,
     PublishRoutes,
     SetAvailability,
     Settle,
+    StartRollout,
 )
 from bramleyrouter.failures import Failure
-from bramleyrouter.fleet.records import ServerPhase, ServerRow, check_row
+from bramleyrouter.fleet.records import (
+    ServerPhase,
+    ServerRow,
+    check_row,
+    drop_version,
+)
 from bramleyrouter.ids import (
     DaemonId,
     DaemonIncarnation,
@@ -48,7 +55,14 @@
 
 # A command as stored in the log; settlements are stored in batches.
 LogCommand = (
-    Publish | PublishRoutes | SetAvailability | Claim | Depart | tuple[Settle, ...]
+    Publish
+    | PublishRoutes
+    | SetAvailability
+    | Claim
+    | Depart
+    | StartRollout
+    | EndRollout
+    | tuple[Settle, ...]
 )
 
 # Leaves space for the ids that accompany a manifest, and for a manifest slightly
@@ -89,7 +103,11 @@
     elif isinstance(command, Claim):
         _fill_claim(message.init("claim"), command)
     elif isinstance(command, Depart):
-        message.departure = msgspec.msgpack.encode(command.row)
+        message.departure = msgspec.msgpack.encode(drop_version(command.row))
+    elif isinstance(command, StartRollout):
+        message.startRollout = msgspec.msgpack.encode(command)
+    elif isinstance(command, EndRollout):
+        message.endRollout = msgspec.msgpack.encode(command)
     else:
         builders = message.init("settles", len(command))
         for builder, settlement in zip(builders, command, strict=True):
@@ -140,6 +158,10 @@
         return _convert_claim(message.claim)
     if which == "departure":
         return _convert_departure(message.departure)
+    if which == "startRollout":
+        return msgspec.msgpack.decode(message.startRollout, type=StartRollout)
+    if which == "endRollout":
+        return msgspec.msgpack.decode(message.endRollout, type=EndRollout)
     if which == "settles":
         if not 1 <= len(message.settles) <= MAX_SETTLES:
             raise ValueError(f"{len(message.settles)} settlements were sent")
--- a/src/bramleyrouter/control/control.capnp
+++ b/src/bramleyrouter/control/control.capnp
@@ -12,6 +12,8 @@
     settles @4 :List(Settle);
     routes @5 :Routes;
     departure @6 :Data;     # MessagePack of fleet.records.ServerRow.
+    startRollout @7 :Data;  # MessagePack of control.messages.StartRollout.
+    endRollout @8 :Data;    # MessagePack of control.messages.EndRollout.
   }
 }
 
--- a/src/bramleyrouter/control/messages.py
+++ b/src/bramleyrouter/control/messages.py
@@ -4,7 +4,12 @@
 
 from bramleyrouter.board.sections import Manifest
 from bramleyrouter.failures import Failure
-from bramleyrouter.fleet.records import ServerRow
+from bramleyrouter.fleet.records import ServerRow, VersionNumber
+from bramleyrouter.fleet.rollout_records import (
+    Duration,
+    RequiredName,
+    RolloutState,
+)
 from bramleyrouter.ids import (
     DaemonId,
     DaemonIncarnation,
@@ -92,7 +97,39 @@
     row: ServerRow
 
 
-Command = Publish | PublishRoutes | SetAvailability | Claim | Settle | Depart
+class StartRollout(msgspec.Struct, frozen=True, array_like=True):
+    """Move the traffic of a service to the servers of a version, on trial first.
+
+    The rollout ends within ``duration_s`` seconds. ``expected_sequence`` is that of the
+    newest rollout of the service that the sender knows, 0 without one, so that an order
+    that is delayed on its way starts nothing after a later one.
+    """
+
+    service: RequiredName
+    version: RequiredName
+    duration_s: Duration
+    expected_sequence: VersionNumber = 0
+
+
+class EndRollout(msgspec.Struct, frozen=True, array_like=True):
+    """Move the rollout ``sequence`` of a service to its last phase, or end it."""
+
+    service: RequiredName
+    sequence: VersionNumber
+    state: RolloutState
+    reason: str = ""
+
+
+Command = (
+    Publish
+    | PublishRoutes
+    | SetAvailability
+    | Claim
+    | Settle
+    | Depart
+    | StartRollout
+    | EndRollout
+)
 
 
 class OperatorResult(msgspec.Struct, frozen=True):
--- a/src/bramleyrouter/control/service.py
+++ b/src/bramleyrouter/control/service.py
@@ -25,6 +25,7 @@
     Publish,
     PublishRoutes,
     SetAvailability,
+    StartRollout,
 )
 from bramleyrouter.control.replies import (
     MemberChange,
@@ -37,6 +38,7 @@
 )
 from bramleyrouter.control.state_machine import ControlStateMachine
 from bramleyrouter.failures import Failure
+from bramleyrouter.fleet.rollout_records import encode_rollouts
 from bramleyrouter.wire.kinds import MessageKind
 from bramleyrouter.wire.network import Handler, Network, Peer
 
@@ -83,13 +85,16 @@
     freshness = ConfigFreshness()
     network.serve(
         MessageKind.OPERATE,
-        _serve_commands(log, (Publish, PublishRoutes, SetAvailability, Depart)),
+        _serve_commands(
+            log, (Publish, PublishRoutes, SetAvailability, Depart, StartRollout)
+        ),
     )
     network.serve(MessageKind.CLAIM, _serve_claims(log, state_machine))
     # Settlements are decoded as a tuple, as they are sent in batches.
     network.serve(MessageKind.SETTLE, _serve_commands(log, (tuple,)))
     network.serve(MessageKind.READ_CONFIG, _serve_config(log, state_machine))
     network.serve(MessageKind.READ_ROUTES, _serve_routes(log, state_machine))
+    network.serve(MessageKind.READ_ROLLOUTS, _serve_rollouts(log, state_machine))
     network.serve(MessageKind.CONTROL_STATUS, _serve_status(log))
     network.serve(MessageKind.CHANGE_MEMBERS, _serve_member_changes(log))
     confirm_tasks: list[asyncio.Task] = []
@@ -177,6 +182,17 @@
     return serve
 
 
+def _serve_rollouts(log: ReplicatedLog, state_machine: ControlStateMachine) -> Handler:
+    async def serve(peer: Peer, payload: bytes) -> Result[bytes, Failure]:
+        proof = await log.read_barrier(BARRIER_TIMEOUT_S)
+        if isinstance(proof, Err):
+            return proof
+        rollouts = state_machine.rollouts()
+        return Ok(encode_rollouts(rollouts.by_service.values()))
+
+    return serve
+
+
 def _serve_status(log: ReplicatedLog) -> Handler:
     async def serve(peer: Peer, payload: bytes) -> Result[bytes, Failure]:
         decoded = decode_status_request(payload)
--- a/src/bramleyrouter/control/snapshots.py
+++ b/src/bramleyrouter/control/snapshots.py
@@ -30,6 +30,8 @@
 )
 from bramleyrouter.control.route_tables import RouteTables
 from bramleyrouter.control.state import ControlState
+from bramleyrouter.control.version_rollouts import VersionRollouts
+from bramleyrouter.fleet.rollout_records import VersionRollout
 from bramleyrouter.ids import Revision, TableVersion
 
 SNAPSHOT_VERSION = 1
@@ -52,10 +54,21 @@
     departures: tuple[Departure, ...] = ()
 
 
+class RolloutSnapshot(Snapshot, array_like=True):
+    """Hold the state of a log with rollouts.
+
+    Without one, the snapshot has the form that earlier releases read.
+    """
+
+    rollouts_revision: int = 0
+    rollouts_sequence: int = 0
+    rollouts: tuple[VersionRollout, ...] = ()
+
+
 def encode_snapshot(state: ControlState) -> bytes:
     """Encode the replicated state."""
     config = state.config.state
-    snapshot = Snapshot(
+    fields = (
         SNAPSHOT_VERSION,
         state.now_ms,
         config.revision,
@@ -69,7 +82,13 @@
         state.routes.document,
         tuple(state.departures.by_server.values()),
     )
-    return msgspec.msgpack.encode(snapshot)
+    rollouts = state.rollouts
+    if not rollouts.revision:
+        return msgspec.msgpack.encode(Snapshot(*fields))
+    newest = tuple(rollouts.by_service.values())
+    return msgspec.msgpack.encode(
+        RolloutSnapshot(*fields, rollouts.revision, rollouts.sequence, newest)
+    )
 
 
 def decode_snapshot(data: bytes) -> ControlState:
@@ -78,7 +97,7 @@
     Raise ``ValueError`` for other data. The log verifies its files itself, so this
     can only be caused by a bug.
     """
-    snapshot = msgspec.msgpack.decode(data, type=Snapshot)
+    snapshot = msgspec.msgpack.decode(data, type=RolloutSnapshot)
     if snapshot.version != SNAPSHOT_VERSION:
         raise ValueError(f'Snapshot version "{snapshot.version}" is not known.')
     return ControlState(
@@ -88,6 +107,11 @@
         RouteTables(TableVersion(snapshot.routes_version), snapshot.routes_document),
         _restore_ledger(snapshot),
         Departures({item.row.server_id: item for item in snapshot.departures}),
+        VersionRollouts(
+            snapshot.rollouts_revision,
+            snapshot.rollouts_sequence,
+            {item.service: item for item in snapshot.rollouts},
+        ),
     )
 
 
--- a/src/bramleyrouter/control/state.py
+++ b/src/bramleyrouter/control/state.py
@@ -7,6 +7,7 @@
 from bramleyrouter.control.ledger import Ledger
 from bramleyrouter.control.operator_requests import OperatorRequests
 from bramleyrouter.control.route_tables import RouteTables
+from bramleyrouter.control.version_rollouts import VersionRollouts
 
 
 @dataclass
@@ -19,3 +20,4 @@
     routes: RouteTables = field(default_factory=RouteTables)
     ledger: Ledger = field(default_factory=Ledger)
     departures: Departures = field(default_factory=Departures)
+    rollouts: VersionRollouts = field(default_factory=VersionRollouts)
--- a/src/bramleyrouter/control/state_machine.py
+++ b/src/bramleyrouter/control/state_machine.py
@@ -19,22 +19,31 @@
     ConfigDelta,
     ConfigState,
     Depart,
+    EndRollout,
     OperatorResult,
     Publish,
     PublishRoutes,
     SetAvailability,
+    StartRollout,
 )
 from bramleyrouter.control.operator_requests import find_result, store_result
 from bramleyrouter.control.replies import encode_claim_result, encode_operator_result
 from bramleyrouter.control.route_tables import RouteTables, publish_routes
 from bramleyrouter.control.snapshots import decode_snapshot, encode_snapshot
 from bramleyrouter.control.state import ControlState
+from bramleyrouter.control.version_rollouts import (
+    VersionRollouts,
+    end_rollout,
+    get_sequence,
+    start_rollout,
+)
 from bramleyrouter.fleet.records import ServerRow
 from bramleyrouter.ids import (
     Generation,
     LogIndex,
     RequestId,
     Revision,
+    ServiceName,
     TenantName,
 )
 
@@ -47,7 +56,8 @@
     whether a claim of this identity would be refused because the ledger is full.
     ``watch_departures(callback)`` calls back with each departure of a backend server,
     first with those that are recorded already. ``has_departed(row)`` returns whether
-    that of a row is recorded.
+    that of a row is recorded. ``rollouts`` returns the newest rollout of each service;
+    ``watch`` also calls back after each change of these.
     """
 
     for_log: StateMachine
@@ -58,6 +68,7 @@
     is_ledger_full_for: Callable[[TenantName, RequestId], bool]
     watch_departures: Callable[[Callable[[Departure], None]], None]
     has_departed: Callable[[ServerRow], bool]
+    rollouts: Callable[[], VersionRollouts]
 
 
 def apply_command(state: ControlState, stamp_ms: int, command: LogCommand) -> bytes:
@@ -81,6 +92,8 @@
         return encode_operator_result(
             OperatorResult(state.config.state.revision, Generation(0))
         )
+    if isinstance(command, StartRollout | EndRollout):
+        return encode_operator_result(_apply_rollout(state, command))
     if isinstance(command, Claim):
         return encode_claim_result(ledger.claim(state.ledger, command, state.now_ms))
     for settlement in command:
@@ -88,6 +101,22 @@
     return b""
 
 
+def _apply_rollout(
+    state: ControlState, command: StartRollout | EndRollout
+) -> OperatorResult:
+    """Apply a command; the result names the sequence of the service's newest rollout.
+
+    It stands in place of the configuration's revision, which rollouts don't change.
+    """
+    failure = None
+    if isinstance(command, StartRollout):
+        failure = start_rollout(state.rollouts, command, state.now_ms)
+    else:
+        end_rollout(state.rollouts, command)
+    sequence = get_sequence(state.rollouts, ServiceName(command.service))
+    return OperatorResult(Revision(sequence), Generation(0), failure)
+
+
 def _operate(state: ControlState, operation: Publish | SetAvailability):
     first = find_result(state.requests, operation)
     if first is not None:
@@ -106,10 +135,14 @@
     callbacks: list[Callable[[], None]] = []
     departure_callbacks: list[Callable[[Departure], None]] = []
 
-    def get_versions() -> tuple[int, int]:
-        return state.config.state.revision, state.routes.version
+    def get_versions() -> tuple[int, int, int]:
+        return (
+            state.config.state.revision,
+            state.routes.version,
+            state.rollouts.revision,
+        )
 
-    def notify_if_changed(before: tuple[int, int]) -> None:
+    def notify_if_changed(before: tuple[int, int, int]) -> None:
         if get_versions() == before:
             return
         for callback in callbacks:
@@ -163,6 +196,7 @@
         state.routes = restored.routes
         state.ledger = restored.ledger
         state.departures = restored.departures
+        state.rollouts = restored.rollouts
         notify_if_changed(before)
         notify_of_departures(state.departures.by_server.values())
 
@@ -181,4 +215,5 @@
         is_ledger_full_for=is_ledger_full_for,
         watch_departures=watch_departures,
         has_departed=lambda row: has_departed(state.departures, row),
+        rollouts=lambda: state.rollouts,
     )
--- a/src/bramleyrouter/daemons/fleet_control.py
+++ b/src/bramleyrouter/daemons/fleet_control.py
@@ -19,12 +19,14 @@
 from bramleyrouter.consensus.replicated_log import build_replicated_log
 from bramleyrouter.control.client import (
     build_operate,
+    build_read_rollouts,
     build_read_routes,
 )
 from bramleyrouter.control.joining import JoinPolicy, maintain_log_membership
 from bramleyrouter.control.leader_client import LeaderClient
 from bramleyrouter.control.service import start_control_service
 from bramleyrouter.control.state_machine import build_control_state_machine
+from bramleyrouter.control.version_rollouts import get_sequence
 from bramleyrouter.daemons.fleet_common import CLUSTER_KEY, build_board
 from bramleyrouter.failures import Failure
 from bramleyrouter.fleet.control_peers import (
@@ -36,7 +38,7 @@
 from bramleyrouter.fleet.departures import DepartureCalls, start_departures
 from bramleyrouter.fleet.publishing import start_fleet_publisher
 from bramleyrouter.fleet.registry import ServerRegistry
-from bramleyrouter.ids import DataCentre, Revision
+from bramleyrouter.ids import DataCentre, Revision, ServiceName
 from bramleyrouter.telemetry.events import EventLog, record
 from bramleyrouter.utils.byte_budgets import ByteBudget
 from bramleyrouter.utils.tasks import BackgroundTasks, cancel_all, spawn
@@ -57,6 +59,8 @@
     operate: Callable
     read_routes: Callable
     get_revision: Callable[[], Revision]
+    read_rollouts: Callable
+    get_rollout_sequence: Callable[[ServiceName], int]
     read_metrics: Callable[[], dict[str, float]]
     close: Callable
 
@@ -184,6 +188,8 @@
         build_operate(leader_client),
         build_read_routes(leader_client),
         lambda: state_machine.config().revision,
+        build_read_rollouts(leader_client),
+        lambda service: get_sequence(state_machine.rollouts(), service),
         lambda: _read_control_metrics(
             replicated_log, state_machine, registry, publisher
         ),
--- a/src/bramleyrouter/fleet/departures.py
+++ b/src/bramleyrouter/fleet/departures.py
@@ -17,7 +17,12 @@
 from bramleyrouter.control.messages import Depart
 from bramleyrouter.control.state_machine import ControlStateMachine
 from bramleyrouter.failures import Failure
-from bramleyrouter.fleet.records import ServerPhase, ServerRow, check_row
+from bramleyrouter.fleet.records import (
+    ServerPhase,
+    ServerRow,
+    check_row,
+    drop_version,
+)
 from bramleyrouter.fleet.registry import (
     ServerRegistry,
     apply_departure,
@@ -88,7 +93,9 @@
     async def serve(peer: Peer, payload: bytes) -> Result[bytes, Failure]:
         server_id = ServerId(payload.decode("utf-8", "replace"))
         registered = registry.servers.get(server_id)
-        return Ok(msgspec.msgpack.encode(registered.row) if registered else b"")
+        return Ok(
+            msgspec.msgpack.encode(drop_version(registered.row)) if registered else b""
+        )
 
     network.serve(MessageKind.FIND_SERVER, serve)
 
--- a/src/bramleyrouter/fleet/messages.py
+++ b/src/bramleyrouter/fleet/messages.py
@@ -11,7 +11,13 @@
 
 from bramleyrouter.codes import Code
 from bramleyrouter.failures import Failure
-from bramleyrouter.fleet.records import ServerRow, check_row
+from bramleyrouter.fleet.records import (
+    ServerRow,
+    VersionedRow,
+    check_row,
+    drop_version,
+)
+from bramleyrouter.fleet.rollout_records import VersionRollout
 from bramleyrouter.ids import DataCentre, Revision, TableVersion
 from bramleyrouter.utils.decoding import DECODE_ERRORS
 
@@ -42,6 +48,17 @@
     relays: tuple[tuple[str, DataCentre], ...] | None = None
 
 
+class RolloutUpdate(Update, frozen=True, array_like=True):
+    """Carry the newest rollout of each service too, if ``rollouts_revision`` is set.
+
+    That number orders the values of different control daemons. Without rollouts, an
+    update has the form that earlier releases read.
+    """
+
+    rollouts_revision: int | None = None
+    rollouts: tuple[VersionRollout, ...] = ()
+
+
 class DecodedUpdate(NamedTuple):
     """Hold an update and why some of its rows were left out."""
 
@@ -62,9 +79,15 @@
     rows: tuple[msgspec.Raw, ...] = ()  # type: ignore[assignment]
 
 
+class _RolloutFrame(RolloutUpdate, frozen=True, array_like=True):
+    """Hold an update with rollouts whose rows are not decoded yet."""
+
+    rows: tuple[msgspec.Raw, ...] = ()  # type: ignore[assignment]
+
+
 _ENCODER = msgspec.msgpack.Encoder()
-_FRAME_DECODER = msgspec.msgpack.Decoder(_UpdateFrame)
-_ROW_DECODER = msgspec.msgpack.Decoder(ServerRow)
+_FRAME_DECODER = msgspec.msgpack.Decoder(_RolloutFrame)
+_ROW_DECODER = msgspec.msgpack.Decoder(VersionedRow)
 
 
 def encode_update(update: Update) -> bytes:
@@ -80,7 +103,8 @@
     unchanged = _ENCODER.encode(_UpdateFrame(rows=encoded))
     for fields in all_fields:
         if fields:
-            yield _ENCODER.encode(_UpdateFrame(rows=encoded, **fields))
+            form = _RolloutFrame if "rollouts_revision" in fields else _UpdateFrame
+            yield _ENCODER.encode(form(rows=encoded, **fields))
         else:
             yield unchanged
 
@@ -96,15 +120,14 @@
     except DECODE_ERRORS as exc:
         text = f"The fleet update can't be decoded: {exc}."
         return Err(Failure(Code.WIRE_MALFORMED, text))
+    form = Update if frame.rollouts_revision is None else RolloutUpdate
     fields = {
-        name: getattr(frame, name)
-        for name in Update.__struct_fields__
-        if name != "rows"
+        name: getattr(frame, name) for name in form.__struct_fields__ if name != "rows"
     }
     decoded = [_decode_row(raw) for raw in frame.rows]
     rows = tuple(item.ok_value for item in decoded if isinstance(item, Ok))
     errors = tuple(item.err_value for item in decoded if isinstance(item, Err))
-    return Ok(DecodedUpdate(Update(rows=rows, **fields), errors))
+    return Ok(DecodedUpdate(form(rows=rows, **fields), errors))
 
 
 def _decode_row(raw: msgspec.Raw) -> Result[ServerRow, Failure]:
@@ -113,4 +136,4 @@
     except DECODE_ERRORS as exc:
         text = f"A row can't be decoded: {exc}."
         return Err(Failure(Code.INVALID_ANNOUNCEMENT, text))
-    return check_row(row)
+    return check_row(row if row.version else drop_version(row))
--- a/src/bramleyrouter/fleet/mirrors.py
+++ b/src/bramleyrouter/fleet/mirrors.py
@@ -16,7 +16,13 @@
 
 from bramleyrouter.conf.fleet import StreamTimes
 from bramleyrouter.failures import Failure
-from bramleyrouter.fleet.messages import MIRROR, Update, decode_update, encode_update
+from bramleyrouter.fleet.messages import (
+    MIRROR,
+    RolloutUpdate,
+    Update,
+    decode_update,
+    encode_update,
+)
 from bramleyrouter.fleet.records import ServerRow
 from bramleyrouter.ids import ServerId
 from bramleyrouter.utils.tasks import BackgroundTasks, spawn
@@ -73,7 +79,11 @@
         changed_fields.pop("data_centres_out", None)
     if update.members_index is None:
         changed_fields.pop("members", None)
-    mirror.latest = msgspec.structs.replace(mirror.latest, **changed_fields)
+    latest = mirror.latest
+    if isinstance(update, RolloutUpdate) and not isinstance(latest, RolloutUpdate):
+        known = {name: getattr(latest, name) for name in latest.__struct_fields__}
+        latest = RolloutUpdate(**known)
+    mirror.latest = msgspec.structs.replace(latest, **changed_fields)
 
 
 def build_snapshot(mirror: Mirror, now: float) -> Update:
--- a/src/bramleyrouter/fleet/publishing.py
+++ b/src/bramleyrouter/fleet/publishing.py
@@ -22,14 +22,22 @@
 from bramleyrouter.fleet.messages import (
     DIRECT,
     MIRROR,
+    RolloutUpdate,
     Update,
     encode_update,
     encode_updates,
 )
 from bramleyrouter.fleet.mirrors import Mirrors, forward_stream
-from bramleyrouter.fleet.records import ServerRow, check_row
+from bramleyrouter.fleet.records import ServerRow, check_row, drop_version
 from bramleyrouter.fleet.registry import ServerRegistry, list_rows, sweep
-from bramleyrouter.ids import DaemonId, DataCentre, Revision, TableVersion
+from bramleyrouter.fleet.rollout_records import VersionRollout
+from bramleyrouter.ids import (
+    DaemonId,
+    DataCentre,
+    Revision,
+    ServiceName,
+    TableVersion,
+)
 from bramleyrouter.utils.tasks import (
     BackgroundTasks,
     cancel_all,
@@ -71,6 +79,7 @@
     sent_members: tuple[str, ...] = ()
     sent_entry_counts: dict[DataCentre, int] | None = None
     sent_relays: tuple[tuple[str, DataCentre], ...] = ()
+    sent_rollouts: int = 0
 
 
 @dataclass
@@ -96,6 +105,8 @@
         default_factory=dict
     )
     queued_rows: dict[str, ServerRow] = field(default_factory=dict)
+    # Services whose rows are sent with their versions.
+    versioned: set[ServiceName] = field(default_factory=set)
     timer: asyncio.TimerHandle | None = None
 
 
@@ -114,6 +125,8 @@
     entry_daemons: dict[DataCentre, int] | None
     relays: tuple[tuple[str, DataCentre], ...]
     relays_for_local: tuple[tuple[str, DataCentre], ...]
+    rollouts_revision: int
+    rollouts: tuple[VersionRollout, ...]
 
 
 class FleetPublisher(NamedTuple):
@@ -159,6 +172,7 @@
     status = publisher.log.status()
     counts = _update_entry_daemon_counts(publisher)
     is_complete = publisher.clock() - publisher.started_at >= COUNT_STARTUP_DELAY_S
+    rollouts = publisher.state_machine.rollouts()
     by_data_centre: dict[DataCentre, list[str]] = {}
     for subscriber in publisher.subscribers.values():
         peer = subscriber.peer
@@ -172,6 +186,8 @@
         counts if is_complete else None,
         _list_relays(by_data_centre, None),
         _list_relays(by_data_centre, publisher.data_centre),
+        rollouts.revision,
+        tuple(rollouts.by_service.values()),
     )
 
 
@@ -205,6 +221,10 @@
     if subscriber.sent_relays != relays:
         subscriber.sent_relays = relays
         fields["relays"] = relays
+    if subscriber.sent_rollouts != snapshot.rollouts_revision:
+        subscriber.sent_rollouts = snapshot.rollouts_revision
+        fields["rollouts_revision"] = snapshot.rollouts_revision
+        fields["rollouts"] = snapshot.rollouts
     return fields
 
 
@@ -235,10 +255,32 @@
     return isinstance(checked, Ok)
 
 
+def _format_row(publisher: FleetPublisherState, row: ServerRow) -> ServerRow:
+    """Return the row as it is sent; versions matter only with a rollout."""
+    return row if row.service in publisher.versioned else drop_version(row)
+
+
+def _queue_versioned_rows(publisher: FleetPublisherState) -> None:
+    """Queue the rows of services that have their first rollout."""
+    services = set(publisher.state_machine.rollouts().by_service)
+    added = services - publisher.versioned
+    publisher.versioned = services
+    if not added:
+        return
+    for row in list_rows(publisher.registry, publisher.clock()):
+        if row.service in added:
+            publisher.queued_rows[row.server_id] = row
+
+
 def _send_updates(publisher: FleetPublisherState, is_keepalive: bool = False) -> None:
     """Send each subscriber the queued rows and the fields that changed."""
     publisher.timer = None
-    rows = tuple(row for row in publisher.queued_rows.values() if _is_sendable(row))
+    _queue_versioned_rows(publisher)
+    rows = tuple(
+        _format_row(publisher, row)
+        for row in publisher.queued_rows.values()
+        if _is_sendable(row)
+    )
     subscribers = [*publisher.subscribers.values(), *publisher.mirrors]
     snapshot = _take_snapshot(publisher)
     all_fields = [
@@ -267,15 +309,17 @@
 
 
 def _send_first_update(publisher: FleetPublisherState, subscriber: Subscriber) -> None:
+    _queue_versioned_rows(publisher)
     rows = tuple(
-        row
+        _format_row(publisher, row)
         for row in list_rows(publisher.registry, publisher.clock())
         if _is_sendable(row)
     )
     snapshot = _take_snapshot(publisher)
     fields = _collect_changed_fields(publisher, subscriber, snapshot)
     fields["data_centre"] = publisher.data_centre
-    subscriber.send(encode_update(Update(rows=rows, is_full=True, **fields)))
+    form = RolloutUpdate if "rollouts_revision" in fields else Update
+    subscriber.send(encode_update(form(rows=rows, is_full=True, **fields)))
 
 
 def start_fleet_publisher(
--- a/src/bramleyrouter/fleet/records.py
+++ b/src/bramleyrouter/fleet/records.py
@@ -56,6 +56,16 @@
     is_silent: bool = False
 
 
+class VersionedRow(ServerRow, frozen=True, array_like=True):
+    """Describe a backend server that announced the version of its software.
+
+    Rows are sent in this form only for services that have a rollout; without one,
+    messages have the form that earlier releases read.
+    """
+
+    version: str = ""
+
+
 class _RowFields(msgspec.Struct, frozen=True, array_like=True):
     """Declare the ranges of a row's fields; msgspec checks them only in decoding."""
 
@@ -69,6 +79,7 @@
     phase: ServerPhase = ServerPhase.READY
     cold_s: ColdSeconds = 0.0
     is_silent: bool = False
+    version: Name = ""
 
 
 def check_row(row: ServerRow) -> Result[ServerRow, Failure]:
@@ -85,6 +96,19 @@
     return Ok(row)
 
 
+def get_version(row: ServerRow) -> str:
+    """Return the version of the server's software, empty if it is not known."""
+    return row.version if isinstance(row, VersionedRow) else ""
+
+
+def drop_version(row: ServerRow) -> ServerRow:
+    """Return the row without the version of the server's software."""
+    if not isinstance(row, VersionedRow):
+        return row
+    fields = ServerRow.__struct_fields__
+    return ServerRow(*(getattr(row, name) for name in fields))
+
+
 def version_key(row: ServerRow) -> tuple[int, int]:
     """Return the sort key that orders the announcements of one server id."""
     return row.incarnation, row.sequence
@@ -103,5 +127,6 @@
         and first.slots == second.slots
         and first.phase is second.phase
         and first.is_silent == second.is_silent
+        and get_version(first) == get_version(second)
         and second.cold_s <= first.cold_s
     )
--- a/src/bramleyrouter/fleet/watcher.py
+++ b/src/bramleyrouter/fleet/watcher.py
@@ -18,7 +18,13 @@
 from bramleyrouter.conf.fleet import StreamTimes
 from bramleyrouter.control.codecs import decode_command
 from bramleyrouter.control.messages import PublishRoutes
-from bramleyrouter.fleet.messages import DIRECT, Update, decode_update
+from bramleyrouter.fleet.messages import (
+    DIRECT,
+    RolloutUpdate,
+    Update,
+    decode_update,
+)
+from bramleyrouter.fleet.rollout_records import OnRollouts, VersionRollout
 from bramleyrouter.fleet.views import FleetView, apply_rows, remove_source
 from bramleyrouter.ids import DataCentre, ServiceName, TableVersion
 from bramleyrouter.telemetry.events import RecordEvent
@@ -67,6 +73,8 @@
     on_relays: Callable[[set[tuple[str, DataCentre]]], None]
     on_contact: Callable[[DataCentre], None]
     times: StreamTimes
+    on_rollouts: OnRollouts
+    rollouts_revision: int = 0
     view: FleetView = field(default_factory=FleetView)
     # Data centre of each control daemon that named it in an update.
     data_centres: dict[str, DataCentre] = field(default_factory=dict)
@@ -145,10 +153,26 @@
         state.members_index = update.members_index
         state.members = frozenset(update.members)
         _update_streams(state)
+    if isinstance(update, RolloutUpdate) and update.rollouts_revision is not None:
+        _apply_rollouts(state, source, update.rollouts_revision, update.rollouts)
     if update.table_version is not None:
         _schedule_table_fetch(state, source, update.table_version)
 
 
+def _apply_rollouts(
+    state: WatcherState,
+    source: str,
+    revision: int,
+    rollouts: tuple[VersionRollout, ...],
+) -> None:
+    """Apply newer rollouts; ignore those of a control daemon that is behind."""
+    if revision <= state.rollouts_revision:
+        return
+    state.rollouts_revision = revision
+    state.record("fleet", "rollouts", revision=revision, source=source)
+    _notify(state.on_rollouts, revision, rollouts)
+
+
 def get_max_entry_daemon_count(state: WatcherState) -> int | None:
     """Return the largest total number of entry daemons in ``COUNT_WINDOW_S``.
 
@@ -416,6 +440,7 @@
     on_relays: Callable[[set[tuple[str, DataCentre]]], None],
     on_contact: Callable[[DataCentre], None],
     times: StreamTimes,
+    on_rollouts: OnRollouts = lambda revision, rollouts: None,
 ) -> FleetWatcher:
     """Return the watcher; it subscribes once ``set_seeds`` names control daemons."""
     state = WatcherState(
@@ -428,6 +453,7 @@
         on_relays,
         on_contact,
         times,
+        on_rollouts,
     )
     started_at = clock()
 
--- a/src/bramleyrouter/ids.py
+++ b/src/bramleyrouter/ids.py
@@ -16,6 +16,8 @@
 Registration = NewType("Registration", int)
 DataCentre = NewType("DataCentre", str)
 ServiceName = NewType("ServiceName", str)
+# The version of a backend server's software, as it announces it.
+ServerVersion = NewType("ServerVersion", str)
 ShardName = NewType("ShardName", str)
 IndexVersion = NewType("IndexVersion", str)
 TenantName = NewType("TenantName", str)
--- a/src/bramleyrouter/platform/announcements.py
+++ b/src/bramleyrouter/platform/announcements.py
@@ -11,10 +11,13 @@
 from bramleyrouter.codes import Code
 from bramleyrouter.failures import Failure
 from bramleyrouter.fleet.records import (
+    MAX_NAME_CHARACTERS,
     ServerPhase,
     ServerRow,
+    VersionedRow,
     VersionNumber,
     check_row,
+    drop_version,
 )
 from bramleyrouter.ids import DataCentre, ServerId, ServerIncarnation, ServiceName
 from bramleyrouter.utils.decoding import DECODE_ERRORS
@@ -56,6 +59,15 @@
     return born_ms > (now_s + MAX_CLOCK_LEAD_S) * MS_PER_SECOND
 
 
+def _limit_version(version: str) -> str:
+    """Return the version, or nothing if it is not a name that messages can carry.
+
+    The server is in service all the same; only rollouts depend on versions.
+    """
+    is_name = version.isascii() and version.isprintable() and " " not in version
+    return version if is_name and len(version) <= MAX_NAME_CHARACTERS else ""
+
+
 def decode_heartbeat(
     server_id: str, body: bytes, data_centres: Collection[str], now_s: float
 ) -> Result[ServerRow, Failure]:
@@ -87,19 +99,19 @@
         return _build_invalid_announcement(
             f'"{server_id}" claims to start in the future, at "{heartbeat.born}" ms.'
         )
-    return check_row(
-        ServerRow(
-            ServerId(server_id),
-            ServerIncarnation(heartbeat.born),
-            heartbeat.seq,
-            ServiceName(heartbeat.service),
-            heartbeat.addr,
-            DataCentre(heartbeat.zone),
-            heartbeat.slots,
-            phase,
-            heartbeat.warmup_left_ms / MS_PER_SECOND,
-        )
+    row = VersionedRow(
+        ServerId(server_id),
+        ServerIncarnation(heartbeat.born),
+        heartbeat.seq,
+        ServiceName(heartbeat.service),
+        heartbeat.addr,
+        DataCentre(heartbeat.zone),
+        heartbeat.slots,
+        phase,
+        heartbeat.warmup_left_ms / MS_PER_SECOND,
+        version=_limit_version(heartbeat.version),
     )
+    return check_row(row if row.version else drop_version(row))
 
 
 def decode_withdrawal(
--- a/src/bramleyrouter/platform/control_daemon.py
+++ b/src/bramleyrouter/platform/control_daemon.py
@@ -69,6 +69,9 @@
         wall_clock=time.time,
         record=lambda part, event, **fields: record(log, part, event, **fields),
         observe=build_observe_call(metrics),
+        get_rollout_sequence=parts.get_rollout_sequence,
+        start_rollout=parts.operate,
+        read_rollouts=parts.read_rollouts,
     )
     servers: list = []
     finish = partial(finish_step, partial(record, log))
--- a/src/bramleyrouter/platform/names.py
+++ b/src/bramleyrouter/platform/names.py
@@ -18,6 +18,8 @@
 CONFIG_PATH = "/v1/config"
 REPLICAS_PREFIX = "/v1/replicas/"
 EVACUATE_PREFIX = "/v1/evacuate/"
+ROLLOUTS_PATH = "/v1/rollouts"
+ROLLOUTS_PREFIX = "/v1/rollouts/"
 
 SETTINGS_VARIABLE = "BRAMLEYROUTER_CONFIG"
 
--- a/src/bramleyrouter/platform/operators.py
+++ b/src/bramleyrouter/platform/operators.py
@@ -16,9 +16,11 @@
     OperatorResult,
     PublishRoutes,
     SetAvailability,
+    StartRollout,
 )
 from bramleyrouter.failures import Failure
 from bramleyrouter.fleet.records import MAX_NAME_CHARACTERS, ServerPhase, ServerRow
+from bramleyrouter.fleet.rollout_records import VersionRollout
 from bramleyrouter.gateway.checks import check_table
 from bramleyrouter.ids import (
     DataCentre,
@@ -26,6 +28,7 @@
     Revision,
     ServerId,
     ServerIncarnation,
+    ServiceName,
 )
 from bramleyrouter.platform import names
 from bramleyrouter.platform.announcements import decode_heartbeat, decode_withdrawal
@@ -34,6 +37,7 @@
     PlatformReply,
     write_reply,
 )
+from bramleyrouter.platform.rollout_orders import decode_order, format_rollout
 from bramleyrouter.platform.route_documents import decode_route_table
 from bramleyrouter.telemetry.control_metrics import ObserveCall
 from bramleyrouter.telemetry.events import RecordEvent
@@ -58,7 +62,8 @@
     ``depart`` and ``withdraw`` return once the log holds that a server leaves.
     ``data_centres`` are the known data centres, and ``wall_clock`` returns the time of
     day in Unix seconds. ``record`` writes a log event, and
-    ``observe`` updates the metrics of calls.
+    ``observe`` updates the metrics of calls. ``get_rollout_sequence`` returns that of
+    the newest rollout of a service that this daemon knows, 0 without one.
     """
 
     get_revision: Callable[[], Revision]
@@ -79,6 +84,13 @@
     wall_clock: Callable[[], float]
     record: RecordEvent
     observe: ObserveCall
+    get_rollout_sequence: Callable[[ServiceName], int]
+    start_rollout: Callable[
+        [StartRollout, float], Awaitable[Result[OperatorResult, Failure]]
+    ]
+    read_rollouts: Callable[
+        [float], Awaitable[Result[tuple[VersionRollout, ...], Failure]]
+    ]
 
 
 def _build_refusal(status: int, failure: Failure) -> PlatformReply:
@@ -113,6 +125,8 @@
         return "publish" if method == _PUT else "read"
     if path.startswith(names.EVACUATE_PREFIX):
         return "availability"
+    if path == names.ROLLOUTS_PATH or path.startswith(names.ROLLOUTS_PREFIX):
+        return "rollout"
     return "unknown"
 
 
@@ -138,6 +152,11 @@
         return await _handle_evacuation(
             calls, DataCentre(name), method == _POST, is_awaited
         )
+    if path == names.ROLLOUTS_PATH and method == _POST:
+        return await _handle_rollout_order(calls, body, is_awaited)
+    if path.startswith(names.ROLLOUTS_PREFIX) and method == _GET:
+        service = ServiceName(path[len(names.ROLLOUTS_PREFIX) :])
+        return await _handle_rollout_read(calls, service)
     return PlatformReply(404)
 
 
@@ -255,6 +274,51 @@
     return _build_refusal(503, Failure(Code.REVISION_CONFLICT, text))
 
 
+async def _handle_rollout_order(
+    calls: ControlCalls, body: bytes, is_awaited: Callable[[], bool]
+) -> PlatformReply:
+    """Start a rollout, while the client waits for the reply.
+
+    As in ``_handle_evacuation``, a client that has given up the call may have ordered
+    another rollout since. The log accepts the order only after the rollout that was the
+    newest one before it was seen that the client was still waiting.
+    """
+    decoded = decode_order(body)
+    if isinstance(decoded, Err):
+        reason = decoded.err_value.text[:MAX_LOGGED_CHARACTERS]
+        calls.record("control", "order_refused", order="rollout", reason=reason)
+        return _build_refusal(400, decoded.err_value)
+    order = decoded.ok_value
+    service = ServiceName(order.service)
+    clock = asyncio.get_running_loop().time
+    deadline = clock() + OPERATION_TIMEOUT_S
+    fields = {"service": service, "version": order.version}
+    sequence = calls.get_rollout_sequence(service)
+    while is_awaited() and (remaining_s := deadline - clock()) > 0:
+        expecting = msgspec.structs.replace(order, expected_sequence=sequence)
+        outcome = await calls.start_rollout(expecting, remaining_s)
+        if not _is_revision_conflict(outcome):
+            return _build_operation_reply(calls, "rollout", fields, outcome)
+        sequence = outcome.unwrap().revision
+    calls.record("control", "order_outdated", order="rollout", **fields)
+    text = "The call is not carried out, as its client may have given it up."
+    return _build_refusal(503, Failure(Code.REVISION_CONFLICT, text))
+
+
+async def _handle_rollout_read(
+    calls: ControlCalls, service: ServiceName
+) -> PlatformReply:
+    outcome = await calls.read_rollouts(OPERATION_TIMEOUT_S)
+    if isinstance(outcome, Err):
+        calls.record("control", "read_failed", reason=outcome.err_value.text)
+        return _build_refusal(503, outcome.err_value)
+    for rollout in outcome.ok_value:
+        if rollout.service == service:
+            return PlatformReply(200, format_rollout(rollout))
+    text = "The service has no rollout."
+    return _build_refusal(404, Failure(Code.UNKNOWN_ROLLOUT, text))
+
+
 def _is_revision_conflict(outcome: Result[OperatorResult, Failure]) -> bool:
     failure = outcome.ok_value.failure if isinstance(outcome, Ok) else None
     return failure is not None and failure.code is Code.REVISION_CONFLICT
@@ -276,7 +340,8 @@
     if result.failure is not None:
         text = result.failure.text
         calls.record("control", "order_refused", order=operation, reason=text, **fields)
-        return _build_refusal(400, result.failure)
+        status = 409 if result.failure.code is Code.ROLLOUT_ACTIVE else 400
+        return _build_refusal(status, result.failure)
     calls.record(
         "control", "order_accepted", order=operation, revision=result.revision, **fields
     )
--- a/src/bramleyrouter/platform/settings.py
+++ b/src/bramleyrouter/platform/settings.py
@@ -55,6 +55,9 @@
     budget_slack: float = 50
     warmup_factor: float = 1.5
     warmup_slack: float = 5
+    canary_share: float = 0.1
+    canary_slack: float = 50
+    rollback_ms: float = 5000
 
 
 class _SettingsFile(msgspec.Struct, rename="camel"):
@@ -145,5 +148,8 @@
             extra_slack=file.bounds.budget_slack,
             cold_factor=file.bounds.warmup_factor,
             cold_slack=file.bounds.warmup_slack,
+            canary_share=file.bounds.canary_share,
+            canary_slack=file.bounds.canary_slack,
+            rollback_s=file.bounds.rollback_ms / MS_PER_SECOND,
         ),
     )
--- a/src/bramleyrouter/wire/kinds.py
+++ b/src/bramleyrouter/wire/kinds.py
@@ -46,3 +46,7 @@
     DESCRIBE = 93
     GRANT_ATTEMPTS = 94
     FIND_SERVER = 95
+
+    # Canary rollouts.
+    REPORT_VERSIONS = 97
+    READ_ROLLOUTS = 98
--- a/tests/boundaries/test_odd_input.py
+++ b/tests/boundaries/test_odd_input.py
@@ -49,11 +49,13 @@
     ServerPhase,
     check_row,
 )
+from bramleyrouter.fleet.rollout_records import decode_rollouts
 from bramleyrouter.fleet.views import FleetView, apply_rows
 from bramleyrouter.gateway.delegation import decode_grant, decode_query, decode_reply
 from bramleyrouter.homes import codecs as home_codecs
 from bramleyrouter.membership import messages as membership_messages
 from bramleyrouter.platform.announcements import decode_heartbeat, decode_withdrawal
+from bramleyrouter.platform.rollout_orders import decode_order
 from bramleyrouter.platform.route_documents import decode_route_table
 from bramleyrouter.platform.settings import read_settings
 from bramleyrouter.standins.announcers import decode_reply as decode_announcement_reply
@@ -75,6 +77,8 @@
     "platform/route_documents.py": [decode_route_table],
     "fleet/messages.py": [decode_update],
     "fleet/departures.py": [decode_found_server],
+    "fleet/rollout_records.py": [decode_rollouts],
+    "platform/rollout_orders.py": [decode_order],
     "gateway/delegation.py": [decode_query, decode_reply, decode_grant],
     "wire/envelopes.py": [decode_envelope],
     "homes/codecs.py": [
--- a/tests/fleet/test_publishing.py
+++ b/tests/fleet/test_publishing.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from bramleyrouter.control.version_rollouts import VersionRollouts
 from bramleyrouter.fleet.messages import decode_update
 from bramleyrouter.fleet.publishing import (
     COUNT_STARTUP_DELAY_S,
@@ -34,6 +35,9 @@
     def config(self):
         return SimpleNamespace(revision=2, data_centres_out=())
 
+    def rollouts(self):
+        return VersionRollouts()
+
 
 def build_publisher(subscribers, send):
     status = SimpleNamespace(members=[SimpleNamespace(address="c1")], commit_index=5)
--- a/tests/platform/test_operators.py
+++ b/tests/platform/test_operators.py
@@ -6,9 +6,10 @@
 from result import Err, Ok
 
 from bramleyrouter.codes import Code
-from bramleyrouter.control.messages import OperatorResult, PublishRoutes
+from bramleyrouter.control.messages import OperatorResult, PublishRoutes, StartRollout
 from bramleyrouter.failures import Failure
 from bramleyrouter.fleet.records import ServerPhase
+from bramleyrouter.fleet.rollout_records import RolloutState, VersionRollout
 from bramleyrouter.ids import DataCentre, Generation, Revision, TableVersion
 from bramleyrouter.platform.operators import ControlCalls, handle_call
 from tests.platform.test_announcements import HEARTBEAT, NOW_S
@@ -64,6 +65,9 @@
             observe=lambda call, status, latency_s: self.observed.append(
                 (call, status)
             ),
+            get_rollout_sequence=lambda service: 3,
+            start_rollout=self.operate,
+            read_rollouts=self.read,
         )
 
     def call(self, method, path, body=b"", is_awaited=lambda: True):
@@ -104,6 +108,71 @@
         assert control.call("GET", "/v1/config").status == 503
 
 
+class TestRollouts:
+    """Guard against orders with two outcomes and replies that end the operator's call.
+
+    A 4xx reply to an order that may have been accepted would be final.
+    """
+
+    BODY = b'{"service": "s0", "toVersion": "v2", "durationS": 12}'
+
+    def test_order_expects_the_known_sequence(self):
+        control = Control()
+        assert control.call("POST", "/v1/rollouts", self.BODY).status == 200
+        assert control.operations == [StartRollout("s0", "v2", 12.0, 3)]
+        assert control.observed == [("rollout", 200)]
+
+    def test_conflict_is_tried_again_only_while_the_client_waits(self):
+        waiting = Control()
+        waiting.outcomes = [CONFLICT, ACCEPTED]
+        assert waiting.call("POST", "/v1/rollouts", self.BODY).status == 200
+        assert [order.expected_sequence for order in waiting.operations] == [3, 9]
+        left, answers = Control(CONFLICT), [True, False]
+        reply = left.call("POST", "/v1/rollouts", self.BODY, lambda: answers.pop(0))
+        assert (reply.status, len(left.operations)) == (503, 1)
+        frozen = Control()
+        reply = frozen.call("POST", "/v1/rollouts", self.BODY, lambda: False)
+        assert (reply.status, frozen.operations) == (503, [])
+
+    def test_status_of_each_outcome(self):
+        active = Failure(Code.ROLLOUT_ACTIVE, "another one")
+        refused = Ok(OperatorResult(Revision(4), Generation(0), active))
+        for outcome, status in ((refused, 409), (NO_MAJORITY, 503)):
+            reply = Control(outcome).call("POST", "/v1/rollouts", self.BODY)
+            assert reply.status == status
+
+    def test_invalid_order_never_reaches_the_log(self):
+        control = Control()
+        for service, version, duration in (
+            ('""', '"v2"', "12"),
+            ('"s0"', '""', "12"),
+            ('"s0"', '"v2"', "0"),
+            ('"s0"', '"v2"', "-1"),
+            ('"s0"', '"v2"', "1e999"),
+            ('"s0"', '"v2"', '"12"'),
+            ('"s0"', "2", "12"),
+        ):
+            body = (
+                f'{{"service":{service},"toVersion":{version},"durationS":{duration}}}'
+            )
+            assert control.call("POST", "/v1/rollouts", body.encode()).status == 400
+        assert control.call("POST", "/v1/rollouts", b"").status == 400
+        assert control.operations == []
+
+    def test_states_are_read_from_the_newest_log_only(self):
+        assert Control().call("GET", "/v1/rollouts/s0").status == 503
+        for state in RolloutState:
+            rollout = VersionRollout(1, "s0", "v2", 12.0, 0, state)
+            control = Control(table=Ok((rollout,)))
+            reply = control.call("GET", "/v1/rollouts/s0")
+            shown = "active" if rollout.is_open else state.value
+            assert msgspec.json.decode(reply.body) == {
+                "state": shown,
+                "toVersion": "v2",
+            }
+            assert control.call("GET", "/v1/rollouts/s1").status == 404
+
+
 class TestEvacuations:
     """Guard against a repeated change that is discarded as a duplicate."""
 
