Shared out and judged server versions on trial

Cause: entry daemons chose servers without regard to their versions. Change: each entry daemon meters the requests to a version on trial with a credit whose random offset replaces rounding, reports cumulative counts by route and moment to the leader, and the leader compares both versions on the same routes in the same moments and proposes the last phase or the end. Nothing runs while no rollout is open.

--- a/src/bramleyrouter/daemons/fleet_control.py
+++ b/src/bramleyrouter/daemons/fleet_control.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import NamedTuple
@@ -24,6 +25,7 @@
 )
 from bramleyrouter.control.joining import JoinPolicy, maintain_log_membership
 from bramleyrouter.control.leader_client import LeaderClient
+from bramleyrouter.control.rollout_judging import start_rollout_judging
 from bramleyrouter.control.service import start_control_service
 from bramleyrouter.control.state_machine import build_control_state_machine
 from bramleyrouter.control.version_rollouts import get_sequence
@@ -153,6 +155,14 @@
     departures = start_departures(
         network, registry, state_machine, leader_client, cfg.internal_address, clock
     )
+    judging = start_rollout_judging(
+        network,
+        replicated_log,
+        state_machine,
+        clock,
+        time.time,
+        lambda part, event, **fields: record(log, part, event, **fields),
+    )
     policy = JoinPolicy(
         cfg.internal_address,
         cfg.is_first_start,
@@ -173,6 +183,7 @@
 
     async def close() -> None:
         cancel_all(tasks)
+        judging.close()
         publisher.close()
         await control.close()
         await replicated_log.close()
@@ -191,14 +202,14 @@
         build_read_rollouts(leader_client),
         lambda service: get_sequence(state_machine.rollouts(), service),
         lambda: _read_control_metrics(
-            replicated_log, state_machine, registry, publisher
+            replicated_log, state_machine, registry, publisher, judging
         ),
         close,
     )
 
 
 def _read_control_metrics(
-    replicated_log, state_machine, registry, publisher
+    replicated_log, state_machine, registry, publisher, judging
 ) -> dict[str, float]:
     """Return the metric values of a control daemon by name."""
     status = replicated_log.status()
@@ -211,6 +222,7 @@
         "revision": float(state_machine.config().revision),
         "servers": float(len(registry.servers)),
         "streams": float(publisher.count_subscribers()),
+        "open_rollouts": float(judging.count_open()),
     }
 
 
--- a/src/bramleyrouter/daemons/fleet_entry.py
+++ b/src/bramleyrouter/daemons/fleet_entry.py
@@ -14,14 +14,18 @@
 
 from bramleyrouter.board.blackboard import Board, Section
 from bramleyrouter.conf.fleet import FleetSettings, compute_stream_times
+from bramleyrouter.control.leader_client import LeaderClient
 from bramleyrouter.daemons.fleet_common import CLUSTER_KEY, build_board
 from bramleyrouter.failures import Failure
+from bramleyrouter.fleet.rollout_records import VersionRollout
+from bramleyrouter.fleet.version_reporting import start_version_reporting
 from bramleyrouter.fleet.watcher import FleetWatcher, start_fleet_watcher
 from bramleyrouter.gateway.budgets import ExtraLimits
 from bramleyrouter.gateway.build import GatewayHandle, build_gateway
 from bramleyrouter.gateway.exchanges import SendToServer
 from bramleyrouter.gateway.gateways import GatewayLimits
 from bramleyrouter.gateway.tables import RouteTable
+from bramleyrouter.gateway.version_shares import ShareLimits
 from bramleyrouter.ids import ServiceName, TableVersion
 from bramleyrouter.telemetry.events import EventLog, record, record_rate_limited
 from bramleyrouter.telemetry.gateway_metrics import (
@@ -99,6 +103,10 @@
             rows = watcher.state.view.by_service.get(service, {})
             parts[0].gateway.set_servers(service, rows.values())
 
+    def apply_rollouts(revision: int, rollouts: tuple[VersionRollout, ...]) -> None:
+        parts[0].gateway.set_rollouts(rollouts)
+        reporting.set_rollouts(rollouts)
+
     watcher = start_fleet_watcher(
         network,
         record_event,
@@ -109,6 +117,7 @@
         lambda relays: parts[0].gateway.set_relays(relays),
         lambda data_centre: parts[0].gateway.mark_data_centre_reachable(data_centre),
         stream_times,
+        apply_rollouts,
     )
     bounds, metrics = cfg.bounds, GatewayMetrics()
     gateway = build_gateway(
@@ -138,6 +147,13 @@
         ),
         lambda: "stopping" in board.readiness.reasons,
         memory,
+        ShareLimits(bounds.canary_share, bounds.canary_slack, bounds.rollback_s),
+        watcher.silence_s,
+    )
+    reporting = start_version_reporting(
+        LeaderClient(network, list(cfg.seeds), loop.time, random.Random()),
+        gateway.list_reports,
+        record_event,
     )
     network.serve_stream(MessageKind.GATHER_SHARDS, gateway.serve_delegated)
     network.serve(MessageKind.GRANT_ATTEMPTS, gateway.handle_grant)
@@ -162,6 +178,7 @@
 
     async def close() -> None:
         cancel_all(tasks)
+        reporting.close()
         watcher.close()
         await network.close()
 
--- a/src/bramleyrouter/gateway/attempts.py
+++ b/src/bramleyrouter/gateway/attempts.py
@@ -29,6 +29,12 @@
     record_reply,
     record_sent,
 )
+from bramleyrouter.gateway.version_choice import (
+    may_still_send,
+    record_assigned,
+    record_version_cancel,
+    record_version_reply,
+)
 
 # Share of a server's connections that all entry daemons together use. It is below 1
 # because a new connection may open before the server notices that the previous one was
@@ -91,6 +97,7 @@
     with this attempt, or with one of its ``siblings`` that ends later.
     """
     record_sent(server, context)
+    record_assigned(gateway, server, request.request_id)
     attempt = Attempt(
         gateway, server, request, expires_at, window, on_end, siblings, is_extra
     )
@@ -112,7 +119,10 @@
     attempt.cancel()
     attempt.is_started = True
     attempt.sent_at = gateway.loop.time()
-    if not is_usable(server, gateway.get_data_centres_out(), attempt.sent_at):
+    outs = gateway.get_data_centres_out()
+    if not is_usable(server, outs, attempt.sent_at) or not may_still_send(
+        gateway, server
+    ):
         # The server became unusable while the request waited.
         unsent = ServerReply(ExchangeOutcome.UNSENT, text=UNUSABLE_TEXT)
         attempt.cancel = gateway.loop.call_soon(_finish_attempt, attempt, unsent).cancel
@@ -166,6 +176,7 @@
     now = gateway.loop.time()
     latency_s = now - attempt.sent_at
     record_reply(server, reply, latency_s, attempt.window.median_s, now)
+    record_version_reply(attempt, reply, latency_s)
     if reply.is_leaving or reply.retry_after_s:
         _record_backoff(attempt, reply)
         abandon_waiting(server.queue)
@@ -224,6 +235,7 @@
     if attempt.has_ended:
         return
     _mark_ended(attempt, may_have_arrived=attempt.is_started)
+    record_version_cancel(attempt)
     attempt.cancel()
     queue = attempt.server.queue
     if attempt.is_started:
--- a/src/bramleyrouter/gateway/build.py
+++ b/src/bramleyrouter/gateway/build.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import random
+import secrets
 from collections.abc import Callable, Collection
 from typing import NamedTuple
 
 from bramleyrouter.fleet.records import ServerRow
+from bramleyrouter.fleet.rollout_records import VersionRollout
+from bramleyrouter.fleet.version_reports import VersionReport
 from bramleyrouter.gateway.budgets import ExtraBudget, ExtraLimits
 from bramleyrouter.gateway.data_centre_contacts import build_contacts
 from bramleyrouter.gateway.delegation import (
@@ -44,6 +47,8 @@
 )
 from bramleyrouter.gateway.single_requests import start_single_request
 from bramleyrouter.gateway.tables import RouteTable, build_index, match_route
+from bramleyrouter.gateway.version_choice import list_reports, set_rollouts
+from bramleyrouter.gateway.version_shares import DEFAULT_SHARE_LIMITS, ShareLimits
 from bramleyrouter.ids import DataCentre, ServiceName
 from bramleyrouter.telemetry.events import RecordEvent
 from bramleyrouter.telemetry.gateway_metrics import ObserveRequest
@@ -81,6 +86,8 @@
     list_backed_off: Callable[[], list[BackedOffServer]]
     estimate_lag: Callable[[], float]
     has_table: Callable[[], bool]
+    set_rollouts: Callable[[Collection[VersionRollout]], None]
+    list_reports: Callable[[], list[VersionReport]]
 
 
 def build_gateway(
@@ -98,6 +105,8 @@
     send_grant: SendGrant,
     is_stopping: Callable[[], bool],
     memory: ByteBudget | None = None,
+    share_limits: ShareLimits = DEFAULT_SHARE_LIMITS,
+    control_silence_s: Callable[[], float] = lambda: 0.0,
 ) -> GatewayHandle:
     """Build the gateway on an event loop.
 
@@ -125,6 +134,9 @@
         open_stream,
         send_grant,
         memory=memory or ByteBudget(),
+        share_limits=share_limits,
+        control_silence_s=control_silence_s,
+        daemon_start=secrets.randbits(62),
     )
 
     def set_table(table: RouteTable) -> None:
@@ -156,6 +168,8 @@
         list_backed_off=lambda: list_backed_off(gateway.servers, loop.time()),
         estimate_lag=lambda: estimate_lag(gateway.lag, loop.time()),
         has_table=lambda: gateway.index is not None,
+        set_rollouts=lambda rollouts: set_rollouts(gateway, rollouts),
+        list_reports=lambda: list_reports(gateway),
     )
 
 
--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -34,6 +34,13 @@
     find_backed_off,
 )
 from bramleyrouter.gateway.tables import Route, RouteIndex
+from bramleyrouter.gateway.version_shares import (
+    ShareLimits,
+    VersionShare,
+    VersionSplit,
+    may_try,
+    split_servers,
+)
 from bramleyrouter.ids import DataCentre, ServerId, ServiceName
 from bramleyrouter.telemetry.events import RecordEvent
 from bramleyrouter.telemetry.gateway_metrics import ObserveRequest
@@ -115,6 +122,13 @@
     relayed_gathers: dict[int, "GatherRun"] = field(default_factory=dict)
     # Bounds the replies that are kept while other attempts of their requests run.
     memory: ByteBudget = field(default_factory=ByteBudget)
+    # Services that have a rollout of a server version.
+    shares: dict[ServiceName, VersionShare] = field(default_factory=dict)
+    share_limits: ShareLimits = ShareLimits()
+    # Returns the seconds since the last message of any control daemon.
+    control_silence_s: Callable[[], float] = lambda: 0.0
+    # Distinguishes the counts of this process from those of an earlier one.
+    daemon_start: int = 0
 
 
 def mark_data_centre_reachable(gateway: Gateway, data_centre: DataCentre) -> None:
@@ -157,10 +171,29 @@
     )
 
 
+def split_by_version(gateway: Gateway, service: ServiceName) -> VersionSplit | None:
+    """Split the servers of a service by version, none if it has no rollout."""
+    share = gateway.shares.get(service)
+    if share is None:
+        return None
+    may_try_next = may_try(
+        share,
+        gateway.share_limits,
+        gateway.count_entry_daemons(),
+        gateway.control_silence_s(),
+        gateway.loop.time(),
+    )
+    servers = gateway.servers.by_service.get(service, {}).values()
+    return split_servers(share, servers, may_try_next)
+
+
 def get_tracked_servers(
     gateway: Gateway, service: ServiceName
 ) -> Collection[TrackedServer]:
-    """Return the tracked servers of a service."""
+    """Return the tracked servers of a service, without excluded versions."""
+    split = split_by_version(gateway, service)
+    if split is not None:
+        return [*split.first, *split.others]
     return gateway.servers.by_service.get(service, {}).values()
 
 
@@ -186,7 +219,7 @@
     """Return the latency window of a route; create it if there is none."""
     window = gateway.windows.get(route.name)
     if window is None:
-        window = gateway.windows[route.name] = LatencyWindow()
+        window = gateway.windows[route.name] = LatencyWindow(route=route.name)
     return window
 
 
--- a/src/bramleyrouter/gateway/latencies.py
+++ b/src/bramleyrouter/gateway/latencies.py
@@ -28,6 +28,7 @@
     samples_since_update: int = 0
     hedge_quantile_s: float = 0.0
     median_s: float = 0.0
+    route: str = ""
 
 
 def add_sample(window: LatencyWindow, latency_s: float) -> None:
--- a/src/bramleyrouter/gateway/shard_attempts.py
+++ b/src/bramleyrouter/gateway/shard_attempts.py
@@ -33,11 +33,11 @@
     ChoiceContext,
     ServerSurvey,
     TrackedServer,
-    choose_server,
     format_servers,
     record_late,
     survey_servers,
 )
+from bramleyrouter.gateway.version_choice import choose_among_versions
 
 # Maximum number of attempts per shard, including those refused without running.
 MAX_ATTEMPTS_PER_SHARD = 4
@@ -64,8 +64,7 @@
 ) -> TrackedServer | None:
     """Return the best server that has not received this shard's request yet."""
     context = context or build_choice_context(run.gateway, shard.service)
-    servers = get_tracked_servers(run.gateway, shard.service)
-    return choose_server(servers, context, shard.tried)
+    return choose_among_versions(run.gateway, shard.service, context, shard.tried)
 
 
 def survey_shard_servers(run: GatherRun, shard: ShardRun) -> ServerSurvey:
--- a/src/bramleyrouter/gateway/single_requests.py
+++ b/src/bramleyrouter/gateway/single_requests.py
@@ -38,11 +38,11 @@
 )
 from bramleyrouter.gateway.latencies import compute_hedge_delay
 from bramleyrouter.gateway.servers import (
-    choose_server,
     format_servers,
     record_late,
 )
 from bramleyrouter.gateway.tables import RequestKind, Route
+from bramleyrouter.gateway.version_choice import choose_among_versions
 from bramleyrouter.ids import ServerId, ServiceName
 from bramleyrouter.utils.byte_budgets import Holding, hold, release_all
 
@@ -155,9 +155,7 @@
 
 def _choose_server(run: SingleRequestRun):
     context = build_choice_context(run.gateway, run.service)
-    return choose_server(
-        get_tracked_servers(run.gateway, run.service), context, run.tried
-    )
+    return choose_among_versions(run.gateway, run.service, context, run.tried)
 
 
 def _send_attempt(
--- a/tests/boundaries/test_odd_input.py
+++ b/tests/boundaries/test_odd_input.py
@@ -50,6 +50,7 @@
     check_row,
 )
 from bramleyrouter.fleet.rollout_records import decode_rollouts
+from bramleyrouter.fleet.version_reports import decode_reports
 from bramleyrouter.fleet.views import FleetView, apply_rows
 from bramleyrouter.gateway.delegation import decode_grant, decode_query, decode_reply
 from bramleyrouter.homes import codecs as home_codecs
@@ -78,6 +79,7 @@
     "fleet/messages.py": [decode_update],
     "fleet/departures.py": [decode_found_server],
     "fleet/rollout_records.py": [decode_rollouts],
+    "fleet/version_reports.py": [decode_reports],
     "platform/rollout_orders.py": [decode_order],
     "gateway/delegation.py": [decode_query, decode_reply, decode_grant],
     "wire/envelopes.py": [decode_envelope],
