Ran rollouts over processes, and left out the cost of a connection

Cause: the first run over processes (3 control, 3 entry daemons) rolled a good version back: 5 of 17 answers of about 2 ms counted as slow, as the first request to a server opens a connection, and the slack was spent in the first moments. Change: an answer is slow only if it took 10 ms longer than the median, and slack is released evenly during half of the duration.

--- a/src/bramleyrouter/control/version_judge.py
+++ b/src/bramleyrouter/control/version_judge.py
@@ -11,11 +11,20 @@
 from typing import NamedTuple
 
 from bramleyrouter.fleet.rollout_records import RolloutState, VersionRollout
-from bramleyrouter.fleet.version_reports import Cell
+from bramleyrouter.fleet.version_reports import (
+    BUCKET_RATIO,
+    FIRST_BOUND_S,
+    Cell,
+    find_bucket,
+)
 
 # An answer is slow if it is this many buckets above the median of the other versions on
 # its route: more than 2.1 times, and at most 3 times, as long.
 SLOW_BUCKETS = 5
+# An answer that took less than this longer than the median is not slow, in seconds. The
+# first request to a server also opens a connection, and servers on trial get few. With
+# answers of 2 ms, 5 of 17 of a good version were counted as slow without this.
+MIN_EXCESS_S = 0.01
 # Answers of the other versions on a route that are needed for its median.
 MIN_MEDIAN_ANSWERS = 5
 # A version is rolled back if it has this many bad answers and a good version would have
@@ -114,7 +123,9 @@
     for bucket in sorted(latencies):
         so_far += latencies[bucket]
         if 2 * so_far >= total:
-            return bucket + SLOW_BUCKETS
+            median_s = FIRST_BOUND_S * BUCKET_RATIO**bucket
+            floor = find_bucket(median_s + MIN_EXCESS_S) + 1
+            return max(bucket + SLOW_BUCKETS, floor)
     return float("inf")
 
 
--- a/src/bramleyrouter/gateway/version_shares.py
+++ b/src/bramleyrouter/gateway/version_shares.py
@@ -24,9 +24,12 @@
 # Part of the allowed share that the trial uses before the last phase; the rest is for
 # that phase.
 TRIAL_SHARE = 0.9
-# Parts of the allowed slack that all daemons together use from the start of the trial,
-# as answers are few, and until the end of the last phase.
-TRIAL_SLACK, PROMOTING_SLACK = 0.25, 0.5
+# Parts of the allowed slack that all daemons together use during the trial, as answers
+# are few, and until the end of the last phase. The first is released evenly during
+# ``RELEASE_SHARE`` of the duration: if it is used at once, all answers are from the
+# first moments of the new servers.
+TRIAL_SLACK, PROMOTING_SLACK = 0.4, 0.5
+RELEASE_SHARE = 0.5
 # Part of the slack that the rounding of all daemons' shares may use. Each daemon rounds
 # its share up or down at random. The sum of their errors has a mean of 0 and a
 # deviation of at most half the square root of their number. If ``ROUNDING_DEVIATIONS``
@@ -73,7 +76,7 @@
 
 
 def compute_allowance(
-    share: VersionShare, limits: ShareLimits, entry_daemons: int
+    share: VersionShare, limits: ShareLimits, entry_daemons: int, now: float
 ) -> float:
     """Return how many requests this daemon may have sent to the version on trial.
 
@@ -84,7 +87,10 @@
     deviation = ROUNDING_DEVIATIONS * 0.5 * math.sqrt(daemons)
     surplus = deviation - ROUNDING_SLACK * limits.canary_slack
     is_promoting = share.rollout.state is RolloutState.PROMOTING
-    slack = (PROMOTING_SLACK if is_promoting else TRIAL_SLACK) * limits.canary_slack
+    release_s = RELEASE_SHARE * share.rollout.duration_s
+    released = min(1.0, max(0.0, now - share.learned_at) / release_s)
+    slack_share = PROMOTING_SLACK if is_promoting else TRIAL_SLACK * released
+    slack = slack_share * limits.canary_slack
     ratio = (1.0 if is_promoting else TRIAL_SHARE) * limits.canary_share
     start = share.offset + (slack - max(0.0, surplus)) / daemons
     return start + ratio * share.arrived
@@ -106,7 +112,8 @@
     return (
         entry_daemons is not None
         and is_trial_open(share, limits, silence_s, now)
-        and share.trial_sends + 1 <= compute_allowance(share, limits, entry_daemons)
+        and share.trial_sends + 1
+        <= compute_allowance(share, limits, entry_daemons, now)
     )
 
 
--- a/tests/control/test_version_judge.py
+++ b/tests/control/test_version_judge.py
@@ -35,6 +35,13 @@
         moments = [(20, 0, 2, 0)] * 8 + [(20, 0, 1, 1)]
         assert judge(ROLLOUT, build_cells(moments), 9.0).state is RolloutState.PROMOTING
 
+    def test_a_few_milliseconds_of_a_new_connection_are_no_reason(self):
+        # 2 ms and 8 ms; then 20 ms and 80 ms.
+        for usual, new, is_bad in ((4, 12, False), (17, 25, True)):
+            cells = [Cell(False, "r", 0, 0, {usual: 90})]
+            cells.append(Cell(True, "r", 0, 0, {usual: 5, new: 5}))
+            assert compare_versions(cells).bad == (5 if is_bad else 0)
+
     def test_routes_of_different_latency_are_not_mixed(self):
         old = [Cell(False, "a", 0, 0, {10: 90}), Cell(False, "b", 0, 0, {30: 90})]
         new = [Cell(True, "b", 0, 0, {30: 10})]
