Added bramleyctl rollout and its HTTP calls

Cause: only the platform's control listener took orders of rollouts. Change: operators order and read rollouts with bramleyctl rollout start and show, and with the same calls on the product's own HTTP listener; an order names the newest sequence that was read first, so all its attempts have one outcome.

--- a/src/bramleyrouter/commands/main.py
+++ b/src/bramleyrouter/commands/main.py
@@ -12,6 +12,7 @@
     control,
     explain,
     publish,
+    rollout,
     status,
 )
 from bramleyrouter.commands.exits import EPILOG
@@ -33,6 +34,7 @@
     publish.add_parser(subparsers)
     availability.add_parsers(subparsers)
     status.add_parser(subparsers)
+    rollout.add_parser(subparsers)
     control.add_parser(subparsers)
     explain.add_parser(subparsers)
     return parser
--- a/src/bramleyrouter/control/client.py
+++ b/src/bramleyrouter/control/client.py
@@ -99,7 +99,11 @@
         return reply if isinstance(reply, Err) else decode_rollout(reply.ok_value)
 
     return ControlAdmin(
-        _build_status(leader_client), add_member, remove_member, rollout
+        _build_status(leader_client),
+        add_member,
+        remove_member,
+        rollout,
+        build_read_rollouts(leader_client),
     )
 
 
--- a/src/bramleyrouter/control/interfaces.py
+++ b/src/bramleyrouter/control/interfaces.py
@@ -16,9 +16,11 @@
     PublishRoutes,
     SetAvailability,
     Settle,
+    StartRollout,
 )
 from bramleyrouter.dissemination.interfaces import Rollout
 from bramleyrouter.failures import Failure
+from bramleyrouter.fleet.rollout_records import VersionRollout
 from bramleyrouter.ids import MemberId, Revision
 
 # Operators' requests that carry an id. A route table has none, as its version
@@ -35,7 +37,8 @@
     """
 
     operate: Callable[
-        [Operation | PublishRoutes, float], Awaitable[Result[OperatorResult, Failure]]
+        [Operation | PublishRoutes | StartRollout, float],
+        Awaitable[Result[OperatorResult, Failure]],
     ]
     claim: Callable[[Claim, float], Awaitable[Result[ClaimResult, Failure]]]
     settle: Callable[[Settle, float], Awaitable[Result[None, Failure]]]
@@ -49,13 +52,17 @@
     address, and needs no majority. ``add_member`` and ``remove_member`` take a
     timeout in seconds and are safe to repeat; a member that is added without an
     id is identified by its address. ``rollout(timeout_s)`` returns the progress
-    of the newest revision as acknowledged to the leader.
+    of the newest revision as acknowledged to the leader, and
+    ``read_rollouts(timeout_s)`` the newest rollout of a version for each service.
     """
 
     status: Callable[[], Awaitable[tuple[tuple[str, Result[LogStatus, Failure]], ...]]]
     add_member: Callable[[Member, float], Awaitable[Result[None, Failure]]]
     remove_member: Callable[[MemberId, float], Awaitable[Result[None, Failure]]]
     rollout: Callable[[float], Awaitable[Result[Rollout, Failure]]]
+    read_rollouts: Callable[
+        [float], Awaitable[Result[tuple[VersionRollout, ...], Failure]]
+    ]
 
 
 class ConfigSource(NamedTuple):
--- a/src/bramleyrouter/edges/operators/formats.py
+++ b/src/bramleyrouter/edges/operators/formats.py
@@ -16,10 +16,17 @@
     ConfigState,
     Publish,
     SetAvailability,
+    StartRollout,
 )
 from bramleyrouter.control.replies import MemberChange, RemoveMember
 from bramleyrouter.dissemination.interfaces import Rollout
 from bramleyrouter.failures import Failure
+from bramleyrouter.fleet.records import VersionNumber
+from bramleyrouter.fleet.rollout_records import (
+    Duration,
+    RequiredName,
+    VersionRollout,
+)
 from bramleyrouter.ids import (
     DataCentre,
     MemberId,
@@ -48,6 +55,13 @@
     server_id: str | None = None
 
 
+class _RolloutBody(msgspec.Struct, forbid_unknown_fields=True):
+    service: RequiredName
+    version: RequiredName
+    duration_s: Duration
+    expected_sequence: VersionNumber = 0
+
+
 class _MemberBody(msgspec.Struct, forbid_unknown_fields=True):
     action: str
     member_id: str = ""
@@ -97,6 +111,35 @@
     )
 
 
+def decode_rollout_body(body: bytes) -> Result[StartRollout, Failure]:
+    """Decode the body of ``POST /v1/rollouts``; fail with ``INVALID_ROLLOUT``."""
+    try:
+        fields = msgspec.json.decode(body, type=_RolloutBody)
+    except DECODE_ERRORS as exc:
+        text = f"The order can't be read: {exc}."
+        return Err(Failure(Code.INVALID_ROLLOUT, text))
+    return Ok(
+        StartRollout(
+            fields.service,
+            fields.version,
+            fields.duration_s,
+            fields.expected_sequence,
+        )
+    )
+
+
+def build_version_rollout_fields(rollout: VersionRollout) -> dict[str, Any]:
+    """Return the fields of ``GET /v1/rollouts``."""
+    return {
+        "service": rollout.service,
+        "sequence": rollout.sequence,
+        "version": rollout.version,
+        "duration_s": rollout.duration_s,
+        "state": rollout.state.value,
+        "reason": rollout.reason,
+    }
+
+
 def decode_member_body(body: bytes) -> Result[MemberChange, Failure]:
     """Decode the body of ``POST /v1/control/members``."""
     decoded = _decode(body, _MemberBody)
--- a/src/bramleyrouter/edges/operators/handlers.py
+++ b/src/bramleyrouter/edges/operators/handlers.py
@@ -50,7 +50,7 @@
 
 
 def build_operator_endpoints(access: OperatorAccess, token: str) -> list[EndpointSpec]:
-    """Build the endpoints under ``/v1/config`` and ``/v1/control``.
+    """Build the endpoints under ``/v1/config``, ``/v1/control`` and ``/v1/rollouts``.
 
     Each of them checks for ``token``, the operators' token from the settings, before
     it reads the body.
@@ -67,11 +67,13 @@
             _build_availability_handler(access),
             MAX_SMALL_BODY_BYTES,
         ),
+        ("/v1/rollouts", _build_order_handler(access), MAX_SMALL_BODY_BYTES),
         ("/v1/control/members", _build_members_handler(access), MAX_SMALL_BODY_BYTES),
     )
     gets = (
         ("/v1/config", _build_config_handler(access)),
         ("/v1/config/status", _build_rollout_handler(access)),
+        ("/v1/rollouts", _build_version_rollout_handler(access)),
         ("/v1/control", _build_control_handler(access)),
     )
     return [
@@ -192,6 +194,40 @@
     return show_rollout
 
 
+def _build_order_handler(access: OperatorAccess) -> HandleRequest:
+    async def start_rollout(req: HTTPServerRequest, body: bytes) -> HttpReply:
+        decoded = formats.decode_rollout_body(body)
+        if isinstance(decoded, Err):
+            return build_failure_reply(decoded.err_value)
+        order = decoded.ok_value
+        logging.info("operators: %s.", order)
+        outcome = await access.client.operate(order, OPERATE_TIMEOUT_S)
+        if isinstance(outcome, Err):
+            return build_failure_reply(outcome.err_value)
+        result = outcome.ok_value
+        if result.failure is not None:
+            return build_failure_reply(result.failure)
+        return _build_success_reply(sequence=result.revision)
+
+    return start_rollout
+
+
+def _build_version_rollout_handler(access: OperatorAccess) -> HandleRequest:
+    async def show_version_rollout(req: HTTPServerRequest, body: bytes) -> HttpReply:
+        service = req.arguments.get("service", [b""])[0].decode("utf-8", "replace")
+        read = await access.admin.read_rollouts(READ_TIMEOUT_S)
+        if isinstance(read, Err):
+            return build_failure_reply(read.err_value)
+        for rollout in read.ok_value:
+            if rollout.service == service:
+                fields = formats.build_version_rollout_fields(rollout)
+                return _build_success_reply(**fields)
+        text = "The service has no rollout."
+        return build_failure_reply(Failure(Code.UNKNOWN_ROLLOUT, text))
+
+    return show_version_rollout
+
+
 async def _find_revision(
     access: OperatorAccess, text: bytes
 ) -> Result[Revision, Failure]:
--- a/tests/commands/test_bramleyctl.py
+++ b/tests/commands/test_bramleyctl.py
@@ -71,6 +71,23 @@
         assert '"anna" with request "r1" as revision 1' in seen.err
         assert '"typo" is not known' in seen.err
 
+    def test_rollouts_are_ordered_once_and_shown(self, token_file, capsys):
+        control = DirectControl()
+        start = ["rollout", "start", "a", "v2", "--duration", "12"]
+        codes = run(
+            control,
+            token_file,
+            ["rollout", "show", "a"],
+            start,
+            start,
+            ["rollout", "start", "a", "v3", "--duration", "12"],
+            ["rollout", "start", "a", "v2", "--duration", "-1"],
+            ["rollout", "show", "a"],
+        )
+        assert codes == [Exit.REFUSED, 0, 0, Exit.CONFLICT, Exit.REFUSED, 0]
+        assert control.state_machine.rollouts().sequence == 1
+        assert 'rollout 1 of "a" to "v2" within 12 s: active' in capsys.readouterr().out
+
     def test_wrong_token_is_unauthorized(self, tmp_path, manifest_file):
         path = tmp_path / "wrong"
         path.write_text("wrong")
--- a/tests/control/direct_access.py
+++ b/tests/control/direct_access.py
@@ -36,12 +36,15 @@
     def build_access(self):
         """Return the access for ``build_operator_endpoints``."""
         changes = self.add_member, self.remove_member
-        admin = ControlAdmin(self.status, *changes, self.rollout)
+        admin = ControlAdmin(self.status, *changes, self.rollout, self.read_rollouts)
         client = ControlClient(self.operate, None, None, self.read_config)
         return OperatorAccess(
             client, admin, ConfigView, lambda operation: operation.server_id is None
         )
 
+    async def read_rollouts(self, timeout_s):
+        return Ok(tuple(self.state_machine.rollouts().by_service.values()))
+
     def refuse(self):
         return Err(Failure(self.refusals.pop(0), "refused")) if self.refusals else None
 
--- a/tests/edges/operators/test_operator_routes.py
+++ b/tests/edges/operators/test_operator_routes.py
@@ -25,6 +25,7 @@
     "/v1/config": "GET",
     "/v1/config/status": "GET",
     "/v1/control": "GET",
+    "/v1/rollouts": "GET",
     "/v1/config/manifest": "POST",
     "/v1/config/availability": "POST",
     "/v1/control/members": "POST",
