Judged rollouts on the product's own control daemons too

Cause: these daemons accept orders through bramleyctl, but nothing ended a rollout there. Change: they start the same judgement; without reports of answers by version the rollout ends as rolled back, with the reason that there were too few answers.

--- a/src/bramleyrouter/daemons/wiring.py
+++ b/src/bramleyrouter/daemons/wiring.py
@@ -17,12 +17,18 @@
 from bramleyrouter.consensus.replicated_log import build_replicated_log
 from bramleyrouter.control.client import build_control_client
 from bramleyrouter.control.interfaces import ConfigSource
+from bramleyrouter.control.rollout_judging import start_rollout_judging
 from bramleyrouter.control.rollouts import serve_rollout
 from bramleyrouter.control.service import start_control_service
 from bramleyrouter.control.state_machine import build_control_state_machine
 from bramleyrouter.daemons.lifecycles import Daemon
 from bramleyrouter.daemons.operations import build_daemon_operator_endpoints
-from bramleyrouter.daemons.start_steps import RunStep, StartStep, run_once
+from bramleyrouter.daemons.start_steps import (
+    RunStep,
+    StartStep,
+    record_in_log,
+    run_once,
+)
 from bramleyrouter.dissemination.build import build_dissemination
 from bramleyrouter.edges.callers.handlers import build_caller_endpoints
 from bramleyrouter.edges.listeners import listen_http
@@ -173,15 +179,18 @@
         return opened
     replicated_log = opened.ok_value
     control = start_control_service(network, replicated_log, state_machine, clock)
+    judging = start_rollout_judging(
+        network, replicated_log, state_machine, clock, time.time, record_in_log
+    )
     return opened.map(
         lambda _: _assemble_control_daemon(
-            cfg, board, network, run_step, control, replicated_log, rng, memory
+            cfg, board, network, run_step, control, judging, replicated_log, rng, memory
         )
     )
 
 
 def _assemble_control_daemon(
-    cfg, board, network, run_step, control, replicated_log, rng, memory
+    cfg, board, network, run_step, control, judging, replicated_log, rng, memory
 ) -> Daemon:
     clock = asyncio.get_running_loop().time
     source: ConfigSource = control.source
@@ -218,6 +227,7 @@
             await stop()
         dissemination.stop()
         await membership.leave()
+        judging.close()
         await control.close()
         await replicated_log.close()
         await network.close()
