Let only current control daemons confirm an open rollout

Cause: an entry daemon that heard only a control daemon cut off from the leader counted it as contact, and went on with a version whose rollback it had missed. Change: while a rollout is open, keepalives of a control daemon whose log is current confirm it; an entry daemon stops trying the version 0.6 of rollbackMs after the last confirmation. State changes are logged once.

--- a/src/bramleyrouter/daemons/fleet_entry.py
+++ b/src/bramleyrouter/daemons/fleet_entry.py
@@ -148,7 +148,7 @@
         lambda: "stopping" in board.readiness.reasons,
         memory,
         ShareLimits(bounds.canary_share, bounds.canary_slack, bounds.rollback_s),
-        watcher.silence_s,
+        watcher.rollouts_age_s,
     )
     reporting = start_version_reporting(
         LeaderClient(network, list(cfg.seeds), loop.time, random.Random()),
--- a/src/bramleyrouter/fleet/messages.py
+++ b/src/bramleyrouter/fleet/messages.py
@@ -51,12 +51,19 @@
 class RolloutUpdate(Update, frozen=True, array_like=True):
     """Carry the newest rollout of each service too, if ``rollouts_revision`` is set.
 
-    That number orders the values of different control daemons. Without rollouts, an
-    update has the form that earlier releases read.
+    That number orders the values of different control daemons. While a rollout is open,
+    ``confirmed_revision`` says that the log of the control daemon was current, and that
+    this was the newest number. Without rollouts, an update has the form that earlier
+    releases read.
     """
 
     rollouts_revision: int | None = None
     rollouts: tuple[VersionRollout, ...] = ()
+    confirmed_revision: int | None = None
+
+
+# Fields that only ``RolloutUpdate`` has.
+ROLLOUT_FIELDS = frozenset({"rollouts_revision", "rollouts", "confirmed_revision"})
 
 
 class DecodedUpdate(NamedTuple):
@@ -103,7 +110,7 @@
     unchanged = _ENCODER.encode(_UpdateFrame(rows=encoded))
     for fields in all_fields:
         if fields:
-            form = _RolloutFrame if "rollouts_revision" in fields else _UpdateFrame
+            form = _UpdateFrame if ROLLOUT_FIELDS.isdisjoint(fields) else _RolloutFrame
             yield _ENCODER.encode(form(rows=encoded, **fields))
         else:
             yield unchanged
@@ -120,7 +127,10 @@
     except DECODE_ERRORS as exc:
         text = f"The fleet update can't be decoded: {exc}."
         return Err(Failure(Code.WIRE_MALFORMED, text))
-    form = Update if frame.rollouts_revision is None else RolloutUpdate
+    has_rollouts = not (
+        frame.rollouts_revision is None and frame.confirmed_revision is None
+    )
+    form = RolloutUpdate if has_rollouts else Update
     fields = {
         name: getattr(frame, name) for name in form.__struct_fields__ if name != "rows"
     }
--- a/src/bramleyrouter/fleet/mirrors.py
+++ b/src/bramleyrouter/fleet/mirrors.py
@@ -79,6 +79,10 @@
         changed_fields.pop("data_centres_out", None)
     if update.members_index is None:
         changed_fields.pop("members", None)
+    # A confirmation holds only for the moment at which it was sent.
+    changed_fields.pop("confirmed_revision", None)
+    if changed_fields.get("rollouts_revision") is None:
+        changed_fields.pop("rollouts", None)
     latest = mirror.latest
     if isinstance(update, RolloutUpdate) and not isinstance(latest, RolloutUpdate):
         known = {name: getattr(latest, name) for name in latest.__struct_fields__}
--- a/src/bramleyrouter/fleet/publishing.py
+++ b/src/bramleyrouter/fleet/publishing.py
@@ -22,6 +22,7 @@
 from bramleyrouter.fleet.messages import (
     DIRECT,
     MIRROR,
+    ROLLOUT_FIELDS,
     RolloutUpdate,
     Update,
     encode_update,
@@ -127,6 +128,7 @@
     relays_for_local: tuple[tuple[str, DataCentre], ...]
     rollouts_revision: int
     rollouts: tuple[VersionRollout, ...]
+    is_confirmed: bool
 
 
 class FleetPublisher(NamedTuple):
@@ -188,6 +190,8 @@
         _list_relays(by_data_centre, publisher.data_centre),
         rollouts.revision,
         tuple(rollouts.by_service.values()),
+        any(item.is_open for item in rollouts.by_service.values())
+        and publisher.log.is_current(),
     )
 
 
@@ -225,6 +229,8 @@
         subscriber.sent_rollouts = snapshot.rollouts_revision
         fields["rollouts_revision"] = snapshot.rollouts_revision
         fields["rollouts"] = snapshot.rollouts
+    if snapshot.is_confirmed:
+        fields["confirmed_revision"] = snapshot.rollouts_revision
     return fields
 
 
@@ -318,7 +324,7 @@
     snapshot = _take_snapshot(publisher)
     fields = _collect_changed_fields(publisher, subscriber, snapshot)
     fields["data_centre"] = publisher.data_centre
-    form = RolloutUpdate if "rollouts_revision" in fields else Update
+    form = Update if ROLLOUT_FIELDS.isdisjoint(fields) else RolloutUpdate
     subscriber.send(encode_update(form(rows=rows, is_full=True, **fields)))
 
 
--- a/src/bramleyrouter/fleet/watcher.py
+++ b/src/bramleyrouter/fleet/watcher.py
@@ -75,6 +75,9 @@
     times: StreamTimes
     on_rollouts: OnRollouts
     rollouts_revision: int = 0
+    # Loop time at which a control daemon whose log was current last named no newer
+    # rollouts than those that are applied.
+    rollouts_confirmed_at: float = 0.0
     view: FleetView = field(default_factory=FleetView)
     # Data centre of each control daemon that named it in an update.
     data_centres: dict[str, DataCentre] = field(default_factory=dict)
@@ -107,13 +110,15 @@
 
     ``entry_daemons()`` returns the number of entry daemons, at least 1, or none until a
     control daemon has reported it.
-    ``silence_s()`` returns the seconds since the last update of any control daemon.
+    ``silence_s()`` returns the seconds since the last update of any control daemon, and
+    ``rollouts_age_s()`` those since the state of an open rollout was confirmed.
     """
 
     state: WatcherState
     set_seeds: Callable[[tuple[str, ...]], None]
     entry_daemons: Callable[[], int | None]
     silence_s: Callable[[], float]
+    rollouts_age_s: Callable[[], float]
     close: Callable[[], None]
 
 
@@ -155,6 +160,9 @@
         _update_streams(state)
     if isinstance(update, RolloutUpdate) and update.rollouts_revision is not None:
         _apply_rollouts(state, source, update.rollouts_revision, update.rollouts)
+    if isinstance(update, RolloutUpdate) and update.confirmed_revision is not None:
+        if update.confirmed_revision <= state.rollouts_revision:
+            state.rollouts_confirmed_at = state.clock()
     if update.table_version is not None:
         _schedule_table_fetch(state, source, update.table_version)
 
@@ -169,6 +177,7 @@
     if revision <= state.rollouts_revision:
         return
     state.rollouts_revision = revision
+    state.rollouts_confirmed_at = state.clock()
     state.record("fleet", "rollouts", revision=revision, source=source)
     _notify(state.on_rollouts, revision, rollouts)
 
@@ -469,5 +478,6 @@
         set_seeds=set_seeds,
         entry_daemons=lambda: get_max_entry_daemon_count(state),
         silence_s=silence_s,
+        rollouts_age_s=lambda: clock() - state.rollouts_confirmed_at,
         close=lambda: _close(state),
     )
--- a/src/bramleyrouter/gateway/version_choice.py
+++ b/src/bramleyrouter/gateway/version_choice.py
@@ -45,8 +45,13 @@
         share = gateway.shares.get(rollout.service)
         if share is None or share.rollout.sequence != rollout.sequence:
             share = VersionShare(rollout, gateway.loop.time(), gateway.rng.random())
+            is_new = True
+        else:
+            is_new = share.rollout.state is not rollout.state
         share.rollout = rollout
         shares[rollout.service] = share
+        if not is_new:
+            continue
         gateway.record(
             "gateway",
             "rollout",
--- a/src/bramleyrouter/gateway/version_shares.py
+++ b/src/bramleyrouter/gateway/version_shares.py
@@ -21,6 +21,10 @@
 )
 from bramleyrouter.gateway.servers import TrackedServer
 
+# Part of ``rollback_s`` after which a rollout that is not confirmed is not tried any
+# more. The rest is for the judgement and for the age of what is confirmed: up to 1 s at
+# the control daemon and some tenths of a second on the way.
+CONFIRMED_SHARE = 0.6
 # Part of the allowed share that the trial uses before the last phase; the rest is for
 # that phase.
 TRIAL_SHARE = 0.9
@@ -105,9 +109,9 @@
 ) -> bool:
     """Return whether the next request may go to the version on trial.
 
-    It may not while the number of entry daemons is unknown, after ``silence_s`` seconds
-    without contact to a control daemon, as this one may have missed the verdict, and
-    after the time limit.
+    It may not while the number of entry daemons is unknown, after the time limit, and
+    if ``silence_s``, the time since the rollout was last confirmed, is so long that
+    this daemon may have missed the verdict.
     """
     return (
         entry_daemons is not None
@@ -123,7 +127,7 @@
     """Return whether a request that was assigned to the trial may still be sent."""
     return (
         share.rollout.is_open
-        and silence_s < limits.rollback_s
+        and silence_s < CONFIRMED_SHARE * limits.rollback_s
         and now - share.learned_at < share.rollout.duration_s
     )
 
--- a/tests/fleet/test_mirrors.py
+++ b/tests/fleet/test_mirrors.py
@@ -9,7 +9,7 @@
 from bramleyrouter.codes import Code
 from bramleyrouter.conf.fleet import StreamTimes
 from bramleyrouter.failures import Failure
-from bramleyrouter.fleet.messages import Update
+from bramleyrouter.fleet.messages import RolloutUpdate, Update
 from bramleyrouter.fleet.mirrors import (
     Mirror,
     Mirrors,
@@ -18,6 +18,7 @@
     forward_stream,
 )
 from bramleyrouter.fleet.registry import apply_announcement
+from bramleyrouter.fleet.rollout_records import VersionRollout
 from bramleyrouter.utils.tasks import BackgroundTasks
 from bramleyrouter.wire.kinds import MessageKind
 from tests.fleet.fleet_cluster import (
@@ -35,6 +36,9 @@
 STREAM_OPENED_S = 0.2
 
 
+ROLLOUT = VersionRollout(1, "s0", "v2", 9.0, 0)
+
+
 def now():
     return asyncio.get_running_loop().time()
 
@@ -298,3 +302,18 @@
         snapshot = build_snapshot(mirror, 2.0)
         assert [item.server_id for item in snapshot.rows] == ["s1"]
         assert snapshot.table_version is None
+
+
+class TestRollouts:
+    """Guard against rollouts that a forwarded or an older update replaces."""
+
+    def test_snapshot_holds_rollouts_but_no_confirmation(self):
+        # A confirmation of the past would hide that the control daemon is cut off.
+        mirror = Mirror(ADDRESSES[2], 0.0)
+        apply_update(mirror, Update(is_full=True), 0.0)
+        known = RolloutUpdate(rollouts_revision=4, rollouts=(ROLLOUT,))
+        for update in (known, RolloutUpdate(confirmed_revision=4)):
+            apply_update(mirror, update, 1.0)
+        assert build_snapshot(mirror, 2.0) == RolloutUpdate(
+            is_full=True, rollouts_revision=4, rollouts=(ROLLOUT,)
+        )
--- a/tests/fleet/test_publishing.py
+++ b/tests/fleet/test_publishing.py
@@ -5,8 +5,13 @@
 
 import pytest
 
-from bramleyrouter.control.version_rollouts import VersionRollouts
-from bramleyrouter.fleet.messages import decode_update
+from bramleyrouter.control.messages import EndRollout, StartRollout
+from bramleyrouter.control.version_rollouts import (
+    VersionRollouts,
+    end_rollout,
+    start_rollout,
+)
+from bramleyrouter.fleet.messages import Update, decode_update
 from bramleyrouter.fleet.publishing import (
     COUNT_STARTUP_DELAY_S,
     ENTRY_DAEMON_RETENTION_S,
@@ -15,7 +20,9 @@
     Subscriber,
     _send_updates,
 )
+from bramleyrouter.fleet.records import VersionedRow, drop_version
 from bramleyrouter.fleet.registry import ServerRegistry, apply_announcement
+from bramleyrouter.fleet.rollout_records import RolloutState
 from bramleyrouter.wire.network import Peer
 from tests.fleet.fleet_cluster import EntryDaemon, FleetCluster
 from tests.support.gateway_fakes import build_row
@@ -191,3 +198,42 @@
         assert sent == []
         self.run(publisher, now, COUNT_STARTUP_DELAY_S)
         assert sent == [1]
+
+
+class TestRollouts:
+    """Guard against a trial that goes on without the verdict, and against new bytes."""
+
+    def build(self, is_current):
+        sent = []
+        publisher = build_publisher(1, lambda at: sent.append)
+        rollouts = VersionRollouts()
+        publisher.state_machine.rollouts = lambda: rollouts
+        publisher.log.is_current = lambda: is_current
+        return publisher, rollouts, sent
+
+    def test_only_a_current_log_confirms_an_open_rollout(self):
+        for is_current in (False, True):
+            publisher, rollouts, sent = self.build(is_current)
+            start_rollout(rollouts, StartRollout("s0", "v2", 9.0), 0)
+            _send_updates(publisher, is_keepalive=True)
+            _send_updates(publisher, is_keepalive=True)
+            first, second = (decode_update(item).ok_value.update for item in sent)
+            assert first.rollouts == tuple(rollouts.by_service.values())
+            confirmed = getattr(second, "confirmed_revision", None)
+            assert confirmed == (1 if is_current else None)
+            end_rollout(rollouts, EndRollout("s0", 1, RolloutState.ROLLED_BACK))
+            _send_updates(publisher, is_keepalive=True)
+            _send_updates(publisher, is_keepalive=True)
+            assert decode_update(sent[-1]).ok_value.update == Update()
+
+    def test_versions_are_sent_only_for_services_with_a_rollout(self):
+        publisher, rollouts, sent = self.build(True)
+        row = VersionedRow("i", 1, 1, "s0", "10.0.0.1:1", "d0", 2, version="v2")
+        apply_announcement(publisher.registry, row, 100.0)
+        publisher.queued_rows["i"] = row
+        _send_updates(publisher)
+        plain = decode_update(sent[-1]).ok_value.update.rows
+        assert plain == (drop_version(row),)
+        start_rollout(rollouts, StartRollout("s0", "v2", 9.0), 0)
+        _send_updates(publisher)
+        assert decode_update(sent[-1]).ok_value.update.rows == (row,)
--- a/tests/fleet/test_watcher.py
+++ b/tests/fleet/test_watcher.py
@@ -2,12 +2,14 @@
 
 import asyncio
 
+import pytest
 from result import Ok
 
 from bramleyrouter.control.codecs import encode_command
 from bramleyrouter.control.messages import PublishRoutes
-from bramleyrouter.fleet.messages import Update, encode_update
-from bramleyrouter.fleet.watcher import FIRST_BACKOFF_S
+from bramleyrouter.fleet.messages import RolloutUpdate, Update, encode_update
+from bramleyrouter.fleet.rollout_records import RolloutState, VersionRollout
+from bramleyrouter.fleet.watcher import FIRST_BACKOFF_S, apply_update
 from bramleyrouter.ids import TableVersion
 from bramleyrouter.wire.kinds import MessageKind
 from tests.fleet.fleet_cluster import (
@@ -173,3 +175,34 @@
         await asyncio.sleep(1.0)
         assert entry.state.members_index == 4
         assert "control_lost" not in [event for event, _ in entry.events]
+
+
+class TestRollouts:
+    """Guard against an ended rollout that an older message opens again."""
+
+    @in_virtual_time
+    async def test_older_rollouts_never_override_newer_ones(self):
+        _, _, entry = await start_daemons()
+        state, seen = entry.watcher.state, []
+        state.on_rollouts = lambda revision, rollouts: seen.append(rollouts)
+        active = VersionRollout(1, "s0", "v2", 9.0, 0)
+        ended = VersionRollout(1, "s0", "v2", 9.0, 0, RolloutState.ROLLED_BACK)
+        for source, revision, rollout in zip(
+            ADDRESSES, (1, 2, 1), (active, ended, active), strict=False
+        ):
+            update = RolloutUpdate(rollouts_revision=revision, rollouts=(rollout,))
+            apply_update(state, source, update)
+        assert seen == [(active,), (ended,)]
+
+    @in_virtual_time
+    async def test_only_a_confirmation_of_known_rollouts_counts(self):
+        _, _, entry = await start_daemons()
+        state = entry.watcher.state
+        update = RolloutUpdate(rollouts_revision=2, rollouts=())
+        apply_update(state, ADDRESSES[0], update)
+        await asyncio.sleep(3.0)
+        for update in (Update(), RolloutUpdate(confirmed_revision=3)):
+            apply_update(state, ADDRESSES[0], update)
+            assert entry.watcher.rollouts_age_s() == pytest.approx(3.0)
+        apply_update(state, ADDRESSES[0], RolloutUpdate(confirmed_revision=2))
+        assert entry.watcher.rollouts_age_s() == 0.0
--- a/tests/mutation_list.py
+++ b/tests/mutation_list.py
@@ -302,7 +302,7 @@
     Mutation(
         "try a version without contact to a control daemon",
         "gateway/version_shares.py",
-        "and silence_s < limits.rollback_s",
+        "and silence_s < CONFIRMED_SHARE * limits.rollback_s",
         "and True",
         ("tests/gateway/test_version_shares.py",),
     ),
