--- a/src/bramleyrouter/conf/fleet.py
+++ b/src/bramleyrouter/conf/fleet.py
@@ -28,6 +28,10 @@
 
     In any ``quota_window_s``, a customer has at most ``rate * quota_window_s + burst``
     requests times 1 plus ``quota_excess``, plus ``quota_slack``.
+
+    A server version under trial receives at most ``canary_share`` of the requests of
+    its service plus ``canary_slack``, and nothing from ``rollback_s`` seconds after its
+    50th bad answer on.
     """
 
     drain_s: float = 3.0
@@ -44,6 +48,9 @@
     quota_window_s: float = 5.0
     quota_excess: float = 0.1
     quota_slack: float = 20.0
+    canary_share: float = 0.1
+    canary_slack: float = 50.0
+    rollback_s: float = 5.0
 
 
 # Share of the shortest bound after which a silent stream counts as dead; the rest is
--- a/src/bramleyrouter/daemons/fleet_control.py
+++ b/src/bramleyrouter/daemons/fleet_control.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import NamedTuple
@@ -19,12 +20,15 @@
 from bramleyrouter.consensus.replicated_log import build_replicated_log
 from bramleyrouter.control.client import (
     build_operate,
+    build_read_rollouts,
     build_read_routes,
 )
 from bramleyrouter.control.joining import JoinPolicy, maintain_log_membership
 from bramleyrouter.control.leader_client import LeaderClient
+from bramleyrouter.control.rollout_judging import start_rollout_judging
 from bramleyrouter.control.service import start_control_service
 from bramleyrouter.control.state_machine import build_control_state_machine
+from bramleyrouter.control.version_rollouts import get_sequence
 from bramleyrouter.daemons.fleet_common import CLUSTER_KEY, build_board
 from bramleyrouter.failures import Failure
 from bramleyrouter.fleet.control_peers import (
@@ -37,7 +41,7 @@
 from bramleyrouter.fleet.publishing import start_fleet_publisher
 from bramleyrouter.fleet.registry import ServerRegistry
 from bramleyrouter.gateway.tables import RouteTable
-from bramleyrouter.ids import DataCentre, Revision
+from bramleyrouter.ids import DataCentre, Revision, ServiceName
 from bramleyrouter.permits.issuing import Issuer, QuotaBounds
 from bramleyrouter.permits.server import (
     IssuerFacts,
@@ -72,6 +76,8 @@
     operate: Callable
     read_routes: Callable
     get_revision: Callable[[], Revision]
+    read_rollouts: Callable
+    get_rollout_sequence: Callable[[ServiceName], int]
     read_metrics: Callable[[], dict[str, float]]
     close: Callable
 
@@ -182,6 +188,14 @@
     departures = start_departures(
         network, registry, state_machine, leader_client, cfg.internal_address, clock
     )
+    judging = start_rollout_judging(
+        network,
+        replicated_log,
+        state_machine,
+        clock,
+        time.time,
+        lambda part, event, **fields: record(log, part, event, **fields),
+    )
     policy = JoinPolicy(
         cfg.internal_address,
         cfg.is_first_start,
@@ -229,6 +243,7 @@
 
     async def close() -> None:
         cancel_all(tasks)
+        judging.close()
         publisher.close()
         await control.close()
         await replicated_log.close()
@@ -244,15 +259,17 @@
         build_operate(leader_client),
         build_read_routes(leader_client),
         lambda: state_machine.config().revision,
+        build_read_rollouts(leader_client),
+        lambda service: get_sequence(state_machine.rollouts(), service),
         lambda: _read_control_metrics(
-            replicated_log, state_machine, registry, publisher, issuer
+            replicated_log, state_machine, registry, publisher, issuer, judging
         ),
         close,
     )
 
 
 def _read_control_metrics(
-    replicated_log, state_machine, registry, publisher, issuer
+    replicated_log, state_machine, registry, publisher, issuer, judging
 ) -> dict[str, float]:
     """Return the metric values of a control daemon by name."""
     status = replicated_log.status()
@@ -267,6 +284,7 @@
         "streams": float(publisher.count_subscribers()),
         "permits_issued": float(issuer.issued_count),
         "permits_refused": float(issuer.refused_count),
+        "open_rollouts": float(judging.count_open()),
     }
 
 
--- a/src/bramleyrouter/fleet/watcher.py
+++ b/src/bramleyrouter/fleet/watcher.py
@@ -18,7 +18,13 @@
 from bramleyrouter.conf.fleet import StreamTimes
 from bramleyrouter.control.codecs import decode_command
 from bramleyrouter.control.messages import PublishRoutes
-from bramleyrouter.fleet.messages import DIRECT, Update, decode_update
+from bramleyrouter.fleet.messages import (
+    DIRECT,
+    RolloutUpdate,
+    Update,
+    decode_update,
+)
+from bramleyrouter.fleet.rollout_records import OnRollouts, VersionRollout
 from bramleyrouter.fleet.views import FleetView, apply_rows, remove_source
 from bramleyrouter.ids import DataCentre, ServiceName, TableVersion
 from bramleyrouter.telemetry.events import RecordEvent
@@ -67,6 +73,11 @@
     on_relays: Callable[[set[tuple[str, DataCentre]]], None]
     on_contact: Callable[[DataCentre], None]
     times: StreamTimes
+    on_rollouts: OnRollouts
+    rollouts_revision: int = 0
+    # Loop time at which a control daemon whose log was current last named no newer
+    # rollouts than those that are applied.
+    rollouts_confirmed_at: float = 0.0
     view: FleetView = field(default_factory=FleetView)
     # Data centre of each control daemon that named it in an update.
     data_centres: dict[str, DataCentre] = field(default_factory=dict)
@@ -99,13 +110,15 @@
 
     ``entry_daemons()`` returns the number of entry daemons, at least 1, or none until a
     control daemon has reported it.
-    ``silence_s()`` returns the seconds since the last update of any control daemon.
+    ``silence_s()`` returns the seconds since the last update of any control daemon, and
+    ``rollouts_age_s()`` those since the state of an open rollout was confirmed.
     """
 
     state: WatcherState
     set_seeds: Callable[[tuple[str, ...]], None]
     entry_daemons: Callable[[], int | None]
     silence_s: Callable[[], float]
+    rollouts_age_s: Callable[[], float]
     close: Callable[[], None]
 
 
@@ -145,10 +158,30 @@
         state.members_index = update.members_index
         state.members = frozenset(update.members)
         _update_streams(state)
+    if isinstance(update, RolloutUpdate) and update.rollouts_revision is not None:
+        _apply_rollouts(state, source, update.rollouts_revision, update.rollouts)
+    if isinstance(update, RolloutUpdate) and update.confirmed_revision is not None:
+        if update.confirmed_revision <= state.rollouts_revision:
+            state.rollouts_confirmed_at = state.clock()
     if update.table_version is not None:
         _schedule_table_fetch(state, source, update.table_version)
 
 
+def _apply_rollouts(
+    state: WatcherState,
+    source: str,
+    revision: int,
+    rollouts: tuple[VersionRollout, ...],
+) -> None:
+    """Apply newer rollouts; ignore those of a control daemon that is behind."""
+    if revision <= state.rollouts_revision:
+        return
+    state.rollouts_revision = revision
+    state.rollouts_confirmed_at = state.clock()
+    state.record("fleet", "rollouts", revision=revision, source=source)
+    _notify(state.on_rollouts, revision, rollouts)
+
+
 def get_max_entry_daemon_count(state: WatcherState) -> int | None:
     """Return the largest total number of entry daemons in ``COUNT_WINDOW_S``.
 
@@ -416,6 +449,7 @@
     on_relays: Callable[[set[tuple[str, DataCentre]]], None],
     on_contact: Callable[[DataCentre], None],
     times: StreamTimes,
+    on_rollouts: OnRollouts = lambda revision, rollouts: None,
 ) -> FleetWatcher:
     """Return the watcher; it subscribes once ``set_seeds`` names control daemons."""
     state = WatcherState(
@@ -428,6 +462,7 @@
         on_relays,
         on_contact,
         times,
+        on_rollouts,
     )
     started_at = clock()
 
@@ -443,5 +478,6 @@
         set_seeds=set_seeds,
         entry_daemons=lambda: get_max_entry_daemon_count(state),
         silence_s=silence_s,
+        rollouts_age_s=lambda: clock() - state.rollouts_confirmed_at,
         close=lambda: _close(state),
     )
--- a/src/bramleyrouter/gateway/latencies.py
+++ b/src/bramleyrouter/gateway/latencies.py
@@ -32,6 +32,7 @@
     hedge_quantile_s: float = 0.0
     median_s: float = 0.0
     reply_quantile_s: float = 0.0
+    route: str = ""
 
 
 def add_sample(window: LatencyWindow, latency_s: float) -> None:
--- a/src/bramleyrouter/platform/settings.py
+++ b/src/bramleyrouter/platform/settings.py
@@ -60,6 +60,9 @@
     quota_window_s: float = 5
     quota_excess: float = 0.1
     quota_slack: float = 20
+    canary_share: float = 0.1
+    canary_slack: float = 50
+    rollback_ms: float = 5000
 
 
 class _SettingsFile(msgspec.Struct, rename="camel"):
@@ -154,5 +157,8 @@
             quota_window_s=file.bounds.quota_window_s,
             quota_excess=file.bounds.quota_excess,
             quota_slack=file.bounds.quota_slack,
+            canary_share=file.bounds.canary_share,
+            canary_slack=file.bounds.canary_slack,
+            rollback_s=file.bounds.rollback_ms / MS_PER_SECOND,
         ),
     )
--- a/src/bramleyrouter/wire/kinds.py
+++ b/src/bramleyrouter/wire/kinds.py
@@ -49,3 +49,6 @@
 
     # Permits of customers, requested by entry daemons.
     ACQUIRE_PERMITS = 96
+    # Canary rollouts.
+    REPORT_VERSIONS = 97
+    READ_ROLLOUTS = 98
--- a/tests/boundaries/test_odd_input.py
+++ b/tests/boundaries/test_odd_input.py
@@ -49,6 +49,8 @@
     ServerPhase,
     check_row,
 )
+from bramleyrouter.fleet.rollout_records import decode_rollouts
+from bramleyrouter.fleet.version_reports import decode_reports
 from bramleyrouter.fleet.views import FleetView, apply_rows
 from bramleyrouter.gateway.delegation import decode_grant, decode_query, decode_reply
 from bramleyrouter.homes import codecs as home_codecs
@@ -56,6 +58,7 @@
 from bramleyrouter.permits.messages import decode_reply as decode_permit_reply
 from bramleyrouter.permits.messages import decode_request as decode_permit_request
 from bramleyrouter.platform.announcements import decode_heartbeat, decode_withdrawal
+from bramleyrouter.platform.rollout_orders import decode_order
 from bramleyrouter.platform.route_documents import decode_route_table
 from bramleyrouter.platform.settings import read_settings
 from bramleyrouter.standins.announcers import decode_reply as decode_announcement_reply
@@ -77,6 +80,9 @@
     "platform/route_documents.py": [decode_route_table],
     "fleet/messages.py": [decode_update],
     "fleet/departures.py": [decode_found_server],
+    "fleet/rollout_records.py": [decode_rollouts],
+    "fleet/version_reports.py": [decode_reports],
+    "platform/rollout_orders.py": [decode_order],
     "gateway/delegation.py": [decode_query, decode_reply, decode_grant],
     "permits/messages.py": [decode_permit_request, decode_permit_reply],
     "wire/envelopes.py": [decode_envelope],
