Kept connections whose request is being read when an entry daemon stops

Change: a connection counts as idle only if its stream waits for a head of which nothing has arrived.

--- a/src/bramleyrouter/platform/callers.py
+++ b/src/bramleyrouter/platform/callers.py
@@ -472,7 +472,9 @@
             conn.stream.refuse(RefusalReason.STOPPING)
             continue
         # A stream that its caller has closed has no socket.
-        if conn.stream.closed() or not peek(conn.stream.socket):
+        if conn.stream.closed() or (
+            conn.stream.is_between_requests() and not peek(conn.stream.socket)
+        ):
             conn.stream.close()
     # Requests that have arrived and were not read yet are read and answered.
     await asyncio.sleep(READ_ARRIVED_S)
--- a/src/bramleyrouter/utils/guarded_http.py
+++ b/src/bramleyrouter/utils/guarded_http.py
@@ -310,6 +310,17 @@
         """Return whether a part of a request waits for a turn."""
         return self._waiting_future is not None
 
+    def is_between_requests(self) -> bool:
+        """Return whether nothing of the next request has been read.
+
+        Otherwise its head may be complete, but not passed on to the delegate yet.
+        """
+        return (
+            self._is_reading_head
+            and self._read_future is not None
+            and not self._read_buffer_size
+        )
+
     def _take_turn(self) -> None:
         self._waiting_future, proceed = None, self._proceed
         self._proceed = None
--- a/tests/platform/test_callers.py
+++ b/tests/platform/test_callers.py
@@ -27,6 +27,9 @@
 )
 
 
+SERVER_REPLY = ServerReply(ExchangeOutcome.ANSWERED, 200, (), b"x", "3e1b")
+
+
 class Handler:
     """Record requests; reply at once if ``reply`` is set."""
 
@@ -281,6 +284,24 @@
 
         run(scenario)
 
+    @pytest.mark.parametrize("iterations", range(8))
+    def test_a_request_that_is_being_read_is_answered(self, iterations):
+        """The head has left the socket, but the request is not known as busy yet."""
+
+        async def scenario(handler, listener, reader, writer):
+            await wait_until(lambda: listener.state.connections)
+            handler.reply = GatewayReply(ReplyKind.SERVER, server=SERVER_REPLY)
+            # Written at once, so that the listener reads it in the next iteration.
+            writer.write((HEAD.format(method="GET") + "\r\n").encode())
+            for _ in range(iterations):
+                await asyncio.sleep(0)
+            stopping = asyncio.ensure_future(stop_listening(listener, 2.0))
+            status, _, _ = await read_reply(reader)
+            await stopping
+            return status
+
+        assert run(scenario) == 200
+
     def test_a_caller_that_has_disconnected_does_not_end_the_stop(self):
         """Guard against requests that are cut off because the stop fails."""
 
