--- a/src/bramleyrouter/permits/start_reserves.py
+++ b/src/bramleyrouter/permits/start_reserves.py
@@ -37,10 +37,14 @@
     fs.remove(RESERVE_FILE)
     # If the removal were lost with the power, the next run would have the reserve too.
     fs.sync_folder()
+    return decode_members(data)
+
+
+def decode_members(data: bytes) -> frozenset[str] | None:
+    """Decode the members, or return none if the process ended while it wrote them."""
     try:
         return msgspec.json.decode(data, type=frozenset[str])
     except DECODE_ERRORS:
-        # The process ended while it wrote the file.
         return None
 
 
--- a/tests/boundaries/test_odd_input.py
+++ b/tests/boundaries/test_odd_input.py
@@ -57,6 +57,7 @@
 from bramleyrouter.membership import messages as membership_messages
 from bramleyrouter.permits.messages import decode_reply as decode_permit_reply
 from bramleyrouter.permits.messages import decode_request as decode_permit_request
+from bramleyrouter.permits.start_reserves import decode_members
 from bramleyrouter.platform.announcements import decode_heartbeat, decode_withdrawal
 from bramleyrouter.platform.rollout_orders import decode_order
 from bramleyrouter.platform.route_documents import decode_route_table
@@ -84,6 +85,7 @@
     "fleet/version_reports.py": [decode_reports],
     "platform/rollout_orders.py": [decode_order],
     "gateway/delegation.py": [decode_query, decode_reply, decode_grant],
+    "permits/start_reserves.py": [decode_members],
     "permits/messages.py": [decode_permit_request, decode_permit_reply],
     "wire/envelopes.py": [decode_envelope],
     "homes/codecs.py": [
