Let less urgent gathers use the reserved hedges at their last moment

Change: the reserve holds until the last moment at which a hedge is still useful, if the latencies are known.

--- a/src/bramleyrouter/gateway/gather_runs.py
+++ b/src/bramleyrouter/gateway/gather_runs.py
@@ -154,6 +154,8 @@
     # Delay of the next check for stragglers, in seconds from the arrival; none after
     # the last one.
     next_hedge_check_s: float | None = None
+    # Whether a hedge that is not sent now would be too late.
+    is_last_hedge_check: bool = False
     # Number of hedges that were postponed because the allowance was scarce.
     postponed_hedges: int = 0
     hedges: int = 0
--- a/src/bramleyrouter/gateway/hedge_timing.py
+++ b/src/bramleyrouter/gateway/hedge_timing.py
@@ -9,8 +9,9 @@
 later, up to the last moment at which a second server still replies in the useful time:
 until then, many first servers have replied. Routes that share a service with a more
 urgent route leave it a part of the allowance, because they have more time left to wait
-for the first server. The functions perform no I/O, and all times are in seconds since
-the arrival of the request.
+for the first server. At their last moment they may use that part too: a gather that
+then lacks a few shards ends late as a whole. The functions perform no I/O, and all
+times are in seconds since the arrival of the request.
 """
 
 from collections.abc import Iterable
@@ -43,10 +44,14 @@
 
 
 class HedgeTiming(NamedTuple):
-    """Hold the earliest and the latest useful delay of a hedge, in seconds."""
+    """Hold the earliest and the latest useful delay of a hedge, in seconds.
+
+    ``is_known`` is false if the latencies of the route are not known yet.
+    """
 
     earliest_s: float
     latest_s: float
+    is_known: bool = True
 
 
 class HedgeAllowance(NamedTuple):
@@ -67,7 +72,7 @@
     """
     earliest_s = compute_hedge_delay(window, objective_s)
     if len(window.samples) < MIN_SAMPLES:
-        return HedgeTiming(earliest_s, earliest_s)
+        return HedgeTiming(earliest_s, earliest_s, is_known=False)
     return HedgeTiming(earliest_s, max(earliest_s, useful_s - window.reply_quantile_s))
 
 
@@ -98,6 +103,11 @@
     return waited_s >= delay_s - EPSILON_S
 
 
+def is_last_moment(timing: HedgeTiming, waited_s: float) -> bool:
+    """Return whether a hedge that is not sent now would be too late."""
+    return timing.is_known and waited_s >= timing.latest_s - EPSILON_S
+
+
 def find_next_check(
     timing: HedgeTiming, last_check_s: float, is_postponed: bool
 ) -> float | None:
--- a/src/bramleyrouter/gateway/shard_attempts.py
+++ b/src/bramleyrouter/gateway/shard_attempts.py
@@ -30,7 +30,11 @@
     ShardRun,
     has_open_shard,
 )
-from bramleyrouter.gateway.hedge_timing import HedgeTiming, is_hedge_due
+from bramleyrouter.gateway.hedge_timing import (
+    HedgeTiming,
+    is_hedge_due,
+    is_last_moment,
+)
 from bramleyrouter.gateway.merging import drop_useless_records
 from bramleyrouter.gateway.servers import (
     ChoiceContext,
@@ -92,7 +96,7 @@
     if server is None or remaining_s < MIN_ATTEMPT_S:
         return False
     is_hedge = purpose is AttemptPurpose.HEDGE
-    reserved_share = get_reserved_share(gateway, run.route, shard.service)
+    reserved_share = _get_reserved_share(run, shard)
     if is_extra and not try_consume_extra_send(
         gateway.budget, shard.service, is_hedge, reserved_share
     ):
@@ -207,12 +211,20 @@
         shard.is_missing = not shard.is_delegated
 
 
+def _get_reserved_share(run: GatherRun, shard: ShardRun) -> float:
+    """Return the share of the hedges that the gather leaves to more urgent routes."""
+    if run.is_last_hedge_check:
+        return 0.0
+    return get_reserved_share(run.gateway, run.route, shard.service)
+
+
 def send_hedges(run: GatherRun, timing: HedgeTiming, waited_s: float) -> int:
     """Send the hedges that are due for shards that still wait for their only attempt.
 
     Return the number of hedges that are postponed because the allowance is scarce.
     """
     postponed = 0
+    run.is_last_hedge_check = is_last_moment(timing, waited_s)
     for shard in run.shards:
         is_straggler = shard.is_open and len(shard.pending) == 1
         if not is_straggler:
@@ -250,7 +262,7 @@
         return False
     if shard.grant is not GrantState.NOT_REQUESTED:
         return shard.grant is GrantState.REQUESTED
-    reserved_share = get_reserved_share(run.gateway, run.route, shard.service)
+    reserved_share = _get_reserved_share(run, shard)
     if (
         run.requesting_daemon.request_attempts is None
         or shard.attempt_count >= MAX_ATTEMPTS_PER_SHARD
--- a/tests/gateway/test_hedge_timing.py
+++ b/tests/gateway/test_hedge_timing.py
@@ -58,12 +58,14 @@
 class TestTiming:
     def test_the_latest_hedge_still_leaves_time_for_a_reply(self):
         timing = compute_hedge_timing(fill_window(0.02), 0.096, 0.075)
-        assert timing == pytest.approx((0.026, 0.055))
+        assert timing[:2] == pytest.approx((0.026, 0.055))
+        assert timing.is_known
 
     def test_without_latencies_or_time_to_spare_a_hedge_is_early(self):
         for window in (LatencyWindow(), fill_window(0.07)):
             timing = compute_hedge_timing(window, 0.096, 0.075)
             assert timing.latest_s == timing.earliest_s
+            assert timing.is_known == bool(window.samples)
 
     def test_a_scarcer_allowance_delays_the_hedge(self):
         def find_delay(remaining):
@@ -136,6 +138,34 @@
         assert urgent >= 3
 
 
+class TestLastMoment:
+    """Guard against gathers that end late although the allowance was not exhausted."""
+
+    def test_a_less_urgent_gather_may_use_the_reserve_at_its_last_moment(self):
+        async def scenario(samples):
+            routes = [
+                build_gather_route(1, name="u", prefix="/u/", priority=0),
+                build_gather_route(
+                    1, name="l", prefix="/l/", priority=1, objective_s=0.349
+                ),
+            ]
+            rows = [build_row(name, "s0") for name in "ab"]
+            harness = build_harness(routes, rows, extra=ExtraLimits(0.0, 3.0, 10.0))
+            for at in range(samples):
+                await harness.send_request(build_request(f"/l/{at}"))
+            harness.servers.behaviours |= {"a": answer_after(0.5)}
+            harness.servers.behaviours |= {"b": answer_after(0.5)}
+            before = len(harness.servers.arrivals)
+            await harness.send_request(build_request("/l/x"))
+            hedges = harness.servers.arrivals[before + 1 :]
+            return [item.at - harness.servers.arrivals[before].at for item in hedges]
+
+        # The reserve is left to others while the last moment is not known.
+        assert run_virtual(scenario(0)) == []
+        (delay_s,) = run_virtual(scenario(60))
+        assert 0.25 < delay_s < 0.349
+
+
 class TestRelays:
     @pytest.mark.parametrize("priority, wanted", [(0, 2), (1, 0)])
     def test_a_relay_leaves_the_reserved_share_by_its_own_table(self, priority, wanted):
