--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -154,6 +154,7 @@
         limits.own_data_centre,
         gateway.get_data_centres_out(),
         interval_s,
+        limits.own_address,
     )
 
 
--- a/src/bramleyrouter/gateway/servers.py
+++ b/src/bramleyrouter/gateway/servers.py
@@ -87,13 +87,15 @@
     """Hold what a choice depends on besides the servers.
 
     ``cold_interval_s`` is the time between two requests of this entry daemon to a cold
-    server; it is 0 if the service declares no limit.
+    server; it is 0 if the service declares no limit. ``own_address`` makes the choice
+    between similar servers differ from that of other entry daemons.
     """
 
     now: float
     own_data_centre: DataCentre
     data_centres_out: Collection[DataCentre]
     cold_interval_s: float
+    own_address: str = ""
 
 
 @dataclass
