Chose servers by lasting measurements and an order of each daemon's own

All entry daemons ranked the servers of a service alike, followed single replies that pauses had delayed, and avoided a server for good after one refusal, since only a reply of the same server lowered its share of failures. The decision is now in gateway/server_choice.py: a slow average rates a server unless it is far slower than others, failures are forgotten with time, similar servers have an order by daemon in proportion to their slots, and the penalty of other data centres grows with the slots of the own one. Sends are counted in bramley_gateway_sends, and a remote choice beside a usable local server is logged.

--- a/src/bramleyrouter/gateway/attempts.py
+++ b/src/bramleyrouter/gateway/attempts.py
@@ -1,5 +1,6 @@
 """Send one request to one server once a connection to it is free."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -10,7 +11,11 @@
     ExchangeOutcome,
     ServerReply,
 )
-from bramleyrouter.gateway.gateways import Gateway, mark_data_centre_reachable
+from bramleyrouter.gateway.gateways import (
+    Gateway,
+    get_tracked_servers,
+    mark_data_centre_reachable,
+)
 from bramleyrouter.gateway.latencies import LatencyWindow, add_sample
 from bramleyrouter.gateway.queues import (
     QueuedRequest,
@@ -24,6 +29,7 @@
 from bramleyrouter.gateway.servers import (
     ChoiceContext,
     TrackedServer,
+    explain_remote_choice,
     is_usable,
     record_cancelled,
     record_reply,
@@ -90,6 +96,7 @@
     If ``is_extra`` is set, the caller has consumed an extra send of the budget. It ends
     with this attempt, or with one of its ``siblings`` that ends later.
     """
+    _note_choice(gateway, server, context, request)
     record_sent(server, context)
     attempt = Attempt(
         gateway, server, request, expires_at, window, on_end, siblings, is_extra
@@ -106,6 +113,33 @@
     return attempt
 
 
+def _note_choice(
+    gateway: Gateway,
+    server: TrackedServer,
+    context: ChoiceContext,
+    request: CallerRequest,
+) -> None:
+    """Count the choice, and log why a remote server was preferred to a local one."""
+    if server.row.data_centre == context.own_data_centre:
+        gateway.send_counts["local"] += 1
+        return
+    gateway.send_counts["remote"] += 1
+    servers = get_tracked_servers(gateway, server.row.service)
+    reason = explain_remote_choice(servers, server, context)
+    if reason is not None:
+        gateway.record_rate_limited(
+            "gateway",
+            "remote_server_chosen",
+            id=request.request_id,
+            service=server.row.service,
+            server=server.row.server_id,
+            cost=round(reason.cost, 2),
+            local_server=reason.local_server,
+            local_cost=round(reason.local_cost, 2),
+            age_s=round(reason.age_s, 1) if reason.age_s < math.inf else None,
+        )
+
+
 def _send_now(attempt: Attempt) -> None:
     """Send the request on a free connection."""
     gateway, server = attempt.gateway, attempt.server
@@ -166,6 +200,8 @@
     now = gateway.loop.time()
     latency_s = now - attempt.sent_at
     record_reply(server, reply, latency_s, attempt.window.median_s, now)
+    if reply.outcome is ExchangeOutcome.REFUSED:
+        gateway.send_counts["refused"] += 1
     if reply.is_leaving or reply.retry_after_s:
         _record_backoff(attempt, reply)
         abandon_waiting(server.queue)
--- a/src/bramleyrouter/gateway/build.py
+++ b/src/bramleyrouter/gateway/build.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
+from functools import partial
 from typing import NamedTuple
 
 from bramleyrouter.fleet.records import ServerRow
@@ -37,6 +38,7 @@
 )
 from bramleyrouter.gateway.reply_times import MIN_NETWORK_S, estimate_lag
 from bramleyrouter.gateway.rotation import Rotation, record_readiness_probe
+from bramleyrouter.gateway.server_choice import ComputeOrder, compute_own_order
 from bramleyrouter.gateway.servers import (
     BackedOffServer,
     list_backed_off,
@@ -79,6 +81,7 @@
     record_readiness_probe: Callable[[bool], None]
     in_flight: Callable[[], int]
     list_backed_off: Callable[[], list[BackedOffServer]]
+    get_send_counts: Callable[[], Mapping[str, int]]
     estimate_lag: Callable[[], float]
     has_table: Callable[[], bool]
 
@@ -98,10 +101,13 @@
     send_grant: SendGrant,
     is_stopping: Callable[[], bool],
     memory: ByteBudget | None = None,
+    compute_order: ComputeOrder | None = None,
 ) -> GatewayHandle:
     """Build the gateway on an event loop.
 
     Without ``memory``, the replies that the gateway keeps have a budget of their own.
+    Without ``compute_order``, the order of similar servers follows from the daemon's
+    address.
     """
     gateway = Gateway(
         limits,
@@ -125,6 +131,7 @@
         open_stream,
         send_grant,
         memory=memory or ByteBudget(),
+        compute_order=compute_order or partial(compute_own_order, limits.own_address),
     )
 
     def set_table(table: RouteTable) -> None:
@@ -154,6 +161,7 @@
         ),
         in_flight=lambda: gateway.in_flight,
         list_backed_off=lambda: list_backed_off(gateway.servers, loop.time()),
+        get_send_counts=lambda: gateway.send_counts,
         estimate_lag=lambda: estimate_lag(gateway.lag, loop.time()),
         has_table=lambda: gateway.index is not None,
     )
--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
@@ -24,6 +25,7 @@
 )
 from bramleyrouter.gateway.reply_times import LoopLag
 from bramleyrouter.gateway.rotation import Rotation, compute_time_to_leave_rotation
+from bramleyrouter.gateway.server_choice import ComputeOrder, keep_listed_order
 from bramleyrouter.gateway.servers import (
     ChoiceContext,
     TrackedServer,
@@ -115,6 +117,9 @@
     relayed_gathers: dict[int, "GatherRun"] = field(default_factory=dict)
     # Bounds the replies that are kept while other attempts of their requests run.
     memory: ByteBudget = field(default_factory=ByteBudget)
+    compute_order: ComputeOrder = keep_listed_order
+    # Attempts by where they were sent, and those that a full server refused.
+    send_counts: Counter[str] = field(default_factory=Counter)
 
 
 def mark_data_centre_reachable(gateway: Gateway, data_centre: DataCentre) -> None:
@@ -154,7 +159,7 @@
         limits.own_data_centre,
         gateway.get_data_centres_out(),
         interval_s,
-        limits.own_address,
+        gateway.compute_order,
     )
 
 
--- a/src/bramleyrouter/gateway/servers.py
+++ b/src/bramleyrouter/gateway/servers.py
@@ -4,6 +4,7 @@
 parameter, and a choice depends on nothing else.
 """
 
+import math
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -11,13 +12,24 @@
 from bramleyrouter.fleet.records import ServerPhase, ServerRow
 from bramleyrouter.gateway.exchanges import ExchangeOutcome, ServerReply
 from bramleyrouter.gateway.queues import ServerQueue
+from bramleyrouter.gateway.server_choice import (
+    Candidate,
+    ComputeOrder,
+    choose_candidate,
+    compute_cost,
+    decay,
+    keep_listed_order,
+)
 from bramleyrouter.ids import DataCentre, ServerId, ServerIncarnation, ServiceName
 
-# Weight of a new sample in the moving averages.
+# Weight of a new sample in the fast moving averages, and in the slow one.
 SAMPLE_WEIGHT = 0.3
+LASTING_SAMPLE_WEIGHT = 0.1
 # Time in seconds in which an average without new samples decays half of the way to that
 # of an ordinary server, so that a server that was slow is tried again.
 SLOWNESS_HALF_LIFE_S = 4.0
+LASTING_HALF_LIFE_S = 30.0
+FAILURES_HALF_LIFE_S = 10.0
 # Upper bound of one sample, so that the average recovers soon from one long pause.
 MAX_SLOWNESS_SAMPLE = 6.0
 # Number of consecutive failures after which a server is suspected, and the duration in
@@ -28,10 +40,6 @@
 MAX_SUSPECT_S = 4.0
 # Time in seconds during which a server that refused for lack of capacity is avoided.
 FULL_BACKOFF_S = 0.05
-# Cost added to a server in another data centre, in units of an ordinary server's
-# latency: a local server may be this much slower before a remote one is chosen, because
-# traffic between data centres is expensive.
-REMOTE_PENALTY = 2.5
 # Ranks of servers; a higher rank is chosen only if there is no server of a lower one.
 # Rank 0 is a good server, rank 1 a cold, full or silent one.
 SUSPECT_RANK = 2
@@ -63,15 +71,20 @@
     """Hold the announced row of one server and what this daemon measured of it.
 
     ``slowness`` is a moving average of its latency as a multiple of the route's median,
-    so that requests of different lengths can be compared. ``failed_share`` is the
-    moving average of failures. ``in_flight`` includes the requests that still wait for
-    a connection. Times are loop times in seconds.
+    so that requests of different lengths can be compared. ``lasting_slowness`` is the
+    same with a longer memory. ``failed_share`` is the moving average of failures.
+    ``in_flight`` includes the requests that still wait for a connection. ``own_order``
+    is the server's position in this daemon's order, 0 until it is needed. Times are
+    loop times in seconds.
     """
 
     row: ServerRow
     slowness: float = 1.0
+    lasting_slowness: float = 1.0
     slowness_at: float = 0.0
     failed_share: float = 0.0
+    failed_share_at: float = 0.0
+    own_order: float = 0.0
     in_flight: int = 0
     consecutive_failures: int = 0
     suspect_until: float = 0.0
@@ -87,15 +100,15 @@
     """Hold what a choice depends on besides the servers.
 
     ``cold_interval_s`` is the time between two requests of this entry daemon to a cold
-    server; it is 0 if the service declares no limit. ``own_address`` makes the choice
-    between similar servers differ from that of other entry daemons.
+    server; it is 0 if the service declares no limit. ``compute_order`` returns the
+    position of a server in this daemon's own order.
     """
 
     now: float
     own_data_centre: DataCentre
     data_centres_out: Collection[DataCentre]
     cold_interval_s: float
-    own_address: str = ""
+    compute_order: ComputeOrder = keep_listed_order
 
 
 @dataclass
@@ -185,19 +198,29 @@
     return 1.0 / allowed if allowed > 0 else float("inf")
 
 
-def estimate_slowness(server: TrackedServer, now: float) -> float:
-    """Return the moving average, decayed towards 1 by its age."""
-    age = max(0.0, now - server.slowness_at)
-    return 1.0 + (server.slowness - 1.0) * 0.5 ** (age / SLOWNESS_HALF_LIFE_S)
+def _estimate_failed_share(server: TrackedServer, now: float) -> float:
+    age_s = now - server.failed_share_at
+    return decay(server.failed_share, 0.0, age_s, FAILURES_HALF_LIFE_S)
 
 
-def _compute_cost(server: TrackedServer, context: ChoiceContext) -> float:
-    load_factor = 1.0 + server.in_flight / max(1, server.row.slots)
-    failure_factor = 1.0 + 4.0 * server.failed_share
-    cost = estimate_slowness(server, context.now) * load_factor * failure_factor
-    if server.row.data_centre != context.own_data_centre:
-        cost += REMOTE_PENALTY
-    return cost
+def _build_candidate(
+    server: TrackedServer, position: int, rank: int, context: ChoiceContext
+) -> Candidate:
+    now, row = context.now, server.row
+    age_s = now - server.slowness_at
+    if not server.own_order:
+        server.own_order = context.compute_order(row.server_id)
+    cost = compute_cost(
+        decay(server.lasting_slowness, 1.0, age_s, LASTING_HALF_LIFE_S),
+        decay(server.slowness, 1.0, age_s, SLOWNESS_HALF_LIFE_S),
+        server.in_flight,
+        row.slots,
+        _estimate_failed_share(server, now),
+    )
+    is_local = row.data_centre == context.own_data_centre
+    return Candidate(
+        position, rank, cost, server.own_order, row.slots, is_local, row.data_centre
+    )
 
 
 def is_usable(
@@ -330,18 +353,55 @@
     max_rank: int = COLD_RANK,
 ) -> TrackedServer | None:
     """Return the best server that was not tried yet, or none."""
-    best: TrackedServer | None = None
-    best_key: tuple[int, float] | None = None
+    left: list[TrackedServer] = []
+    candidates: list[Candidate] = []
     for server in servers:
         if server.row.server_id in tried:
             continue
         rank = _compute_rank(server, context)
-        if rank is None or rank > max_rank:
-            continue
-        key = (rank, _compute_cost(server, context))
-        if best_key is None or key < best_key:
-            best, best_key = server, key
-    return best
+        if rank is not None and rank <= max_rank:
+            candidates.append(_build_candidate(server, len(left), rank, context))
+            left.append(server)
+    chosen = choose_candidate(candidates)
+    return None if chosen is None else left[chosen.position]
+
+
+class RemoteChoice(NamedTuple):
+    """State why a server of another data centre was chosen, for the log.
+
+    Costs are in units of an ordinary server's latency. ``local_cost`` is that of the
+    cheapest local server, and ``age_s`` the age of its latest measurement in seconds,
+    infinite if it was never measured.
+    """
+
+    cost: float
+    local_cost: float
+    local_server: ServerId
+    age_s: float
+
+
+def explain_remote_choice(
+    servers: Iterable[TrackedServer], chosen: TrackedServer, context: ChoiceContext
+) -> RemoteChoice | None:
+    """Return why ``chosen`` was preferred to the cheapest usable local server.
+
+    It is none if ``chosen`` is local or no local server is usable.
+    """
+    own, now = context.own_data_centre, context.now
+    if chosen.row.data_centre == own:
+        return None
+    costs = [
+        (_build_candidate(server, 0, 0, context).cost, server.row.server_id, server)
+        for server in servers
+        if server.row.data_centre == own
+        and is_usable(server, context.data_centres_out, now)
+    ]
+    if not costs:
+        return None
+    local_cost, local_id, local = min(costs)
+    age_s = now - local.slowness_at if local.slowness_at else math.inf
+    cost = _build_candidate(chosen, 0, 0, context).cost
+    return RemoteChoice(cost, local_cost, local_id, age_s)
 
 
 def record_sent(server: TrackedServer, context: ChoiceContext) -> None:
@@ -358,8 +418,10 @@
         server.suspect_until = now + min(MAX_SUSPECT_S, SUSPECT_S * 2 ** min(excess, 6))
 
 
-def _update_failed_share(server: TrackedServer, is_failed: bool) -> None:
-    server.failed_share += SAMPLE_WEIGHT * (float(is_failed) - server.failed_share)
+def _update_failed_share(server: TrackedServer, is_failed: bool, now: float) -> None:
+    expected = _estimate_failed_share(server, now)
+    server.failed_share = expected + SAMPLE_WEIGHT * (float(is_failed) - expected)
+    server.failed_share_at = now
 
 
 def record_late(server: TrackedServer, now: float) -> None:
@@ -372,9 +434,12 @@
 
 
 def _update_slowness(server: TrackedServer, sample: float, now: float) -> None:
-    expected = estimate_slowness(server, now)
     sample = min(sample, MAX_SLOWNESS_SAMPLE)
-    server.slowness = expected + SAMPLE_WEIGHT * (sample - expected)
+    age_s = now - server.slowness_at
+    recent = decay(server.slowness, 1.0, age_s, SLOWNESS_HALF_LIFE_S)
+    server.slowness = recent + SAMPLE_WEIGHT * (sample - recent)
+    lasting = decay(server.lasting_slowness, 1.0, age_s, LASTING_HALF_LIFE_S)
+    server.lasting_slowness = lasting + LASTING_SAMPLE_WEIGHT * (sample - lasting)
     server.slowness_at = now
 
 
@@ -398,10 +463,10 @@
         return
     if reply.outcome is ExchangeOutcome.REFUSED:
         server.full_until = now + FULL_BACKOFF_S
-        _update_failed_share(server, True)
+        _update_failed_share(server, True, now)
         return
     is_failed = reply.outcome is not ExchangeOutcome.ANSWERED or reply.status >= 500
-    _update_failed_share(server, is_failed)
+    _update_failed_share(server, is_failed, now)
     if reply.outcome is ExchangeOutcome.MISDIRECTED:
         # Another server has this address, and each further request to it would count as
         # an extra send of that server's service. So this server is never used again.
--- a/src/bramleyrouter/platform/entry_daemon.py
+++ b/src/bramleyrouter/platform/entry_daemon.py
@@ -104,6 +104,8 @@
         state.set({"value": "ended_holders"}, memory.ended_count)
         state.set({"value": "loop_lag_s"}, parts.gateway.estimate_lag())
         set_backed_off(parts.metrics, parts.gateway.list_backed_off())
+        for kind, count in parts.gateway.get_send_counts().items():
+            parts.metrics.sends.set({"kind": kind}, count)
 
     async def start() -> None:
         parts.board.watch(Section.READINESS, update_close_after_replies)
--- a/src/bramleyrouter/telemetry/gateway_metrics.py
+++ b/src/bramleyrouter/telemetry/gateway_metrics.py
@@ -29,6 +29,7 @@
     results: Counter = field(init=False)
     state: Gauge = field(init=False)
     backed_off: Gauge = field(init=False)
+    sends: Gauge = field(init=False)
     routes: set[str] = field(default_factory=set)
 
     def __post_init__(self):
@@ -61,6 +62,12 @@
             registry=registry,
         )
 
+        self.sends = Gauge(
+            "bramley_gateway_sends",
+            "Attempts since the start: to local and remote servers, and refused ones.",
+            registry=registry,
+        )
+
 
 def set_backed_off(
     metrics: GatewayMetrics, servers: Iterable[tuple[str, str, float | None]]
--- a/tests/support/balance_trial.py
+++ b/tests/support/balance_trial.py
@@ -7,6 +7,7 @@
 import random
 from collections import Counter, deque
 from dataclasses import dataclass, field
+from functools import partial
 from heapq import heappop, heappush
 from itertools import accumulate
 
@@ -14,6 +15,7 @@
 from bramleyrouter.gateway import servers as tracking
 from bramleyrouter.gateway.exchanges import ExchangeOutcome, ServerReply
 from bramleyrouter.gateway.latencies import LatencyWindow, add_sample
+from bramleyrouter.gateway.server_choice import ComputeOrder, compute_own_order
 from bramleyrouter.ids import DataCentre
 from tests.support.gateway_fakes import build_answer, build_row
 
@@ -50,7 +52,7 @@
 class SimulatedDaemon:
     """Hold what one daemon knows, and its idle connections by server."""
 
-    address: str
+    order: ComputeOrder
     data_centre: DataCentre
     window: LatencyWindow = field(default_factory=LatencyWindow)
     tracked: list[list[tracking.TrackedServer]] = field(default_factory=list)
@@ -114,7 +116,7 @@
 
     def send(daemon, service, work_s, began, tried):
         own = daemon.data_centre
-        context = tracking.ChoiceContext(clock, own, (), 0.0, daemon.address)
+        context = tracking.ChoiceContext(clock, own, (), 0.0, daemon.order)
         truth = {item.row.server_id: item for item in fleet[service]}
         server = choose(daemon.tracked[service], context, tried, truth, choice_rng)
         if server is None or len(tried) >= MAX_ATTEMPTS:
@@ -126,11 +128,9 @@
         target = truth[server.row.server_id]
         delay_s = compute_delay(own, server.row.data_centre)
         if clock > WARM_UP_S:
-            counts["sends"] += 1
-            counts["connections"] += not idle
-            counts["remote"] += server.row.data_centre != own
-        if idle:
-            idle.pop()
+            is_remote = server.row.data_centre != own
+            counts.update(sends=1, connections=not idle, remote=is_remote)
+        del idle[-1:]
         job = (daemon, service, server, work_s, began, clock, tried, delay_s)
         at(clock + delay_s, reach, target, job)
 
@@ -169,7 +169,8 @@
 
     clock = 0.0
     for index in range(daemon_count):
-        daemons.append(SimulatedDaemon(f"10.0.0.{index}:1", DATA_CENTRES[index % 3]))
+        order = partial(compute_own_order, f"10.0.0.{index}:1")
+        daemons.append(SimulatedDaemon(order, DATA_CENTRES[index % 3]))
     for service in range(SERVICES):
         fleet.append([])
         for index in range(3 + service % 4):
@@ -178,9 +179,8 @@
             server = SimulatedServer(row, rng.choice(SPEEDS), build_pauses())
             fleet[service].append(server)
         for daemon in daemons:
-            daemon.tracked.append(
-                [tracking.TrackedServer(item.row) for item in fleet[service]]
-            )
+            rows = [item.row for item in fleet[service]]
+            daemon.tracked.append([tracking.TrackedServer(row) for row in rows])
         capacity = sum(item.row.slots * item.speed for item in fleet[service])
         mean_s = MEAN_WORK_S * (1 + TAIL_SHARE * (TAIL_FACTOR - 1))
         at(0.0, arrive, service, utilisation * capacity / mean_s)
--- a/tests/support/gateway_fakes.py
+++ b/tests/support/gateway_fakes.py
@@ -15,6 +15,7 @@
     ServerReply,
 )
 from bramleyrouter.gateway.gateways import GatewayLimits
+from bramleyrouter.gateway.server_choice import keep_listed_order
 from bramleyrouter.gateway.tables import (
     RequestKind,
     Route,
@@ -246,6 +247,8 @@
         send_grant or (lambda address, payload: None),
         lambda: False,
         memory,
+        # Tests script servers by name and expect the first of similar ones.
+        keep_listed_order,
     )
     names = {name for item in routes for name in item.shards}
     names |= {part.service for item in routes for part in item.targets}
