Logged whether cost or state decided a remote choice

The line remote_server_chosen was also written when the local server had been tried already or was full, which its costs did not show.

--- a/src/bramleyrouter/gateway/attempts.py
+++ b/src/bramleyrouter/gateway/attempts.py
@@ -133,6 +133,7 @@
             id=request.request_id,
             service=server.row.service,
             server=server.row.server_id,
+            by="cost" if reason.is_by_cost else "state",
             cost=round(reason.cost, 2),
             local_server=reason.local_server,
             local_cost=round(reason.local_cost, 2),
--- a/src/bramleyrouter/gateway/servers.py
+++ b/src/bramleyrouter/gateway/servers.py
@@ -13,6 +13,7 @@
 from bramleyrouter.gateway.exchanges import ExchangeOutcome, ServerReply
 from bramleyrouter.gateway.queues import ServerQueue
 from bramleyrouter.gateway.server_choice import (
+    REMOTE_PENALTY,
     Candidate,
     ComputeOrder,
     choose_candidate,
@@ -371,13 +372,15 @@
 
     Costs are in units of an ordinary server's latency. ``local_cost`` is that of the
     cheapest local server, and ``age_s`` the age of its latest measurement in seconds,
-    infinite if it was never measured.
+    infinite if it was never measured. ``is_by_cost`` is false if that server was tried
+    already, or is full, cold, silent or suspected.
     """
 
     cost: float
     local_cost: float
     local_server: ServerId
     age_s: float
+    is_by_cost: bool
 
 
 def explain_remote_choice(
@@ -401,7 +404,8 @@
     local_cost, local_id, local = min(costs)
     age_s = now - local.slowness_at if local.slowness_at else math.inf
     cost = _build_candidate(chosen, 0, 0, context).cost
-    return RemoteChoice(cost, local_cost, local_id, age_s)
+    is_by_cost = local_cost > cost + REMOTE_PENALTY
+    return RemoteChoice(cost, local_cost, local_id, age_s, is_by_cost)
 
 
 def record_sent(server: TrackedServer, context: ChoiceContext) -> None:
--- a/tests/gateway/test_server_choice.py
+++ b/tests/gateway/test_server_choice.py
@@ -87,7 +87,9 @@
         context = ChoiceContext(97.5, HERE, (), 0.0)
         reason = explain_remote_choice([near, far], far, context)
         assert (reason.local_server, reason.age_s) == ("near", 0.5)
-        assert reason.local_cost > 1.0 + reason.cost
+        assert reason.is_by_cost
+        tried = explain_remote_choice([near, far], far, context._replace(now=200.0))
+        assert not tried.is_by_cost
         assert explain_remote_choice([near, far], near, context) is None
 
 
