--- a/src/bramleyrouter/gateway/build.py
+++ b/src/bramleyrouter/gateway/build.py
@@ -3,7 +3,8 @@
 import asyncio
 import random
 import secrets
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
+from functools import partial
 from typing import NamedTuple
 
 from bramleyrouter.fleet.records import ServerRow
@@ -70,6 +71,7 @@
     estimate_lag,
 )
 from bramleyrouter.gateway.rotation import Rotation, record_readiness_probe
+from bramleyrouter.gateway.server_choice import ComputeOrder, compute_own_order
 from bramleyrouter.gateway.servers import (
     BackedOffServer,
     list_backed_off,
@@ -120,6 +122,7 @@
     in_flight: Callable[[], int]
     list_backed_off: Callable[[], list[BackedOffServer]]
     list_rejections: Callable[[], dict[str, int]]
+    get_send_counts: Callable[[], Mapping[str, int]]
     estimate_lag: Callable[[], float]
     has_table: Callable[[], bool]
     set_rollouts: Callable[[Collection[VersionRollout]], None]
@@ -145,12 +148,15 @@
     acquire_permit: AcquirePermit | None = None,
     share_limits: ShareLimits = DEFAULT_SHARE_LIMITS,
     control_silence_s: Callable[[], float] = lambda: 0.0,
+    compute_order: ComputeOrder | None = None,
 ) -> GatewayHandle:
     """Build the gateway on an event loop.
 
     Without ``acquire_permit``, customers' quotas are not applied. Without ``memory``,
     the replies that the gateway keeps have a budget of their own.
     ``count_identification`` is called with the result of each identification.
+    Without ``compute_order``, the order of similar servers follows from the daemon's
+    address.
     """
     gateway = Gateway(
         limits,
@@ -180,6 +186,7 @@
         share_limits=share_limits,
         control_silence_s=control_silence_s,
         daemon_start=secrets.randbits(62),
+        compute_order=compute_order or partial(compute_own_order, limits.own_address),
     )
 
     def set_table(table: RouteTable) -> None:
@@ -210,6 +217,7 @@
             rule.value: count for rule, count in gateway.overload.rejected.items()
         },
         list_backed_off=lambda: list_backed_off(gateway.servers, loop.time()),
+        get_send_counts=lambda: gateway.send_counts,
         estimate_lag=lambda: estimate_lag(gateway.lag, loop.time()),
         has_table=lambda: gateway.index is not None,
         set_rollouts=lambda rollouts: set_rollouts(gateway, rollouts),
--- a/src/bramleyrouter/platform/entry_daemon.py
+++ b/src/bramleyrouter/platform/entry_daemon.py
@@ -118,6 +118,8 @@
             state.set({"value": name}, value)
         set_backed_off(parts.metrics, parts.gateway.list_backed_off())
         set_rejections(parts.metrics, parts.gateway.list_rejections())
+        for kind, count in parts.gateway.get_send_counts().items():
+            parts.metrics.sends.set({"kind": kind}, count)
 
     async def start() -> None:
         parts.board.watch(Section.READINESS, update_close_after_replies)
--- a/tests/support/gateway_fakes.py
+++ b/tests/support/gateway_fakes.py
@@ -15,6 +15,7 @@
     ServerReply,
 )
 from bramleyrouter.gateway.gateways import GatewayLimits
+from bramleyrouter.gateway.server_choice import keep_listed_order
 from bramleyrouter.gateway.tables import (
     RequestKind,
     Route,
@@ -254,6 +255,8 @@
         lambda: False,
         memory,
         acquire_permit=acquire_permit,
+        # Tests script servers by name and expect the first of similar ones.
+        compute_order=keep_listed_order,
     )
     names = {name for item in routes for name in item.shards}
     names |= {part.service for item in routes for part in item.targets}
