--- a/src/bramleyrouter/gateway/attempts.py
+++ b/src/bramleyrouter/gateway/attempts.py
@@ -1,5 +1,6 @@
 """Send one request to one server once a connection to it is free."""
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -11,7 +12,11 @@
     MaySend,
     ServerReply,
 )
-from bramleyrouter.gateway.gateways import Gateway, mark_data_centre_reachable
+from bramleyrouter.gateway.gateways import (
+    Gateway,
+    get_tracked_servers,
+    mark_data_centre_reachable,
+)
 from bramleyrouter.gateway.latencies import LatencyWindow, add_sample
 from bramleyrouter.gateway.permits import Permit, has_expired, use_permit
 from bramleyrouter.gateway.queues import (
@@ -26,6 +31,7 @@
 from bramleyrouter.gateway.servers import (
     ChoiceContext,
     TrackedServer,
+    explain_remote_choice,
     is_usable,
     record_cancelled,
     record_reply,
@@ -102,6 +108,7 @@
     with this attempt, or with one of its ``siblings`` that ends later. The first
     attempt of a request with a ``permit`` is sent only while that is valid.
     """
+    _note_choice(gateway, server, context, request)
     record_sent(server, context)
     record_assigned(gateway, server, request.request_id)
     attempt = Attempt(
@@ -127,6 +134,34 @@
     return attempt
 
 
+def _note_choice(
+    gateway: Gateway,
+    server: TrackedServer,
+    context: ChoiceContext,
+    request: CallerRequest,
+) -> None:
+    """Count the choice, and log why a remote server was preferred to a local one."""
+    if server.row.data_centre == context.own_data_centre:
+        gateway.send_counts["local"] += 1
+        return
+    gateway.send_counts["remote"] += 1
+    servers = get_tracked_servers(gateway, server.row.service)
+    reason = explain_remote_choice(servers, server, context)
+    if reason is not None:
+        gateway.record_rate_limited(
+            "gateway",
+            "remote_server_chosen",
+            id=request.request_id,
+            service=server.row.service,
+            server=server.row.server_id,
+            by="cost" if reason.is_by_cost else "state",
+            cost=round(reason.cost, 2),
+            local_server=reason.local_server,
+            local_cost=round(reason.local_cost, 2),
+            age_s=round(reason.age_s, 1) if reason.age_s < math.inf else None,
+        )
+
+
 def _send_now(attempt: Attempt) -> None:
     """Send the request on a free connection."""
     gateway, server = attempt.gateway, attempt.server
@@ -203,6 +238,8 @@
     latency_s = now - attempt.sent_at
     record_reply(server, reply, latency_s, attempt.window.median_s, now)
     record_version_reply(attempt, reply, latency_s)
+    if reply.outcome is ExchangeOutcome.REFUSED:
+        gateway.send_counts["refused"] += 1
     if reply.is_leaving or reply.retry_after_s:
         _record_backoff(attempt, reply)
         abandon_waiting(server.queue)
--- a/src/bramleyrouter/gateway/gateways.py
+++ b/src/bramleyrouter/gateway/gateways.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, NamedTuple
@@ -33,6 +34,7 @@
 )
 from bramleyrouter.gateway.reply_times import LoopLag
 from bramleyrouter.gateway.rotation import Rotation, compute_time_to_leave_rotation
+from bramleyrouter.gateway.server_choice import ComputeOrder, keep_listed_order
 from bramleyrouter.gateway.servers import (
     ChoiceContext,
     TrackedServer,
@@ -140,6 +142,9 @@
     control_silence_s: Callable[[], float] = lambda: 0.0
     # Distinguishes the counts of this process from those of an earlier one.
     daemon_start: int = 0
+    compute_order: ComputeOrder = keep_listed_order
+    # Attempts by where they were sent, and those that a full server refused.
+    send_counts: Counter[str] = field(default_factory=Counter)
 
 
 def mark_data_centre_reachable(gateway: Gateway, data_centre: DataCentre) -> None:
@@ -179,6 +184,7 @@
         limits.own_data_centre,
         gateway.get_data_centres_out(),
         interval_s,
+        gateway.compute_order,
     )
 
 
--- a/src/bramleyrouter/telemetry/gateway_metrics.py
+++ b/src/bramleyrouter/telemetry/gateway_metrics.py
@@ -32,6 +32,7 @@
     identifications: Counter = field(init=False)
     permits: Histogram = field(init=False)
     rejections: Counter = field(init=False)
+    sends: Gauge = field(init=False)
     routes: set[str] = field(default_factory=set)
 
     def __post_init__(self):
@@ -80,6 +81,12 @@
             registry=registry,
         )
 
+        self.sends = Gauge(
+            "bramley_gateway_sends",
+            "Attempts since the start: to local and remote servers, and refused ones.",
+            registry=registry,
+        )
+
 
 def set_backed_off(
     metrics: GatewayMetrics, servers: Iterable[tuple[str, str, float | None]]
