--- a/tests/docs/test_operations.py
+++ b/tests/docs/test_operations.py
@@ -37,6 +37,13 @@
     "reloaded",
     "reload_failed",
     "restart_needed",
+    "permit_refused",
+    "customer_refused",
+    "client_refused",
+    "not_forwarded",
+    "start_reserve",
+    "membership",
+    "version_tried",
 )
 
 
