Moved the handling of requests out of the gateway's composition

Cause: each of the merged parts had added closures to one function of 130 lines in the module that builds the gateway. Change: gateway/requests.py holds the state of an accepted request and one function for each step; build.py only wires.

--- a/src/bramleyrouter/gateway/build.py
+++ b/src/bramleyrouter/gateway/build.py
@@ -11,11 +11,6 @@
 from bramleyrouter.fleet.rollout_records import VersionRollout
 from bramleyrouter.fleet.version_reports import VersionReport
 from bramleyrouter.gateway.budgets import ExtraBudget, ExtraLimits
-from bramleyrouter.gateway.customers import (
-    Identification,
-    IdentityResult,
-    identify_customer,
-)
 from bramleyrouter.gateway.data_centre_contacts import build_contacts
 from bramleyrouter.gateway.delegation import (
     OpenStream,
@@ -24,41 +19,20 @@
     set_relays,
 )
 from bramleyrouter.gateway.exchanges import (
-    CallerRequest,
-    GatewayReply,
-    ReplyKind,
     SendToServer,
 )
 from bramleyrouter.gateway.gateways import (
-    DEADLINE_MARGIN_S,
     Cancel,
     Gateway,
     GatewayLimits,
-    OnGatewayReply,
-    build_refusal,
-    compute_time_limit,
     mark_data_centre_reachable,
-    record_result,
     set_route_index,
 )
-from bramleyrouter.gateway.gathers import start_gather
 from bramleyrouter.gateway.overload import (
-    LATE_FACTOR,
-    Arrival,
-    Load,
     OverloadState,
-    choose_retry_after,
-    record_duration,
-    record_end,
-    record_start,
-    reject_request,
 )
 from bramleyrouter.gateway.permits import (
     AcquirePermit,
-    Permit,
-    PermitRun,
-    end_permit,
-    start_with_permit,
 )
 from bramleyrouter.gateway.reachability import is_cut_off
 from bramleyrouter.gateway.relaying import (
@@ -67,9 +41,9 @@
 )
 from bramleyrouter.gateway.reply_times import (
     MIN_NETWORK_S,
-    estimate_average_lag,
     estimate_lag,
 )
+from bramleyrouter.gateway.requests import handle_request
 from bramleyrouter.gateway.rotation import Rotation, record_readiness_probe
 from bramleyrouter.gateway.server_choice import ComputeOrder, compute_own_order
 from bramleyrouter.gateway.servers import (
@@ -77,12 +51,9 @@
     list_backed_off,
     set_servers,
 )
-from bramleyrouter.gateway.single_requests import start_single_request
 from bramleyrouter.gateway.tables import (
-    Route,
     RouteTable,
     build_index,
-    match_route,
 )
 from bramleyrouter.gateway.version_choice import list_reports, set_rollouts
 from bramleyrouter.gateway.version_shares import DEFAULT_SHARE_LIMITS, ShareLimits
@@ -96,9 +67,6 @@
 # cancels it. ``network_s`` is the network's part of the caller's latency, in seconds.
 HandleRequest = Callable[..., Cancel]
 
-# Retry-After of a refusal before the first route table has arrived.
-NO_TABLE_RETRY_S = 0.5
-
 
 class GatewayHandle(NamedTuple):
     """Bundle the closures that ``build_gateway`` returns.
@@ -197,7 +165,7 @@
         set_servers(gateway.servers, service, rows, loop.time())
 
     return GatewayHandle(
-        handle=lambda request, on_reply, network_s=MIN_NETWORK_S: _handle_request(
+        handle=lambda request, on_reply, network_s=MIN_NETWORK_S: handle_request(
             gateway, request, on_reply, network_s
         ),
         set_table=set_table,
@@ -223,194 +191,3 @@
         set_rollouts=lambda rollouts: set_rollouts(gateway, rollouts),
         list_reports=lambda: list_reports(gateway),
     )
-
-
-def _identify(gateway: Gateway, route: Route, request: CallerRequest) -> Identification:
-    """Identify the customer of a request; count the result and record a refusal."""
-    assert gateway.index is not None
-    identification = identify_customer(gateway.index, route, request)
-    if identification.result is not IdentityResult.UNCHECKED:
-        gateway.count_identification(identification.result.value)
-    if identification.is_refused:
-        gateway.record_rate_limited(
-            "gateway",
-            "customer_refused",
-            id=request.request_id,
-            route=route.name,
-            reason=identification.result.value,
-            version=gateway.index.table.version,
-            table_age_s=round(gateway.loop.time() - gateway.table_applied_at, 3),
-        )
-    return identification
-
-
-def _reject_if_overloaded(
-    gateway: Gateway, arrival: Arrival, request: CallerRequest
-) -> GatewayReply | None:
-    """Return the refusal of a request that is rejected, or none."""
-    now, route = arrival.now, arrival.route
-    assert gateway.index is not None
-    load = Load(
-        gateway.in_flight,
-        estimate_average_lag(gateway.lag, now),
-        max(0.0, now - gateway.lag.at),
-        gateway.limits.cores,
-    )
-    rejection = reject_request(gateway.overload, gateway.index, arrival, load)
-    if rejection is None:
-        return None
-    retry_after_s = choose_retry_after(
-        gateway.overload, arrival, load, gateway.rng.random()
-    )
-    # The metric counts those that are left out.
-    gateway.record_rate_limited(
-        "gateway",
-        "not_forwarded",
-        id=request.request_id,
-        outcome=ReplyKind.REFUSED.value,
-        route=route.name,
-        customer=arrival.customer,
-        rule=rejection.rule.value,
-        reason=rejection.reason,
-        age_ms=round(1000 * rejection.age_s),
-        in_flight=load.in_flight,
-        lag_ms=round(1000 * load.lag_s, 1),
-        retry_after_ms=round(1000 * retry_after_s),
-    )
-    gateway.observe(route.name, ReplyKind.REFUSED.value, 0.0, None)
-    return GatewayReply(
-        ReplyKind.REFUSED, rejection.reason, retry_after_s=retry_after_s
-    )
-
-
-def _handle_request(
-    gateway: Gateway,
-    request: CallerRequest,
-    on_reply: OnGatewayReply,
-    network_s: float,
-) -> Cancel:
-    def reply_at_once(reply: GatewayReply) -> Cancel:
-        gateway.record(
-            "gateway",
-            "not_forwarded",
-            id=request.request_id,
-            outcome=reply.kind.value,
-            reason=reply.reason,
-        )
-        on_reply(reply)
-        return lambda: None
-
-    if gateway.index is None:
-        return reply_at_once(
-            build_refusal(gateway, "no route table yet", NO_TABLE_RETRY_S)
-        )
-    route = match_route(gateway.index, request.host, request.path)
-    if route is None:
-        version = gateway.index.table.version
-        reason = f'no route of version {version} for "{request.host}{request.path}"'
-        return reply_at_once(GatewayReply(ReplyKind.NO_ROUTE, reason))
-    identification = _identify(gateway, route, request)
-    if identification.is_refused:
-        reason = identification.result.value
-        on_reply(GatewayReply(ReplyKind.UNAUTHORIZED, reason))
-        return lambda: None
-    request = identification.request
-    arrived_at = gateway.loop.time()
-    arrival = Arrival(
-        route, request.customer, compute_time_limit(route, request), arrived_at
-    )
-    refusal = _reject_if_overloaded(gateway, arrival, request)
-    if refusal is not None:
-        on_reply(refusal)
-        return lambda: None
-    record_start(gateway.overload, arrival)
-    gateway.in_flight += 1
-    in_flight = gateway.in_flight
-    is_open = True
-    permit_run = _build_permit_run(gateway, request, route, arrived_at)
-
-    def mark_ended() -> None:
-        nonlocal is_open
-        if is_open:
-            is_open = False
-            gateway.in_flight -= 1
-            if permit_run is not None:
-                end_permit(permit_run)
-            record_end(gateway.overload, arrival, gateway.loop.time())
-
-    def finish(reply: GatewayReply) -> None:
-        if not is_open:
-            return
-        mark_ended()
-        now = gateway.loop.time()
-        waited_s = now - arrived_at
-        coverage = None
-        if reply.kind is ReplyKind.GATHERED:
-            coverage = len(reply.signatures) / len(route.shards)
-        is_answered = reply.kind in (ReplyKind.SERVER, ReplyKind.GATHERED)
-        if is_answered or reply.kind is ReplyKind.DEADLINE:
-            record_duration(gateway.overload, arrival, in_flight, is_answered, now)
-            record_result(gateway, route, request, waited_s, coverage)
-        gateway.observe(route.name, reply.kind.value, waited_s, coverage)
-        on_reply(reply)
-
-    def start(permit: Permit | None) -> Cancel:
-        try:
-            if route.shards:
-                return start_gather(
-                    gateway, route, request, finish, network_s, arrived_at, permit
-                )
-            return start_single_request(
-                gateway, route, request, finish, arrived_at, permit
-            )
-        except Exception as exc:
-            # The request would otherwise count as in flight for good, and its caller
-            # would get no reply. It may have been sent to some server.
-            finish(GatewayReply(ReplyKind.FAILED, f"unexpected error: {exc!r}"))
-            gateway.record(
-                "gateway", "unexpected_error", id=request.request_id, reason=repr(exc)
-            )
-            return lambda: None
-
-    def refuse(reply: GatewayReply) -> None:
-        gateway.record_rate_limited(
-            "gateway",
-            "permit_refused",
-            id=request.request_id,
-            route=route.name,
-            customer=request.customer,
-            outcome=reply.kind.value,
-            retry_after_s=round(reply.retry_after_s, 3),
-            waited_ms=round(1000 * (gateway.loop.time() - arrived_at)),
-            reason=reply.reason,
-        )
-        finish(reply)
-
-    if permit_run is None:
-        cancel = start(None)
-    else:
-        cancel = start_with_permit(permit_run, start, refuse)
-
-    def cancel_request() -> None:
-        now = gateway.loop.time()
-        if is_open and now > arrived_at + LATE_FACTOR * route.objective_s:
-            # The caller has waited in vain.
-            record_duration(gateway.overload, arrival, in_flight, False, now)
-            record_result(gateway, route, request, now - arrived_at, None)
-        mark_ended()
-        cancel()
-
-    return cancel_request
-
-
-def _build_permit_run(
-    gateway: Gateway, request: CallerRequest, route: Route, arrived_at: float
-) -> PermitRun | None:
-    """Return what acquires the request's permit, or none if it needs no permit."""
-    if gateway.acquire_permit is None or gateway.index is None or not request.customer:
-        return None
-    customer = gateway.index.customers.get(request.customer)
-    if customer is None or not customer.rate_per_s:
-        return None
-    give_up_at = arrived_at + compute_time_limit(route, request) - DEADLINE_MARGIN_S
-    return PermitRun(gateway.loop, gateway.acquire_permit, request.customer, give_up_at)
--- a/tests/soak/breaches.py
+++ b/tests/soak/breaches.py
@@ -111,7 +111,7 @@
     ),
     Breach(
         "no route table counts as no route",
-        "gateway/build.py",
+        "gateway/requests.py",
         'build_refusal(gateway, "no route table yet", NO_TABLE_RETRY_S)',
         'GatewayReply(ReplyKind.NO_ROUTE, "no route table yet")',
         ("denied",),
