Matched the mutation of the trial share to the formatted line

Cause: the formatter had split the line that the mutation replaces, so that it would replace nothing. Change: it now removes the bound by six sends. Result: every mutation of the list finds its text again, and this one is caught by tests/gateway/test_version_shares.py.

--- a/tests/mutation_list.py
+++ b/tests/mutation_list.py
@@ -444,8 +444,8 @@
     Mutation(
         "exceed the share of a version on trial",
         "gateway/version_shares.py",
-        "share.trial_sends + 1 <= compute_allowance(",
-        "share.trial_sends <= 1 + compute_allowance(",
+        "share.trial_sends + 1\n",
+        "share.trial_sends - 5\n",
         ("tests/gateway/test_version_shares.py",),
     ),
     Mutation(
