--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -34,7 +34,7 @@
 def choose_prefix():
     """Return the first three parts of loopback addresses that nobody else uses."""
     for _ in range(200):
-        prefix = f"127.{random.randint(40, 250)}.{random.randint(1, 250)}"
+        prefix = f"127.{random.randint(40, 250)}.{random.randint(1, 240)}"
         try:
             for port in (*PORTS.values(), METRICS_PORT):
                 with socket.socket() as sock:
@@ -99,10 +99,13 @@
             lines += [f'front = "{self.address("front")}"', f'ready = "{self.address("ready")}"']
         else:
             lines.append(f'control = "{self.address("control")}"')
-        lines += ["[limits]", "cpuShare = 0.537", "cores = 2",
-                  f"memoryMb = {300 if is_entry else 296}", "maxFds = 4100",
-                  "linkMbps = 1000.0", f"diskMb = {0 if is_entry else 128}",
-                  "[faultTolerance]", "machines = 1", "zones = 1", "regions = 0", "[bounds]"]
+        limits = {"cpuShare": 0.537, "cores": 2, "memoryMb": 300, "maxFds": 4100,
+                  "linkMbps": 1000.0, "diskMb": 0, **self.fleet.entry_limits}
+        if not is_entry:
+            limits = {"cpuShare": 0.645, "cores": 2, "memoryMb": 296, "maxFds": 4096,
+                      "linkMbps": 1000.0, "diskMb": 128}
+        lines += ["[limits]"] + [f"{key} = {value}" for key, value in limits.items()]
+        lines += ["[faultTolerance]", "machines = 1", "zones = 1", "regions = 0", "[bounds]"]
         lines += [f"{key} = {value}" for key, value in {**BOUNDS, **self.fleet.bounds}.items()]
         self.settings.write_text("\n".join(lines) + "\n")
 
@@ -136,7 +139,8 @@
 class Fleet:
     """Three control daemons and some entry daemons."""
 
-    def __init__(self, entries=2, controls=3, bounds=None):
+    def __init__(self, entries=2, controls=3, bounds=None, entry_limits=None):
+        self.entry_limits = entry_limits or {}
         self.temporary = tempfile.TemporaryDirectory(prefix="bramley-review-")
         self.folder = Path(self.temporary.name)
         self.prefix, self.bounds, self.processes = choose_prefix(), bounds or {}, []
@@ -235,7 +239,9 @@
 
     def __init__(self, fleet, record, number, service, zone, slots=4, work=None):
         self.fleet, self.record, self.service, self.zone, self.slots = fleet, record, service, zone, slots
-        self.id, self.ip = f"i-{number:04x}", f"{fleet.prefix}.{100 + number}"
+        first, second, third = fleet.prefix.split(".")
+        self.id = f"i-{number:04x}"
+        self.ip = f"{first}.{second}.{int(third) + 1 + number // 200}.{10 + number % 200}"
         self.port, self.server, self.beats = 8080, None, None
         self.work = work or self.default_work
         self.state, self.seq, self.born, self.busy = "ready", 0, 0, 0
@@ -291,7 +297,7 @@
         try:
             while await self.serve_one(reader, writer):
                 pass
-        except (OSError, EOFError, asyncio.LimitOverrunError):
+        except (OSError, EOFError, asyncio.LimitOverrunError, asyncio.CancelledError):
             pass
         finally:
             self.connections.discard(writer)
