--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -70,14 +70,15 @@
         self.folder.mkdir()
         (self.folder / "data").mkdir()
         self.settings = self.folder / "boot.toml"
-        self.process, self.bootstrap = None, True
+        # The control daemons that the settings name, if not the first three.
+        self.process, self.bootstrap, self.seeds = None, True, None
 
     def address(self, kind):
         return f"{self.ip}:{PORTS[kind]}"
 
     def write_settings(self):
         is_entry = self.role == "entry"
-        seeds = [item.address("control") for item in self.fleet.controls[:3]]
+        seeds = [item.address("control") for item in self.seeds or self.fleet.controls[:3]]
         lines = [
             f'node = "{self.name}"', f'role = "{self.role}"',
             f'machineClass = "{"front" if is_entry else "core"}"',
@@ -105,7 +106,7 @@
             limits = {"cpuShare": 0.645, "cores": 2, "memoryMb": 296, "maxFds": 4096,
                       "linkMbps": 1000.0, "diskMb": 128}
         lines += ["[limits]"] + [f"{key} = {value}" for key, value in limits.items()]
-        lines += ["[faultTolerance]", "machines = 1", "zones = 1", "regions = 0", "[bounds]"]
+        lines += ["[faultTolerance]", f"machines = {self.fleet.losses}", "zones = 1", "regions = 0", "[bounds]"]
         lines += [f"{key} = {value}" for key, value in {**BOUNDS, **self.fleet.bounds}.items()]
         self.settings.write_text("\n".join(lines) + "\n")
 
@@ -139,7 +140,8 @@
 class Fleet:
     """Three control daemons and some entry daemons."""
 
-    def __init__(self, entries=2, controls=3, bounds=None, entry_limits=None):
+    def __init__(self, entries=2, controls=3, bounds=None, entry_limits=None, losses=1):
+        self.losses = losses
         self.entry_limits = entry_limits or {}
         self.temporary = tempfile.TemporaryDirectory(prefix="bramley-review-")
         self.folder = Path(self.temporary.name)
